--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,33 @@
+//! What all programs do alike on their command line.
+
+use std::error::Error;
+use std::process::ExitCode;
+
+/// The exit code for settings that are wrong.
+const BAD_SETTINGS: u8 = 2;
+
+/// Reads the settings and, unless they are only to be checked, runs the program.
+pub fn run<T, E1: Error, E2: Error>(
+    check: bool,
+    read: impl FnOnce() -> Result<T, E1>,
+    run: impl FnOnce(T) -> Result<(), E2>,
+) -> ExitCode {
+    let settings = match read() {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("{e}");
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    if check {
+        println!("the settings are right");
+        return ExitCode::SUCCESS;
+    }
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/config/catalog.rs
@@ -0,0 +1,304 @@
+//! The configuration object: workspaces, services, pools and upstreams, as operators accepted it.
+//!
+//! The platform's Object API keeps it as one JSON value. Its object version is the revision.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::names::PoolName;
+use crate::names::ServiceName;
+use crate::names::UpstreamName;
+use crate::names::WorkspaceName;
+use crate::names::ZoneName;
+
+/// The name of the configuration object in the platform's Object API.
+pub const OBJECT: &str = "frostdyke/configuration";
+
+/// Longest name of anything in the configuration, in bytes.
+pub const NAME_MAX: usize = 64;
+
+/// The whole configuration at one revision.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Catalog {
+    /// Customers and their limits.
+    pub workspaces: Vec<Workspace>,
+    /// What callers may address.
+    pub services: Vec<Service>,
+    /// Groups of interchangeable upstreams.
+    pub pools: Vec<Pool>,
+    /// Engines and plain services.
+    pub upstreams: Vec<Upstream>,
+    /// Plans applied lately, newest last, so that a lost answer to a write can be settled.
+    #[serde(default)]
+    pub applied: Vec<Applied>,
+}
+
+/// One customer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Workspace {
+    /// Unique name.
+    pub name: WorkspaceName,
+    /// Share of service relative to other workspaces; at least 1.
+    #[serde(default = "one")]
+    pub weight: u32,
+    /// SHA-256 digests of the keys that name this workspace, in hexadecimal.
+    #[serde(default)]
+    pub key_digests: Vec<String>,
+    /// Requests that may wait at one router; more are refused at once.
+    #[serde(default = "waiting_limit")]
+    pub waiting_limit: u32,
+    /// Requests that may run at once per pool and availability zone.
+    #[serde(default = "running_limit")]
+    pub running_limit: u32,
+}
+
+/// Something that callers address by name.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Unique name; the last part of the callers' path.
+    pub name: ServiceName,
+    /// The pool that serves it.
+    pub pool: PoolName,
+    /// The path to call on an upstream.
+    pub path: String,
+    /// Cost assumed until requests of a workspace have ended, in the pool's unit.
+    #[serde(default = "default_cost")]
+    pub default_cost: u32,
+    /// Whether a request may be sent again when its caller doesn't say.
+    #[serde(default = "yes")]
+    pub repeatable: bool,
+}
+
+/// A group of upstreams and the policy that orders work on it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pool {
+    /// Unique name.
+    pub name: PoolName,
+    /// What a request's cost is counted in.
+    pub unit: Unit,
+    /// How far urgent work may take its workspace ahead of the others, in the pool's unit.
+    #[serde(default = "urgent_lead")]
+    pub urgent_lead: u32,
+    /// One background request is served after this many others of its workspace.
+    #[serde(default = "background_every")]
+    pub background_every: u32,
+    /// A remote workspace is served first when it is behind by more than this, in the pool's unit.
+    #[serde(default = "pull_margin")]
+    pub pull_margin: u32,
+    /// Most that a workspace may be behind another that waits, in the pool's unit; what it lost
+    /// beyond that, while zones were cut off from each other, isn't paid back.
+    #[serde(default = "debt_cap")]
+    pub debt_cap: u32,
+    /// Retries allowed as a share of the requests, in percent.
+    #[serde(default = "retry_percent")]
+    pub retry_percent: u32,
+}
+
+/// The unit of cost of a pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Unit {
+    /// Tokens, counted in the answer's events and trued up from its last one.
+    Tokens,
+    /// Calls: every request costs one.
+    Calls,
+}
+
+/// One engine or plain service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Upstream {
+    /// Unique name.
+    pub name: UpstreamName,
+    /// The pool it belongs to.
+    pub pool: PoolName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it gets no new work.
+    #[serde(default)]
+    pub draining: bool,
+}
+
+/// A plan that was applied.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Applied {
+    /// The plan's hash.
+    pub plan: String,
+    /// The operator who confirmed it.
+    pub by: String,
+}
+
+/// A configuration at its revision, with the indexes that lookups need.
+#[derive(Clone, Debug, Default)]
+pub struct Revision {
+    /// The object's version; 0 when none was read yet.
+    pub number: u64,
+    /// What was accepted.
+    pub catalog: Catalog,
+    services: HashMap<ServiceName, usize>,
+    workspaces: HashMap<WorkspaceName, usize>,
+    pools: HashMap<PoolName, usize>,
+}
+
+impl Revision {
+    /// Indexes a configuration that was read at object version `number`.
+    pub fn new(number: u64, catalog: Catalog) -> Result<Revision, Vec<Fault>> {
+        let faults = check(&catalog);
+        if !faults.is_empty() {
+            return Err(faults);
+        }
+        let services =
+            catalog.services.iter().enumerate().map(|(i, s)| (s.name.clone(), i)).collect();
+        let workspaces =
+            catalog.workspaces.iter().enumerate().map(|(i, w)| (w.name.clone(), i)).collect();
+        let pools = catalog.pools.iter().enumerate().map(|(i, p)| (p.name.clone(), i)).collect();
+        Ok(Revision { number, catalog, services, workspaces, pools })
+    }
+
+    /// Looks up a service.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.get(name).map(|&i| &self.catalog.services[i])
+    }
+
+    /// Looks up a workspace.
+    pub fn workspace(&self, name: &str) -> Option<&Workspace> {
+        self.workspaces.get(name).map(|&i| &self.catalog.workspaces[i])
+    }
+
+    /// Looks up a pool.
+    pub fn pool(&self, name: &str) -> Option<&Pool> {
+        self.pools.get(name).map(|&i| &self.catalog.pools[i])
+    }
+
+    /// The upstreams of a pool in one availability zone.
+    pub fn upstreams<'a>(
+        &'a self,
+        pool: &'a str,
+        zone: &'a str,
+    ) -> impl Iterator<Item = &'a Upstream> {
+        self.catalog.upstreams.iter().filter(move |u| &*u.pool == pool && &*u.zone == zone)
+    }
+}
+
+/// Something wrong with one field of a configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+#[error("{field}: {reason}")]
+pub struct Fault {
+    /// The field's place, such as `upstreams[3].pool`.
+    pub field: String,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+/// Finds every fault of a configuration.
+pub fn check(catalog: &Catalog) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    check_names(&mut faults, "workspaces", catalog.workspaces.iter().map(|w| w.name.as_str()));
+    check_names(&mut faults, "services", catalog.services.iter().map(|s| s.name.as_str()));
+    check_names(&mut faults, "pools", catalog.pools.iter().map(|p| p.name.as_str()));
+    check_names(&mut faults, "upstreams", catalog.upstreams.iter().map(|u| u.name.as_str()));
+    let pools: HashSet<&str> = catalog.pools.iter().map(|p| p.name.as_str()).collect();
+    for (i, workspace) in catalog.workspaces.iter().enumerate() {
+        if workspace.weight == 0 {
+            faults.push(fault(format!("workspaces[{i}].weight"), "must be at least 1"));
+        }
+        for (k, digest) in workspace.key_digests.iter().enumerate() {
+            if hex::decode(digest).map(|d| d.len()) != Ok(32) {
+                let field = format!("workspaces[{i}].key_digests[{k}]");
+                faults.push(fault(field, "must be a SHA-256 digest in hexadecimal"));
+            }
+        }
+    }
+    for (i, service) in catalog.services.iter().enumerate() {
+        if !pools.contains(service.pool.as_str()) {
+            faults.push(fault(format!("services[{i}].pool"), "names no pool"));
+        }
+        if !service.path.starts_with('/') {
+            faults.push(fault(format!("services[{i}].path"), "must start with '/'"));
+        }
+    }
+    for (i, pool) in catalog.pools.iter().enumerate() {
+        if pool.background_every == 0 {
+            faults.push(fault(format!("pools[{i}].background_every"), "must be at least 1"));
+        }
+    }
+    for (i, upstream) in catalog.upstreams.iter().enumerate() {
+        if !pools.contains(upstream.pool.as_str()) {
+            faults.push(fault(format!("upstreams[{i}].pool"), "names no pool"));
+        }
+        if upstream.slots == 0 {
+            faults.push(fault(format!("upstreams[{i}].slots"), "must be at least 1"));
+        }
+    }
+    faults
+}
+
+fn check_names<'a>(faults: &mut Vec<Fault>, kind: &str, names: impl Iterator<Item = &'a str>) {
+    let mut seen = HashSet::new();
+    for (i, name) in names.enumerate() {
+        let field = format!("{kind}[{i}].name");
+        let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+        if name.is_empty() || NAME_MAX < name.len() || !name.chars().all(plain) {
+            faults.push(fault(field, "must be 1 to 64 letters, digits, '-', '_' or '.'"));
+        } else if !seen.insert(name) {
+            faults.push(fault(field, "stands twice"));
+        }
+    }
+}
+
+fn fault(field: String, reason: &str) -> Fault {
+    Fault { field, reason: reason.to_owned() }
+}
+
+fn one() -> u32 {
+    1
+}
+
+fn yes() -> bool {
+    true
+}
+
+fn waiting_limit() -> u32 {
+    256
+}
+
+fn running_limit() -> u32 {
+    1024
+}
+
+fn default_cost() -> u32 {
+    300
+}
+
+fn urgent_lead() -> u32 {
+    2000
+}
+
+fn background_every() -> u32 {
+    10
+}
+
+fn pull_margin() -> u32 {
+    500
+}
+
+fn debt_cap() -> u32 {
+    20_000
+}
+
+fn retry_percent() -> u32 {
+    10
+}
--- /dev/null
+++ b/src/config/settings.rs
@@ -0,0 +1,390 @@
+//! Settings of one process, read from an INI file. Every fault is found at once and named by file,
+//! section and key.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::str::FromStr;
+use std::time::Duration;
+
+use ini::Ini;
+
+use crate::names::BoxName;
+use crate::names::ZoneName;
+use crate::peer::member::ListedBox;
+
+/// What is wrong with a settings file.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The file can't be read or isn't INI.
+    #[error("{}: {reason}", path.display())]
+    File { path: PathBuf, reason: String },
+    /// The file was read, but these keys are missing, unknown or wrong.
+    #[error("{}", lines(.0))]
+    Keys(Vec<KeyFault>),
+}
+
+/// What is wrong with one key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyFault {
+    /// The file.
+    pub path: PathBuf,
+    /// The section it stands in.
+    pub section: String,
+    /// The key, or nothing where the section itself is wrong.
+    pub key: String,
+    /// What is wrong.
+    pub reason: String,
+}
+
+impl fmt::Display for KeyFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: [{}] {}: {}", self.path.display(), self.section, self.key, self.reason)
+    }
+}
+
+/// Settings of `frostdyke-router`.
+#[derive(Clone, Debug)]
+pub struct Router {
+    /// `[box]`: who this is.
+    pub identity: Box,
+    /// `[listen] callers`: where callers connect.
+    pub callers: SocketAddr,
+    /// `[listen] peers`: where other routers connect.
+    pub peers: SocketAddr,
+    /// `[listen] metrics`: where the metrics page is.
+    pub metrics: SocketAddr,
+    /// `[platform] address`: where the platform's API is.
+    pub platform: SocketAddr,
+    /// `[peers] secret-file`: what routers show each other.
+    pub secret: Secret,
+    /// `[peers] seeds`: boxes known before the platform answers.
+    pub seeds: Vec<ListedBox>,
+    /// `[callers]`: limits of the callers' port.
+    pub limits: Limits,
+    /// `[log]`.
+    pub log: Log,
+}
+
+/// Settings of `frostdyke-operator`.
+#[derive(Clone, Debug)]
+pub struct Operator {
+    /// `[box]`: who this is.
+    pub identity: Box,
+    /// `[listen] operators`: where operators connect.
+    pub operators: SocketAddr,
+    /// `[platform] address`: where the platform's API is.
+    pub platform: SocketAddr,
+    /// `[peers] secret-file`: what this process shows the routers.
+    pub secret: Secret,
+    /// `[peers] seeds`: boxes known before the platform answers.
+    pub seeds: Vec<ListedBox>,
+    /// `[operators] tokens-file`: lines of `NAME SHA-256-OF-TOKEN`.
+    pub tokens: Vec<Token>,
+    /// `[log]`.
+    pub log: Log,
+}
+
+/// An operator and the digest of the token that names them.
+#[derive(Clone, Debug)]
+pub struct Token {
+    /// The operator's name, as it is kept with what they confirm.
+    pub name: String,
+    /// SHA-256 of the token.
+    pub digest: [u8; 32],
+}
+
+/// Who a process is.
+#[derive(Clone, Debug)]
+pub struct Box {
+    /// `name`: unique name of the box.
+    pub name: BoxName,
+    /// `zone`: its availability zone.
+    pub zone: ZoneName,
+}
+
+/// Limits of the callers' port, each with a default.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// `trust-workspace-header`: take the workspace from `Frostdyke-Workspace` instead of a key.
+    pub trust_workspace_header: bool,
+    /// `max-body-bytes`.
+    pub max_body: usize,
+    /// `max-header-bytes`.
+    pub max_header: usize,
+    /// `max-connections`.
+    pub max_connections: usize,
+    /// `max-running`: requests of all workspaces at upstreams at once; each holds a thread.
+    pub max_running: usize,
+    /// `default-deadline-ms`: for requests that name none.
+    pub default_deadline: Duration,
+    /// `head-timeout-ms`: a caller has this long to send a request's head, and again its body.
+    pub head_timeout: Duration,
+    /// `idle-timeout-ms`: an upstream that sends nothing for this long is given up on.
+    pub idle_timeout: Duration,
+}
+
+/// How to log.
+#[derive(Clone, Debug)]
+pub struct Log {
+    /// `format`: `json` or `terminal`.
+    pub format: LogFormat,
+    /// `level`: `error`, `warning`, `info` or `debug`.
+    pub level: slog::Level,
+}
+
+/// The shape of log lines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogFormat {
+    /// One JSON object a line.
+    Json,
+    /// For a person at a terminal.
+    Terminal,
+}
+
+impl FromStr for LogFormat {
+    type Err = &'static str;
+
+    fn from_str(s: &str) -> Result<LogFormat, &'static str> {
+        match s {
+            "json" => Ok(LogFormat::Json),
+            "terminal" => Ok(LogFormat::Terminal),
+            _ => Err("must be json or terminal"),
+        }
+    }
+}
+
+/// A secret that doesn't show in logs.
+#[derive(Clone)]
+pub struct Secret(String);
+
+impl Secret {
+    /// The secret itself.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl From<&str> for Secret {
+    fn from(s: &str) -> Secret {
+        Secret(s.to_owned())
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret")
+    }
+}
+
+/// Reads the settings of `frostdyke-router`.
+pub fn router(path: &Path) -> Result<Router, Error> {
+    let mut rdr = Reader::open(path)?;
+    let settings = Router {
+        identity: rdr.identity(),
+        callers: rdr.address("listen", "callers"),
+        peers: rdr.address("listen", "peers"),
+        metrics: rdr.address("listen", "metrics"),
+        platform: rdr.address("platform", "address"),
+        secret: rdr.secret("peers", "secret-file"),
+        seeds: rdr.seeds(),
+        limits: rdr.limits(),
+        log: rdr.log(),
+    };
+    rdr.finish(settings)
+}
+
+/// Reads the settings of `frostdyke-operator`.
+pub fn operator(path: &Path) -> Result<Operator, Error> {
+    let mut rdr = Reader::open(path)?;
+    let settings = Operator {
+        identity: rdr.identity(),
+        operators: rdr.address("listen", "operators"),
+        platform: rdr.address("platform", "address"),
+        secret: rdr.secret("peers", "secret-file"),
+        seeds: rdr.seeds(),
+        tokens: rdr.tokens("operators", "tokens-file"),
+        log: rdr.log(),
+    };
+    rdr.finish(settings)
+}
+
+/// Reads typed values and collects what is wrong with them.
+struct Reader {
+    path: PathBuf,
+    ini: Ini,
+    used: BTreeSet<(String, String)>,
+    faults: Vec<KeyFault>,
+}
+
+impl Reader {
+    fn open(path: &Path) -> Result<Reader, Error> {
+        let path = path.to_owned();
+        match Ini::load_from_file(&path) {
+            Ok(ini) => Ok(Reader { path, ini, used: BTreeSet::new(), faults: Vec::new() }),
+            Err(e) => Err(Error::File { path, reason: e.to_string() }),
+        }
+    }
+
+    fn finish<T>(mut self, settings: T) -> Result<T, Error> {
+        self.find_unknown();
+        if self.faults.is_empty() {
+            return Ok(settings);
+        }
+        Err(Error::Keys(self.faults))
+    }
+
+    fn find_unknown(&mut self) {
+        let mut unknown = Vec::new();
+        for (section, keys) in self.ini.iter() {
+            let section = section.unwrap_or("");
+            for (key, _) in keys.iter() {
+                let place = (section.to_owned(), key.to_owned());
+                if !self.used.contains(&place) {
+                    unknown.push(place);
+                }
+            }
+        }
+        for (section, key) in unknown {
+            self.fault(&section, &key, "isn't known here");
+        }
+    }
+
+    fn identity(&mut self) -> Box {
+        let name: String = self.required("box", "name", "box".to_owned());
+        let zone: String = self.required("box", "zone", "zone".to_owned());
+        Box { name: BoxName::from(&*name), zone: ZoneName::from(&*zone) }
+    }
+
+    fn address(&mut self, section: &str, key: &str) -> SocketAddr {
+        self.required(section, key, SocketAddr::from(([127, 0, 0, 1], 0)))
+    }
+
+    fn limits(&mut self) -> Limits {
+        let millis = Duration::from_millis;
+        Limits {
+            trust_workspace_header: self.optional("callers", "trust-workspace-header", false),
+            max_body: self.optional("callers", "max-body-bytes", 1 << 20),
+            max_header: self.optional("callers", "max-header-bytes", 16 << 10),
+            max_connections: self.optional("callers", "max-connections", 4096),
+            max_running: self.optional("callers", "max-running", 1024),
+            default_deadline: millis(self.optional("callers", "default-deadline-ms", 120_000)),
+            head_timeout: millis(self.optional("callers", "head-timeout-ms", 10_000)),
+            idle_timeout: millis(self.optional("callers", "idle-timeout-ms", 60_000)),
+        }
+    }
+
+    fn log(&mut self) -> Log {
+        let level: String = self.optional("log", "level", "info".to_owned());
+        let level = slog::Level::from_str(&level).unwrap_or_else(|()| {
+            self.fault("log", "level", "must be error, warning, info or debug");
+            slog::Level::Info
+        });
+        Log { format: self.optional("log", "format", LogFormat::Json), level }
+    }
+
+    /// `seeds = NAME ZONE IP:PORT, NAME ZONE IP:PORT, …`
+    fn seeds(&mut self) -> Vec<ListedBox> {
+        let text: String = self.optional("peers", "seeds", String::new());
+        let mut seeds = Vec::new();
+        for seed in text.split(',').map(str::trim).filter(|s| !s.is_empty()) {
+            match parse_seed(seed) {
+                Some(listed) => seeds.push(listed),
+                None => self.fault("peers", "seeds", "must be NAME ZONE IP:PORT, separated by ','"),
+            }
+        }
+        seeds
+    }
+
+    fn secret(&mut self, section: &str, key: &str) -> Secret {
+        let text = self.file(section, key);
+        if text.trim().is_empty() {
+            self.fault(section, key, "the file must hold a secret");
+        }
+        Secret(text.trim().to_owned())
+    }
+
+    fn tokens(&mut self, section: &str, key: &str) -> Vec<Token> {
+        let text = self.file(section, key);
+        let mut tokens = Vec::new();
+        for line in text.lines().map(str::trim).filter(|l| !l.is_empty()) {
+            match parse_token(line) {
+                Some(token) => tokens.push(token),
+                None => self.fault(section, key, "lines must be NAME SHA-256-OF-TOKEN"),
+            }
+        }
+        tokens
+    }
+
+    /// The text of a file that a key names, relative to the settings file.
+    fn file(&mut self, section: &str, key: &str) -> String {
+        let name: String = self.required(section, key, String::new());
+        let path = self.path.parent().unwrap_or(Path::new(".")).join(name);
+        std::fs::read_to_string(path).unwrap_or_else(|e| {
+            self.fault(section, key, &format!("the file can't be read: {e}"));
+            String::new()
+        })
+    }
+
+    fn required<T>(&mut self, section: &str, key: &str, placeholder: T) -> T
+    where
+        T: FromStr,
+        T::Err: fmt::Display,
+    {
+        if self.raw(section, key).is_none() {
+            self.fault(section, key, "is missing");
+            return placeholder;
+        }
+        self.optional(section, key, placeholder)
+    }
+
+    fn optional<T>(&mut self, section: &str, key: &str, default: T) -> T
+    where
+        T: FromStr,
+        T::Err: fmt::Display,
+    {
+        let Some(text) = self.raw(section, key) else { return default };
+        text.parse().unwrap_or_else(|e| {
+            self.fault(section, key, &format!("'{text}': {e}"));
+            default
+        })
+    }
+
+    fn raw(&mut self, section: &str, key: &str) -> Option<String> {
+        self.used.insert((section.to_owned(), key.to_owned()));
+        self.ini.get_from(Some(section), key).map(str::to_owned)
+    }
+
+    fn fault(&mut self, section: &str, key: &str, reason: &str) {
+        self.faults.push(KeyFault {
+            path: self.path.clone(),
+            section: section.to_owned(),
+            key: key.to_owned(),
+            reason: reason.to_owned(),
+        });
+    }
+}
+
+fn parse_seed(text: &str) -> Option<ListedBox> {
+    let mut words = text.split_whitespace();
+    let listed = ListedBox {
+        name: BoxName::from(words.next()?),
+        zone: ZoneName::from(words.next()?),
+        peer: words.next()?.parse().ok()?,
+        leaving: false,
+    };
+    words.next().is_none().then_some(listed)
+}
+
+fn parse_token(line: &str) -> Option<Token> {
+    let (name, digest) = line.split_once(char::is_whitespace)?;
+    let mut bytes = [0; 32];
+    hex::decode_to_slice(digest.trim(), &mut bytes).ok()?;
+    Some(Token { name: name.to_owned(), digest: bytes })
+}
+
+fn lines(faults: &[KeyFault]) -> String {
+    faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n")
+}
--- /dev/null
+++ b/src/dispatch/ledger.rs
@@ -0,0 +1,202 @@
+//! How much service every workspace of one pool has received, fleet-wide.
+//!
+//! Each dispatcher writes one *cell* of its own, a table of service per workspace, and keeps copies
+//! of the cells of the others. The cells add up to a workspace's service; a copy is replaced by a
+//! newer version of the same cell and by nothing else, so merging is idempotent and commutative.
+//!
+//! A workspace that was idle must not use the credit it seems to have gathered. It is *lifted*: its
+//! virtual time is its service plus an offset, and the offset only grows (a register that merges by
+//! maximum), so two dispatchers that lift the same workspace at once don't lift it twice.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::names::BoxName;
+use crate::names::WorkspaceName;
+
+/// Parts of one cost unit that virtual time is counted in.
+pub const PARTS: i64 = 1000;
+
+/// Service received, divided by the workspace's weight, in thousandths of the pool's unit.
+pub type VirtualTime = i64;
+
+/// Names the cell of one dispatcher in one start of its box.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct CellId {
+    /// The dispatcher's box.
+    #[serde(rename = "b")]
+    pub name: BoxName,
+    /// Which start of that box.
+    #[serde(rename = "i")]
+    pub incarnation: u64,
+}
+
+/// One workspace's line of a cell, as dispatchers exchange it: the name, the service charged in
+/// this cell, the offset as the sender knows it, and how many tickets wait at the sender.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry(pub WorkspaceName, pub VirtualTime, pub VirtualTime, pub u32);
+
+/// The service of all workspaces on one pool.
+#[derive(Debug)]
+pub struct Ledger {
+    mine: CellId,
+    version: u64,
+    own: HashMap<WorkspaceName, Line>,
+    changed: BTreeMap<u64, WorkspaceName>,
+    others: BTreeMap<CellId, Copy>,
+    accounts: HashMap<WorkspaceName, Account>,
+}
+
+#[derive(Debug, Default)]
+struct Line {
+    charged: VirtualTime,
+    waiting: u32,
+    version: u64,
+}
+
+#[derive(Debug, Default)]
+struct Copy {
+    version: u64,
+    charged: HashMap<WorkspaceName, VirtualTime>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Account {
+    service: VirtualTime,
+    offset: VirtualTime,
+}
+
+impl Ledger {
+    /// An empty ledger whose own cell is `mine`.
+    pub fn new(mine: CellId) -> Ledger {
+        Ledger {
+            mine,
+            version: 0,
+            own: HashMap::new(),
+            changed: BTreeMap::new(),
+            others: BTreeMap::new(),
+            accounts: HashMap::new(),
+        }
+    }
+
+    /// The name of the own cell.
+    pub fn cell(&self) -> &CellId {
+        &self.mine
+    }
+
+    /// The version of the own cell.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The virtual time of a workspace; 0 for one that was never served.
+    pub fn virtual_time(&self, workspace: &str) -> VirtualTime {
+        self.accounts.get(workspace).map_or(0, |a| a.service + a.offset)
+    }
+
+    /// Charges `amount` (which may be negative, when an estimate was too high) to the own cell.
+    pub fn charge(&mut self, workspace: &WorkspaceName, amount: VirtualTime) {
+        if amount == 0 {
+            return;
+        }
+        self.line(workspace).charged += amount;
+        self.accounts.entry(workspace.clone()).or_default().service += amount;
+    }
+
+    /// Raises a workspace that starts to wait to at least `floor`.
+    pub fn lift(&mut self, workspace: &WorkspaceName, floor: VirtualTime) {
+        let now = self.virtual_time(workspace);
+        if floor <= now {
+            return;
+        }
+        self.accounts.entry(workspace.clone()).or_default().offset += floor - now;
+        self.line(workspace);
+    }
+
+    /// Notes how many tickets of a workspace wait here, for the other dispatchers to know.
+    pub fn note_waiting(&mut self, workspace: &WorkspaceName, waiting: u32) {
+        let known = self.own.get(workspace).map_or(0, |l| l.waiting);
+        let bucket = bucket(waiting);
+        if known != bucket {
+            self.line(workspace).waiting = bucket;
+        }
+    }
+
+    /// The entries of the own cell that changed after version `since`.
+    pub fn changes(&self, since: u64) -> Vec<Entry> {
+        self.changed.range(since + 1..).map(|(_, w)| self.entry(w)).collect()
+    }
+
+    /// The copies of all other cells, with their versions.
+    pub fn copies(&self) -> impl Iterator<Item = (&CellId, u64, Vec<Entry>)> {
+        self.others.iter().map(|(id, copy)| {
+            let entries = copy.charged.iter().map(|(w, &c)| Entry(w.clone(), c, self.offset(w), 0));
+            (id, copy.version, entries.collect())
+        })
+    }
+
+    /// The version up to which another cell is known; 0 when it isn't.
+    pub fn seen(&self, cell: &CellId) -> u64 {
+        self.others.get(cell).map_or(0, |c| c.version)
+    }
+
+    /// Merges entries that bring another's cell to version `upto`. An older or equal version
+    /// changes nothing and gives false.
+    pub fn merge(&mut self, cell: &CellId, upto: u64, entries: &[Entry]) -> bool {
+        if *cell == self.mine {
+            return false;
+        }
+        let copy = self.others.entry(cell.clone()).or_default();
+        if upto <= copy.version {
+            return false;
+        }
+        copy.version = upto;
+        for Entry(workspace, charged, offset, _) in entries {
+            let before = copy.charged.insert(workspace.clone(), *charged).unwrap_or(0);
+            let account = self.accounts.entry(workspace.clone()).or_default();
+            account.service += charged - before;
+            account.offset = account.offset.max(*offset);
+        }
+        true
+    }
+
+    /// How many entries all cells hold together.
+    pub fn len(&self) -> usize {
+        self.own.len() + self.others.values().map(|c| c.charged.len()).sum::<usize>()
+    }
+
+    /// Whether no cell holds an entry.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// The line of a workspace in the own cell, moved to a new version.
+    fn line(&mut self, workspace: &WorkspaceName) -> &mut Line {
+        self.version += 1;
+        let line = self.own.entry(workspace.clone()).or_default();
+        self.changed.remove(&line.version);
+        line.version = self.version;
+        self.changed.insert(self.version, workspace.clone());
+        line
+    }
+
+    fn entry(&self, workspace: &WorkspaceName) -> Entry {
+        let line = &self.own[workspace];
+        Entry(workspace.clone(), line.charged, self.offset(workspace), line.waiting)
+    }
+
+    fn offset(&self, workspace: &str) -> VirtualTime {
+        self.accounts.get(workspace).map_or(0, |a| a.offset)
+    }
+}
+
+/// Rounds a count down to a power of two, so that a long queue isn't news at every ticket.
+fn bucket(waiting: u32) -> u32 {
+    if waiting == 0 {
+        return 0;
+    }
+    1 << waiting.ilog2()
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,14 @@
+//! A router fleet that shares model and application engines fairly among workspaces.
+
+pub mod cli;
+pub mod config;
+pub mod dispatch;
+pub mod log;
+pub mod metrics;
+pub mod names;
+pub mod node;
+pub mod peer;
+pub mod platform;
+pub mod router;
+pub mod status;
+pub mod util;
--- /dev/null
+++ b/src/node/admit.rs
@@ -0,0 +1,114 @@
+//! What a router lets wait: limits per workspace, hopeless deadlines, and the retry budget.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::dispatch::retry::RetryBudget;
+use crate::names::PoolName;
+use crate::names::WorkspaceName;
+
+/// Weight of the newest wait in the average.
+const WAIT_GAIN: f64 = 0.1;
+
+/// Shortest time after which a refused caller is told to come back.
+const RETRY_AFTER_MIN: Duration = Duration::from_secs(1);
+
+/// Longest time after which a refused caller is told to come back.
+const RETRY_AFTER_MAX: Duration = Duration::from_secs(60);
+
+/// Why a request can't wait here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    /// The workspace has as many requests waiting here as it may.
+    #[error("the workspace has too many requests waiting")]
+    WaitingLimit { retry_after: Duration },
+    /// The requests ahead of it will take longer than its deadline allows.
+    #[error("the deadline can't be met")]
+    Hopeless { retry_after: Duration },
+    /// The service's pool isn't in the configuration.
+    #[error("the service has no pool")]
+    NoPool,
+}
+
+/// The requests that wait at one router, counted.
+#[derive(Debug, Default)]
+pub struct Admission {
+    counts: HashMap<WorkspaceName, HashMap<PoolName, Lane>>,
+    budgets: HashMap<PoolName, RetryBudget>,
+}
+
+/// The requests of one workspace that wait for one pool.
+#[derive(Debug, Default)]
+struct Lane {
+    waiting: u32,
+    /// Average seconds between grants while requests wait; 0 until known.
+    pace: f64,
+    granted: Option<Duration>,
+}
+
+impl Lane {
+    fn expected_wait(&self) -> Duration {
+        Duration::from_secs_f64(self.pace * f64::from(self.waiting))
+    }
+}
+
+impl Admission {
+    /// Counts a request in, or refuses it.
+    pub fn admit(
+        &mut self,
+        workspace: &WorkspaceName,
+        pool: &PoolName,
+        limit: u32,
+        deadline: Duration,
+    ) -> Result<(), Refusal> {
+        let lanes = self.counts.entry(workspace.clone()).or_default();
+        let waiting: u32 = lanes.values().map(|l| l.waiting).sum();
+        let lane = lanes.entry(pool.clone()).or_default();
+        let expected = lane.expected_wait();
+        let retry_after = expected.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX);
+        if limit <= waiting {
+            return Err(Refusal::WaitingLimit { retry_after });
+        }
+        // The estimate is rough: only what is clearly out of reach is turned away early.
+        if deadline.saturating_mul(2) < expected {
+            return Err(Refusal::Hopeless { retry_after });
+        }
+        lane.waiting += 1;
+        self.budget(pool, 0).deposit();
+        Ok(())
+    }
+
+    /// Counts a request out that got no grant.
+    pub fn leave(&mut self, workspace: &str, pool: &str) {
+        if let Some(lane) = self.counts.get_mut(workspace).and_then(|l| l.get_mut(pool)) {
+            lane.waiting -= 1;
+        }
+    }
+
+    /// Counts a request out that got a grant, and learns the pace of grants.
+    pub fn granted(&mut self, workspace: &str, pool: &str, now: Duration) {
+        let Some(lane) = self.counts.get_mut(workspace).and_then(|l| l.get_mut(pool)) else {
+            return;
+        };
+        lane.waiting -= 1;
+        let since = lane.granted.replace(now).map(|at| (now - at).as_secs_f64());
+        match since {
+            Some(s) if lane.waiting != 0 => lane.pace += WAIT_GAIN * (s - lane.pace),
+            _ => lane.pace *= 1.0 - WAIT_GAIN,
+        }
+        if lane.waiting == 0 {
+            lane.granted = None;
+        }
+    }
+
+    /// Takes a retry out of a pool's budget.
+    pub fn may_retry(&mut self, pool: &PoolName, percent: u32) -> bool {
+        let budget = self.budget(pool, percent);
+        budget.set_percent(percent);
+        budget.withdraw()
+    }
+
+    fn budget(&mut self, pool: &PoolName, percent: u32) -> &mut RetryBudget {
+        self.budgets.entry(pool.clone()).or_insert_with(|| RetryBudget::new(percent))
+    }
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,423 @@
+//! One box's part in the fleet, without input or output: it takes in calls, messages and the time,
+//! and gives out what is to be done. The router process feeds it; tests and benches drive many of
+//! them over a fake network.
+
+mod admit;
+mod receive;
+mod roles;
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+pub use crate::node::admit::Refusal;
+
+use crate::config::Revision;
+use crate::dispatch::pool::Action;
+use crate::dispatch::pool::Decision;
+use crate::dispatch::pool::Pool;
+use crate::dispatch::pool::Tuning;
+use crate::dispatch::upstreams::Report;
+use crate::names::BoxName;
+use crate::names::PoolName;
+use crate::names::UpstreamName;
+use crate::names::ZoneName;
+use crate::node::admit::Admission;
+use crate::peer::member::Gossip;
+use crate::peer::member::ListedBox;
+use crate::peer::member::Members;
+use crate::peer::message::Done;
+use crate::peer::message::Ending;
+use crate::peer::message::Grant;
+use crate::peer::message::Message;
+use crate::peer::message::Ticket;
+use crate::peer::message::TicketId;
+use crate::util;
+
+/// First wait before a ticket that got no grant is registered again; doubled each time.
+const RESEND_FIRST: Duration = Duration::from_secs(1);
+
+/// Longest wait before a ticket is registered again.
+const RESEND_MAX: Duration = Duration::from_secs(16);
+
+/// Who a box is.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Unique name of the box.
+    pub name: BoxName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Which start of the box this is; later ones are greater.
+    pub incarnation: u64,
+}
+
+/// What a node wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Send a message to another box.
+    Send { to: BoxName, message: Message },
+    /// Send a waiting request to this upstream now; `cover` of its cost is charged already.
+    Start { ticket: TicketId, upstream: UpstreamName, cover: u64 },
+    /// Log and remember a decision of a dispatcher on this box.
+    Decided(Decision),
+    /// Log a change of state.
+    Changed(Change),
+}
+
+/// A change of state worth a log line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// This box became the dispatcher of a pool in its zone, or ceased to be.
+    Role { pool: PoolName, dispatcher: BoxName, mine: bool },
+    /// A configuration came into force.
+    Configured { revision: u64 },
+    /// A peer offered a configuration that isn't valid; the old one stays.
+    BadConfiguration { revision: u64, from: BoxName, fault: String },
+    /// A box is alive, or suspected.
+    Member { name: BoxName, live: bool },
+}
+
+/// One box's part in the fleet.
+#[derive(Debug)]
+pub struct Node {
+    id: Identity,
+    cfg: Arc<Revision>,
+    members: Members,
+    tuning: Tuning,
+    pools: BTreeMap<PoolName, Pool>,
+    owners: BTreeMap<PoolName, BoxName>,
+    live: Vec<BoxName>,
+    incarnations: BTreeMap<BoxName, u64>,
+    admission: Admission,
+    waiting: HashMap<TicketId, Waiting>,
+    running: HashMap<TicketId, Running>,
+    next_ticket: u64,
+    next_cell: u64,
+    beats: u64,
+    rng: SmallRng,
+    out: Vec<Output>,
+    inbox: VecDeque<Message>,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    ticket: Ticket,
+    expires: Duration,
+    resend_at: Duration,
+    backoff: Duration,
+}
+
+#[derive(Debug)]
+struct Running {
+    ticket: Ticket,
+    grant: Grant,
+}
+
+impl Node {
+    /// A node that knows nothing of the fleet yet.
+    pub fn new(id: Identity, tuning: Tuning, gossip: Gossip) -> Node {
+        let members = Members::new(&id.name, &id.zone, id.incarnation, gossip);
+        Node {
+            members,
+            tuning,
+            cfg: Arc::default(),
+            pools: BTreeMap::new(),
+            owners: BTreeMap::new(),
+            live: vec![id.name.clone()],
+            incarnations: BTreeMap::new(),
+            admission: Admission::default(),
+            waiting: HashMap::new(),
+            running: HashMap::new(),
+            next_ticket: util::id_base(&id.name, id.incarnation, "ticket"),
+            next_cell: id.incarnation,
+            beats: 0,
+            rng: SmallRng::seed_from_u64(util::id_base(&id.name, id.incarnation, "seed")),
+            out: Vec::new(),
+            inbox: VecDeque::new(),
+            id,
+        }
+    }
+
+    /// What is to be done, in order; empties the list.
+    pub fn take_output(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Who this is.
+    pub fn identity(&self) -> &Identity {
+        &self.id
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> &Arc<Revision> {
+        &self.cfg
+    }
+
+    /// What is known of the other boxes.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// The dispatchers on this box.
+    pub fn pools(&self) -> impl Iterator<Item = &Pool> {
+        self.pools.iter().filter(|(name, _)| self.is_owner(name)).map(|(_, p)| p)
+    }
+
+    /// A dispatcher on this box, if it has this pool's.
+    pub fn pool(&self, name: &str) -> Option<&Pool> {
+        self.pools.get(name).filter(|_| self.is_owner(name))
+    }
+
+    /// The box believed to dispatch a pool in this zone.
+    pub fn owner(&self, pool: &str) -> Option<&BoxName> {
+        self.owners.get(pool)
+    }
+
+    /// Whether requests can be served: a configuration is in force.
+    pub fn is_ready(&self) -> bool {
+        self.cfg.number != 0
+    }
+
+    /// How many requests wait at this router.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// How many requests of this router run at upstreams.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// A new ticket name.
+    pub fn new_ticket_id(&mut self) -> TicketId {
+        self.next_ticket += 1;
+        TicketId(self.next_ticket)
+    }
+
+    /// Lets a request wait to be placed, or says at once why it can't.
+    pub fn submit(&mut self, ticket: Ticket, now: Duration) -> Result<(), Refusal> {
+        if self.cfg.pool(&ticket.pool).is_none() {
+            return Err(Refusal::NoPool);
+        }
+        let limit = self.cfg.workspace(&ticket.workspace).map_or(0, |w| w.waiting_limit);
+        let deadline = Duration::from_millis(ticket.deadline_ms);
+        self.admission.admit(&ticket.workspace, &ticket.pool, limit, deadline)?;
+        let waiting = Waiting {
+            expires: now + deadline,
+            resend_at: now + RESEND_FIRST,
+            backoff: RESEND_FIRST,
+            ticket: ticket.clone(),
+        };
+        self.waiting.insert(ticket.id, waiting);
+        self.register(ticket);
+        self.settle(now);
+        Ok(())
+    }
+
+    /// Takes back a request that waits: its caller left or its deadline passed. False when it
+    /// doesn't wait (any more).
+    pub fn withdraw(&mut self, id: TicketId, now: Duration) -> bool {
+        let Some(waiting) = self.waiting.remove(&id) else { return false };
+        self.admission.leave(&waiting.ticket.workspace, &waiting.ticket.pool);
+        let pool = waiting.ticket.pool;
+        if let Some(owner) = self.owners.get(&pool).cloned() {
+            self.send(owner, Message::Cancel { p: pool, i: id });
+        }
+        self.settle(now);
+        true
+    }
+
+    /// Notes how much a running request has produced so far, in its pool's unit. Its dispatcher is
+    /// told only when that outgrows what was charged, and is then charged twice as much ahead, so
+    /// the messages grow with the logarithm of the cost. Gives what is charged now.
+    pub fn produced(&mut self, id: TicketId, cost: u64, now: Duration) -> u64 {
+        let Some(running) = self.running.get_mut(&id) else { return cost };
+        if cost <= running.grant.cover {
+            return running.grant.cover;
+        }
+        running.grant.cover = cost.max(2 * running.grant.cover);
+        let message = Message::Progress {
+            p: running.ticket.pool.clone(),
+            g: running.grant.id,
+            e: running.grant.cover,
+        };
+        let (to, cover) = (running.grant.dispatcher.clone(), running.grant.cover);
+        self.send(to, message);
+        self.settle(now);
+        cover
+    }
+
+    /// Ends a running request.
+    pub fn finish(&mut self, id: TicketId, cost: u64, ending: Ending, now: Duration) {
+        let Some(running) = self.running.remove(&id) else { return };
+        let done =
+            Done { pool: running.ticket.pool.clone(), grant: running.grant.id, cost, ending };
+        self.send(running.grant.dispatcher, Message::Done(done));
+        self.settle(now);
+    }
+
+    /// Whether a failed request may be tried again under its pool's retry budget.
+    pub fn may_retry(&mut self, pool: &PoolName) -> bool {
+        let percent = self.cfg.pool(pool).map_or(0, |p| p.retry_percent);
+        self.admission.may_retry(pool, percent)
+    }
+
+    /// Takes in messages from another box.
+    pub fn receive(&mut self, from: &BoxName, messages: Vec<Message>, now: Duration) {
+        for message in messages {
+            self.handle(from, message, now);
+        }
+        self.settle(now);
+    }
+
+    /// Takes over a newer box list.
+    pub fn list(&mut self, boxes: &[ListedBox], now: Duration) {
+        self.members.list(boxes, now);
+        self.refresh_roles(now);
+        self.settle(now);
+    }
+
+    /// Takes over a configuration, unless it is older than the one in force.
+    pub fn configure(&mut self, revision: Revision, now: Duration) {
+        if revision.number <= self.cfg.number {
+            return;
+        }
+        self.cfg = Arc::new(revision);
+        self.out.push(Output::Changed(Change::Configured { revision: self.cfg.number }));
+        let cfg = self.cfg.clone();
+        self.pools.retain(|name, _| cfg.pool(name).is_some());
+        let mut actions = Vec::new();
+        for pool in self.pools.values_mut() {
+            pool.configure(&cfg, now, &mut actions);
+        }
+        self.perform(actions);
+        self.refresh_roles(now);
+        self.settle(now);
+    }
+
+    /// Takes in what an upstream reports of itself.
+    pub fn report(&mut self, pool: &PoolName, upstream: &str, report: Report, now: Duration) {
+        let mut actions = Vec::new();
+        if let Some(pool) = self.pools.get_mut(pool) {
+            pool.upstreams_mut().report(upstream, report, now);
+            pool.fill(now, &mut actions);
+        }
+        self.perform(actions);
+        self.settle(now);
+    }
+
+    /// Takes in an upstream's word on its prefix cache.
+    pub fn cache_event(
+        &mut self,
+        pool: &PoolName,
+        upstream: &UpstreamName,
+        prefix: u64,
+        stored: bool,
+    ) {
+        if let Some(pool) = self.pools.get_mut(pool) {
+            pool.upstreams_mut().cache_event(upstream, prefix, stored);
+        }
+    }
+
+    /// Notes that a box refuses connections.
+    pub fn unreachable(&mut self, name: &BoxName, now: Duration) {
+        self.members.failed(name);
+        self.refresh_roles(now);
+        self.settle(now);
+    }
+
+    /// Tells the zone that this box is about to stop, and gives its roles to others.
+    pub fn leave(&mut self, now: Duration) {
+        let (t, boxes) = self.members.leave(now);
+        for to in boxes {
+            let v = self.cfg.number;
+            self.out.push(Output::Send { to, message: Message::Heartbeat { t: t.clone(), v } });
+        }
+        self.refresh_roles(now);
+        self.settle(now);
+    }
+
+    /// Does what is due by time. Call it every few tens of milliseconds.
+    pub fn tick(&mut self, now: Duration) {
+        self.beat(now);
+        self.refresh_roles(now);
+        self.resend(now);
+        let mut actions = Vec::new();
+        for (name, pool) in &mut self.pools {
+            if self.owners.get(name) != Some(&self.id.name) {
+                continue;
+            }
+            pool.tick(now, &mut actions);
+            let mut others = self.members.elsewhere(name);
+            let successor = self.members.successor(name, now);
+            others.extend(successor.map(|b| (self.id.zone.clone(), b.clone())));
+            pool.exchange(&others, now, &mut actions);
+        }
+        self.perform(actions);
+        self.settle(now);
+    }
+
+    fn is_owner(&self, pool: &str) -> bool {
+        self.owners.get(pool) == Some(&self.id.name)
+    }
+
+    /// Registers a ticket with the dispatcher of its pool.
+    fn register(&mut self, ticket: Ticket) {
+        if let Some(owner) = self.owners.get(&ticket.pool).cloned() {
+            self.send(owner, Message::Ticket(ticket));
+        }
+    }
+
+    fn resend(&mut self, now: Duration) {
+        let mut due = Vec::new();
+        for waiting in self.waiting.values_mut() {
+            if waiting.resend_at <= now {
+                waiting.backoff = (waiting.backoff * 2).min(RESEND_MAX);
+                waiting.resend_at = now + waiting.backoff;
+                due.push(waiting.renewed(now));
+            }
+        }
+        due.sort_by_key(|t| t.id);
+        for ticket in due {
+            self.register(ticket);
+        }
+    }
+
+    fn perform(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, message } => self.send(to, message),
+                Action::Decided(decision) => self.out.push(Output::Decided(decision)),
+            }
+        }
+    }
+
+    fn send(&mut self, to: BoxName, message: Message) {
+        if to == self.id.name {
+            self.inbox.push_back(message);
+        } else {
+            self.out.push(Output::Send { to, message });
+        }
+    }
+
+    /// Handles the messages of this box to itself until there are none.
+    fn settle(&mut self, now: Duration) {
+        while let Some(message) = self.inbox.pop_front() {
+            let me = self.id.name.clone();
+            self.handle(&me, message, now);
+        }
+    }
+}
+
+impl Waiting {
+    /// The ticket with what is left of its time.
+    fn renewed(&self, now: Duration) -> Ticket {
+        let left = self.expires.saturating_sub(now);
+        Ticket { deadline_ms: left.as_millis() as u64, ..self.ticket.clone() }
+    }
+}
--- /dev/null
+++ b/src/peer/link.rs
@@ -0,0 +1,197 @@
+//! Persistent connections to other routers, one per box, by `jsonrpsee` over WebSocket.
+//!
+//! One call is under way per link; what comes up meanwhile goes together in the next one. The
+//! answer to a call carries the messages that the other side had for this one at that moment.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use jsonrpsee::core::client::ClientT;
+use jsonrpsee::rpc_params;
+use jsonrpsee::ws_client::HeaderMap;
+use jsonrpsee::ws_client::HeaderValue;
+use jsonrpsee::ws_client::WsClient;
+use jsonrpsee::ws_client::WsClientBuilder;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use crate::config::settings::Secret;
+use crate::names::BoxName;
+use crate::peer::message::Envelope;
+use crate::peer::message::Message;
+use crate::peer::traffic::Counted;
+use crate::peer::traffic::Traffic;
+
+/// The one method that routers call on each other.
+pub const METHOD: &str = "p";
+
+/// Messages that may wait for one peer; more are dropped.
+const QUEUE_MAX: usize = 16_384;
+
+/// Messages that go in one call.
+const BATCH_MAX: usize = 256;
+
+/// How long connecting may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long a call may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How long a link that failed rests. What comes up meanwhile is dropped: it would be stale.
+const REST: Duration = Duration::from_millis(200);
+
+/// What the links tell the rest of the process.
+pub trait Inbox: Send + Sync + 'static {
+    /// Messages came from a box.
+    fn receive(&self, from: &BoxName, messages: Vec<Message>);
+
+    /// A box refuses connections.
+    fn unreachable(&self, name: &BoxName);
+
+    /// Where a box's peer port is.
+    fn address(&self, name: &BoxName) -> Option<SocketAddr>;
+}
+
+/// Why a peer couldn't be told something.
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    #[error("no address is known")]
+    NoAddress,
+    #[error("connecting: {0}")]
+    Connect(std::io::Error),
+    #[error("too slow")]
+    Timeout,
+    #[error("calling: {0}")]
+    Call(#[from] jsonrpsee::core::ClientError),
+}
+
+/// The links of one router to all others.
+pub struct Links {
+    me: BoxName,
+    secret: Secret,
+    traffic: Arc<Traffic>,
+    queues: Mutex<HashMap<BoxName, mpsc::Sender<Message>>>,
+}
+
+impl Links {
+    /// No links yet; they are made when something is sent.
+    pub fn new(me: &BoxName, secret: &Secret, traffic: &Arc<Traffic>) -> Links {
+        Links {
+            me: me.clone(),
+            secret: secret.clone(),
+            traffic: traffic.clone(),
+            queues: Mutex::default(),
+        }
+    }
+
+    /// Sends a message soon, or drops it when too many wait. Doesn't block. `inbox` hears what
+    /// comes back.
+    pub fn send(&self, to: &BoxName, message: Message, inbox: &Arc<dyn Inbox>) {
+        let mut queues = self.queues.lock().expect("no panic under lock");
+        let queue = queues.entry(to.clone()).or_insert_with(|| self.open(to, inbox));
+        if queue.try_send(message).is_err() {
+            self.traffic.messages_lost.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    fn open(&self, to: &BoxName, inbox: &Arc<dyn Inbox>) -> mpsc::Sender<Message> {
+        let (tx, rx) = mpsc::channel(QUEUE_MAX);
+        let link = Link {
+            me: self.me.clone(),
+            peer: to.clone(),
+            secret: self.secret.clone(),
+            traffic: self.traffic.clone(),
+            inbox: inbox.clone(),
+            client: None,
+        };
+        tokio::spawn(link.run(rx));
+        tx
+    }
+}
+
+/// The link to one peer.
+struct Link {
+    me: BoxName,
+    peer: BoxName,
+    secret: Secret,
+    traffic: Arc<Traffic>,
+    inbox: Arc<dyn Inbox>,
+    client: Option<(SocketAddr, WsClient)>,
+}
+
+impl Link {
+    async fn run(mut self, mut rx: mpsc::Receiver<Message>) {
+        let mut messages = Vec::new();
+        while rx.recv_many(&mut messages, BATCH_MAX).await != 0 {
+            let batch = std::mem::take(&mut messages);
+            let count = batch.len() as u64;
+            match self.tell(batch).await {
+                Ok(answer) => {
+                    self.traffic.messages_out.fetch_add(count, Ordering::Relaxed);
+                    if !answer.is_empty() {
+                        self.inbox.receive(&self.peer, answer);
+                    }
+                }
+                Err(e) => {
+                    self.traffic.messages_lost.fetch_add(count, Ordering::Relaxed);
+                    self.rest(&e, &mut rx).await;
+                }
+            }
+        }
+    }
+
+    /// Sends a batch; once more over a new connection when the old one turns out to be dead.
+    async fn tell(&mut self, messages: Vec<Message>) -> Result<Vec<Message>, Error> {
+        let envelope = Envelope { from: self.me.clone(), messages };
+        let had_client = self.client.is_some();
+        match self.call(&envelope).await {
+            Err(Error::Call(_)) if had_client => self.call(&envelope).await,
+            result => result,
+        }
+    }
+
+    async fn call(&mut self, envelope: &Envelope) -> Result<Vec<Message>, Error> {
+        let addr = self.inbox.address(&self.peer).ok_or(Error::NoAddress)?;
+        let client = match self.client.take() {
+            Some((known, client)) if known == addr && client.is_connected() => client,
+            _ => self.connect(addr).await?,
+        };
+        let answer = timeout(CALL_TIMEOUT, client.request(METHOD, rpc_params![envelope])).await;
+        let answer = answer.map_err(|_| Error::Timeout)??;
+        self.client = Some((addr, client));
+        Ok(answer)
+    }
+
+    async fn connect(&self, addr: SocketAddr) -> Result<WsClient, Error> {
+        let connecting = TcpStream::connect(addr);
+        let stream = timeout(CONNECT_TIMEOUT, connecting).await.map_err(|_| Error::Timeout)?;
+        let stream = stream.map_err(Error::Connect)?;
+        stream.set_nodelay(true).map_err(Error::Connect)?;
+        let mut headers = HeaderMap::new();
+        let bearer = format!("Bearer {}", self.secret.expose());
+        if let Ok(value) = HeaderValue::from_str(&bearer) {
+            headers.insert("authorization", value);
+        }
+        let client = WsClientBuilder::default()
+            .set_headers(headers)
+            .request_timeout(CALL_TIMEOUT)
+            .build_with_stream(format!("ws://{addr}"), Counted::new(stream, &self.traffic));
+        Ok(timeout(CONNECT_TIMEOUT, client).await.map_err(|_| Error::Timeout)??)
+    }
+
+    async fn rest(&mut self, error: &Error, rx: &mut mpsc::Receiver<Message>) {
+        self.client = None;
+        if matches!(error, Error::Connect(_)) {
+            self.inbox.unreachable(&self.peer);
+        }
+        tokio::time::sleep(REST).await;
+        while rx.try_recv().is_ok() {
+            self.traffic.messages_lost.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
--- /dev/null
+++ b/src/peer/message.rs
@@ -0,0 +1,367 @@
+//! What the routers of a fleet tell each other.
+//!
+//! Everything here is soft state: a message may be lost, doubled or late. Field names on the wire
+//! are short because control traffic is one of the figures the fleet is judged by.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::dispatch::ledger::CellId;
+use crate::dispatch::ledger::Entry;
+use crate::names::BoxName;
+use crate::names::PoolName;
+use crate::names::ServiceName;
+use crate::names::UpstreamName;
+use crate::names::WorkspaceName;
+use crate::names::ZoneName;
+
+/// Names one attempt of a request to be placed; unique over all routers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct TicketId(pub u64);
+
+/// Names one grant; unique over all dispatchers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct GrantId(pub u64);
+
+/// How much a request is in a hurry, most urgent first.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub enum Class {
+    /// Goes ahead of its workspace's other work, and of other workspaces within a stated lead.
+    #[serde(rename = "u")]
+    Urgent,
+    /// The usual.
+    #[default]
+    #[serde(rename = "n")]
+    Normal,
+    /// May be late, but gets a minimum share of its workspace.
+    #[serde(rename = "b")]
+    Background,
+}
+
+/// A request that waits to be placed, as its router registers it with a dispatcher.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ticket {
+    /// Unique name.
+    #[serde(rename = "i")]
+    pub id: TicketId,
+    /// The router that holds the request.
+    #[serde(rename = "r")]
+    pub router: BoxName,
+    /// The workspace that is charged.
+    #[serde(rename = "w")]
+    pub workspace: WorkspaceName,
+    /// The service that was asked for.
+    #[serde(rename = "s")]
+    pub service: ServiceName,
+    /// The pool that serves it.
+    #[serde(rename = "p")]
+    pub pool: PoolName,
+    /// Its class.
+    #[serde(rename = "c", default, skip_serializing_if = "is_normal")]
+    pub class: Class,
+    /// Milliseconds from now until nobody wants the answer any more.
+    #[serde(rename = "d")]
+    pub deadline_ms: u64,
+    /// Hash of the prompt's prefix; 0 where there is none.
+    #[serde(rename = "x", default, skip_serializing_if = "is_zero")]
+    pub prefix: u64,
+    /// Upstream to avoid, since the last attempt failed there.
+    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+    pub avoid: Option<UpstreamName>,
+    /// Whether another box already passed this on.
+    #[serde(rename = "f", default, skip_serializing_if = "is_false")]
+    pub forwarded: bool,
+}
+
+/// The word to a router that a ticket may run now.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Unique name.
+    #[serde(rename = "g")]
+    pub id: GrantId,
+    /// The ticket that is granted.
+    #[serde(rename = "i")]
+    pub ticket: TicketId,
+    /// Where to send it.
+    #[serde(rename = "u")]
+    pub upstream: UpstreamName,
+    /// The dispatcher that wants to hear how it went.
+    #[serde(rename = "b")]
+    pub dispatcher: BoxName,
+    /// Cost that is charged already, in the pool's unit.
+    #[serde(rename = "e")]
+    pub cover: u64,
+}
+
+/// How a granted request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ending {
+    /// Answered in full.
+    #[serde(rename = "o")]
+    Answered,
+    /// The caller left or the deadline passed; says nothing about the upstream.
+    #[serde(rename = "c")]
+    Cancelled,
+    /// The upstream refused, cut or muddled the answer.
+    #[serde(rename = "f")]
+    Failed,
+    /// The grant wasn't used.
+    #[serde(rename = "n")]
+    Unused,
+}
+
+/// The end of a grant.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Done {
+    /// The pool of the grant.
+    #[serde(rename = "p")]
+    pub pool: PoolName,
+    /// Which grant.
+    #[serde(rename = "g")]
+    pub grant: GrantId,
+    /// Its exact cost, in the pool's unit.
+    #[serde(rename = "e")]
+    pub cost: u64,
+    /// How it ended.
+    #[serde(rename = "o")]
+    pub ending: Ending,
+}
+
+/// A grant in use, as a router reports it to a dispatcher that may not know it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Running {
+    /// Which grant.
+    #[serde(rename = "g")]
+    pub grant: GrantId,
+    /// The workspace that is charged.
+    #[serde(rename = "w")]
+    pub workspace: WorkspaceName,
+    /// The service that was asked for.
+    #[serde(rename = "s")]
+    pub service: ServiceName,
+    /// Where it runs.
+    #[serde(rename = "u")]
+    pub upstream: UpstreamName,
+    /// Cost that is charged already.
+    #[serde(rename = "e")]
+    pub cover: u64,
+}
+
+/// One line of a heartbeat: the freshest sign of life known of a box.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// Whose.
+    #[serde(rename = "b")]
+    pub name: BoxName,
+    /// Which start of that box.
+    #[serde(rename = "i")]
+    pub incarnation: u64,
+    /// Counter that the box raises with every heartbeat.
+    #[serde(rename = "n")]
+    pub beat: u64,
+    /// Whether the box is about to stop.
+    #[serde(rename = "l", default, skip_serializing_if = "is_false")]
+    pub leaving: bool,
+}
+
+/// What dispatchers of one pool tell each other.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    /// Which pool.
+    #[serde(rename = "p")]
+    pub pool: PoolName,
+    /// The sender's availability zone.
+    #[serde(rename = "z")]
+    pub zone: ZoneName,
+    /// The sender.
+    #[serde(rename = "b")]
+    pub dispatcher: BoxName,
+    /// The sender's own cell.
+    #[serde(rename = "c")]
+    pub cell: CellId,
+    /// Version of the sender's cell that this brings the receiver to.
+    #[serde(rename = "t")]
+    pub upto: u64,
+    /// Version of the receiver's cell that the sender has merged.
+    #[serde(rename = "k")]
+    pub seen: u64,
+    /// Virtual time of the sender's last grant.
+    #[serde(rename = "v")]
+    pub virtual_time: i64,
+    /// Free slots that the sender has no work for.
+    #[serde(rename = "n", default, skip_serializing_if = "is_none_free")]
+    pub idle: u32,
+    /// Entries of the sender's cell that changed since the receiver's `seen`.
+    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
+    pub entries: Vec<Entry>,
+    /// Cells of other dispatchers, for a receiver that knows nothing yet.
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    pub others: Vec<OtherCell>,
+    /// Whether another box already passed this on.
+    #[serde(rename = "f", default, skip_serializing_if = "is_false")]
+    pub forwarded: bool,
+}
+
+/// A copy of another dispatcher's cell.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct OtherCell {
+    /// Whose.
+    #[serde(rename = "c")]
+    pub cell: CellId,
+    /// Its version.
+    #[serde(rename = "t")]
+    pub upto: u64,
+    /// All its entries.
+    #[serde(rename = "e")]
+    pub entries: Vec<Entry>,
+}
+
+/// A dispatcher with a free slot asks another zone's dispatcher for a waiting ticket.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Pull {
+    /// Which pool.
+    #[serde(rename = "p")]
+    pub pool: PoolName,
+    /// The workspace that is furthest behind there.
+    #[serde(rename = "w")]
+    pub workspace: WorkspaceName,
+    /// The grant that is offered.
+    #[serde(rename = "g")]
+    pub grant: GrantId,
+    /// The upstream with the free slot.
+    #[serde(rename = "u")]
+    pub upstream: UpstreamName,
+    /// The dispatcher that asks.
+    #[serde(rename = "b")]
+    pub dispatcher: BoxName,
+    /// Whether any workspace's ticket will do, since the asker has nothing of its own.
+    #[serde(rename = "a", default, skip_serializing_if = "is_false")]
+    pub any: bool,
+    /// Whether another box already passed this on.
+    #[serde(rename = "f", default, skip_serializing_if = "is_false")]
+    pub forwarded: bool,
+}
+
+/// The answer to a pull.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Pulled {
+    /// Which pool.
+    #[serde(rename = "p")]
+    pub pool: PoolName,
+    /// The grant that was offered.
+    #[serde(rename = "g")]
+    pub grant: GrantId,
+    /// The workspace that was asked for.
+    #[serde(rename = "w")]
+    pub workspace: WorkspaceName,
+    /// The zone that answers.
+    #[serde(rename = "z")]
+    pub zone: ZoneName,
+    /// The ticket that took the offer; none when nothing waits there any more.
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    pub taken: Option<Taken>,
+    /// How many tickets of that workspace still wait there.
+    #[serde(rename = "n")]
+    pub left: u32,
+}
+
+/// The ticket that took an offered grant.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Taken {
+    /// Which ticket.
+    #[serde(rename = "i")]
+    pub ticket: TicketId,
+    /// The router that holds it.
+    #[serde(rename = "r")]
+    pub router: BoxName,
+    /// The workspace that is charged.
+    #[serde(rename = "w")]
+    pub workspace: WorkspaceName,
+    /// The service that was asked for.
+    #[serde(rename = "s")]
+    pub service: ServiceName,
+    /// Cost that the granting dispatcher charges now.
+    #[serde(rename = "e")]
+    pub cover: u64,
+}
+
+/// One message between routers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// Signs of life of a zone's boxes, and the revision of the sender's configuration.
+    #[serde(rename = "H")]
+    Heartbeat { t: Vec<Beat>, v: u64 },
+    /// Register a ticket.
+    #[serde(rename = "T")]
+    Ticket(Ticket),
+    /// Forget a ticket.
+    #[serde(rename = "C")]
+    Cancel { p: PoolName, i: TicketId },
+    /// A ticket may run.
+    #[serde(rename = "G")]
+    Grant(Grant),
+    /// A request outgrew what was charged for it.
+    #[serde(rename = "P")]
+    Progress { p: PoolName, g: GrantId, e: u64 },
+    /// A grant has ended.
+    #[serde(rename = "D")]
+    Done(Done),
+    /// Grants of one pool that the sender uses and that the receiver inherits.
+    #[serde(rename = "R")]
+    Running { p: PoolName, r: Vec<Running> },
+    /// Asks which of these grants the receiver still uses.
+    #[serde(rename = "K")]
+    Check { p: PoolName, g: Vec<GrantId> },
+    /// These grants aren't used (any more).
+    #[serde(rename = "X")]
+    NotRunning { p: PoolName, g: Vec<GrantId> },
+    /// State of a pool, from dispatcher to dispatcher.
+    #[serde(rename = "S")]
+    Summary(Box<Summary>),
+    /// The sender, which would follow the receiver, has a copy of its cell at version `t`.
+    #[serde(rename = "Y")]
+    Copied { p: PoolName, z: ZoneName, c: CellId, t: u64 },
+    /// Ask for a ticket.
+    #[serde(rename = "L")]
+    Pull(Pull),
+    /// Answer to a pull.
+    #[serde(rename = "Q")]
+    Pulled(Pulled),
+    /// Ask for the configuration, since the receiver has a newer one.
+    #[serde(rename = "W")]
+    WantConfiguration { v: u64 },
+    /// The sender's configuration.
+    #[serde(rename = "V")]
+    Configuration { v: u64, c: Box<crate::config::Catalog> },
+}
+
+/// What one call between routers carries.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Envelope {
+    /// The sending box.
+    #[serde(rename = "b")]
+    pub from: BoxName,
+    /// The messages, in order.
+    #[serde(rename = "m")]
+    pub messages: Vec<Message>,
+}
+
+fn is_normal(class: &Class) -> bool {
+    *class == Class::Normal
+}
+
+fn is_none_free(n: &u32) -> bool {
+    *n == 0
+}
+
+fn is_zero(n: &u64) -> bool {
+    *n == 0
+}
+
+fn is_false(b: &bool) -> bool {
+    !b
+}
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,7 @@
+//! How the routers of a fleet talk: messages, membership and links.
+
+pub mod link;
+pub mod member;
+pub mod message;
+pub mod server;
+pub mod traffic;
--- /dev/null
+++ b/src/platform/client.rs
@@ -0,0 +1,115 @@
+//! The platform over HTTP, by `ureq`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ureq::Agent;
+use ureq::http::Response;
+
+use crate::peer::member::ListedBox;
+use crate::platform::Boxes;
+use crate::platform::Error;
+use crate::platform::Object;
+use crate::platform::Objects;
+
+/// How long an ordinary call may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How long connecting may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How much longer than its wait a watch may take.
+const WATCH_SLACK: Duration = Duration::from_secs(2);
+
+/// Largest answer that is read, in bytes.
+const ANSWER_MAX: u64 = 4 << 20;
+
+/// The platform at one address.
+#[derive(Clone, Debug)]
+pub struct Client {
+    agent: Agent,
+    base: String,
+}
+
+impl Client {
+    /// A client that connects when it is first used.
+    pub fn new(addr: SocketAddr) -> Client {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .proxy(None)
+            .timeout_connect(Some(CONNECT_TIMEOUT))
+            .timeout_global(Some(CALL_TIMEOUT))
+            .build();
+        Client { agent: config.into(), base: format!("http://{addr}") }
+    }
+
+    fn read(&self, url: &str, timeout: Duration) -> Result<Response<ureq::Body>, Error> {
+        let req = self.agent.get(url).config().timeout_global(Some(timeout)).build();
+        // A read has no effect, so a lost answer is no different from an outage.
+        let resp = req.call().map_err(|e| Error::Unavailable(e.to_string()))?;
+        match resp.status().as_u16() {
+            503 => Err(Error::Unavailable("503".to_owned())),
+            _ => Ok(resp),
+        }
+    }
+}
+
+impl Objects for Client {
+    fn get(&self, name: &str) -> Result<Option<Object>, Error> {
+        let url = format!("{}/objects/{name}", self.base);
+        object(self.read(&url, CALL_TIMEOUT)?)
+    }
+
+    fn put(&self, name: &str, value: &[u8], expected: u64) -> Result<u64, Error> {
+        let url = format!("{}/objects/{name}", self.base);
+        let sent = self.agent.put(&url).header("if-version", expected.to_string()).send(value);
+        let resp = sent.map_err(|e| match e {
+            ureq::Error::ConnectionFailed | ureq::Error::Timeout(ureq::Timeout::Connect) => {
+                Error::Unavailable(e.to_string())
+            }
+            ureq::Error::Io(ref io) if io.kind() == std::io::ErrorKind::ConnectionRefused => {
+                Error::Unavailable(e.to_string())
+            }
+            _ => Error::Unknown(e.to_string()),
+        })?;
+        match resp.status().as_u16() {
+            200 => version(&resp),
+            409 => Err(Error::Conflict { current: version(&resp)? }),
+            503 => Err(Error::Unavailable("503".to_owned())),
+            other => Err(Error::Unexpected(other.to_string())),
+        }
+    }
+
+    fn watch(&self, name: &str, after: u64, wait: Duration) -> Result<Option<Object>, Error> {
+        let wait_ms = wait.as_millis();
+        let url = format!("{}/objects/{name}?after={after}&wait_ms={wait_ms}", self.base);
+        object(self.read(&url, wait + WATCH_SLACK)?)
+    }
+}
+
+impl Boxes for Client {
+    fn boxes(&self) -> Result<Vec<ListedBox>, Error> {
+        let mut resp = self.read(&format!("{}/boxes", self.base), CALL_TIMEOUT)?;
+        let body = bytes(&mut resp)?;
+        serde_json::from_slice(&body).map_err(|e| Error::Unexpected(e.to_string()))
+    }
+}
+
+fn object(mut resp: Response<ureq::Body>) -> Result<Option<Object>, Error> {
+    match resp.status().as_u16() {
+        200 => Ok(Some(Object { version: version(&resp)?, value: bytes(&mut resp)? })),
+        204 | 404 => Ok(None),
+        other => Err(Error::Unexpected(other.to_string())),
+    }
+}
+
+fn version(resp: &Response<ureq::Body>) -> Result<u64, Error> {
+    let header = resp.headers().get("version").and_then(|v| v.to_str().ok()?.parse().ok());
+    header.ok_or_else(|| Error::Unexpected("no version".to_owned()))
+}
+
+fn bytes(resp: &mut Response<ureq::Body>) -> Result<Vec<u8>, Error> {
+    let body = resp.body_mut().with_config().limit(ANSWER_MAX);
+    body.read_to_vec().map_err(|e| Error::Unavailable(e.to_string()))
+}
--- /dev/null
+++ b/src/router/ask.rs
@@ -0,0 +1,196 @@
+//! What a caller asks for, read from the head of an HTTP request and checked.
+
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::header;
+use sha2::Digest;
+use sha2::Sha256;
+use subtle::Choice;
+use subtle::ConstantTimeEq;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::config::Revision;
+use crate::config::Unit;
+use crate::config::settings::Limits;
+use crate::names::PoolName;
+use crate::names::ServiceName;
+use crate::names::WorkspaceName;
+use crate::peer::message::Class;
+
+/// Milliseconds in which the caller wants an answer to begin.
+pub const DEADLINE: HeaderName = HeaderName::from_static("frostdyke-deadline-ms");
+
+/// `urgent`, `normal` or `background`.
+pub const CLASS: HeaderName = HeaderName::from_static("frostdyke-class");
+
+/// `no` for a request that must not run twice, `yes` for one that may.
+pub const REPEATABLE: HeaderName = HeaderName::from_static("frostdyke-repeatable");
+
+/// Any text; prompts with equal hints likely share a prefix.
+pub const PREFIX: HeaderName = HeaderName::from_static("frostdyke-prefix");
+
+/// The workspace, where callers are trusted to say.
+pub const WORKSPACE: HeaderName = HeaderName::from_static("frostdyke-workspace");
+
+/// Names a request so that sending it again doesn't run it again.
+pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Longest idempotency key, in bytes.
+pub const KEY_MAX: usize = 200;
+
+/// Longest deadline.
+const DEADLINE_MAX: Duration = Duration::from_secs(24 * 3600);
+
+/// What a caller asks for.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Who is charged.
+    pub workspace: WorkspaceName,
+    /// What is asked for.
+    pub service: ServiceName,
+    /// Where it is served.
+    pub pool: PoolName,
+    /// The path to call on the upstream.
+    pub path: String,
+    /// What its cost is counted in.
+    pub unit: Unit,
+    /// How much of a hurry it is in.
+    pub class: Class,
+    /// How long the caller waits for the answer to begin.
+    pub deadline: Duration,
+    /// The idempotency key, if any.
+    pub key: Option<String>,
+    /// Whether it may be sent to an upstream more than once.
+    pub repeatable: bool,
+    /// Hash of the prefix hint; 0 for none.
+    pub prefix: u64,
+    /// Headers that are passed on.
+    pub headers: HeaderMap,
+}
+
+/// What is wrong with a request.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// No key, or one that names no workspace.
+    #[error("the key names no workspace")]
+    Unauthorized,
+    /// The workspace doesn't exist.
+    #[error("there is no workspace of this name")]
+    NoWorkspace,
+    /// The service doesn't exist.
+    #[error("there is no service of this name")]
+    NoService,
+    /// A header has a value that it can't have.
+    #[error("{0}: {1}")]
+    Header(HeaderName, &'static str),
+}
+
+/// Reads what is asked of `service`.
+pub fn read(
+    service: &str,
+    headers: &HeaderMap,
+    cfg: &Revision,
+    limits: &Limits,
+) -> Result<Ask, Fault> {
+    let workspace = authenticate(headers, cfg, limits.trust_workspace_header)?;
+    let service = cfg.service(service).ok_or(Fault::NoService)?;
+    let pool = cfg.pool(&service.pool).ok_or(Fault::NoService)?;
+    Ok(Ask {
+        workspace,
+        service: service.name.clone(),
+        pool: pool.name.clone(),
+        path: service.path.clone(),
+        unit: pool.unit,
+        class: class(headers)?,
+        deadline: deadline(headers)?.unwrap_or(limits.default_deadline),
+        key: key(headers)?,
+        repeatable: repeatable(headers)?.unwrap_or(service.repeatable),
+        prefix: prefix(headers),
+        headers: passed_on(headers),
+    })
+}
+
+fn authenticate(
+    headers: &HeaderMap,
+    cfg: &Revision,
+    trusted: bool,
+) -> Result<WorkspaceName, Fault> {
+    if trusted {
+        let name = text(headers, &WORKSPACE)?.ok_or(Fault::Unauthorized)?;
+        let workspace = cfg.workspace(name).ok_or(Fault::NoWorkspace)?;
+        return Ok(workspace.name.clone());
+    }
+    let value = text(headers, &header::AUTHORIZATION)?.ok_or(Fault::Unauthorized)?;
+    let key = value.strip_prefix("Bearer ").ok_or(Fault::Unauthorized)?;
+    let digest = hex::encode(Sha256::digest(key.as_bytes()));
+    // Every digest is compared, and in constant time, so that timing tells nothing of the keys.
+    let mut found = None;
+    for workspace in &cfg.catalog.workspaces {
+        let matches = |known: &String| known.as_bytes().ct_eq(digest.as_bytes());
+        let any = workspace.key_digests.iter().map(matches).fold(Choice::from(0), |a, b| a | b);
+        if any.into() {
+            found = Some(workspace.name.clone());
+        }
+    }
+    found.ok_or(Fault::Unauthorized)
+}
+
+fn class(headers: &HeaderMap) -> Result<Class, Fault> {
+    match text(headers, &CLASS)? {
+        None | Some("normal") => Ok(Class::Normal),
+        Some("urgent") => Ok(Class::Urgent),
+        Some("background") => Ok(Class::Background),
+        Some(_) => Err(Fault::Header(CLASS, "must be urgent, normal or background")),
+    }
+}
+
+fn deadline(headers: &HeaderMap) -> Result<Option<Duration>, Fault> {
+    let Some(text) = text(headers, &DEADLINE)? else { return Ok(None) };
+    let millis = text.parse().map_err(|_| Fault::Header(DEADLINE, "must be milliseconds"))?;
+    let deadline = Duration::from_millis(millis);
+    if deadline.is_zero() || DEADLINE_MAX < deadline {
+        return Err(Fault::Header(DEADLINE, "must be between 1 ms and a day"));
+    }
+    Ok(Some(deadline))
+}
+
+fn key(headers: &HeaderMap) -> Result<Option<String>, Fault> {
+    let Some(text) = text(headers, &KEY)? else { return Ok(None) };
+    if text.is_empty() || KEY_MAX < text.len() {
+        return Err(Fault::Header(KEY, "must have 1 to 200 bytes"));
+    }
+    Ok(Some(text.to_owned()))
+}
+
+fn repeatable(headers: &HeaderMap) -> Result<Option<bool>, Fault> {
+    match text(headers, &REPEATABLE)? {
+        None => Ok(None),
+        Some("yes") => Ok(Some(true)),
+        Some("no") => Ok(Some(false)),
+        Some(_) => Err(Fault::Header(REPEATABLE, "must be yes or no")),
+    }
+}
+
+fn prefix(headers: &HeaderMap) -> u64 {
+    headers.get(&PREFIX).map_or(0, |v| xxh3_64(v.as_bytes()).max(1))
+}
+
+fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    let names = [header::CONTENT_TYPE, header::ACCEPT, CLASS, KEY];
+    let wanted = names.into_iter().filter_map(|n| Some((n.clone(), headers.get(n)?.clone())));
+    wanted.collect()
+}
+
+/// The one value of a header, which must be text.
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>, Fault> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    if values.next().is_some() {
+        return Err(Fault::Header(name.clone(), "stands twice"));
+    }
+    let text = HeaderValue::to_str(value);
+    text.map(Some).map_err(|_| Fault::Header(name.clone(), "must be plain text"))
+}
--- /dev/null
+++ b/src/router/flow.rs
@@ -0,0 +1,502 @@
+//! The life of one request: wait for a grant, send, and pass the answer on.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use hyper::body::Frame;
+use opentelemetry::KeyValue;
+use slog::info;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::config::settings::Limits;
+use crate::names::UpstreamName;
+use crate::peer::message::Class;
+use crate::peer::message::Ending;
+use crate::peer::message::Ticket;
+use crate::peer::message::TicketId;
+use crate::router::answer::Body;
+use crate::router::answer::Cause;
+use crate::router::answer::OUTCOME;
+use crate::router::answer::Outcome;
+use crate::router::answer::REQUEST_ID;
+use crate::router::ask::Ask;
+use crate::router::hub::Hub;
+use crate::router::meter;
+use crate::router::meter::Meter;
+use crate::router::send::Event;
+use crate::router::send::Incoming;
+use crate::router::send::Outgoing;
+use crate::router::send::Senders;
+use crate::status::Attempt;
+use crate::status::RequestRecord;
+
+/// Tries of one request, however much the retry budget holds.
+const TRIES_MAX: usize = 3;
+
+/// Headers of an upstream's answer that concern its own connection only.
+const HOP_BY_HOP: [header::HeaderName; 4] =
+    [header::CONNECTION, header::TRANSFER_ENCODING, header::UPGRADE, header::TRAILER];
+
+/// What serving a request needs.
+pub struct Service {
+    /// The node.
+    pub hub: Arc<Hub>,
+    /// Threads to upstreams.
+    pub senders: Senders,
+    /// Limits of the callers' port.
+    pub limits: Limits,
+    /// Whether this process is about to stop.
+    pub stopping: watch::Receiver<bool>,
+}
+
+/// Serves a request that was read and checked.
+pub async fn serve(
+    service: &Arc<Service>,
+    ask: Ask,
+    body: Bytes,
+    tale: Tale,
+) -> Result<Response<Body>, Cause> {
+    let mut flow = Flow { service: service.clone(), ask, body, tale };
+    let result = flow.run().await;
+    if let Err(cause) = &result {
+        flow.tale.end(cause.outcome());
+    }
+    result
+}
+
+struct Flow {
+    service: Arc<Service>,
+    ask: Ask,
+    body: Bytes,
+    tale: Tale,
+}
+
+/// What sending came to.
+enum Sent {
+    /// The answer has begun.
+    Answered(Response<Body>),
+    /// It failed in a way that allows another try.
+    Again(Cause),
+}
+
+impl Flow {
+    async fn run(&mut self) -> Result<Response<Body>, Cause> {
+        let deadline = Instant::now() + self.ask.deadline;
+        let mut id = self.tale.first;
+        let mut avoid = None;
+        loop {
+            let placed = self.place(id, avoid.take(), deadline).await?;
+            avoid = Some(placed.upstream.clone());
+            let cause = match self.send(placed, deadline).await? {
+                Sent::Answered(resp) => return Ok(resp),
+                Sent::Again(cause) => cause,
+            };
+            if TRIES_MAX <= self.tale.attempts.len() || !self.may_retry() {
+                return Err(cause);
+            }
+            id = self.service.hub.new_ticket_id();
+        }
+    }
+
+    /// Waits for a grant.
+    async fn place(
+        &mut self,
+        id: TicketId,
+        avoid: Option<UpstreamName>,
+        deadline: Instant,
+    ) -> Result<Placed, Cause> {
+        let hub = &self.service.hub;
+        let arrived = Instant::now();
+        let rx = hub.submit(self.ticket(id, avoid, deadline))?;
+        let mut waiting = Waiting { hub: hub.clone(), id, granted: false };
+        self.tale.attempts.push(Attempt {
+            ticket: id,
+            upstream: None,
+            waited_ms: 0,
+            ending: "waiting".to_owned(),
+        });
+        let mut stopping = self.service.stopping.clone();
+        let start = tokio::select! {
+            biased;
+            start = rx => start.map_err(|_| Cause::NotReady),
+            _ = tokio::time::sleep_until(deadline) => Err(Cause::Expired),
+            _ = stopping.wait_for(|&s| s) => Err(Cause::Stopping),
+        };
+        let waited = arrived.elapsed();
+        let attempt = self.tale.attempts.last_mut().expect("pushed above");
+        attempt.waited_ms = waited.as_millis() as u64;
+        let start = start.inspect_err(|cause| attempt.ending = cause.code().to_owned())?;
+        waiting.granted = true;
+        attempt.upstream = Some(start.upstream.clone());
+        attempt.ending = "sent".to_owned();
+        let class = KeyValue::new("class", class_name(self.ask.class));
+        hub.metrics().waits.record(waited.as_secs_f64(), &[class]);
+        Ok(Placed {
+            hub: hub.clone(),
+            id,
+            upstream: start.upstream,
+            cover: start.cover,
+            meter: meter::new(self.ask.unit),
+            labels: [
+                KeyValue::new("workspace", self.ask.workspace.to_string()),
+                KeyValue::new("pool", self.ask.pool.to_string()),
+            ],
+            ended: false,
+        })
+    }
+
+    /// Sends the request where it was placed, and waits until the answer begins.
+    async fn send(&mut self, mut placed: Placed, deadline: Instant) -> Result<Sent, Cause> {
+        let cfg = self.service.hub.configuration();
+        let upstream = cfg.catalog.upstreams.iter().find(|u| u.name == placed.upstream);
+        // The last word on an upstream that leaves is had here, right before sending.
+        let Some(upstream) = upstream.filter(|u| !u.draining) else {
+            placed.end(Ending::Unused);
+            self.note_ending("drained");
+            return Ok(Sent::Again(Cause::Unreachable));
+        };
+        info!(self.service.hub.log(), "routed";
+            "request" => &self.tale.request,
+            "ticket" => format!("{:016x}", placed.id.0),
+            "workspace" => %self.ask.workspace,
+            "service" => %self.ask.service,
+            "upstream" => %upstream.name,
+            "attempt" => self.tale.attempts.len(),
+        );
+        let outgoing = Outgoing {
+            addr: upstream.address,
+            path: self.ask.path.clone(),
+            headers: self.outgoing_headers(),
+            body: self.body.clone(),
+            idle_timeout: self.service.limits.idle_timeout,
+        };
+        let Ok(mut incoming) = self.service.senders.send(outgoing) else {
+            placed.end(Ending::Unused);
+            self.note_ending("busy");
+            return Err(Cause::Busy);
+        };
+        let first = tokio::select! {
+            first = incoming.next() => first,
+            _ = tokio::time::sleep_until(deadline) => {
+                self.note_ending("too-late");
+                return Err(Cause::TooLate);
+            }
+        };
+        match first {
+            Some(Event::Head { status, headers }) => self.answer(placed, status, headers, incoming),
+            Some(Event::Failed { sent, reason }) => {
+                placed.end(Ending::Failed);
+                self.failed(sent, reason)
+            }
+            _ => {
+                placed.end(Ending::Failed);
+                self.failed(true, "the sending thread ended".to_owned())
+            }
+        }
+    }
+
+    /// Decides what a failure before the answer means.
+    fn failed(&mut self, sent: bool, reason: String) -> Result<Sent, Cause> {
+        self.note_ending(&reason);
+        match (sent, self.ask.repeatable) {
+            (false, _) => Ok(Sent::Again(Cause::Unreachable)),
+            (true, true) => Ok(Sent::Again(Cause::UpstreamFailed(reason))),
+            (true, false) => Err(Cause::UpstreamFailed(reason)),
+        }
+    }
+
+    fn answer(
+        &mut self,
+        mut placed: Placed,
+        status: StatusCode,
+        headers: HeaderMap,
+        incoming: Incoming,
+    ) -> Result<Sent, Cause> {
+        let echoed = headers.get(REQUEST_ID).map(HeaderValue::as_bytes);
+        if echoed.is_some_and(|id| id != self.tale.request.as_bytes()) {
+            placed.end(Ending::Failed);
+            return self.failed(true, "the answer belongs to another request".to_owned());
+        }
+        if self.ask.repeatable && is_refusal(status) && self.tale.attempts.len() < TRIES_MAX {
+            placed.end(Ending::Failed);
+            return self.failed(true, format!("the upstream refused with {status}"));
+        }
+        let length =
+            headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
+        let chunked = headers.contains_key(header::TRANSFER_ENCODING);
+        let tale = self.tale.take();
+        let mut answer =
+            Answer { placed, tale, incoming, left: length, framed: length.is_some() || chunked };
+        if length == Some(0) {
+            answer.end(Ending::Answered);
+        }
+        let request = answer.tale.request.clone();
+        let mut resp = Response::new(answer.boxed());
+        *resp.status_mut() = status;
+        *resp.headers_mut() = headers;
+        for name in HOP_BY_HOP {
+            resp.headers_mut().remove(name);
+        }
+        resp.headers_mut().insert(OUTCOME, HeaderValue::from_static(Outcome::Ran.as_str()));
+        if let Ok(id) = HeaderValue::from_str(&request) {
+            resp.headers_mut().insert(REQUEST_ID, id);
+        }
+        Ok(Sent::Answered(resp))
+    }
+
+    fn may_retry(&self) -> bool {
+        let pool = &self.ask.pool;
+        let allowed = self.service.hub.with(|node, _| node.may_retry(pool));
+        if allowed {
+            let label = KeyValue::new("pool", pool.to_string());
+            self.service.hub.metrics().retries.add(1, &[label]);
+        }
+        allowed
+    }
+
+    fn ticket(&self, id: TicketId, avoid: Option<UpstreamName>, deadline: Instant) -> Ticket {
+        let left = deadline.saturating_duration_since(Instant::now());
+        Ticket {
+            id,
+            router: self.tale.router(),
+            workspace: self.ask.workspace.clone(),
+            service: self.ask.service.clone(),
+            pool: self.ask.pool.clone(),
+            class: self.ask.class,
+            deadline_ms: left.as_millis() as u64,
+            prefix: self.ask.prefix,
+            avoid,
+            forwarded: false,
+        }
+    }
+
+    fn outgoing_headers(&self) -> HeaderMap {
+        let mut headers = self.ask.headers.clone();
+        if let Ok(id) = HeaderValue::from_str(&self.tale.request) {
+            headers.insert(REQUEST_ID, id);
+        }
+        if self.ask.prefix != 0 {
+            headers.insert(crate::router::ask::PREFIX, HeaderValue::from(self.ask.prefix));
+        }
+        headers
+    }
+
+    fn note_ending(&mut self, ending: &str) {
+        if let Some(attempt) = self.tale.attempts.last_mut() {
+            attempt.ending = ending.to_owned();
+        }
+    }
+}
+
+/// What is remembered of a request, to be told when it has ended.
+pub struct Tale {
+    hub: Arc<Hub>,
+    /// The request's id, as the caller is told.
+    pub request: String,
+    first: TicketId,
+    workspace: crate::names::WorkspaceName,
+    service: crate::names::ServiceName,
+    attempts: Vec<Attempt>,
+    arrived: Instant,
+}
+
+impl Tale {
+    /// Begins with the request's arrival.
+    pub fn new(hub: &Arc<Hub>, request: String, first: TicketId, ask: &Ask) -> Tale {
+        Tale {
+            hub: hub.clone(),
+            request,
+            first,
+            workspace: ask.workspace.clone(),
+            service: ask.service.clone(),
+            attempts: Vec::new(),
+            arrived: Instant::now(),
+        }
+    }
+
+    fn router(&self) -> crate::names::BoxName {
+        self.hub.read(|node, _| node.identity().name.clone())
+    }
+
+    /// Moves the tale on to who tells its end.
+    fn take(&mut self) -> Tale {
+        Tale {
+            hub: self.hub.clone(),
+            request: self.request.clone(),
+            first: self.first,
+            workspace: self.workspace.clone(),
+            service: self.service.clone(),
+            attempts: std::mem::take(&mut self.attempts),
+            arrived: self.arrived,
+        }
+    }
+
+    fn end(&mut self, outcome: Outcome) {
+        let labels = [
+            KeyValue::new("workspace", self.workspace.to_string()),
+            KeyValue::new("outcome", outcome.as_str()),
+        ];
+        self.hub.metrics().requests.add(1, &labels);
+        self.hub.records().ended(RequestRecord {
+            request: self.request.clone(),
+            workspace: self.workspace.clone(),
+            service: self.service.clone(),
+            attempts: std::mem::take(&mut self.attempts),
+            outcome: outcome.as_str().to_owned(),
+            total_ms: self.arrived.elapsed().as_millis() as u64,
+        });
+    }
+}
+
+/// A request that waits. Dropped before its grant, it takes its ticket back.
+struct Waiting {
+    hub: Arc<Hub>,
+    id: TicketId,
+    granted: bool,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if self.granted {
+            return;
+        }
+        if !self.hub.withdraw(self.id) {
+            // The grant came at this very moment.
+            self.hub.finish(self.id, 0, Ending::Unused);
+        }
+    }
+}
+
+/// A request that has its grant. Dropped before its end, it counts as cancelled.
+struct Placed {
+    hub: Arc<Hub>,
+    id: TicketId,
+    upstream: UpstreamName,
+    cover: u64,
+    meter: Box<dyn Meter>,
+    labels: [KeyValue; 2],
+    ended: bool,
+}
+
+impl Placed {
+    fn piece(&mut self, piece: &[u8]) {
+        let cost = self.meter.piece(piece);
+        if self.cover < cost {
+            self.cover = self.hub.produced(self.id, cost);
+        }
+    }
+
+    fn end(&mut self, ending: Ending) {
+        if self.ended {
+            return;
+        }
+        self.ended = true;
+        let cost = if ending == Ending::Unused { 0 } else { self.meter.cost() };
+        self.hub.finish(self.id, cost, ending);
+        self.hub.metrics().service.add(cost, &self.labels);
+    }
+}
+
+impl Drop for Placed {
+    fn drop(&mut self) {
+        self.end(Ending::Cancelled);
+    }
+}
+
+/// The body of an answer, as it comes from the upstream.
+struct Answer {
+    placed: Placed,
+    tale: Tale,
+    incoming: Incoming,
+    /// Bytes still to come, where the upstream has told the length.
+    left: Option<u64>,
+    /// Whether the upstream's end of the body can be told from a cut.
+    framed: bool,
+}
+
+impl Answer {
+    fn end(&mut self, ending: Ending) {
+        if self.placed.ended {
+            return;
+        }
+        self.placed.end(ending);
+        if let Some(attempt) = self.tale.attempts.last_mut() {
+            attempt.ending = format!("{ending:?}").to_lowercase();
+        }
+        self.tale.end(Outcome::Ran);
+    }
+
+    fn cut(&mut self, reason: &str) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        if self.placed.ended {
+            return Poll::Ready(None);
+        }
+        self.end(Ending::Failed);
+        Poll::Ready(Some(Err(io::Error::other(reason.to_owned()))))
+    }
+}
+
+impl hyper::body::Body for Answer {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let this = &mut *self;
+        let event = match this.incoming.poll_next(cx) {
+            Poll::Pending => return Poll::Pending,
+            Poll::Ready(event) => event,
+        };
+        match event {
+            Some(Event::Piece(piece)) => {
+                this.placed.piece(&piece);
+                if let Some(left) = &mut this.left {
+                    *left = left.saturating_sub(piece.len() as u64);
+                    // Nobody asks for more once the last byte is there.
+                    if *left == 0 {
+                        this.end(Ending::Answered);
+                    }
+                }
+                Poll::Ready(Some(Ok(Frame::data(piece))))
+            }
+            Some(Event::End) if this.framed => {
+                this.end(Ending::Answered);
+                Poll::Ready(None)
+            }
+            Some(Event::End) => this.cut("the answer's end can't be told from a cut"),
+            Some(Event::Failed { reason, .. }) => this.cut(&reason),
+            Some(Event::Head { .. }) | None => this.cut("the sending thread ended"),
+        }
+    }
+}
+
+impl Drop for Answer {
+    fn drop(&mut self) {
+        self.end(Ending::Cancelled);
+    }
+}
+
+/// Whether an upstream says that it didn't take the request on.
+fn is_refusal(status: StatusCode) -> bool {
+    matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
+}
+
+fn class_name(class: Class) -> &'static str {
+    match class {
+        Class::Urgent => "urgent",
+        Class::Normal => "normal",
+        Class::Background => "background",
+    }
+}
--- /dev/null
+++ b/src/router/hub.rs
@@ -0,0 +1,302 @@
+//! The one place where the node's decisions meet the network: a lock around the node, and what to
+//! do with each of its outputs.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::Weak;
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use slog::Logger;
+use slog::info;
+use slog::warn;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::config::Revision;
+use crate::dispatch::pool::Decision;
+use crate::dispatch::pool::Pool;
+use crate::metrics::Metrics;
+use crate::names::BoxName;
+use crate::names::UpstreamName;
+use crate::names::WorkspaceName;
+use crate::node::Change;
+use crate::node::Node;
+use crate::node::Output;
+use crate::node::Refusal;
+use crate::peer::link::Inbox;
+use crate::peer::link::Links;
+use crate::peer::message::Ending;
+use crate::peer::message::Message;
+use crate::peer::message::Ticket;
+use crate::peer::message::TicketId;
+use crate::peer::server::Handler;
+use crate::router::records::Records;
+use crate::status::Explanation;
+use crate::status::PoolStatus;
+use crate::status::Status;
+use crate::status::UpstreamStatus;
+use crate::status::WorkspaceStatus;
+
+/// Waiting workspaces shown per pool in a status.
+const WORKSPACES_SHOWN: usize = 100;
+
+/// A grant, as the request that waits for it gets it.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// Where to send the request.
+    pub upstream: UpstreamName,
+    /// Cost charged already, in the pool's unit.
+    pub cover: u64,
+}
+
+/// The node of this process with what its outputs need.
+pub struct Hub {
+    inner: Mutex<Inner>,
+    epoch: Instant,
+    links: Links,
+    records: Records,
+    metrics: Metrics,
+    log: Logger,
+    this: Weak<Hub>,
+}
+
+struct Inner {
+    node: Node,
+    starts: HashMap<TicketId, oneshot::Sender<Start>>,
+}
+
+impl Hub {
+    /// A hub around `node`.
+    pub fn new(node: Node, links: Links, metrics: Metrics, log: Logger) -> Arc<Hub> {
+        Arc::new_cyclic(|this| Hub {
+            inner: Mutex::new(Inner { node, starts: HashMap::new() }),
+            epoch: Instant::now(),
+            links,
+            records: Records::default(),
+            metrics,
+            log,
+            this: this.clone(),
+        })
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> Arc<Revision> {
+        self.read(|node, _| node.configuration().clone())
+    }
+
+    /// The figures of this process.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// What this process remembers.
+    pub fn records(&self) -> &Records {
+        &self.records
+    }
+
+    /// The log.
+    pub fn log(&self) -> &Logger {
+        &self.log
+    }
+
+    /// A new ticket name.
+    pub fn new_ticket_id(&self) -> TicketId {
+        self.with(|node, _| node.new_ticket_id())
+    }
+
+    /// Lets a request wait; the receiver gets its grant.
+    pub fn submit(&self, ticket: Ticket) -> Result<oneshot::Receiver<Start>, Refusal> {
+        let (tx, rx) = oneshot::channel();
+        let id = ticket.id;
+        let mut inner = self.inner.lock().expect("no panic under lock");
+        inner.starts.insert(id, tx);
+        let result = inner.node.submit(ticket, self.now());
+        if result.is_err() {
+            inner.starts.remove(&id);
+        }
+        self.act(&mut inner, None);
+        result.map(|()| rx)
+    }
+
+    /// Takes back a request that waits; false when it doesn't wait (any more).
+    pub fn withdraw(&self, id: TicketId) -> bool {
+        let mut inner = self.inner.lock().expect("no panic under lock");
+        inner.starts.remove(&id);
+        let waited = inner.node.withdraw(id, self.now());
+        self.act(&mut inner, None);
+        waited
+    }
+
+    /// Notes what a running request has produced; gives what is charged.
+    pub fn produced(&self, id: TicketId, cost: u64) -> u64 {
+        self.with(|node, now| node.produced(id, cost, now))
+    }
+
+    /// Ends a running request.
+    pub fn finish(&self, id: TicketId, cost: u64, ending: Ending) {
+        self.with(|node, now| node.finish(id, cost, ending, now));
+    }
+
+    /// Changes the node and does what comes of it.
+    pub fn with<T>(&self, f: impl FnOnce(&mut Node, Duration) -> T) -> T {
+        let mut inner = self.inner.lock().expect("no panic under lock");
+        let result = f(&mut inner.node, self.now());
+        self.act(&mut inner, None);
+        result
+    }
+
+    /// Looks at the node.
+    pub fn read<T>(&self, f: impl FnOnce(&Node, Duration) -> T) -> T {
+        let inner = self.inner.lock().expect("no panic under lock");
+        f(&inner.node, self.now())
+    }
+
+    fn now(&self) -> Duration {
+        self.epoch.elapsed()
+    }
+
+    /// Does what the node wants done. Messages for `caller` are given back instead of sent.
+    fn act(&self, inner: &mut Inner, caller: Option<&BoxName>) -> Vec<Message> {
+        let mut answer = Vec::new();
+        for output in inner.node.take_output() {
+            match output {
+                Output::Send { to, message } if Some(&to) == caller => answer.push(message),
+                Output::Send { to, message } => self.send(&to, message),
+                Output::Start { ticket, upstream, cover } => {
+                    start(inner, ticket, Start { upstream, cover });
+                }
+                Output::Decided(decision) => self.decided(decision),
+                Output::Changed(change) => self.changed(&change),
+            }
+        }
+        answer
+    }
+
+    fn send(&self, to: &BoxName, message: Message) {
+        if let Some(this) = self.this.upgrade() {
+            let inbox: Arc<dyn Inbox> = this;
+            self.links.send(to, message, &inbox);
+        }
+    }
+
+    /// The users ask for a line for each placement decision, so there is one.
+    fn decided(&self, decision: Decision) {
+        info!(self.log, "placed";
+            "ticket" => format!("{:016x}", decision.ticket.0),
+            "router" => %decision.router,
+            "pool" => %decision.pool,
+            "workspace" => %decision.workspace,
+            "service" => %decision.service,
+            "upstream" => %decision.upstream,
+            "why" => ?decision.why,
+            "virtual_time" => decision.virtual_time,
+            "floor" => decision.floor,
+            "waiting_workspaces" => decision.waiting_workspaces,
+            "candidates" => decision.candidates,
+            "estimate" => decision.estimate,
+            "waited_ms" => decision.waited_ms,
+        );
+        let labels = [
+            KeyValue::new("pool", decision.pool.to_string()),
+            KeyValue::new("why", format!("{:?}", decision.why)),
+        ];
+        self.metrics.decisions.add(1, &labels);
+        self.records.decided(decision);
+    }
+
+    fn changed(&self, change: &Change) {
+        match change {
+            Change::Role { pool, dispatcher, mine } => {
+                info!(self.log, "dispatcher"; "pool" => %pool, "is" => %dispatcher, "mine" => mine);
+            }
+            Change::Configured { revision } => {
+                info!(self.log, "configuration in force"; "revision" => revision);
+            }
+            Change::BadConfiguration { revision, from, fault } => {
+                warn!(self.log, "configuration refused";
+                    "revision" => revision, "from" => %from, "fault" => fault);
+            }
+            Change::Member { name, live } => {
+                info!(self.log, "member"; "name" => %name, "live" => live);
+            }
+        }
+    }
+}
+
+impl Inbox for Hub {
+    fn receive(&self, from: &BoxName, messages: Vec<Message>) {
+        self.with(|node, now| node.receive(from, messages, now));
+    }
+
+    fn unreachable(&self, name: &BoxName) {
+        self.with(|node, now| node.unreachable(name, now));
+    }
+
+    fn address(&self, name: &BoxName) -> Option<SocketAddr> {
+        self.read(|node, _| node.members().address(name))
+    }
+}
+
+impl Handler for Hub {
+    fn call(&self, from: &BoxName, messages: Vec<Message>) -> Vec<Message> {
+        let mut inner = self.inner.lock().expect("no panic under lock");
+        inner.node.receive(from, messages, self.now());
+        self.act(&mut inner, Some(from))
+    }
+
+    fn explain(&self, request: &str) -> Explanation {
+        self.records.explain(request)
+    }
+
+    fn status(&self) -> Status {
+        self.read(status)
+    }
+}
+
+fn start(inner: &mut Inner, ticket: TicketId, start: Start) {
+    // The request may have left at this very moment; it then finds that it was granted when it
+    // takes its ticket back.
+    if let Some(tx) = inner.starts.remove(&ticket) {
+        let _ = tx.send(start);
+    }
+}
+
+fn status(node: &Node, now: Duration) -> Status {
+    let id = node.identity();
+    Status {
+        name: id.name.clone(),
+        zone: id.zone.clone(),
+        revision: node.configuration().number,
+        leaving: node.members().is_leaving(),
+        live: node.members().live(now).cloned().collect(),
+        waiting: node.waiting(),
+        running: node.running(),
+        pools: node.pools().map(pool_status).collect(),
+    }
+}
+
+fn pool_status(pool: &Pool) -> PoolStatus {
+    let status = |w: &WorkspaceName| WorkspaceStatus {
+        workspace: w.clone(),
+        waiting: pool.queue().waiting(w),
+        virtual_time: pool.ledger().virtual_time(w),
+    };
+    let mut workspaces: Vec<WorkspaceStatus> = pool.queue().workspaces().map(status).collect();
+    workspaces.sort_by_key(|w| w.virtual_time);
+    workspaces.truncate(WORKSPACES_SHOWN);
+    let upstreams = pool.upstreams().states().map(|(name, aside)| UpstreamStatus {
+        upstream: name.clone(),
+        aside: aside.map(|a| format!("{a:?}").to_lowercase()),
+    });
+    PoolStatus {
+        pool: pool.name().clone(),
+        waiting: pool.queue().len(),
+        running: pool.upstreams().running(),
+        slots: pool.upstreams().slots(),
+        workspaces,
+        upstreams: upstreams.collect(),
+    }
+}
--- /dev/null
+++ b/src/router/mod.rs
@@ -0,0 +1,228 @@
+//! The router: the process that holds the callers' connections.
+
+pub mod answer;
+pub mod ask;
+pub mod flow;
+pub mod front;
+pub mod health;
+pub mod hub;
+pub mod meter;
+pub mod records;
+pub mod send;
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use slog::info;
+use slog::warn;
+use tokio::net::TcpListener;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::watch;
+
+use crate::config::settings;
+use crate::dispatch::pool::Tuning;
+use crate::log;
+use crate::metrics;
+use crate::metrics::Metrics;
+use crate::node::Identity;
+use crate::node::Node;
+use crate::peer::link::Links;
+use crate::peer::member::Gossip;
+use crate::peer::server;
+use crate::peer::traffic::Traffic;
+use crate::platform;
+use crate::platform::client::Client;
+use crate::platform::watch::News;
+use crate::router::flow::Service;
+use crate::router::hub::Hub;
+use crate::router::send::Senders;
+use crate::util;
+
+/// Time between ticks of the node.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Threads of the asynchronous runtime: the boxes are small.
+const WORKERS: usize = 4;
+
+/// Why a router can't run.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A socket or the runtime can't be had.
+    #[error("{what}: {source}")]
+    Io { what: &'static str, source: io::Error },
+    /// The metrics can't be had.
+    #[error(transparent)]
+    Metrics(#[from] metrics::Error),
+}
+
+/// Runs a router until it is told to stop (SIGTERM). A second SIGTERM stops it at once.
+pub fn run(cfg: settings::Router) -> Result<(), Error> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(WORKERS)
+        .enable_all()
+        .build()
+        .map_err(|source| Error::Io { what: "starting the runtime", source })?;
+    let result = runtime.block_on(serve(cfg));
+    // Threads that watch the platform have nothing to finish.
+    runtime.shutdown_background();
+    result
+}
+
+async fn serve(cfg: settings::Router) -> Result<(), Error> {
+    let (log, _guard) = log::open(&cfg.log, "frostdyke-router", &cfg.identity.name);
+    let metrics = Metrics::new()?;
+    let traffic = Arc::new(Traffic::default());
+    let callers = bind("[listen] callers", cfg.callers).await?;
+    let peers = bind("[listen] peers", cfg.peers).await?;
+    let hub = start_hub(&cfg, &metrics, &traffic, log.clone());
+    info!(log, "listening"; "callers" => %cfg.callers, "peers" => %cfg.peers);
+
+    let (stop, stopping) = watch::channel(false);
+    let service = Arc::new(Service {
+        hub: hub.clone(),
+        senders: Senders::new(cfg.limits.max_running),
+        limits: cfg.limits.clone(),
+        stopping,
+    });
+    show(&metrics, &traffic, &service);
+    metrics.serve(cfg.metrics);
+    follow_platform(&cfg, &hub);
+    health::watch(hub.clone());
+    tokio::spawn(server::serve(peers, cfg.secret.clone(), hub.clone(), traffic));
+    tokio::spawn(tick(hub.clone()));
+    let stopped = wait_for_stop(hub.clone(), stop);
+    front::serve(callers, service, cfg.identity.name.clone(), stopped).await;
+    info!(log, "stopped");
+    metrics.stop();
+    Ok(())
+}
+
+async fn bind(what: &'static str, addr: std::net::SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(addr).await.map_err(|source| Error::Io { what, source })
+}
+
+fn start_hub(
+    cfg: &settings::Router,
+    metrics: &Metrics,
+    traffic: &Arc<Traffic>,
+    log: slog::Logger,
+) -> Arc<Hub> {
+    let id = Identity {
+        name: cfg.identity.name.clone(),
+        zone: cfg.identity.zone.clone(),
+        incarnation: util::new_incarnation(),
+    };
+    let links = Links::new(&id.name, &cfg.secret, traffic);
+    let node = Node::new(id, Tuning::default(), Gossip::default());
+    let hub = Hub::new(node, links, metrics.clone(), log);
+    hub.with(|node, now| node.list(&cfg.seeds, now));
+    hub
+}
+
+fn follow_platform(cfg: &settings::Router, hub: &Arc<Hub>) {
+    let client = Arc::new(Client::new(cfg.platform));
+    let tell = |hub: Arc<Hub>| move |news| take_in(&hub, news);
+    platform::watch::configuration(client.clone(), tell(hub.clone()));
+    platform::watch::boxes(client, tell(hub.clone()));
+}
+
+fn take_in(hub: &Hub, news: News) {
+    match news {
+        News::Configuration { revision: Ok(revision), .. } => {
+            hub.with(|node, now| node.configure(revision, now));
+        }
+        News::Configuration { version, revision: Err(faults) } => {
+            let fault = faults.first().map(ToString::to_string);
+            warn!(hub.log(), "configuration refused"; "revision" => version, "fault" => fault);
+        }
+        News::Boxes(list) => hub.with(|node, now| node.list(&list, now)),
+        News::Reach(Some(e)) => warn!(hub.log(), "platform lost"; "error" => %e),
+        News::Reach(None) => info!(hub.log(), "platform back"),
+    }
+}
+
+async fn tick(hub: Arc<Hub>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        hub.with(|node, now| node.tick(now));
+    }
+}
+
+/// Waits for SIGTERM or SIGINT, then for all requests to end. The port stays open meanwhile, so
+/// that callers the balancer still sends here hear that their request did not run.
+async fn wait_for_stop(hub: Arc<Hub>, stop: watch::Sender<bool>) {
+    let (Ok(mut term), Ok(mut int)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    info!(hub.log(), "stopping"; "running" => hub.read(|node, _| node.running()));
+    hub.with(|node, now| node.leave(now));
+    let _ = stop.send(true);
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+        std::process::exit(1);
+    });
+    while hub.read(|node, _| node.running() + node.waiting()) != 0 {
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+/// Shows the figures that are read when the page is.
+fn show(metrics: &Metrics, traffic: &Arc<Traffic>, service: &Arc<Service>) {
+    metrics.traffic(traffic);
+    let senders = service.clone();
+    metrics.gauge("frostdyke_sending_threads", move || {
+        vec![(senders.senders.live() as f64, Vec::new())]
+    });
+    let hub = service.hub.clone();
+    metrics.gauge("frostdyke_router", move || {
+        hub.read(|node, _| {
+            let label = |state: &'static str| vec![KeyValue::new("state", state)];
+            vec![
+                (node.waiting() as f64, label("waiting")),
+                (node.running() as f64, label("running")),
+            ]
+        })
+    });
+    let hub = service.hub.clone();
+    metrics.gauge("frostdyke_revision", move || {
+        vec![(hub.read(|node, _| node.configuration().number) as f64, Vec::new())]
+    });
+    let hub = service.hub.clone();
+    metrics.gauge("frostdyke_pool", move || hub.read(|node, _| pool_figures(node)));
+}
+
+/// For each dispatcher on this box: waiting, running, slots, utilisation and fairness gap.
+fn pool_figures(node: &Node) -> Vec<(f64, Vec<KeyValue>)> {
+    let mut figures = Vec::new();
+    for pool in node.pools() {
+        let running = f64::from(pool.upstreams().running());
+        let slots = f64::from(pool.upstreams().slots());
+        let shown = [
+            ("waiting", pool.queue().len() as f64),
+            ("running", running),
+            ("slots", slots),
+            ("utilisation", if slots == 0.0 { 0.0 } else { running / slots }),
+            ("gap", pool.gap()),
+        ];
+        for (what, value) in shown {
+            let labels =
+                vec![KeyValue::new("pool", pool.name().to_string()), KeyValue::new("what", what)];
+            figures.push((value, labels));
+        }
+    }
+    figures
+}
--- /dev/null
+++ b/src/util.rs
@@ -0,0 +1,30 @@
+//! Small helpers that several modules share.
+
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Bits that a counter may use below an `id_base`.
+const COUNTER_BITS: u32 = 24;
+
+/// The number of this start of the process: milliseconds since the epoch, so a later start has a
+/// greater one.
+pub fn new_incarnation() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+    since.as_millis() as u64
+}
+
+/// A number with its low bits clear, from which one start of a box counts its ids of one `kind`.
+pub fn id_base(name: &str, incarnation: u64, kind: &str) -> u64 {
+    xxh3_64(format!("{name}/{incarnation}/{kind}").as_bytes()) << COUNTER_BITS
+}
+
+/// Of `candidates`, the one that rendezvous hashing ranks first for `key`.
+pub fn rendezvous<'a, T: AsRef<str> + Ord + ?Sized + 'a>(
+    key: &str,
+    candidates: impl Iterator<Item = &'a T>,
+) -> Option<&'a T> {
+    candidates.max_by_key(|c| (xxh3_64(format!("{key}/{}", c.as_ref()).as_bytes()), *c))
+}
--- /dev/null
+++ b/standin/src/web.rs
@@ -0,0 +1,89 @@
+//! The HTTP server that all stand-ins share.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::mpsc;
+use std::thread;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::combinators::BoxBody;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+
+/// A body whose error ends the connection where the caller can see it.
+pub type Body = BoxBody<Bytes, io::Error>;
+
+/// Serves `handler` on a thread of its own until the process ends. Gives the address, which tells
+/// the port where `addr` left it open.
+pub fn serve<H, F>(addr: SocketAddr, handler: H) -> io::Result<SocketAddr>
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = io::Result<Response<Body>>> + Send + 'static,
+{
+    let (tx, rx) = mpsc::channel();
+    thread::spawn(move || {
+        let runtime = match Builder::new_multi_thread().worker_threads(2).enable_all().build() {
+            Ok(runtime) => runtime,
+            Err(e) => return drop(tx.send(Err(e))),
+        };
+        runtime.block_on(async {
+            let listener = match TcpListener::bind(addr).await {
+                Ok(listener) => listener,
+                Err(e) => return drop(tx.send(Err(e))),
+            };
+            // The receiver waits right below.
+            let _ = tx.send(listener.local_addr());
+            accept(listener, handler).await;
+        });
+    });
+    rx.recv().unwrap_or_else(|_| Err(io::Error::other("the server's thread ended")))
+}
+
+/// A whole body.
+pub fn full(data: impl Into<Bytes>) -> Body {
+    Full::new(data.into()).map_err(|e: Infallible| match e {}).boxed()
+}
+
+/// A JSON answer.
+pub fn json(status: StatusCode, value: &impl serde::Serialize) -> Response<Body> {
+    let text = serde_json::to_vec(value).expect("stand-in values serialize");
+    Response::builder()
+        .status(status)
+        .header("content-type", "application/json")
+        .body(full(text))
+        .expect("a valid answer")
+}
+
+/// An empty answer.
+pub fn status(status: StatusCode) -> Response<Body> {
+    Response::builder().status(status).body(full("")).expect("a valid answer")
+}
+
+async fn accept<H, F>(listener: TcpListener, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = io::Result<Response<Body>>> + Send + 'static,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let _ = stream.set_nodelay(true);
+        let handler = handler.clone();
+        tokio::spawn(async move {
+            let service = service_fn(handler);
+            // A caller that leaves is no news to a stand-in.
+            let _ = hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
