Run whole deployments on loopback under load

Cause: nothing showed what a workspace receives from a fleet of processes.

Change: frostdyke-load runs a scenario, samples the routers' metrics and prints service, refusals, utilisation, fairness gap and peer bytes; scripts/demo starts stand-ins and routers of a deployment, and stops what it started; settings for Bayanihan and Heuningkas with nine boxes each, on addresses of 127.0.0.0/8.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod cli;
 pub mod config;
 pub mod dispatch;
+pub mod load;
 pub mod log;
 pub mod metrics;
 pub mod names;
--- /dev/null
+++ b/src/load/mod.rs
@@ -0,0 +1,118 @@
+//! Sends callers' traffic as a scenario (INI) says, and tells what each workspace got.
+
+pub mod client;
+pub mod compare;
+pub mod plot;
+pub mod report;
+pub mod scenario;
+pub mod scrape;
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::load::client::Client;
+use crate::load::report::Report;
+use crate::load::scenario::Scenario;
+use crate::load::scrape::Sample;
+
+/// How often a router is asked whether it is ready.
+const READY_EVERY: Duration = Duration::from_millis(50);
+
+/// What to do with a scenario.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The scenario.
+    pub scenario: Scenario,
+    /// Where to write the figures as JSON.
+    pub json: Option<PathBuf>,
+    /// Where to write the plot as SVG.
+    pub plot: Option<PathBuf>,
+}
+
+/// Why a run of the load tool failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A file can't be written.
+    #[error("{}: {source}", path.display())]
+    Write { path: PathBuf, source: io::Error },
+    /// The plot can't be drawn.
+    #[error("plot: {0}")]
+    Plot(String),
+    /// A router isn't ready in time.
+    #[error("{0} is not ready")]
+    NotReady(SocketAddr),
+    /// No request was answered at all.
+    #[error("no request was answered")]
+    Nothing,
+}
+
+/// Runs a scenario and prints its table.
+pub fn run(opts: Options) -> Result<(), Error> {
+    let (client_counts, samples) = drive(&opts.scenario);
+    let report = report::sum_up(&opts.scenario, &client_counts, &samples);
+    print!("{}", report.table());
+    if let Some(path) = &opts.json {
+        let text = serde_json::to_vec_pretty(&report).expect("figures serialize");
+        let write = std::fs::write(path, text);
+        write.map_err(|source| Error::Write { path: path.clone(), source })?;
+    }
+    if let Some(path) = &opts.plot {
+        plot::draw(path, &report).map_err(Error::Plot)?;
+    }
+    check(&report)
+}
+
+/// Waits until all routers of a scenario are ready.
+pub fn wait(scenario: &Scenario, patience: Duration) -> Result<(), Error> {
+    let until = Instant::now() + patience;
+    for &target in &scenario.targets {
+        let url = format!("http://{target}/readyz");
+        while ureq::get(&url).call().is_err() {
+            if until <= Instant::now() {
+                return Err(Error::NotReady(target));
+            }
+            thread::sleep(READY_EVERY);
+        }
+    }
+    Ok(())
+}
+
+fn check(report: &Report) -> Result<(), Error> {
+    match report.workspaces.iter().map(|w| w.ran).sum::<u64>() {
+        0 => Err(Error::Nothing),
+        _ => Ok(()),
+    }
+}
+
+/// Runs all clients to the end. Gives what each counted, and the samples taken of the routers.
+fn drive(scenario: &Scenario) -> (Vec<client::Counts>, Vec<Sample>) {
+    let started = Instant::now();
+    let stop = Arc::new(AtomicBool::new(false));
+    let samples = Arc::new(Mutex::new(Vec::new()));
+    let scraper = {
+        let (stop, samples, pages) = (stop.clone(), samples.clone(), scenario.metrics.clone());
+        thread::spawn(move || scrape::follow(&pages, started, &stop, &samples))
+    };
+    let clients: Vec<_> = scenario
+        .workspaces
+        .iter()
+        .enumerate()
+        .flat_map(|(w, _)| (0..scenario.workspaces[w].clients).map(move |c| (w, c)))
+        .map(|(w, c)| Client::new(scenario, w, c, started))
+        .map(|client| thread::spawn(move || client.run()))
+        .collect();
+    let counts = clients.into_iter().filter_map(|c| c.join().ok()).collect();
+    stop.store(true, Ordering::Relaxed);
+    // The samples are shared, so a scraper that died costs only its later ones.
+    let _ = scraper.join();
+    let samples = std::mem::take(&mut *samples.lock().expect("no panic under lock"));
+    (counts, samples)
+}
--- /dev/null
+++ b/src/load/report.rs
@@ -0,0 +1,217 @@
+//! Sums up a run: what each workspace got, how fair that was, how busy the slots were, and what
+//! the routers told each other.
+
+use std::fmt::Write;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::load::client::Counts;
+use crate::load::scenario::Scenario;
+use crate::load::scrape::Sample;
+
+/// Seconds at the start and the end that don't count for the gap and the utilisation.
+const MARGIN: usize = 2;
+
+/// The figures of a run.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// How long it ran, in seconds.
+    pub seconds: u64,
+    /// How many routers served.
+    pub routers: usize,
+    /// Per workspace.
+    pub workspaces: Vec<WorkspaceReport>,
+    /// Per pool.
+    pub pools: Vec<PoolReport>,
+    /// Largest difference of service by weight between two workspaces that always had work, in
+    /// cost units, over all moments of the run.
+    pub gap: f64,
+    /// Bytes between routers, per router and second.
+    pub peer_bytes_per_router_second: f64,
+    /// Bytes between routers, per request that ran.
+    pub peer_bytes_per_request: f64,
+}
+
+/// What one workspace got.
+#[derive(Clone, Debug, Serialize)]
+pub struct WorkspaceReport {
+    /// Its name.
+    pub workspace: String,
+    /// Its weight.
+    pub weight: f64,
+    /// Whether it always had work waiting: it sends without a rate.
+    pub backlogged: bool,
+    /// Requests answered in full.
+    pub ran: u64,
+    /// Requests that did not run.
+    pub not_run: u64,
+    /// Requests cut or of unknown outcome.
+    pub unknown: u64,
+    /// Cost received.
+    pub service: u64,
+    /// Cost received in each second.
+    pub per_second: Vec<u64>,
+    /// Milliseconds until an answer began, for half of the requests.
+    pub first_p50_ms: f64,
+    /// Milliseconds until an answer began, for 99 in 100.
+    pub first_p99_ms: f64,
+}
+
+/// How a pool was used.
+#[derive(Clone, Debug, Serialize)]
+pub struct PoolReport {
+    /// Its name.
+    pub pool: String,
+    /// Slots.
+    pub slots: f64,
+    /// Share of the slots in use, at moments when work waited.
+    pub utilisation_while_waiting: Option<f64>,
+    /// Share of the slots in use, at all moments.
+    pub utilisation: f64,
+}
+
+/// Sums up what the clients counted and the routers showed.
+pub fn sum_up(scenario: &Scenario, counts: &[Counts], samples: &[Sample]) -> Report {
+    let workspaces: Vec<WorkspaceReport> =
+        (0..scenario.workspaces.len()).map(|w| workspace(scenario, w, counts)).collect();
+    let seconds = scenario.length.as_secs();
+    let ran: u64 = workspaces.iter().map(|w| w.ran).sum();
+    let bytes = match (samples.first(), samples.last()) {
+        (Some(first), Some(last)) => last.peer_bytes - first.peer_bytes,
+        _ => 0.0,
+    };
+    let routers = scenario.targets.len();
+    Report {
+        seconds,
+        routers,
+        gap: gap(&workspaces, seconds as usize),
+        pools: pools(samples, seconds as f64),
+        peer_bytes_per_router_second: bytes / (routers as f64 * seconds.max(1) as f64),
+        peer_bytes_per_request: bytes / ran.max(1) as f64,
+        workspaces,
+    }
+}
+
+impl Report {
+    /// The figures as a person reads them.
+    pub fn table(&self) -> String {
+        let mut out = String::new();
+        // Writing to a string doesn't fail.
+        let _ = writeln!(
+            out,
+            "{:<20} {:>6} {:>7} {:>8} {:>8} {:>9} {:>10} {:>10}",
+            "workspace", "weight", "ran", "not-run", "unknown", "service", "first p50", "first p99"
+        );
+        for w in &self.workspaces {
+            let _ = writeln!(
+                out,
+                "{:<20} {:>6} {:>7} {:>8} {:>8} {:>9} {:>7.1} ms {:>7.1} ms",
+                w.workspace,
+                w.weight,
+                w.ran,
+                w.not_run,
+                w.unknown,
+                w.service,
+                w.first_p50_ms,
+                w.first_p99_ms
+            );
+        }
+        for p in &self.pools {
+            let busy = p.utilisation_while_waiting.map_or("-".to_owned(), |u| format!("{u:.3}"));
+            let _ = writeln!(
+                out,
+                "pool {}: {} slots, utilisation {:.3}, while work waits {busy}",
+                p.pool, p.slots, p.utilisation
+            );
+        }
+        let _ = writeln!(out, "fairness gap of backlogged workspaces: {:.0}", self.gap);
+        let _ = writeln!(
+            out,
+            "between routers: {:.0} bytes a second and router, {:.0} a request",
+            self.peer_bytes_per_router_second, self.peer_bytes_per_request
+        );
+        out
+    }
+}
+
+fn workspace(scenario: &Scenario, index: usize, counts: &[Counts]) -> WorkspaceReport {
+    let settings = &scenario.workspaces[index];
+    let mine = || counts.iter().filter(|c| c.workspace == index);
+    let mut first = Histogram::<u64>::new(3).expect("the digits are valid");
+    let mut per_second = vec![0; scenario.length.as_secs() as usize + 1];
+    for count in mine() {
+        // Both histograms hold microseconds, and the sum resizes itself.
+        let _ = first.add(&count.first);
+        for (sum, n) in per_second.iter_mut().zip(&count.service) {
+            *sum += n;
+        }
+    }
+    WorkspaceReport {
+        workspace: settings.name.clone(),
+        weight: settings.weight,
+        backlogged: settings.rate.is_none(),
+        ran: mine().map(|c| c.ran).sum(),
+        not_run: mine().map(|c| c.not_run).sum(),
+        unknown: mine().map(|c| c.unknown).sum(),
+        service: per_second.iter().sum(),
+        per_second,
+        first_p50_ms: first.value_at_quantile(0.5) as f64 / 1000.0,
+        first_p99_ms: first.value_at_quantile(0.99) as f64 / 1000.0,
+    }
+}
+
+/// The largest gap that opened between any two backlogged workspaces during any stretch of time:
+/// for each pair, the spread of the difference of their sums.
+fn gap(workspaces: &[WorkspaceReport], seconds: usize) -> f64 {
+    let backlogged: Vec<Vec<f64>> =
+        workspaces.iter().filter(|w| w.backlogged).map(|w| sums(w, seconds)).collect();
+    let mut largest = 0.0_f64;
+    for (i, a) in backlogged.iter().enumerate() {
+        for b in &backlogged[i + 1..] {
+            let differences = || a.iter().zip(b).map(|(a, b)| a - b);
+            let most = differences().fold(f64::MIN, f64::max);
+            let least = differences().fold(f64::MAX, f64::min);
+            largest = largest.max(most - least);
+        }
+    }
+    largest
+}
+
+/// Service by weight, summed up from the end of the first margin to each second before the last.
+fn sums(w: &WorkspaceReport, seconds: usize) -> Vec<f64> {
+    let counted = w.per_second.iter().take(seconds.saturating_sub(MARGIN)).skip(MARGIN);
+    let add = |sum: &mut f64, &n: &u64| {
+        *sum += n as f64 / w.weight;
+        Some(*sum)
+    };
+    std::iter::once(0.0).chain(counted.scan(0.0, add)).collect()
+}
+
+fn pools(samples: &[Sample], seconds: f64) -> Vec<PoolReport> {
+    let margin = MARGIN as f64;
+    let counted: Vec<&Sample> =
+        samples.iter().filter(|s| margin <= s.at && s.at <= seconds - margin).collect();
+    let Some(last) = counted.last() else { return Vec::new() };
+    let report = |name: &String| {
+        let of_pool: Vec<_> = counted.iter().filter_map(|s| s.pools.get(name)).collect();
+        let share = |p: &&&crate::load::scrape::PoolSample| p.running / p.slots.max(1.0);
+        let busy: Vec<f64> =
+            of_pool.iter().filter(|p| p.waiting != 0.0).map(|p| share(&p)).collect();
+        PoolReport {
+            pool: name.clone(),
+            slots: of_pool.last().map_or(0.0, |p| p.slots),
+            utilisation_while_waiting: mean(&busy),
+            utilisation: mean(&of_pool.iter().map(|p| share(&p)).collect::<Vec<_>>())
+                .unwrap_or(0.0),
+        }
+    };
+    last.pools.keys().map(report).collect()
+}
+
+fn mean(values: &[f64]) -> Option<f64> {
+    if values.is_empty() {
+        return None;
+    }
+    Some(values.iter().sum::<f64>() / values.len() as f64)
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 
@@ -98,17 +97,15 @@
 
     /// Shows the traffic between routers.
     pub fn traffic(&self, traffic: &Arc<Traffic>) {
-        let shown: [(&'static str, fn(&Traffic) -> &AtomicU64); 5] = [
-            ("frostdyke_peer_bytes_out", |t| &t.bytes_out),
-            ("frostdyke_peer_bytes_in", |t| &t.bytes_in),
-            ("frostdyke_peer_messages_out", |t| &t.messages_out),
-            ("frostdyke_peer_messages_in", |t| &t.messages_in),
-            ("frostdyke_peer_messages_lost", |t| &t.messages_lost),
-        ];
-        for (name, field) in shown {
+        let show = |name, read: fn(&Traffic) -> u64| {
             let traffic = traffic.clone();
-            self.count(name, move || field(&traffic).load(Ordering::Relaxed));
-        }
+            self.count(name, move || read(&traffic));
+        };
+        show("frostdyke_peer_bytes_out", |t| t.bytes_out.load(Ordering::Relaxed));
+        show("frostdyke_peer_bytes_in", |t| t.bytes_in.load(Ordering::Relaxed));
+        show("frostdyke_peer_messages_out", |t| t.messages_out.load(Ordering::Relaxed));
+        show("frostdyke_peer_messages_in", |t| t.messages_in.load(Ordering::Relaxed));
+        show("frostdyke_peer_messages_lost", |t| t.messages_lost.load(Ordering::Relaxed));
     }
 
     /// The page.
--- a/src/peer/member.rs
+++ b/src/peer/member.rs
@@ -121,8 +121,9 @@
 
     /// The boxes of the own zone that were heard once but not lately.
     pub fn suspects(&self, now: Duration) -> impl Iterator<Item = &BoxName> {
-        let silent = move |h: &&Heard| h.at + self.gossip.suspect_after <= now;
-        self.heard.iter().filter(move |(_, h)| silent(&h)).map(|(name, _)| name)
+        let after = self.gossip.suspect_after;
+        let silent = self.heard.iter().filter(move |(_, h)| h.at + after <= now);
+        silent.map(|(name, _)| name)
     }
 
     /// The box of the own zone that has the role `key`. A box that leaves gives its roles up, but
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -29,7 +29,7 @@
 #[derive(Debug)]
 pub enum News {
     /// A configuration, valid or not.
-    Configuration { version: u64, revision: Result<Revision, Vec<Fault>> },
+    Configuration { version: u64, revision: Box<Result<Revision, Vec<Fault>>> },
     /// The box list.
     Boxes(Vec<ListedBox>),
     /// A call failed that had worked before, or the other way round.
@@ -46,7 +46,7 @@
             pause.note(watched.as_ref().err(), &tell);
             if let Ok(Some(object)) = watched {
                 after = object.version;
-                tell(News::Configuration { version: after, revision: parse(&object) });
+                tell(News::Configuration { version: after, revision: Box::new(parse(&object)) });
             }
         }
     });
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -131,13 +131,13 @@
 
 fn take_in(hub: &Hub, news: News) {
     match news {
-        News::Configuration { revision: Ok(revision), .. } => {
-            hub.with(|node, now| node.configure(revision, now));
-        }
-        News::Configuration { version, revision: Err(faults) } => {
-            let fault = faults.first().map(ToString::to_string);
-            warn!(hub.log(), "configuration refused"; "revision" => version, "fault" => fault);
-        }
+        News::Configuration { version, revision } => match *revision {
+            Ok(revision) => hub.with(|node, now| node.configure(revision, now)),
+            Err(faults) => {
+                let fault = faults.first().map(ToString::to_string);
+                warn!(hub.log(), "configuration refused"; "revision" => version, "fault" => fault);
+            }
+        },
         News::Boxes(list) => hub.with(|node, now| node.list(&list, now)),
         News::Reach(Some(e)) => warn!(hub.log(), "platform lost"; "error" => %e),
         News::Reach(None) => info!(hub.log(), "platform back"),
--- a/standin/src/bin/standin.rs
+++ b/standin/src/bin/standin.rs
@@ -1,6 +1,7 @@
 //! Runs one stand-in. See `standin/src/lib.rs`.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::thread;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use frostdyke_standin::engine::Engine;
 use frostdyke_standin::platform::Platform;
 use frostdyke_standin::service::Service;
+use serde::Deserialize;
 
 /// Small fakes of the systems that frostdyke meets. For tests and the demo only.
 #[derive(Clone, Debug, Bpaf)]
@@ -20,6 +22,25 @@
         /// Address to listen on
         #[bpaf(argument("IP:PORT"))]
         listen: SocketAddr,
+        /// An object to begin with
+        #[bpaf(argument("NAME=FILE"))]
+        object: Vec<String>,
+        /// The box list to begin with
+        #[bpaf(argument("FILE"))]
+        boxes: Option<PathBuf>,
+    },
+    /// A stand-in for every upstream that a configuration names
+    #[bpaf(command)]
+    Upstreams {
+        /// The configuration (JSON)
+        #[bpaf(argument("FILE"))]
+        configuration: PathBuf,
+        /// Milliseconds per token in each slot of an engine
+        #[bpaf(argument("MS"), fallback(4))]
+        token_ms: u64,
+        /// Milliseconds per request of a service
+        #[bpaf(argument("MS"), fallback(5))]
+        delay_ms: u64,
     },
     /// A model engine
     #[bpaf(command)]
@@ -48,8 +69,19 @@
 
 fn main() -> std::io::Result<()> {
     match options().run() {
-        Options::Platform { listen } => {
-            Platform::start(listen)?;
+        Options::Platform { listen, object, boxes } => {
+            let platform = Platform::start(listen)?;
+            for (name, file) in object.iter().filter_map(|o| o.split_once('=')) {
+                platform.put(name, std::fs::read(file)?);
+            }
+            if let Some(file) = boxes {
+                platform.set_boxes(std::fs::read(file)?);
+            }
+        }
+        Options::Upstreams { configuration, token_ms, delay_ms } => {
+            let delay = Duration::from_millis(delay_ms);
+            let configuration = serde_json::from_slice(&std::fs::read(configuration)?)?;
+            start_upstreams(&configuration, Duration::from_millis(token_ms), delay)?;
         }
         Options::Engine { listen, slots, token_ms } => {
             let token = Duration::from_millis(token_ms);
@@ -69,3 +101,41 @@
         thread::park();
     }
 }
+
+/// The parts of a configuration that tell which stand-ins to start.
+#[derive(Deserialize)]
+struct Configuration {
+    pools: Vec<Pool>,
+    upstreams: Vec<Upstream>,
+}
+
+#[derive(Deserialize)]
+struct Pool {
+    name: String,
+    unit: String,
+}
+
+#[derive(Deserialize)]
+struct Upstream {
+    pool: String,
+    address: SocketAddr,
+    slots: usize,
+}
+
+fn start_upstreams(
+    configuration: &Configuration,
+    token: Duration,
+    delay: Duration,
+) -> std::io::Result<()> {
+    for upstream in &configuration.upstreams {
+        let pool = configuration.pools.iter().find(|p| p.name == upstream.pool);
+        if pool.is_some_and(|p| p.unit == "tokens") {
+            let slots = upstream.slots;
+            let settings = engine::Settings { slots, token, ..engine::Settings::default() };
+            Engine::start(upstream.address, settings)?;
+        } else {
+            Service::start(upstream.address, delay)?;
+        }
+    }
+    Ok(())
+}
