--- /dev/null
+++ b/benches/utilisation.rs
@@ -0,0 +1,79 @@
+//! How busy the slots are while work waits, and what the routers tell each other for it, in one
+//! run. `cargo bench --bench utilisation` prints `name value bound ok|FAIL`.
+
+mod fleet;
+#[path = "../tests/util/rig.rs"]
+mod rig;
+
+use std::time::Duration;
+
+use fleet::Judge;
+use fleet::Policy;
+use fleet::SCENES;
+use fleet::Scene;
+use rig::Setup;
+use rig::Traffic;
+
+/// Utilisation while work waits, without a fault and with one.
+const UTILISATION: f64 = 0.98;
+
+/// A cut zone can't be helped by the others, so some of the whole fleet idles.
+const UTILISATION_CUT: f64 = 0.93;
+
+/// Bytes that a router may send for control in a second.
+const BYTES: f64 = 18_000.0;
+
+/// Boxes of a zone at the size of letter 1.
+const BOXES: usize = 37;
+
+/// Requests a second and router at that size.
+const RATE: f64 = 33.0;
+
+fn main() {
+    let base = Setup::default();
+    let mut judge = Judge { failed: false };
+    for (scene, name) in SCENES {
+        let fleet = fleet::run(Policy::Fleet, scene, &base);
+        let least = if scene == Scene::Cut { UTILISATION_CUT } else { UTILISATION };
+        judge.at_least(&format!("{name}.utilisation"), fleet.utilisation, least);
+        println!("{name}.bytes-per-request {:.0}", fleet.bytes_per_request);
+        println!("{name}.bytes-per-router-second {:.0}", fleet.bytes_per_router_second);
+    }
+    target(&mut judge);
+    judge.exit();
+}
+
+/// One zone of the target's size: 37 routers with 33 requests a second each, a tenth of the
+/// workspaces backlogged. One pool stands for all, so a dispatcher has all the zone's load.
+fn target(judge: &mut Judge) {
+    let rate = RATE * BOXES as f64;
+    let light = Traffic { rate: rate / 45.0, ..Traffic::default() };
+    let heavy = Traffic { boxes: vec![0, 9, 18, 27], backlog: 30, ..Traffic::default() };
+    let mut workspaces = vec![light; 45];
+    workspaces.extend(vec![heavy; 5]);
+    let setup = Setup {
+        zones: 1,
+        boxes: BOXES,
+        engines: 30,
+        slots: 32,
+        token: Duration::from_micros(7000),
+        workspaces,
+        ..Setup::default()
+    };
+    let mut rig = rig::Rig::new(setup);
+    // While the boxes find each other, grants change hands; that is no steady state.
+    rig.run_for(fleet::SECOND * 4);
+    let (bytes, requests) = (rig.outcome.bytes, rig.outcome.requests);
+    let kinds = rig.outcome.kinds.clone();
+    rig.run_for(fleet::SECOND * 10);
+    let o = &rig.outcome;
+    let per_router = |n: u64| n as f64 / BOXES as f64 / 10.0;
+    let rate = per_router(o.requests - requests);
+    println!("target.requests-per-router-second {rate:.1}");
+    for (kind, n) in &o.kinds {
+        let n = n - kinds.get(kind).copied().unwrap_or(0);
+        println!("target.bytes-per-router-second.{kind} {:.0}", per_router(n));
+    }
+    judge.at_most("target.bytes-per-router-second", per_router(o.bytes - bytes), BYTES);
+    judge.at_least("target.utilisation", o.utilisation(40..140), UTILISATION);
+}
--- a/src/config/catalog.rs
+++ b/src/config/catalog.rs
@@ -292,7 +292,7 @@
 }
 
 fn pull_margin() -> u32 {
-    500
+    2000
 }
 
 fn debt_cap() -> u32 {
--- a/src/dispatch/ledger.rs
+++ b/src/dispatch/ledger.rs
@@ -7,6 +7,11 @@
 //! A workspace that was idle must not use the credit it seems to have gathered. It is *lifted*: its
 //! virtual time is its service plus an offset, and the offset only grows (a register that merges by
 //! maximum), so two dispatchers that lift the same workspace at once don't lift it twice.
+//!
+//! What other dispatchers have charged since they were last heard isn't known. If every dispatcher
+//! simply ordered by what it knows, all would favour the same workspace at once until they hear of
+//! each other, and overshoot. So each one assumes that the others, where a workspace waits with
+//! them too, serve it as it does itself; the assumption is dropped when they are heard.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -16,6 +21,8 @@
 
 use crate::names::BoxName;
 use crate::names::WorkspaceName;
+use crate::names::ZoneName;
+use crate::peer::message::OtherCell;
 
 /// Parts of one cost unit that virtual time is counted in.
 pub const PARTS: i64 = 1000;
@@ -48,6 +55,8 @@
     changed: BTreeMap<u64, WorkspaceName>,
     others: BTreeMap<CellId, Copy>,
     accounts: HashMap<WorkspaceName, Account>,
+    assumed: HashMap<ZoneName, HashMap<WorkspaceName, VirtualTime>>,
+    charged: VirtualTime,
 }
 
 #[derive(Debug, Default)]
@@ -60,13 +69,15 @@
 #[derive(Debug, Default)]
 struct Copy {
     version: u64,
-    charged: HashMap<WorkspaceName, VirtualTime>,
+    /// The version at which each entry last changed, beside what is charged.
+    charged: HashMap<WorkspaceName, (VirtualTime, u64)>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Account {
     service: VirtualTime,
     offset: VirtualTime,
+    assumed: VirtualTime,
 }
 
 impl Ledger {
@@ -79,6 +90,8 @@
             changed: BTreeMap::new(),
             others: BTreeMap::new(),
             accounts: HashMap::new(),
+            assumed: HashMap::new(),
+            charged: 0,
         }
     }
 
@@ -92,23 +105,53 @@
         self.version
     }
 
-    /// The virtual time of a workspace; 0 for one that was never served.
+    /// The virtual time of a workspace, with what others are assumed to have charged; 0 for one
+    /// that was never served.
     pub fn virtual_time(&self, workspace: &str) -> VirtualTime {
+        self.accounts.get(workspace).map_or(0, |a| a.service + a.offset + a.assumed)
+    }
+
+    /// The virtual time of a workspace without any assumption.
+    pub fn known_time(&self, workspace: &str) -> VirtualTime {
         self.accounts.get(workspace).map_or(0, |a| a.service + a.offset)
     }
 
+    /// All that was ever charged to the own cell.
+    pub fn charged(&self) -> VirtualTime {
+        self.charged
+    }
+
+    /// Assumes that a zone has charged a workspace `amount` like this dispatcher did.
+    pub fn assume(&mut self, zone: &ZoneName, workspace: &WorkspaceName, amount: VirtualTime) {
+        let zone = self.assumed.entry(zone.clone()).or_default();
+        *zone.entry(workspace.clone()).or_default() += amount;
+        self.accounts.entry(workspace.clone()).or_default().assumed += amount;
+    }
+
+    /// Drops what was assumed of a zone. Gives the workspaces that it concerned.
+    pub fn forget_assumed(&mut self, zone: &str) -> Vec<WorkspaceName> {
+        let assumed = self.assumed.remove(zone).unwrap_or_default();
+        for (workspace, amount) in &assumed {
+            if let Some(account) = self.accounts.get_mut(workspace) {
+                account.assumed -= amount;
+            }
+        }
+        assumed.into_keys().collect()
+    }
+
     /// Charges `amount` (which may be negative, when an estimate was too high) to the own cell.
     pub fn charge(&mut self, workspace: &WorkspaceName, amount: VirtualTime) {
         if amount == 0 {
             return;
         }
+        self.charged += amount;
         self.line(workspace).charged += amount;
         self.accounts.entry(workspace.clone()).or_default().service += amount;
     }
 
     /// Raises a workspace that starts to wait to at least `floor`.
     pub fn lift(&mut self, workspace: &WorkspaceName, floor: VirtualTime) {
-        let now = self.virtual_time(workspace);
+        let now = self.known_time(workspace);
         if floor <= now {
             return;
         }
@@ -130,12 +173,21 @@
         self.changed.range(since + 1..).map(|(_, w)| self.entry(w)).collect()
     }
 
-    /// The copies of all other cells, with their versions.
-    pub fn copies(&self) -> impl Iterator<Item = (&CellId, u64, Vec<Entry>)> {
-        self.others.iter().map(|(id, copy)| {
-            let entries = copy.charged.iter().map(|(w, &c)| Entry(w.clone(), c, self.offset(w), 0));
-            (id, copy.version, entries.collect())
-        })
+    /// The copies of other cells as far as they changed after the versions in `since`; all of a
+    /// cell that isn't in there.
+    pub fn copies(&self, since: &HashMap<CellId, u64>) -> Vec<OtherCell> {
+        let mut copies = Vec::new();
+        for (cell, copy) in &self.others {
+            let known = since.get(cell).copied().unwrap_or(0);
+            if copy.version <= known {
+                continue;
+            }
+            let changed = copy.charged.iter().filter(|(_, (_, version))| known < *version);
+            let entries = changed.map(|(w, (c, _))| Entry(w.clone(), *c, self.offset(w), 0));
+            let entries = entries.collect();
+            copies.push(OtherCell { cell: cell.clone(), upto: copy.version, entries });
+        }
+        copies
     }
 
     /// The version up to which another cell is known; 0 when it isn't.
@@ -155,7 +207,8 @@
         }
         copy.version = upto;
         for Entry(workspace, charged, offset, _) in entries {
-            let before = copy.charged.insert(workspace.clone(), *charged).unwrap_or(0);
+            let line = (*charged, upto);
+            let before = copy.charged.insert(workspace.clone(), line).map_or(0, |(c, _)| c);
             let account = self.accounts.entry(workspace.clone()).or_default();
             account.service += charged - before;
             account.offset = account.offset.max(*offset);
--- a/src/dispatch/pool.rs
+++ b/src/dispatch/pool.rs
@@ -1,5 +1,6 @@
 //! The dispatcher of one pool in one availability zone: orders tickets and grants slots.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -40,14 +41,26 @@
 use crate::peer::message::TicketId;
 use crate::util;
 
-/// A workspace that waited this long without being served goes next, whatever its virtual time.
-const PATIENCE: Duration = Duration::from_secs(5);
+/// A workspace that waited at least this long without being served goes next, though it is ahead.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// It must also have waited this many times as long as its fair share makes it wait on average.
+const PATIENCE_FACTOR: f64 = 4.0;
 
 /// At most one grant in this many goes to a workspace for its patience.
 const PATIENCE_EVERY: u32 = 10;
 
+/// Weight of the newest grant in the average time between grants.
+const PACE_GAIN: f64 = 0.05;
+
 /// How long a slot is kept for the answer to a pull.
-const PULL_TIMEOUT: Duration = Duration::from_millis(500);
+const PULL_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// How long a new dispatcher waits for the other zones before it trusts its counters.
+const SYNC_WAIT: Duration = Duration::from_secs(2);
+
+/// Checks in a row that a router may leave unanswered before its grants count as lost.
+const UNANSWERED_MAX: u32 = 2;
 
 /// How long an overdue answer to a pull is still taken in.
 const PULL_FORGOTTEN: Duration = Duration::from_secs(30);
@@ -156,7 +169,19 @@
     virtual_time: VirtualTime,
     next_grant: u64,
     since_patience: u32,
+    /// When the last grant was given, and the average seconds between grants.
+    granted: Duration,
+    pace: f64,
+    /// The average weight of all workspaces.
+    mean_weight: f64,
     checked: Duration,
+    /// Checks in a row that a router didn't answer.
+    unanswered: HashMap<BoxName, u32>,
+    /// Zones not heard since taking over, once it is known which there are.
+    unheard: BTreeSet<ZoneName>,
+    expects: bool,
+    /// When workspaces are lifted even though a zone wasn't heard.
+    lift_after: Duration,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -178,6 +203,7 @@
 
 #[derive(Debug)]
 struct PendingPull {
+    zone: ZoneName,
     upstream: UpstreamName,
     at: Duration,
     overdue: bool,
@@ -219,7 +245,14 @@
             virtual_time: 0,
             next_grant,
             since_patience: 0,
+            granted: Duration::ZERO,
+            pace: 0.0,
+            mean_weight: mean_weight(&cfg),
             checked: Duration::ZERO,
+            unanswered: HashMap::new(),
+            unheard: BTreeSet::new(),
+            expects: false,
+            lift_after: Duration::ZERO,
         };
         pool.upstreams.configure(cfg.upstreams(name, zone));
         Some(pool)
@@ -231,6 +264,7 @@
             self.policy = policy.clone();
         }
         self.cfg = cfg.clone();
+        self.mean_weight = mean_weight(cfg);
         self.upstreams.configure(cfg.upstreams(&self.policy.name, &self.zone));
         self.fill(now, out);
     }
@@ -271,8 +305,7 @@
         }
         let workspace = ticket.workspace.clone();
         if self.queue.waiting(&workspace) == 0 {
-            let floor = self.floor();
-            self.lift(&workspace, floor);
+            self.lift_to_floor(&workspace, now);
         }
         let expires = now + Duration::from_millis(ticket.deadline_ms);
         self.arrived.insert(ticket.id, Arrival { at: now, expires });
@@ -310,7 +343,7 @@
             pull.early = Some(done.clone());
             return;
         }
-        let Some(granted) = self.end_grant(done.grant) else { return };
+        let Some(granted) = self.end_grant(done.grant, now) else { return };
         self.upstreams.release(&granted.upstream, done.ending, now);
         if matches!(done.ending, Ending::Answered) {
             self.learn(&granted.workspace, &granted.service, done.cost);
@@ -340,9 +373,16 @@
     }
 
     /// Frees grants that their router doesn't use.
-    pub fn not_running(&mut self, grants: &[GrantId], now: Duration, out: &mut Vec<Action>) {
+    pub fn not_running(
+        &mut self,
+        router: &BoxName,
+        grants: &[GrantId],
+        now: Duration,
+        out: &mut Vec<Action>,
+    ) {
+        self.unanswered.remove(router);
         for &id in grants {
-            if let Some(granted) = self.end_grant(id) {
+            if let Some(granted) = self.end_grant(id, now) {
                 self.upstreams.release(&granted.upstream, Ending::Unused, now);
                 self.charge(&granted.workspace, -(granted.cover as i64));
             }
@@ -360,7 +400,7 @@
         let grants: Vec<GrantId> =
             self.grants.iter().filter(|(_, g)| g.router == *router).map(|(&id, _)| id).collect();
         for id in grants {
-            if let Some(granted) = self.end_grant(id) {
+            if let Some(granted) = self.end_grant(id, now) {
                 self.upstreams.release(&granted.upstream, Ending::Cancelled, now);
             }
         }
@@ -461,7 +501,11 @@
 
     /// Takes in what another dispatcher tells of the pool.
     pub fn summary(&mut self, summary: &Summary, now: Duration, out: &mut Vec<Action>) {
-        self.remotes.heard(summary, now);
+        self.remotes.heard(summary, self.ledger.charged(), now);
+        self.unheard.remove(&summary.zone);
+        for workspace in self.ledger.forget_assumed(&summary.zone) {
+            self.moved(&workspace);
+        }
         self.virtual_time = self.virtual_time.max(summary.virtual_time);
         for other in &summary.others {
             self.ledger.merge(&other.cell, other.upto, &other.entries);
@@ -476,7 +520,9 @@
                 }
             }
         }
-        self.cap_debts();
+        if self.may_lift(now) {
+            self.cap_debts();
+        }
         self.fill(now, out);
     }
 
@@ -491,6 +537,7 @@
         if !self.tuning.exchange {
             return;
         }
+        self.expect_zones(others);
         let idle = self.idle();
         let version = self.ledger.version();
         for (zone, guess) in others {
@@ -498,9 +545,11 @@
             let every = self.tuning.exchange_every;
             let remote = self.remotes.meet(zone, guess);
             let silent = remote.heard + CUT_AFTER <= now;
-            if remote.dispatcher != *guess && (silent || *zone == self.zone) {
+            let standby = *zone == self.zone;
+            if remote.dispatcher != *guess && (silent || standby) {
                 remote.dispatcher = guess.clone();
                 remote.acknowledged = 0;
+                remote.relayed.clear();
             }
             let news = version != remote.told_version || (idle == 0) != (remote.told_idle == 0);
             let due = match remote.told {
@@ -519,8 +568,21 @@
             remote.told_idle = idle;
             let to = remote.dispatcher.clone();
             let since = remote.acknowledged;
-            let seen = remote.cell.as_ref().map_or(0, |c| self.ledger.seen(c));
-            let summary = self.summarise(&to, since, seen, idle);
+            let seen = match self.unheard.contains(zone) {
+                true => 0,
+                false => remote.cell.as_ref().map_or(0, |c| self.ledger.seen(c)),
+            };
+            // A receiver that has nothing of this cell likely has nothing at all. The box that
+            // would follow this one gets the news of other zones, too.
+            let others = match (standby, since) {
+                (true, _) => self.ledger.copies(&remote.relayed),
+                (false, 0) => self.ledger.copies(&HashMap::new()),
+                (false, _) => Vec::new(),
+            };
+            if standby {
+                remote.relayed.extend(others.iter().map(|o| (o.cell.clone(), o.upto)));
+            }
+            let summary = self.summarise(since, seen, idle, others);
             out.push(Action::Send { to, message: Message::Summary(Box::new(summary)) });
         }
     }
@@ -534,9 +596,45 @@
         }
     }
 
-    /// The whole state of the counters, for the box that takes the role over.
-    pub fn hand_over(&self, to: &BoxName) -> Summary {
-        self.summarise(to, 0, 0, 0)
+    /// All that this dispatcher knows, for the box that takes the role over: counters, waiting
+    /// tickets and grants. The routers tell it the latter, too, but only once they know of it.
+    pub fn hand_over(&self, now: Duration) -> Vec<Message> {
+        let others = self.ledger.copies(&HashMap::new());
+        let summary = self.summarise(0, 0, 0, others);
+        let mut messages = vec![Message::Summary(Box::new(summary))];
+        let mut tickets: Vec<&Ticket> = self.queue.tickets().collect();
+        tickets.sort_by_key(|t| t.id);
+        for ticket in tickets {
+            let left = self.arrived[&ticket.id].expires.saturating_sub(now);
+            let deadline_ms = left.as_millis() as u64;
+            let ticket = Ticket { deadline_ms, forwarded: true, ..ticket.clone() };
+            messages.push(Message::Ticket(ticket));
+        }
+        let mut grants: BTreeMap<&BoxName, Vec<Running>> = BTreeMap::new();
+        for (&grant, g) in &self.grants {
+            grants.entry(&g.router).or_default().push(Running {
+                grant,
+                workspace: g.workspace.clone(),
+                service: g.service.clone(),
+                upstream: g.upstream.clone(),
+                cover: g.cover,
+            });
+        }
+        for (router, mut r) in grants {
+            r.sort_by_key(|r| r.grant);
+            let p = self.policy.name.clone();
+            messages.push(Message::Running { p, b: router.clone(), r });
+        }
+        messages
+    }
+
+    /// Begins to dispatch, with what the predecessor has left. Until the other zones have told what
+    /// they know, or a while has passed, nobody is lifted: with counters missing, a lift would set
+    /// a workspace back by what is missing.
+    pub fn take_over(&mut self, now: Duration) {
+        self.lift_after = now + SYNC_WAIT;
+        self.expects = false;
+        self.unheard.clear();
     }
 
     /// Does what is due by time.
@@ -599,20 +697,35 @@
         match (local, remote) {
             (None, None) => None,
             (None, Some((_, workspace))) => Some(Choice::Remote(workspace.clone())),
-            (Some((at, _)), Some((there, workspace))) if there + parts(u64::from(margin)) < at => {
-                Some(Choice::Remote(workspace.clone()))
+            (Some((at, local)), Some((there, workspace))) => {
+                let stale = self.remotes.staleness(workspace, self.ledger.charged());
+                if there + stale.max(0) + parts(u64::from(margin)) < at {
+                    return Some(Choice::Remote(workspace.clone()));
+                }
+                Some(Choice::Local(local.clone(), Why::FurthestBehind))
             }
-            (Some((_, workspace)), _) => {
+            (Some((_, workspace)), None) => {
                 Some(Choice::Local(workspace.clone(), Why::FurthestBehind))
             }
         }
     }
 
+    /// A workspace that is ahead, say after zones were cut off from each other, still gets a minimum
+    /// share while the others catch up; unless it is so far ahead that it would never be done.
     fn choose_patience(&self, now: Duration) -> Option<Choice> {
         let (since, workspace) = self.queue.oldest()?;
         if self.since_patience < PATIENCE_EVERY || now < since + PATIENCE {
             return None;
         }
+        let weight = self.cfg.workspace(workspace).map_or(1.0, |w| f64::from(w.weight));
+        let turns = self.queue.workspace_count() as f64 * self.mean_weight / weight;
+        if (now - since).as_secs_f64() < PATIENCE_FACTOR * turns * self.pace {
+            return None;
+        }
+        let lead = self.ledger.virtual_time(workspace) - self.floor();
+        if 2 * parts(u64::from(self.policy.debt_cap)) < lead {
+            return None;
+        }
         Some(Choice::Local(workspace.clone(), Why::Patience))
     }
 
@@ -624,6 +737,9 @@
             return;
         };
         let arrival = self.left(ticket.id);
+        let gap = now.saturating_sub(self.granted).as_secs_f64();
+        self.pace += PACE_GAIN * (gap - self.pace);
+        self.granted = now;
         let upstream = self
             .upstreams
             .take(ticket.prefix, ticket.avoid.as_ref(), now)
@@ -633,7 +749,7 @@
             _ => self.since_patience.saturating_add(1),
         };
         let virtual_time = self.ledger.virtual_time(workspace);
-        self.virtual_time = self.virtual_time.max(virtual_time);
+        self.virtual_time = self.virtual_time.max(self.ledger.known_time(workspace));
         let cover = self.estimate(workspace, &ticket.service);
         out.push(Action::Decided(Decision {
             ticket: ticket.id,
@@ -668,11 +784,11 @@
 
     /// Asks another zone for a ticket of `workspace`, and keeps a slot for it meanwhile.
     fn ask(&mut self, workspace: &WorkspaceName, now: Duration, out: &mut Vec<Action>) {
-        let Some((_, to)) = self.remotes.pull(workspace) else { return };
+        let Some((zone, to)) = self.remotes.pull(workspace) else { return };
         let upstream = self.upstreams.take(0, None, now).expect("a slot was seen to be free");
         let id = self.new_grant();
         let pending =
-            PendingPull { upstream: upstream.clone(), at: now, overdue: false, early: None };
+            PendingPull { zone, upstream: upstream.clone(), at: now, overdue: false, early: None };
         self.pulls.insert(id, pending);
         let pull = Pull {
             pool: self.policy.name.clone(),
@@ -693,7 +809,7 @@
             id,
             ticket,
             upstream: granted.upstream.clone(),
-            dispatcher: self.ledger.cell().name.clone(),
+            dispatcher: BoxName::none(),
             cover: granted.cover,
         };
         out.push(Action::Send { to: granted.router.clone(), message: Message::Grant(grant) });
@@ -714,7 +830,7 @@
         self.park_if_full(&workspace);
     }
 
-    fn end_grant(&mut self, id: GrantId) -> Option<Granted> {
+    fn end_grant(&mut self, id: GrantId, now: Duration) -> Option<Granted> {
         let granted = self.grants.remove(&id)?;
         if let Some(ticket) = granted.ticket {
             self.by_ticket.remove(&ticket);
@@ -727,8 +843,7 @@
         }
         if was_full {
             // Being held back by its own limit earns a workspace no credit.
-            let floor = self.floor();
-            self.lift(&granted.workspace, floor);
+            self.lift_to_floor(&granted.workspace, now);
             self.queue.park(&granted.workspace, false);
         }
         Some(granted)
@@ -745,6 +860,29 @@
         }
     }
 
+    /// Notes, the first time after taking over, which zones are to be heard.
+    fn expect_zones(&mut self, others: &[(ZoneName, BoxName)]) {
+        if self.expects {
+            return;
+        }
+        self.expects = true;
+        let zones = others.iter().map(|(zone, _)| zone);
+        self.unheard = zones.filter(|z| **z != self.zone).cloned().collect();
+    }
+
+    /// Whether the counters can be trusted enough to lift somebody.
+    fn may_lift(&self, now: Duration) -> bool {
+        self.lift_after <= now || (self.expects && self.unheard.is_empty())
+    }
+
+    /// The virtual time to which a workspace is lifted that starts to wait: that of the one
+    /// furthest behind, without assumptions, which would be lifted for good.
+    fn known_floor(&self) -> VirtualTime {
+        let local = self.queue.first().map(|(_, w)| self.ledger.known_time(w));
+        let remote = self.remotes.first().map(|(_, w)| self.ledger.known_time(w));
+        local.into_iter().chain(remote).min().unwrap_or(self.virtual_time)
+    }
+
     /// The smallest virtual time of all that wait, anywhere.
     fn floor(&self) -> VirtualTime {
         let local = self.queue.first().map(|(at, _)| at);
@@ -752,6 +890,13 @@
         local.into_iter().chain(remote).min().unwrap_or(self.virtual_time)
     }
 
+    fn lift_to_floor(&mut self, workspace: &WorkspaceName, now: Duration) {
+        if self.may_lift(now) {
+            let floor = self.known_floor();
+            self.lift(workspace, floor);
+        }
+    }
+
     fn lift(&mut self, workspace: &WorkspaceName, floor: VirtualTime) {
         self.ledger.lift(workspace, floor);
         self.moved(workspace);
@@ -759,7 +904,11 @@
 
     fn charge(&mut self, workspace: &WorkspaceName, cost: i64) {
         let weight = self.cfg.workspace(workspace).map_or(1, |w| i64::from(w.weight));
-        self.ledger.charge(workspace, cost * PARTS / weight);
+        let amount = cost * PARTS / weight;
+        self.ledger.charge(workspace, amount);
+        for zone in self.remotes.zones_of(workspace) {
+            self.ledger.assume(zone, workspace, amount);
+        }
         self.moved(workspace);
     }
 
@@ -777,13 +926,15 @@
 
     /// Lifts those that are behind another by more than the cap.
     fn cap_debts(&mut self) {
-        let local = self.queue.last().map(|(at, _)| at);
-        let remote = self.remotes.last().map(|(at, _)| at);
+        let local = self.queue.last().map(|(_, w)| self.ledger.known_time(w));
+        let remote = self.remotes.last().map(|(_, w)| self.ledger.known_time(w));
         let Some(ahead) = local.into_iter().chain(remote).max() else { return };
         let least = ahead - parts(u64::from(self.policy.debt_cap));
-        while let Some((at, workspace)) = self.queue.first()
-            && at < least
-        {
+        while let Some((_, workspace)) = self.queue.first() {
+            // What others are assumed to have charged is no debt.
+            if least <= self.ledger.known_time(workspace) {
+                return;
+            }
             let workspace = workspace.clone();
             self.lift(&workspace, least);
         }
@@ -818,6 +969,7 @@
         for pending in self.pulls.values_mut() {
             if !pending.overdue && pending.at + PULL_TIMEOUT <= now {
                 pending.overdue = true;
+                self.remotes.unanswered(&pending.zone);
                 self.upstreams.release(&pending.upstream, Ending::Unused, now);
             }
         }
@@ -830,28 +982,25 @@
             return;
         }
         self.checked = now;
-        let mut asked: HashMap<&BoxName, Vec<GrantId>> = HashMap::new();
+        let silent = self.unanswered.iter().filter(|(_, n)| UNANSWERED_MAX <= **n);
+        let silent: Vec<BoxName> = silent.map(|(router, _)| router.clone()).collect();
+        for router in silent {
+            self.unanswered.remove(&router);
+            self.router_gone(&router, now, out);
+        }
+        let mut asked: BTreeMap<&BoxName, Vec<GrantId>> = BTreeMap::new();
         for (&id, granted) in self.grants.iter().filter(|(_, g)| g.at + CHECK_EVERY <= now) {
             asked.entry(&granted.router).or_default().push(id);
         }
-        for (to, g) in asked {
+        for (to, mut g) in asked {
+            g.sort();
+            *self.unanswered.entry(to.clone()).or_default() += 1;
             let message = Message::Check { p: self.policy.name.clone(), g };
             out.push(Action::Send { to: to.clone(), message });
         }
     }
 
-    fn summarise(&self, to: &BoxName, since: u64, seen: u64, idle: u32) -> Summary {
-        let entries = self.ledger.changes(since);
-        let other = |(id, upto, entries): (&CellId, u64, Vec<Entry>)| OtherCell {
-            cell: id.clone(),
-            upto,
-            entries,
-        };
-        // A receiver that has nothing of this cell likely has nothing at all.
-        let others = match since {
-            0 => self.ledger.copies().filter(|(id, ..)| id.name != *to).map(other).collect(),
-            _ => Vec::new(),
-        };
+    fn summarise(&self, since: u64, seen: u64, idle: u32, others: Vec<OtherCell>) -> Summary {
         Summary {
             pool: self.policy.name.clone(),
             zone: self.zone.clone(),
@@ -861,7 +1010,7 @@
             seen,
             virtual_time: self.virtual_time,
             idle,
-            entries,
+            entries: self.ledger.changes(since),
             others,
             forwarded: false,
         }
@@ -872,6 +1021,12 @@
     cost as i64 * PARTS
 }
 
+fn mean_weight(cfg: &Revision) -> f64 {
+    let workspaces = &cfg.catalog.workspaces;
+    let sum: f64 = workspaces.iter().map(|w| f64::from(w.weight)).sum();
+    sum / workspaces.len().max(1) as f64
+}
+
 fn waited(arrival: Option<Arrival>, now: Duration) -> u64 {
     arrival.map_or(0, |a| (now - a.at).as_millis() as u64)
 }
--- a/src/dispatch/remotes.rs
+++ b/src/dispatch/remotes.rs
@@ -38,6 +38,10 @@
     pub told_version: u64,
     /// Free slots there that have no work.
     pub idle: u32,
+    /// For the box that would follow this one: the versions of other cells it was told.
+    pub relayed: HashMap<CellId, u64>,
+    /// All that the own cell had charged when it was last heard.
+    pub charged_when_heard: VirtualTime,
     /// The idle slots it was last told of.
     pub told_idle: u32,
     /// The dispatcher's own cell, once it was heard.
@@ -66,20 +70,25 @@
             told: None,
             told_version: 0,
             idle: 0,
+            relayed: HashMap::new(),
+            charged_when_heard: 0,
             told_idle: 0,
             cell: None,
         })
     }
 
     /// Takes in who sent a summary and what it acknowledges.
-    pub fn heard(&mut self, summary: &Summary, now: Duration) {
+    pub fn heard(&mut self, summary: &Summary, charged: VirtualTime, now: Duration) {
         let zone = self.meet(&summary.zone, &summary.dispatcher);
         zone.dispatcher = summary.dispatcher.clone();
         zone.heard = now;
         zone.idle = summary.idle;
         zone.acknowledged = summary.seen;
+        zone.charged_when_heard = charged;
         if zone.cell.as_ref() != Some(&summary.cell) {
             zone.cell = Some(summary.cell.clone());
+            // It is new there, and wants to know everything soon.
+            zone.told = None;
             self.forget_waiting(&summary.zone);
         }
     }
@@ -126,6 +135,23 @@
         self.order.last().map(|(at, w)| (*at, w))
     }
 
+    /// The zones where a workspace waits.
+    pub fn zones_of(&self, workspace: &str) -> impl Iterator<Item = &ZoneName> {
+        self.waiting.get(workspace).into_iter().flat_map(|w| w.zones.keys())
+    }
+
+    /// How far the virtual time of a workspace that waits elsewhere may have grown since its zones
+    /// were heard: as far as if they had served it alone, as fast as this one serves all.
+    pub fn staleness(&self, workspace: &str, charged: VirtualTime) -> VirtualTime {
+        let zones = self.zones_of(workspace).filter_map(|z| self.zones.get(z));
+        zones.map(|z| charged - z.charged_when_heard).max().unwrap_or(0)
+    }
+
+    /// Drops what is known to wait in a zone that doesn't answer.
+    pub fn unanswered(&mut self, zone: &ZoneName) {
+        self.forget_waiting(zone);
+    }
+
     /// Counts one ticket of a workspace as pulled, from the zone where most of its tickets wait.
     pub fn pull(&mut self, workspace: &WorkspaceName) -> Option<(ZoneName, BoxName)> {
         let waiting = self.waiting.get(workspace)?;
--- a/src/names.rs
+++ b/src/names.rs
@@ -18,6 +18,16 @@
         pub struct $name(Arc<str>);
 
         impl $name {
+            /// No name, for where it goes without saying.
+            pub fn none() -> $name {
+                $name(Arc::from(""))
+            }
+
+            /// Whether this is no name.
+            pub fn is_none(&self) -> bool {
+                self.0.is_empty()
+            }
+
             /// The name as plain text.
             pub fn as_str(&self) -> &str {
                 &self.0
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -40,7 +40,13 @@
 use crate::util;
 
 /// First wait before a ticket that got no grant is registered again; doubled each time.
-const RESEND_FIRST: Duration = Duration::from_secs(1);
+const RESEND_FIRST: Duration = Duration::from_secs(4);
+
+/// Wait before a ticket is registered again when messages to its dispatcher were lost.
+const RESEND_LOST: Duration = Duration::from_millis(300);
+
+/// A request that has produced this many times what was charged for it is charged anew.
+const OUTGROWN: u64 = 2;
 
 /// Longest wait before a ticket is registered again.
 const RESEND_MAX: Duration = Duration::from_secs(16);
@@ -233,14 +239,14 @@
     }
 
     /// Notes how much a running request has produced so far, in its pool's unit. Its dispatcher is
-    /// told only when that outgrows what was charged, and is then charged twice as much ahead, so
-    /// the messages grow with the logarithm of the cost. Gives what is charged now.
+    /// told only when that has outgrown what was charged by a factor, so the messages grow with
+    /// the logarithm of the cost. Gives the cost from which on this needs to be called again.
     pub fn produced(&mut self, id: TicketId, cost: u64, now: Duration) -> u64 {
         let Some(running) = self.running.get_mut(&id) else { return cost };
-        if cost <= running.grant.cover {
-            return running.grant.cover;
+        if cost <= running.grant.cover * OUTGROWN {
+            return running.grant.cover * OUTGROWN;
         }
-        running.grant.cover = cost.max(2 * running.grant.cover);
+        running.grant.cover = cost;
         let message = Message::Progress {
             p: running.ticket.pool.clone(),
             g: running.grant.id,
@@ -249,7 +255,7 @@
         let (to, cover) = (running.grant.dispatcher.clone(), running.grant.cover);
         self.send(to, message);
         self.settle(now);
-        cover
+        cover * OUTGROWN
     }
 
     /// Ends a running request.
@@ -327,10 +333,21 @@
     /// Notes that a box refuses connections.
     pub fn unreachable(&mut self, name: &BoxName, now: Duration) {
         self.members.failed(name);
+        // Nothing listens there, so nothing runs there.
+        self.forget_router(name, now);
         self.refresh_roles(now);
         self.settle(now);
     }
 
+    /// Notes that messages to a box were lost: what waits there is registered again soon.
+    pub fn lost(&mut self, name: &BoxName, now: Duration) {
+        for waiting in self.waiting.values_mut() {
+            if self.owners.get(&waiting.ticket.pool) == Some(name) {
+                waiting.resend_at = waiting.resend_at.min(now + RESEND_LOST);
+            }
+        }
+    }
+
     /// Tells the zone that this box is about to stop, and gives its roles to others.
     pub fn leave(&mut self, now: Duration) {
         let (t, boxes) = self.members.leave(now);
@@ -369,7 +386,9 @@
     /// Registers a ticket with the dispatcher of its pool.
     fn register(&mut self, ticket: Ticket) {
         if let Some(owner) = self.owners.get(&ticket.pool).cloned() {
-            self.send(owner, Message::Ticket(ticket));
+            // The receiver knows from whom it comes, and whose the service is.
+            let (router, pool) = (BoxName::none(), PoolName::none());
+            self.send(owner, Message::Ticket(Ticket { router, pool, ..ticket }));
         }
     }
 
--- a/src/node/receive.rs
+++ b/src/node/receive.rs
@@ -25,27 +25,26 @@
     pub(super) fn handle(&mut self, from: &BoxName, message: Message, now: Duration) {
         match message {
             Message::Heartbeat { t, v } => self.handle_heartbeat(from, &t, v, now),
-            Message::Ticket(ticket) => self.handle_ticket(ticket, now),
+            Message::Ticket(ticket) => self.handle_ticket(from, ticket, now),
             Message::Cancel { p, i } => {
                 if let Some(pool) = self.pools.get_mut(&p) {
                     pool.cancel(i);
                 }
             }
-            Message::Grant(grant) => self.handle_grant(grant, now),
+            Message::Grant(grant) => self.handle_grant(from, grant, now),
             Message::Progress { p, g, e } => {
                 if let Some(pool) = self.pools.get_mut(&p) {
                     pool.progress(g, e);
                 }
             }
-            Message::Done(done) => {
-                self.with_pool(&done.pool.clone(), |pool, out| pool.done(&done, now, out));
-            }
-            Message::Running { p, r } => {
-                self.with_pool(&p, |pool, _| pool.adopt(from, &r, now));
+            Message::Done(done) => self.handle_done(done, now),
+            Message::Running { p, b, r } => {
+                let router = if b.is_none() { from } else { &b };
+                self.with_pool(&p, |pool, _| pool.adopt(router, &r, now));
             }
             Message::Check { p, g } => self.handle_check(from, p, &g),
             Message::NotRunning { p, g } => {
-                self.with_pool(&p, |pool, out| pool.not_running(&g, now, out));
+                self.with_pool(&p, |pool, out| pool.not_running(from, &g, now, out));
             }
             Message::Summary(summary) => self.handle_summary(from, *summary, now),
             Message::Copied { p, z, c, t } => {
@@ -72,7 +71,13 @@
         self.refresh_roles(now);
     }
 
-    fn handle_ticket(&mut self, ticket: Ticket, now: Duration) {
+    fn handle_ticket(&mut self, from: &BoxName, mut ticket: Ticket, now: Duration) {
+        if ticket.router.is_none() {
+            ticket.router = from.clone();
+        }
+        // A service that this box doesn't know yet is registered again later.
+        let Some(service) = self.cfg.service(&ticket.service) else { return };
+        ticket.pool = service.pool.clone();
         if self.is_owner(&ticket.pool) {
             let name = ticket.pool.clone();
             self.with_pool(&name, |pool, out| pool.submit(ticket, now, out));
@@ -86,7 +91,10 @@
         }
     }
 
-    fn handle_grant(&mut self, grant: Grant, now: Duration) {
+    fn handle_grant(&mut self, from: &BoxName, mut grant: Grant, now: Duration) {
+        if grant.dispatcher.is_none() {
+            grant.dispatcher = from.clone();
+        }
         if let Some(waiting) = self.waiting.remove(&grant.ticket) {
             let ticket = waiting.ticket;
             self.admission.granted(&ticket.workspace, &ticket.pool, now);
@@ -105,12 +113,24 @@
         self.send(grant.dispatcher, Message::Done(done));
     }
 
+    fn handle_done(&mut self, done: Done, now: Duration) {
+        if self.pools.contains_key(&done.pool) {
+            self.with_pool(&done.pool.clone(), |pool, out| pool.done(&done, now, out));
+            return;
+        }
+        // The role was handed over, and the sender doesn't know yet.
+        if let Some(owner) = self.owners.get(&done.pool).cloned()
+            && owner != self.id.name
+        {
+            self.send(owner, Message::Done(done));
+        }
+    }
+
     fn handle_check(&mut self, from: &BoxName, p: PoolName, grants: &[GrantId]) {
         let used: HashSet<GrantId> = self.running.values().map(|r| r.grant.id).collect();
         let g: Vec<GrantId> = grants.iter().copied().filter(|id| !used.contains(id)).collect();
-        if !g.is_empty() {
-            self.send(from.clone(), Message::NotRunning { p, g });
-        }
+        // Sent even when empty: it tells that this router lives.
+        self.send(from.clone(), Message::NotRunning { p, g });
     }
 
     fn handle_summary(&mut self, from: &BoxName, summary: Summary, now: Duration) {
--- a/src/node/roles.rs
+++ b/src/node/roles.rs
@@ -73,11 +73,12 @@
             self.out.push(Output::Changed(change));
         }
         if was_mine && let Some(old) = self.pools.remove(pool) {
-            let summary = old.hand_over(owner);
-            self.send(owner.clone(), Message::Summary(Box::new(summary)));
+            for message in old.hand_over(now) {
+                self.send(owner.clone(), message);
+            }
         }
-        if mine {
-            self.pool_mut(pool);
+        if mine && let Some(pool) = self.pool_mut(pool) {
+            pool.take_over(now);
         }
         if let Some(before) = before {
             self.hand_grants_over(pool, &before, owner);
@@ -102,7 +103,7 @@
         }
         r.sort_by_key(|r| r.grant);
         if !r.is_empty() {
-            self.send(owner.clone(), Message::Running { p: pool.clone(), r });
+            self.send(owner.clone(), Message::Running { p: pool.clone(), b: BoxName::none(), r });
         }
     }
 
@@ -148,7 +149,8 @@
         }
     }
 
-    fn forget_router(&mut self, name: &BoxName, now: Duration) {
+    /// Frees what a router held that is gone.
+    pub(super) fn forget_router(&mut self, name: &BoxName, now: Duration) {
         let mut actions = Vec::new();
         for pool in self.pools.values_mut() {
             pool.router_gone(name, now, &mut actions);
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -1,7 +1,8 @@
 //! Persistent connections to other routers, one per box, by `jsonrpsee` over WebSocket.
 //!
-//! One call is under way per link; what comes up meanwhile goes together in the next one. The
-//! answer to a call carries the messages that the other side had for this one at that moment.
+//! What comes up while a call is being made goes together in the next one. The answer to a call
+//! carries what the other side has for this one. A call that registers a ticket is answered when
+//! there is something to say, so the grant of a ticket that waits needs no call of its own.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -17,6 +18,8 @@
 use jsonrpsee::ws_client::WsClient;
 use jsonrpsee::ws_client::WsClientBuilder;
 use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -36,6 +39,9 @@
 /// Messages that go in one call.
 const BATCH_MAX: usize = 256;
 
+/// Calls under way at once on one link.
+const CALLS_MAX: usize = 64;
+
 /// How long connecting may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -53,6 +59,9 @@
     /// A box refuses connections.
     fn unreachable(&self, name: &BoxName);
 
+    /// Messages to a box were lost.
+    fn lost(&self, name: &BoxName);
+
     /// Where a box's peer port is.
     fn address(&self, name: &BoxName) -> Option<SocketAddr>;
 }
@@ -121,50 +130,83 @@
     secret: Secret,
     traffic: Arc<Traffic>,
     inbox: Arc<dyn Inbox>,
-    client: Option<(SocketAddr, WsClient)>,
+    client: Option<(SocketAddr, Arc<WsClient>)>,
 }
 
 impl Link {
     async fn run(mut self, mut rx: mpsc::Receiver<Message>) {
+        let calls = Arc::new(Semaphore::new(CALLS_MAX));
+        let (failed, mut failures) = mpsc::channel::<Error>(CALLS_MAX);
         let mut messages = Vec::new();
-        while rx.recv_many(&mut messages, BATCH_MAX).await != 0 {
-            let batch = std::mem::take(&mut messages);
-            let count = batch.len() as u64;
-            match self.tell(batch).await {
+        loop {
+            tokio::select! {
+                biased;
+                Some(e) = failures.recv() => {
+                    self.rest(&e, &mut rx).await;
+                    while failures.try_recv().is_ok() {}
+                }
+                n = rx.recv_many(&mut messages, BATCH_MAX) => {
+                    if n == 0 {
+                        return;
+                    }
+                    let batch = std::mem::take(&mut messages);
+                    let permit = calls.clone().acquire_owned().await.expect("never closed");
+                    self.tell(batch, permit, &failed).await;
+                }
+            }
+        }
+    }
+
+    /// Sends a batch; its answer is awaited aside.
+    async fn tell(
+        &mut self,
+        messages: Vec<Message>,
+        permit: OwnedSemaphorePermit,
+        failed: &mpsc::Sender<Error>,
+    ) {
+        let count = messages.len() as u64;
+        let client = match self.client().await {
+            Ok(client) => client,
+            Err(e) => {
+                self.traffic.messages_lost.fetch_add(count, Ordering::Relaxed);
+                // There is room: one failure at a time is reported from here.
+                let _ = failed.try_send(e);
+                return;
+            }
+        };
+        let envelope = Envelope(self.me.clone(), messages);
+        let (inbox, traffic) = (self.inbox.clone(), self.traffic.clone());
+        let (peer, failed) = (self.peer.clone(), failed.clone());
+        tokio::spawn(async move {
+            let answer = call(&client, &envelope).await;
+            drop(permit);
+            match answer {
                 Ok(answer) => {
-                    self.traffic.messages_out.fetch_add(count, Ordering::Relaxed);
+                    traffic.messages_out.fetch_add(count, Ordering::Relaxed);
                     if !answer.is_empty() {
-                        self.inbox.receive(&self.peer, answer);
+                        inbox.receive(&peer, answer);
                     }
                 }
                 Err(e) => {
-                    self.traffic.messages_lost.fetch_add(count, Ordering::Relaxed);
-                    self.rest(&e, &mut rx).await;
+                    traffic.messages_lost.fetch_add(count, Ordering::Relaxed);
+                    // When more fail than fit, the link rests all the same.
+                    let _ = failed.try_send(e);
                 }
             }
-        }
-    }
-
-    /// Sends a batch; once more over a new connection when the old one turns out to be dead.
-    async fn tell(&mut self, messages: Vec<Message>) -> Result<Vec<Message>, Error> {
-        let envelope = Envelope { from: self.me.clone(), messages };
-        let had_client = self.client.is_some();
-        match self.call(&envelope).await {
-            Err(Error::Call(_)) if had_client => self.call(&envelope).await,
-            result => result,
-        }
+        });
     }
 
-    async fn call(&mut self, envelope: &Envelope) -> Result<Vec<Message>, Error> {
+    async fn client(&mut self) -> Result<Arc<WsClient>, Error> {
         let addr = self.inbox.address(&self.peer).ok_or(Error::NoAddress)?;
-        let client = match self.client.take() {
-            Some((known, client)) if known == addr && client.is_connected() => client,
-            _ => self.connect(addr).await?,
-        };
-        let answer = timeout(CALL_TIMEOUT, client.request(METHOD, rpc_params![envelope])).await;
-        let answer = answer.map_err(|_| Error::Timeout)??;
-        self.client = Some((addr, client));
-        Ok(answer)
+        if let Some((known, client)) = &self.client
+            && *known == addr
+            && client.is_connected()
+        {
+            return Ok(client.clone());
+        }
+        let client = Arc::new(self.connect(addr).await?);
+        self.client = Some((addr, client.clone()));
+        Ok(client)
     }
 
     async fn connect(&self, addr: SocketAddr) -> Result<WsClient, Error> {
@@ -186,6 +228,7 @@
 
     async fn rest(&mut self, error: &Error, rx: &mut mpsc::Receiver<Message>) {
         self.client = None;
+        self.inbox.lost(&self.peer);
         if matches!(error, Error::Connect(_)) {
             self.inbox.unreachable(&self.peer);
         }
@@ -195,3 +238,8 @@
         }
     }
 }
+
+async fn call(client: &WsClient, envelope: &Envelope) -> Result<Vec<Message>, Error> {
+    let calling = client.request(METHOD, rpc_params![envelope]);
+    Ok(timeout(CALL_TIMEOUT, calling).await.map_err(|_| Error::Timeout)??)
+}
--- a/src/peer/member.rs
+++ b/src/peer/member.rs
@@ -38,9 +38,9 @@
 impl Default for Gossip {
     fn default() -> Gossip {
         Gossip {
-            every: Duration::from_millis(500),
+            every: Duration::from_millis(1000),
             fanout: 2,
-            suspect_after: Duration::from_millis(4000),
+            suspect_after: Duration::from_millis(5000),
         }
     }
 }
@@ -160,7 +160,10 @@
         let jitter = rng.random_range(0..=self.gossip.every.as_millis() as u64 / 10);
         self.next = now + self.gossip.every + Duration::from_millis(jitter);
         self.own.beat += 1;
-        let to = self.zone_peers().choose_multiple(rng, self.gossip.fanout);
+        // The first one goes to all, so that a box that comes back gets its roles at once.
+        let fanout = if self.own.beat == 1 { usize::MAX } else { self.gossip.fanout };
+        let fanout = fanout.min(self.listed.len());
+        let to = self.zone_peers().choose_multiple(rng, fanout);
         Some((self.table(now), to))
     }
 
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -5,6 +5,8 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde_tuple::Deserialize_tuple;
+use serde_tuple::Serialize_tuple;
 
 use crate::dispatch::ledger::CellId;
 use crate::dispatch::ledger::Entry;
@@ -48,8 +50,8 @@
     /// Unique name.
     #[serde(rename = "i")]
     pub id: TicketId,
-    /// The router that holds the request.
-    #[serde(rename = "r")]
+    /// The router that holds the request; on the wire none for the sender.
+    #[serde(rename = "r", default = "BoxName::none", skip_serializing_if = "BoxName::is_none")]
     pub router: BoxName,
     /// The workspace that is charged.
     #[serde(rename = "w")]
@@ -57,8 +59,8 @@
     /// The service that was asked for.
     #[serde(rename = "s")]
     pub service: ServiceName,
-    /// The pool that serves it.
-    #[serde(rename = "p")]
+    /// The pool that serves it; on the wire none, since the service tells it.
+    #[serde(rename = "p", default = "PoolName::none", skip_serializing_if = "PoolName::is_none")]
     pub pool: PoolName,
     /// Its class.
     #[serde(rename = "c", default, skip_serializing_if = "is_normal")]
@@ -78,23 +80,18 @@
 }
 
 /// The word to a router that a ticket may run now.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize_tuple, Deserialize_tuple)]
 pub struct Grant {
     /// Unique name.
-    #[serde(rename = "g")]
     pub id: GrantId,
     /// The ticket that is granted.
-    #[serde(rename = "i")]
     pub ticket: TicketId,
     /// Where to send it.
-    #[serde(rename = "u")]
     pub upstream: UpstreamName,
-    /// The dispatcher that wants to hear how it went.
-    #[serde(rename = "b")]
-    pub dispatcher: BoxName,
     /// Cost that is charged already, in the pool's unit.
-    #[serde(rename = "e")]
     pub cover: u64,
+    /// The dispatcher that wants to hear how it went; on the wire none for the sender.
+    pub dispatcher: BoxName,
 }
 
 /// How a granted request ended.
@@ -115,19 +112,15 @@
 }
 
 /// The end of a grant.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize_tuple, Deserialize_tuple)]
 pub struct Done {
     /// The pool of the grant.
-    #[serde(rename = "p")]
     pub pool: PoolName,
     /// Which grant.
-    #[serde(rename = "g")]
     pub grant: GrantId,
     /// Its exact cost, in the pool's unit.
-    #[serde(rename = "e")]
     pub cost: u64,
     /// How it ended.
-    #[serde(rename = "o")]
     pub ending: Ending,
 }
 
@@ -152,19 +145,15 @@
 }
 
 /// One line of a heartbeat: the freshest sign of life known of a box.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
 pub struct Beat {
     /// Whose.
-    #[serde(rename = "b")]
     pub name: BoxName,
     /// Which start of that box.
-    #[serde(rename = "i")]
     pub incarnation: u64,
     /// Counter that the box raises with every heartbeat.
-    #[serde(rename = "n")]
     pub beat: u64,
     /// Whether the box is about to stop.
-    #[serde(rename = "l", default, skip_serializing_if = "is_false")]
     pub leaving: bool,
 }
 
@@ -310,9 +299,15 @@
     /// A grant has ended.
     #[serde(rename = "D")]
     Done(Done),
-    /// Grants of one pool that the sender uses and that the receiver inherits.
+    /// Grants of one pool that a router uses (on the wire none for the sender) and that the
+    /// receiver inherits.
     #[serde(rename = "R")]
-    Running { p: PoolName, r: Vec<Running> },
+    Running {
+        p: PoolName,
+        #[serde(default = "BoxName::none", skip_serializing_if = "BoxName::is_none")]
+        b: BoxName,
+        r: Vec<Running>,
+    },
     /// Asks which of these grants the receiver still uses.
     #[serde(rename = "K")]
     Check { p: PoolName, g: Vec<GrantId> },
@@ -339,16 +334,9 @@
     Configuration { v: u64, c: Box<crate::config::Catalog> },
 }
 
-/// What one call between routers carries.
+/// What one call between routers carries: the sending box, and the messages in order.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Envelope {
-    /// The sending box.
-    #[serde(rename = "b")]
-    pub from: BoxName,
-    /// The messages, in order.
-    #[serde(rename = "m")]
-    pub messages: Vec<Message>,
-}
+pub struct Envelope(pub BoxName, pub Vec<Message>);
 
 fn is_normal(class: &Class) -> bool {
     *class == Class::Normal
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use http::Request;
 use http::Response;
@@ -19,6 +20,8 @@
 use jsonrpsee::types::ErrorObjectOwned;
 use subtle::ConstantTimeEq;
 use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
 use tower::Service;
 
 use crate::config::settings::Secret;
@@ -43,10 +46,24 @@
 /// Largest call, in bytes: a configuration fits.
 const CALL_MAX: u32 = 4 << 20;
 
+/// Pause after a failure to accept a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// How long the answer to a call may be held back until there is something to say.
+const HOLD: Duration = Duration::from_secs(1);
+
+/// The answer to a call.
+pub enum Answer {
+    /// There is something to say, or nothing is expected.
+    Now(Vec<Message>),
+    /// There may be something to say soon.
+    Later(oneshot::Receiver<Vec<Message>>),
+}
+
 /// Takes in calls of peers.
 pub trait Handler: Send + Sync + 'static {
-    /// Handles messages; gives those that are for the caller right now.
-    fn call(&self, from: &BoxName, messages: Vec<Message>) -> Vec<Message>;
+    /// Handles messages; gives those that are for the caller.
+    fn call(&self, from: &BoxName, messages: Vec<Message>) -> Answer;
 
     /// Answers why a request was placed as it was, as far as this box knows.
     fn explain(&self, request: &str) -> Explanation;
@@ -75,7 +92,7 @@
             Ok(accepted) => accepted,
             // Out of descriptors, say: others may be closed meanwhile.
             Err(_) => {
-                tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+                tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
@@ -115,12 +132,17 @@
 fn methods(handler: Arc<dyn Handler>, traffic: &Arc<Traffic>) -> Methods {
     let mut module = RpcModule::new((handler, traffic.clone()));
     module
-        .register_method(METHOD, |params, cx, _| {
-            let (handler, traffic) = cx;
-            let envelope: Envelope = params.one()?;
-            let count = envelope.messages.len() as u64;
+        .register_async_method(METHOD, |params, cx, _| async move {
+            let (handler, traffic) = &*cx;
+            let Envelope(from, messages) = params.one()?;
+            let count = messages.len() as u64;
             traffic.messages_in.fetch_add(count, Ordering::Relaxed);
-            let answer = handler.call(&envelope.from, envelope.messages);
+            let answer = match handler.call(&from, messages) {
+                Answer::Now(answer) => answer,
+                Answer::Later(rx) => {
+                    timeout(HOLD, rx).await.map_or(Vec::new(), Result::unwrap_or_default)
+                }
+            };
             traffic.messages_out.fetch_add(answer.len() as u64, Ordering::Relaxed);
             Ok::<_, ErrorObjectOwned>(answer)
         })
--- a/src/router/flow.rs
+++ b/src/router/flow.rs
@@ -146,7 +146,7 @@
             hub: hub.clone(),
             id,
             upstream: start.upstream,
-            cover: start.cover,
+            next_report: start.cover,
             meter: meter::new(self.ask.unit),
             labels: [
                 KeyValue::new("workspace", self.ask.workspace.to_string()),
@@ -383,7 +383,8 @@
     hub: Arc<Hub>,
     id: TicketId,
     upstream: UpstreamName,
-    cover: u64,
+    /// The cost at which the node is told of it next.
+    next_report: u64,
     meter: Box<dyn Meter>,
     labels: [KeyValue; 2],
     ended: bool,
@@ -392,8 +393,8 @@
 impl Placed {
     fn piece(&mut self, piece: &[u8]) {
         let cost = self.meter.piece(piece);
-        if self.cover < cost {
-            self.cover = self.hub.produced(self.id, cost);
+        if self.next_report < cost {
+            self.next_report = self.hub.produced(self.id, cost);
         }
     }
 
--- a/src/router/hub.rs
+++ b/src/router/hub.rs
@@ -2,6 +2,7 @@
 //! do with each of its outputs.
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -32,6 +33,7 @@
 use crate::peer::message::Message;
 use crate::peer::message::Ticket;
 use crate::peer::message::TicketId;
+use crate::peer::server::Answer;
 use crate::peer::server::Handler;
 use crate::router::records::Records;
 use crate::status::Explanation;
@@ -43,6 +45,9 @@
 /// Waiting workspaces shown per pool in a status.
 const WORKSPACES_SHOWN: usize = 100;
 
+/// Calls of one peer whose answers may be held back at once.
+const HELD_MAX: usize = 32;
+
 /// A grant, as the request that waits for it gets it.
 #[derive(Clone, Debug)]
 pub struct Start {
@@ -66,13 +71,15 @@
 struct Inner {
     node: Node,
     starts: HashMap<TicketId, oneshot::Sender<Start>>,
+    /// Calls of peers whose answers are held back.
+    held: HashMap<BoxName, VecDeque<oneshot::Sender<Vec<Message>>>>,
 }
 
 impl Hub {
     /// A hub around `node`.
     pub fn new(node: Node, links: Links, metrics: Metrics, log: Logger) -> Arc<Hub> {
         Arc::new_cyclic(|this| Hub {
-            inner: Mutex::new(Inner { node, starts: HashMap::new() }),
+            inner: Mutex::new(Inner { node, starts: HashMap::new(), held: HashMap::new() }),
             epoch: Instant::now(),
             links,
             records: Records::default(),
@@ -164,7 +171,7 @@
         for output in inner.node.take_output() {
             match output {
                 Output::Send { to, message } if Some(&to) == caller => answer.push(message),
-                Output::Send { to, message } => self.send(&to, message),
+                Output::Send { to, message } => self.send(inner, &to, message),
                 Output::Start { ticket, upstream, cover } => {
                     start(inner, ticket, Start { upstream, cover });
                 }
@@ -175,7 +182,17 @@
         answer
     }
 
-    fn send(&self, to: &BoxName, message: Message) {
+    /// Sends a message in the answer to a call that is held back, or else in a call.
+    fn send(&self, inner: &mut Inner, to: &BoxName, message: Message) {
+        let mut messages = vec![message];
+        while let Some(tx) = inner.held.get_mut(to).and_then(VecDeque::pop_front) {
+            match tx.send(messages) {
+                Ok(()) => return,
+                // The peer gave that call up.
+                Err(unsent) => messages = unsent,
+            }
+        }
+        let Some(message) = messages.pop() else { return };
         if let Some(this) = self.this.upgrade() {
             let inbox: Arc<dyn Inbox> = this;
             self.links.send(to, message, &inbox);
@@ -235,16 +252,32 @@
         self.with(|node, now| node.unreachable(name, now));
     }
 
+    fn lost(&self, name: &BoxName) {
+        self.with(|node, now| node.lost(name, now));
+    }
+
     fn address(&self, name: &BoxName) -> Option<SocketAddr> {
         self.read(|node, _| node.members().address(name))
     }
 }
 
 impl Handler for Hub {
-    fn call(&self, from: &BoxName, messages: Vec<Message>) -> Vec<Message> {
+    fn call(&self, from: &BoxName, messages: Vec<Message>) -> Answer {
+        let expects = messages.iter().any(|m| matches!(m, Message::Ticket(_)));
         let mut inner = self.inner.lock().expect("no panic under lock");
         inner.node.receive(from, messages, self.now());
-        self.act(&mut inner, Some(from))
+        let answer = self.act(&mut inner, Some(from));
+        if !expects || !answer.is_empty() {
+            return Answer::Now(answer);
+        }
+        let (tx, rx) = oneshot::channel();
+        let held = inner.held.entry(from.clone()).or_default();
+        held.retain(|tx| !tx.is_closed());
+        if HELD_MAX <= held.len() {
+            return Answer::Now(answer);
+        }
+        held.push_back(tx);
+        Answer::Later(rx)
     }
 
     fn explain(&self, request: &str) -> Explanation {
--- a/src/util.rs
+++ b/src/util.rs
@@ -9,6 +9,9 @@
 /// Bits that a counter may use below an `id_base`.
 const COUNTER_BITS: u32 = 24;
 
+/// Bits of an id in all: few, since ids go over the wire in decimal.
+const ID_BITS: u32 = 52;
+
 /// The number of this start of the process: milliseconds since the epoch, so a later start has a
 /// greater one.
 pub fn new_incarnation() -> u64 {
@@ -18,7 +21,8 @@
 
 /// A number with its low bits clear, from which one start of a box counts its ids of one `kind`.
 pub fn id_base(name: &str, incarnation: u64, kind: &str) -> u64 {
-    xxh3_64(format!("{name}/{incarnation}/{kind}").as_bytes()) << COUNTER_BITS
+    let hash = xxh3_64(format!("{name}/{incarnation}/{kind}").as_bytes());
+    hash >> (u64::BITS - (ID_BITS - COUNTER_BITS)) << COUNTER_BITS
 }
 
 /// Of `candidates`, the one that rendezvous hashing ranks first for `key`.
--- /dev/null
+++ b/tests/util/mod.rs
@@ -0,0 +1,3 @@
+//! What several test files share.
+
+pub mod rig;
