Keep who is ahead from starving, and tell lost grants and ends again

Change: a workspace unserved for four of its fair turns (by weight and size of its requests) gets one grant in ten; calls that fail hand back grants and ends, which are told again.

--- a/src/dispatch/pool.rs
+++ b/src/dispatch/pool.rs
@@ -43,7 +43,7 @@
 use crate::util;
 
 /// A workspace that waited at least this long without being served goes next, though it is ahead.
-const PATIENCE: Duration = Duration::from_secs(2);
+const PATIENCE: Duration = Duration::from_millis(250);
 
 /// It must also have waited this many times as long as its fair share makes it wait on average.
 const PATIENCE_FACTOR: f64 = 4.0;
@@ -178,6 +178,8 @@
     /// When the last grant was given, and the average seconds between grants.
     granted: Duration,
     pace: f64,
+    /// The average cost charged at a grant.
+    mean_cover: f64,
     /// The average weight of all workspaces.
     mean_weight: f64,
     checked: Duration,
@@ -254,6 +256,7 @@
             since_patience: 0,
             granted: Duration::ZERO,
             pace: 0.0,
+            mean_cover: 0.0,
             mean_weight: mean_weight(&cfg),
             checked: Duration::ZERO,
             unanswered: HashMap::new(),
@@ -735,7 +738,9 @@
             return None;
         }
         let weight = self.cfg.workspace(workspace).map_or(1.0, |w| f64::from(w.weight));
-        let turns = self.queue.workspace_count() as f64 * self.mean_weight / weight;
+        // Who asks for much at a time goes less often.
+        let size = self.mean_estimate(workspace) / self.mean_cover.max(1.0);
+        let turns = self.queue.workspace_count() as f64 * self.mean_weight / weight * size;
         if (now - since).as_secs_f64() < PATIENCE_FACTOR * turns * self.pace {
             return None;
         }
@@ -746,6 +751,12 @@
         Some(Choice::Local(workspace.clone(), Why::Patience))
     }
 
+    /// What a request of this workspace costs, on average over the services it used.
+    fn mean_estimate(&self, workspace: &str) -> f64 {
+        let Some(services) = self.estimates.get(workspace) else { return self.mean_cover };
+        services.values().sum::<f64>() / services.len().max(1) as f64
+    }
+
     fn grant(&mut self, workspace: &WorkspaceName, why: Why, now: Duration, out: &mut Vec<Action>) {
         let floor = self.floor();
         let waiting_workspaces = self.queue.workspace_count();
@@ -768,6 +779,7 @@
         let virtual_time = self.ledger.virtual_time(workspace);
         self.virtual_time = self.virtual_time.max(self.ledger.known_time(workspace));
         let cover = self.estimate(workspace, &ticket.service);
+        self.mean_cover += PACE_GAIN * (cover as f64 - self.mean_cover);
         out.push(Action::Decided(Decision {
             ticket: ticket.id,
             router: ticket.router.clone(),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -42,6 +42,9 @@
 /// First wait before a ticket that got no grant is registered again; doubled each time.
 const RESEND_FIRST: Duration = Duration::from_secs(4);
 
+/// Grants and their ends that are kept to be told again.
+const UNHEARD_MAX: usize = 4096;
+
 /// Wait before a ticket is registered again when messages to its dispatcher were lost.
 const RESEND_LOST: Duration = Duration::from_millis(300);
 
@@ -101,6 +104,8 @@
     incarnations: BTreeMap<BoxName, u64>,
     admission: Admission,
     waiting: HashMap<TicketId, Waiting>,
+    /// Grants and their ends to be told again, the earliest first.
+    unheard: VecDeque<Unheard>,
     running: HashMap<TicketId, Running>,
     next_ticket: u64,
     next_cell: u64,
@@ -118,6 +123,14 @@
     backoff: Duration,
 }
 
+/// A grant or its end that its receiver likely hasn't heard of.
+#[derive(Debug)]
+struct Unheard {
+    at: Duration,
+    to: BoxName,
+    message: Message,
+}
+
 #[derive(Debug)]
 struct Running {
     ticket: Ticket,
@@ -138,6 +151,7 @@
             incarnations: BTreeMap::new(),
             admission: Admission::default(),
             waiting: HashMap::new(),
+            unheard: VecDeque::new(),
             running: HashMap::new(),
             next_ticket: util::id_base(&id.name, id.incarnation, "ticket"),
             next_cell: id.incarnation,
@@ -339,11 +353,19 @@
         self.settle(now);
     }
 
-    /// Notes that messages to a box were lost: what waits there is registered again soon.
-    pub fn lost(&mut self, name: &BoxName, now: Duration) {
+    /// Notes that messages to a box were likely lost: what waits there is registered again soon, and
+    /// grants and their ends are told again, lest their slots stay taken.
+    pub fn lost(&mut self, name: &BoxName, messages: Vec<Message>, now: Duration) {
+        let at = now + RESEND_LOST;
         for waiting in self.waiting.values_mut() {
             if self.owners.get(&waiting.ticket.pool) == Some(name) {
-                waiting.resend_at = waiting.resend_at.min(now + RESEND_LOST);
+                waiting.resend_at = waiting.resend_at.min(at);
+            }
+        }
+        for message in messages {
+            let matters = matches!(message, Message::Done(_) | Message::Grant(_));
+            if matters && self.unheard.len() < UNHEARD_MAX {
+                self.unheard.push_back(Unheard { at, to: name.clone(), message });
             }
         }
     }
@@ -405,6 +427,22 @@
         for ticket in due {
             self.register(ticket);
         }
+        while self.unheard.front().is_some_and(|u| u.at <= now) {
+            let unheard = self.unheard.pop_front().expect("just seen");
+            let to = match &unheard.message {
+                Message::Done(done) => self.dispatcher_now(&unheard.to, &done.pool),
+                _ => unheard.to,
+            };
+            self.send(to, unheard.message);
+        }
+    }
+
+    /// Who should hear what a dispatcher didn't: itself, or in this zone whoever followed it.
+    fn dispatcher_now(&self, before: &BoxName, pool: &str) -> BoxName {
+        match self.owners.get(pool) {
+            Some(owner) if self.members.is_of_zone(before) => owner.clone(),
+            _ => before.clone(),
+        }
     }
 
     fn perform(&mut self, actions: Vec<Action>) {
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -59,8 +59,8 @@
     /// A box refuses connections.
     fn unreachable(&self, name: &BoxName);
 
-    /// Messages to a box were lost.
-    fn lost(&self, name: &BoxName);
+    /// These messages to a box were likely lost.
+    fn lost(&self, name: &BoxName, messages: Vec<Message>);
 
     /// Where a box's peer port is.
     fn address(&self, name: &BoxName) -> Option<SocketAddr>;
@@ -169,6 +169,7 @@
             Ok(client) => client,
             Err(e) => {
                 self.traffic.messages_lost.fetch_add(count, Ordering::Relaxed);
+                self.inbox.lost(&self.peer, messages);
                 // There is room: one failure at a time is reported from here.
                 let _ = failed.try_send(e);
                 return;
@@ -189,6 +190,7 @@
                 }
                 Err(e) => {
                     traffic.messages_lost.fetch_add(count, Ordering::Relaxed);
+                    inbox.lost(&peer, envelope.1);
                     // When more fail than fit, the link rests all the same.
                     let _ = failed.try_send(e);
                 }
@@ -228,14 +230,16 @@
 
     async fn rest(&mut self, error: &Error, rx: &mut mpsc::Receiver<Message>) {
         self.client = None;
-        self.inbox.lost(&self.peer);
         if matches!(error, Error::Connect(_)) {
             self.inbox.unreachable(&self.peer);
         }
         tokio::time::sleep(REST).await;
-        while rx.try_recv().is_ok() {
-            self.traffic.messages_lost.fetch_add(1, Ordering::Relaxed);
+        let mut stale = Vec::new();
+        while let Ok(message) = rx.try_recv() {
+            stale.push(message);
         }
+        self.traffic.messages_lost.fetch_add(stale.len() as u64, Ordering::Relaxed);
+        self.inbox.lost(&self.peer, stale);
     }
 }
 
--- a/src/peer/member.rs
+++ b/src/peer/member.rs
@@ -219,6 +219,11 @@
         names
     }
 
+    /// Whether a box is of the own zone.
+    pub fn is_of_zone(&self, name: &str) -> bool {
+        self.listed.get(name).is_some_and(|b| b.zone == self.zone)
+    }
+
     /// Which start of a box was heard last.
     pub fn incarnation(&self, name: &str) -> Option<u64> {
         self.heard.get(name).map(|h| h.beat.incarnation)
--- a/src/router/hub.rs
+++ b/src/router/hub.rs
@@ -252,8 +252,8 @@
         self.with(|node, now| node.unreachable(name, now));
     }
 
-    fn lost(&self, name: &BoxName) {
-        self.with(|node, now| node.lost(name, now));
+    fn lost(&self, name: &BoxName, messages: Vec<Message>) {
+        self.with(|node, now| node.lost(name, messages, now));
     }
 
     fn address(&self, name: &BoxName) -> Option<SocketAddr> {
