Claim keys of requests that must not be repeated; real processes in tests

Cause: a request sent again with its key ran again. And, found by the test of four routers at once: the thread that commits claims opened the first link to a box and panicked outside the runtime, which poisoned the router's lock.

Change: claims in eight objects of the platform by conditional update, committed in groups by one box a shard, with any other box able to write for itself; keys are UUIDv7, so records can be forgotten; links are opened on the runtime's handle.

Ruled out: one object a key (a write a request); keys of any text (their record could never be forgotten safely); answering not-run in an outage to a caller that may have sent the key before (it would not be true).

Conclusion: safety rests on the store's versions alone.

--- /dev/null
+++ b/src/claims/book.rs
@@ -0,0 +1,77 @@
+//! The records of one shard: what its object holds, and what a claim does to it. Pure.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::claims::Claim;
+use crate::claims::Op;
+use crate::claims::SKEW;
+use crate::claims::Verdict;
+use crate::claims::WINDOW;
+
+/// Records in one shard at most; the object stays below the platform's megabyte.
+pub const RECORDS_MAX: usize = 12_000;
+
+/// What the object of a shard holds.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Book {
+    /// By key.
+    pub records: BTreeMap<String, Record>,
+}
+
+/// The attempt that has a key: when the key was made, which attempt, whether it was answered.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Record(pub u64, pub u64, pub bool);
+
+impl Book {
+    /// Does what a claim asks; tells the verdict. `now` is in seconds of Unix time.
+    pub fn apply(&mut self, claim: &Claim, now: u64) -> Verdict {
+        match claim.op {
+            Op::Take => self.take(claim, now),
+            Op::Ran => {
+                if let Some(record) = self.mine(claim) {
+                    record.2 = true;
+                }
+                Verdict::Ran
+            }
+            Op::Release => {
+                if self.mine(claim).is_some() {
+                    self.records.remove(&claim.key);
+                }
+                Verdict::Elsewhere
+            }
+        }
+    }
+
+    /// Forgets the records of keys that would be refused as too old, whatever the clock of the
+    /// router that is asked.
+    pub fn expire(&mut self, now: u64) {
+        let kept = WINDOW.as_secs() + 2 * SKEW.as_secs();
+        self.records.retain(|_, r| now <= r.0 + kept);
+    }
+
+    fn take(&mut self, claim: &Claim, now: u64) -> Verdict {
+        match self.records.get(&claim.key) {
+            Some(record) if record.1 == claim.attempt => return Verdict::Taken,
+            Some(record) if record.2 => return Verdict::Ran,
+            Some(_) => return Verdict::Elsewhere,
+            None => {}
+        }
+        // Whoever is slow must not bring a key back whose record may be forgotten.
+        if claim.made + WINDOW.as_secs() + SKEW.as_secs() < now {
+            return Verdict::Elsewhere;
+        }
+        if RECORDS_MAX <= self.records.len() {
+            return Verdict::Full;
+        }
+        let record = Record(claim.made, claim.attempt, false);
+        self.records.insert(claim.key.clone(), record);
+        Verdict::Taken
+    }
+
+    fn mine(&mut self, claim: &Claim) -> Option<&mut Record> {
+        self.records.get_mut(&claim.key).filter(|r| r.1 == claim.attempt)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! A router fleet that shares model and application engines fairly among workspaces.
 
+pub mod claims;
 pub mod cli;
 pub mod config;
 pub mod dispatch;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -198,6 +198,19 @@
         self.owners.get(pool)
     }
 
+    /// The box that usually writes the claims of a shard; nothing when it is this one.
+    pub fn claims_writer(&self, shard: u64, now: Duration) -> Option<BoxName> {
+        let role = format!("claims/{shard}");
+        let elsewhere = self.members.elsewhere(&role);
+        let zones = elsewhere.iter().map(|(zone, _)| zone).chain([&self.id.zone]);
+        let home = util::rendezvous(&role, zones)?;
+        if *home == self.id.zone {
+            let owner = self.members.owner(&role, now);
+            return (*owner != self.id.name).then(|| owner.clone());
+        }
+        elsewhere.iter().find(|(zone, _)| zone == home).map(|(_, name)| name.clone())
+    }
+
     /// Whether requests can be served: a configuration is in force.
     pub fn is_ready(&self) -> bool {
         self.cfg.number != 0
--- a/src/node/receive.rs
+++ b/src/node/receive.rs
@@ -54,6 +54,8 @@
             Message::Pulled(pulled) => {
                 self.with_pool(&pulled.pool.clone(), |pool, out| pool.pulled(pulled, now, out));
             }
+            // Claims need the store; the process handles them.
+            Message::Claim(_) | Message::Claimed { .. } => {}
             Message::WantConfiguration { v } => self.handle_want(from, v),
             Message::Configuration { v, c } => self.handle_configuration(from, v, *c, now),
         }
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -18,6 +18,7 @@
 use jsonrpsee::ws_client::WsClient;
 use jsonrpsee::ws_client::WsClientBuilder;
 use tokio::net::TcpStream;
+use tokio::runtime::Handle;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
@@ -84,16 +85,22 @@
     me: BoxName,
     secret: Secret,
     traffic: Arc<Traffic>,
+    runtime: Handle,
     queues: Mutex<HashMap<BoxName, mpsc::Sender<Message>>>,
 }
 
 impl Links {
-    /// No links yet; they are made when something is sent.
+    /// No links yet; they are made when something is sent, by any thread.
+    ///
+    /// # Panics
+    ///
+    /// Outside of a runtime.
     pub fn new(me: &BoxName, secret: &Secret, traffic: &Arc<Traffic>) -> Links {
         Links {
             me: me.clone(),
             secret: secret.clone(),
             traffic: traffic.clone(),
+            runtime: Handle::current(),
             queues: Mutex::default(),
         }
     }
@@ -118,7 +125,7 @@
             inbox: inbox.clone(),
             client: None,
         };
-        tokio::spawn(link.run(rx));
+        self.runtime.spawn(link.run(rx));
         tx
     }
 }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -8,6 +8,8 @@
 use serde_tuple::Deserialize_tuple;
 use serde_tuple::Serialize_tuple;
 
+use crate::claims::Claim;
+use crate::claims::Verdict;
 use crate::dispatch::ledger::CellId;
 use crate::dispatch::ledger::Entry;
 use crate::names::BoxName;
@@ -326,6 +328,12 @@
     /// Answer to a pull.
     #[serde(rename = "Q")]
     Pulled(Pulled),
+    /// Claim a key; the receiver writes for many.
+    #[serde(rename = "M")]
+    Claim(Claim),
+    /// The verdict on the claim of an attempt.
+    #[serde(rename = "N")]
+    Claimed { a: u64, v: Verdict },
     /// Ask for the configuration, since the receiver has a newer one.
     #[serde(rename = "W")]
     WantConfiguration { v: u64 },
--- a/src/router/answer.rs
+++ b/src/router/answer.rs
@@ -14,6 +14,7 @@
 use http_body_util::combinators::BoxBody;
 use serde::Serialize;
 
+use crate::claims::KeyFault;
 use crate::node::Refusal;
 use crate::router::ask::Fault;
 
@@ -26,6 +27,9 @@
 /// When to come back where nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// When to come back while the platform can't be reached.
+const RETRY_AFTER_OUTAGE: Duration = Duration::from_secs(5);
+
 /// An answer's body; its error ends the connection where the caller can see it.
 pub type Body = BoxBody<Bytes, io::Error>;
 
@@ -73,6 +77,16 @@
     /// The router refused to let it wait.
     #[error(transparent)]
     Refused(#[from] Refusal),
+    /// Another attempt with the same key was answered.
+    #[error("another attempt with this key has run")]
+    DuplicateRan,
+    /// Another attempt with the same key runs, or nobody knows.
+    #[error("another attempt with this key runs, or its outcome is not known")]
+    DuplicateElsewhere,
+    /// The key can't be claimed now. This attempt did not run; an earlier one may have, unless the
+    /// caller said that there is none.
+    #[error("the key can't be claimed now")]
+    NoClaim { first: bool },
     /// Its deadline passed while it waited.
     #[error("the deadline passed before an upstream was free")]
     Expired,
@@ -104,6 +118,11 @@
             Cause::Bad(Fault::NoWorkspace) => "no-workspace",
             Cause::Bad(Fault::NoService) => "no-service",
             Cause::Bad(Fault::Header(..)) => "bad-header",
+            Cause::Bad(Fault::Key(KeyFault::Old)) => "key-too-old",
+            Cause::Bad(Fault::Key(_)) => "bad-key",
+            Cause::DuplicateRan => "duplicate-ran",
+            Cause::DuplicateElsewhere => "duplicate-elsewhere",
+            Cause::NoClaim { .. } => "no-claim",
             Cause::NoPath => "no-path",
             Cause::Method => "method",
             Cause::BodyTooLong => "body-too-long",
@@ -126,13 +145,16 @@
             Cause::Bad(Fault::Unauthorized) => StatusCode::UNAUTHORIZED,
             Cause::Bad(Fault::NoWorkspace) => StatusCode::FORBIDDEN,
             Cause::Bad(Fault::NoService) | Cause::NoPath => StatusCode::NOT_FOUND,
-            Cause::Bad(Fault::Header(..)) => StatusCode::BAD_REQUEST,
+            Cause::Bad(Fault::Key(KeyFault::Old)) => StatusCode::GONE,
+            Cause::Bad(Fault::Header(..) | Fault::Key(_)) => StatusCode::BAD_REQUEST,
+            Cause::DuplicateRan | Cause::DuplicateElsewhere => StatusCode::CONFLICT,
             Cause::Method => StatusCode::METHOD_NOT_ALLOWED,
             Cause::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Cause::BodyCut => StatusCode::REQUEST_TIMEOUT,
             Cause::Refused(Refusal::WaitingLimit { .. }) => StatusCode::TOO_MANY_REQUESTS,
             Cause::Refused(Refusal::Hopeless { .. }) => StatusCode::SERVICE_UNAVAILABLE,
             Cause::Refused(Refusal::NoPool)
+            | Cause::NoClaim { .. }
             | Cause::NotReady
             | Cause::Stopping
             | Cause::Busy
@@ -145,7 +167,12 @@
     /// What became of the request.
     pub fn outcome(&self) -> Outcome {
         match self {
-            Cause::UpstreamFailed(_) | Cause::TooLate => Outcome::Unknown,
+            Cause::UpstreamFailed(_)
+            | Cause::TooLate
+            | Cause::DuplicateElsewhere
+            | Cause::NoClaim { first: false }
+            | Cause::Bad(Fault::Key(KeyFault::Old)) => Outcome::Unknown,
+            Cause::DuplicateRan => Outcome::Ran,
             _ => Outcome::NotRun,
         }
     }
@@ -156,10 +183,12 @@
         match self {
             Cause::Refused(Refusal::WaitingLimit { retry_after })
             | Cause::Refused(Refusal::Hopeless { retry_after }) => Some(*retry_after),
+            Cause::NoClaim { .. } => Some(RETRY_AFTER_OUTAGE),
             Cause::Refused(Refusal::NoPool)
             | Cause::NotReady
             | Cause::Stopping
             | Cause::Busy
+            | Cause::DuplicateElsewhere
             | Cause::Expired
             | Cause::Unreachable => Some(RETRY_AFTER),
             _ => None,
--- a/src/router/ask.rs
+++ b/src/router/ask.rs
@@ -1,6 +1,7 @@
 //! What a caller asks for, read from the head of an HTTP request and checked.
 
 use std::time::Duration;
+use std::time::SystemTime;
 
 use http::HeaderMap;
 use http::HeaderName;
@@ -12,6 +13,8 @@
 use subtle::ConstantTimeEq;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::claims::Key;
+use crate::claims::KeyFault;
 use crate::config::Revision;
 use crate::config::Unit;
 use crate::config::settings::Limits;
@@ -38,6 +41,9 @@
 /// Names a request so that sending it again doesn't run it again.
 pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
+/// `first` when the caller has not sent this key before.
+pub const ATTEMPT: HeaderName = HeaderName::from_static("frostdyke-attempt");
+
 /// Longest idempotency key, in bytes.
 pub const KEY_MAX: usize = 200;
 
@@ -61,10 +67,12 @@
     pub class: Class,
     /// How long the caller waits for the answer to begin.
     pub deadline: Duration,
-    /// The idempotency key, if any.
-    pub key: Option<String>,
+    /// What to claim before it is sent, for one that must not be repeated and carries a key.
+    pub key: Option<Key>,
     /// Whether it may be sent to an upstream more than once.
     pub repeatable: bool,
+    /// Whether the caller says that it has not sent this key before.
+    pub first: bool,
     /// Hash of the prefix hint; 0 for none.
     pub prefix: u64,
     /// Headers that are passed on.
@@ -86,6 +94,9 @@
     /// A header has a value that it can't have.
     #[error("{0}: {1}")]
     Header(HeaderName, &'static str),
+    /// The key of a request that must not be repeated isn't one that can be claimed.
+    #[error("idempotency-key: {0}")]
+    Key(#[from] KeyFault),
 }
 
 /// Reads what is asked of `service`.
@@ -98,6 +109,9 @@
     let workspace = authenticate(headers, cfg, limits.trust_workspace_header)?;
     let service = cfg.service(service).ok_or(Fault::NoService)?;
     let pool = cfg.pool(&service.pool).ok_or(Fault::NoService)?;
+    let repeatable = repeatable(headers)?.unwrap_or(service.repeatable);
+    let key = key(headers)?.filter(|_| !repeatable);
+    let key = key.map(|k| Key::new(&workspace, k, SystemTime::now())).transpose()?;
     Ok(Ask {
         workspace,
         service: service.name.clone(),
@@ -106,8 +120,9 @@
         unit: pool.unit,
         class: class(headers)?,
         deadline: deadline(headers)?.unwrap_or(limits.default_deadline),
-        key: key(headers)?,
-        repeatable: repeatable(headers)?.unwrap_or(service.repeatable),
+        key,
+        repeatable,
+        first: first(headers)?,
         prefix: prefix(headers),
         headers: passed_on(headers),
     })
@@ -157,12 +172,20 @@
     Ok(Some(deadline))
 }
 
-fn key(headers: &HeaderMap) -> Result<Option<String>, Fault> {
+fn key(headers: &HeaderMap) -> Result<Option<&str>, Fault> {
     let Some(text) = text(headers, &KEY)? else { return Ok(None) };
     if text.is_empty() || KEY_MAX < text.len() {
         return Err(Fault::Header(KEY, "must have 1 to 200 bytes"));
     }
-    Ok(Some(text.to_owned()))
+    Ok(Some(text))
+}
+
+fn first(headers: &HeaderMap) -> Result<bool, Fault> {
+    match text(headers, &ATTEMPT)? {
+        None | Some("again") => Ok(false),
+        Some("first") => Ok(true),
+        Some(_) => Err(Fault::Header(ATTEMPT, "must be first or again")),
+    }
 }
 
 fn repeatable(headers: &HeaderMap) -> Result<Option<bool>, Fault> {
--- a/src/router/flow.rs
+++ b/src/router/flow.rs
@@ -16,9 +16,13 @@
 use hyper::body::Frame;
 use opentelemetry::KeyValue;
 use slog::info;
+use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::claims::Claims;
+use crate::claims::Key;
+use crate::claims::Verdict;
 use crate::config::settings::Limits;
 use crate::names::UpstreamName;
 use crate::peer::message::Class;
@@ -67,7 +71,7 @@
     body: Bytes,
     tale: Tale,
 ) -> Result<Response<Body>, Cause> {
-    let mut flow = Flow { service: service.clone(), ask, body, tale };
+    let mut flow = Flow { service: service.clone(), ask, body, tale, claimed: None };
     let result = flow.run().await;
     if let Err(cause) = &result {
         flow.tale.end(cause.outcome());
@@ -80,6 +84,7 @@
     ask: Ask,
     body: Bytes,
     tale: Tale,
+    claimed: Option<Claimed>,
 }
 
 /// What sending came to.
@@ -93,6 +98,7 @@
 impl Flow {
     async fn run(&mut self) -> Result<Response<Body>, Cause> {
         let deadline = Instant::now() + self.ask.deadline;
+        self.claim().await?;
         let mut id = self.tale.first;
         let mut avoid = None;
         loop {
@@ -109,6 +115,37 @@
         }
     }
 
+    /// Claims the key of a request that must not be repeated.
+    async fn claim(&mut self) -> Result<(), Cause> {
+        let Some(key) = self.ask.key else { return Ok(()) };
+        let unavailable = Cause::NoClaim { first: self.ask.first };
+        let Some(claims) = self.service.hub.claims() else { return Err(unavailable) };
+        // Goes on by itself when the caller leaves meanwhile, so that the claim is released.
+        let (tx, rx) = oneshot::channel();
+        let taker = claims.clone();
+        tokio::spawn(async move {
+            let result = taker.take(key, rand::random::<u64>() >> 1).await;
+            if let Err(Ok(attempt)) = tx.send(result) {
+                taker.settle(key, attempt, false);
+            }
+        });
+        let result = rx.await.unwrap_or(Err(Verdict::Unavailable));
+        let attempt = result.map_err(|v| match v {
+            Verdict::Ran => Cause::DuplicateRan,
+            Verdict::Elsewhere => Cause::DuplicateElsewhere,
+            Verdict::Taken | Verdict::Unavailable | Verdict::Full => unavailable,
+        })?;
+        self.claimed = Some(Claimed { claims: claims.clone(), key, attempt, sent: false });
+        Ok(())
+    }
+
+    /// Notes whether any byte of the request may have left, for the key it holds.
+    fn note_sent(&mut self, sent: bool) {
+        if let Some(claimed) = &mut self.claimed {
+            claimed.sent = sent;
+        }
+    }
+
     /// Waits for a grant.
     async fn place(
         &mut self,
@@ -181,7 +218,9 @@
             body: self.body.clone(),
             idle_timeout: self.service.limits.idle_timeout,
         };
+        self.note_sent(true);
         let Ok(mut incoming) = self.service.senders.send(outgoing) else {
+            self.note_sent(false);
             placed.end(Ending::Unused);
             self.note_ending("busy");
             return Err(Cause::Busy);
@@ -209,6 +248,7 @@
     /// Decides what a failure before the answer means.
     fn failed(&mut self, sent: bool, reason: String) -> Result<Sent, Cause> {
         self.note_ending(&reason);
+        self.note_sent(sent);
         match (sent, self.ask.repeatable) {
             (false, _) => Ok(Sent::Again(Cause::Unreachable)),
             (true, true) => Ok(Sent::Again(Cause::UpstreamFailed(reason))),
@@ -232,6 +272,9 @@
             placed.end(Ending::Failed);
             return self.failed(true, format!("the upstream refused with {status}"));
         }
+        if let Some(claimed) = self.claimed.take() {
+            claimed.claims.settle(claimed.key, claimed.attempt, true);
+        }
         let length =
             headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
         let chunked = headers.contains_key(header::TRANSFER_ENCODING);
@@ -359,6 +402,22 @@
     }
 }
 
+/// A key that this request holds. Dropped before any byte of the request has left, it is released.
+struct Claimed {
+    claims: Arc<Claims>,
+    key: Key,
+    attempt: u64,
+    sent: bool,
+}
+
+impl Drop for Claimed {
+    fn drop(&mut self) {
+        if !self.sent {
+            self.claims.settle(self.key, self.attempt, false);
+        }
+    }
+}
+
 /// A request that waits. Dropped before its grant, it takes its ticket back.
 struct Waiting {
     hub: Arc<Hub>,
--- a/src/router/hub.rs
+++ b/src/router/hub.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::Weak;
 use std::time::Duration;
 
@@ -16,6 +17,10 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use crate::claims::Claim;
+use crate::claims::Claims;
+use crate::claims::Courier;
+use crate::claims::Op;
 use crate::config::Revision;
 use crate::dispatch::pool::Decision;
 use crate::dispatch::pool::Pool;
@@ -35,6 +40,7 @@
 use crate::peer::message::TicketId;
 use crate::peer::server::Answer;
 use crate::peer::server::Handler;
+use crate::platform::Objects;
 use crate::router::records::Records;
 use crate::status::Explanation;
 use crate::status::PoolStatus;
@@ -65,6 +71,7 @@
     records: Records,
     metrics: Metrics,
     log: Logger,
+    claims: OnceLock<Arc<Claims>>,
     this: Weak<Hub>,
 }
 
@@ -85,6 +92,7 @@
             records: Records::default(),
             metrics,
             log,
+            claims: OnceLock::new(),
             this: this.clone(),
         })
     }
@@ -104,6 +112,18 @@
         &self.records
     }
 
+    /// Begins to claim keys in `objects`.
+    pub fn open_claims(self: &Arc<Hub>, objects: Arc<dyn Objects>) {
+        let claims = Claims::new(objects, Box::new(HubCourier(Arc::downgrade(self))));
+        // Set once, at the start.
+        let _ = self.claims.set(claims);
+    }
+
+    /// The claims, once they are open.
+    pub fn claims(&self) -> Option<&Arc<Claims>> {
+        self.claims.get()
+    }
+
     /// The log.
     pub fn log(&self) -> &Logger {
         &self.log
@@ -243,8 +263,52 @@
     }
 }
 
+/// Carries claims over the links.
+struct HubCourier(Weak<Hub>);
+
+impl Courier for HubCourier {
+    fn writer_of(&self, shard: u64) -> Option<BoxName> {
+        self.0.upgrade()?.read(|node, now| node.claims_writer(shard, now))
+    }
+
+    fn send(&self, to: &BoxName, claim: Claim) {
+        if let Some(hub) = self.0.upgrade() {
+            let mut inner = hub.inner.lock().expect("no panic under lock");
+            hub.send(&mut inner, to, Message::Claim(claim));
+        }
+    }
+}
+
+impl Hub {
+    /// Handles the messages about claims, and gives the others back.
+    fn sift(&self, from: &BoxName, messages: Vec<Message>) -> Vec<Message> {
+        let Some(claims) = self.claims.get() else { return messages };
+        let mut others = Vec::with_capacity(messages.len());
+        for message in messages {
+            match message {
+                Message::Claim(claim) => self.claim(claims, from, claim),
+                Message::Claimed { a, v } => claims.answered(a, v),
+                other => others.push(other),
+            }
+        }
+        others
+    }
+
+    fn claim(&self, claims: &Claims, from: &BoxName, claim: Claim) {
+        let (this, from, a) = (self.this.clone(), from.clone(), claim.attempt);
+        let wants = claim.op == Op::Take;
+        claims.asked(claim, move |v| {
+            if let Some(hub) = this.upgrade().filter(|_| wants) {
+                let mut inner = hub.inner.lock().expect("no panic under lock");
+                hub.send(&mut inner, &from, Message::Claimed { a, v });
+            }
+        });
+    }
+}
+
 impl Inbox for Hub {
     fn receive(&self, from: &BoxName, messages: Vec<Message>) {
+        let messages = self.sift(from, messages);
         self.with(|node, now| node.receive(from, messages, now));
     }
 
@@ -263,6 +327,7 @@
 
 impl Handler for Hub {
     fn call(&self, from: &BoxName, messages: Vec<Message>) -> Answer {
+        let messages = self.sift(from, messages);
         let expects = messages.iter().any(|m| matches!(m, Message::Ticket(_)));
         let mut inner = self.inner.lock().expect("no panic under lock");
         inner.node.receive(from, messages, self.now());
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -126,6 +126,7 @@
     let client = Arc::new(Client::new(cfg.platform));
     let tell = |hub: Arc<Hub>| move |news| take_in(&hub, news);
     platform::watch::configuration(client.clone(), tell(hub.clone()));
+    hub.open_claims(client.clone());
     platform::watch::boxes(client, tell(hub.clone()));
 }
 
@@ -198,6 +199,12 @@
         })
     });
     let hub = service.hub.clone();
+    metrics.count("frostdyke_claim_writes", move || hub.claims().map_or(0, |c| c.writes()));
+    let hub = service.hub.clone();
+    metrics.gauge("frostdyke_live_boxes", move || {
+        vec![(hub.read(|node, now| node.members().live(now).count()) as f64, Vec::new())]
+    });
+    let hub = service.hub.clone();
     metrics.gauge("frostdyke_revision", move || {
         vec![(hub.read(|node, _| node.configuration().number) as f64, Vec::new())]
     });
--- /dev/null
+++ b/tests/util/fleet.rs
@@ -0,0 +1,323 @@
+//! Real router processes over in-process stand-ins. All ports are free ones, all waiting is on
+//! conditions, and whatever was started ends with the fleet.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use frostdyke_standin::engine;
+use frostdyke_standin::engine::Engine;
+use frostdyke_standin::platform::Platform;
+use frostdyke_standin::service::Service;
+use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
+use nix::unistd::Pid;
+use serde_json::Value;
+use serde_json::json;
+
+/// How long anything may take that a test waits for.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// How often a condition is looked at.
+const LOOK: Duration = Duration::from_millis(10);
+
+static FLEETS: AtomicU64 = AtomicU64::new(0);
+
+/// What to start.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Boxes per zone.
+    pub zones: Vec<usize>,
+    pub slots: u32,
+    pub token: Duration,
+    pub delay: Duration,
+    pub extra: String,
+}
+
+impl Default for Setup {
+    fn default() -> Setup {
+        Setup {
+            zones: vec![1],
+            slots: 8,
+            token: Duration::from_millis(2),
+            delay: Duration::from_millis(1),
+            extra: String::new(),
+        }
+    }
+}
+
+/// A running fleet: an engine and a service per zone, and the routers.
+pub struct Fleet {
+    pub platform: Platform,
+    pub engines: Vec<Engine>,
+    pub services: Vec<Service>,
+    pub routers: Vec<Router>,
+    pub configuration: Value,
+    dir: PathBuf,
+}
+
+/// A router process.
+pub struct Router {
+    pub name: String,
+    pub zone: String,
+    pub callers: SocketAddr,
+    pub peers: SocketAddr,
+    pub metrics: SocketAddr,
+    settings: PathBuf,
+    child: Option<Child>,
+}
+
+/// What a caller got.
+#[derive(Clone, Debug, Default)]
+pub struct Reply {
+    pub status: u16,
+    pub outcome: String,
+    pub request: String,
+    pub retry_after: Option<u64>,
+    pub body: String,
+    /// Whether the body came whole.
+    pub whole: bool,
+}
+
+impl Fleet {
+    pub fn start(setup: &Setup) -> Fleet {
+        let number = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let name = format!("frostdyke-test-{}-{number}", std::process::id());
+        let dir = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&dir).expect("a directory for settings");
+        let platform = Platform::start(any_port()).expect("the platform starts");
+        let mut fleet = Fleet {
+            platform,
+            engines: Vec::new(),
+            services: Vec::new(),
+            routers: Vec::new(),
+            configuration: Value::Null,
+            dir,
+        };
+        fleet.start_upstreams(setup);
+        fleet.configure();
+        fleet.write_settings(setup);
+        for i in 0..fleet.routers.len() {
+            fleet.start_router(i);
+        }
+        for router in &fleet.routers {
+            router.wait_ready();
+        }
+        fleet.wait_joined();
+        fleet
+    }
+
+    fn start_upstreams(&mut self, setup: &Setup) {
+        let mut upstreams = Vec::new();
+        for zone in 0..setup.zones.len() {
+            let settings = engine::Settings {
+                slots: setup.slots as usize,
+                token: setup.token,
+                ..engine::Settings::default()
+            };
+            let engine = Engine::start(any_port(), settings).expect("an engine starts");
+            let service = Service::start(any_port(), setup.delay).expect("a service starts");
+            let (slots, zone_name) = (setup.slots, format!("zone-{zone}"));
+            upstreams.push(json!({"name": format!("engine-{zone}"), "pool": "llm",
+                "zone": zone_name, "address": engine.addr, "slots": slots}));
+            upstreams.push(json!({"name": format!("ledger-{zone}"), "pool": "ledger",
+                "zone": zone_name, "address": service.addr, "slots": slots}));
+            self.engines.push(engine);
+            self.services.push(service);
+        }
+        self.configuration = json!({
+            "workspaces": [{"name": "alpha"}, {"name": "beta", "weight": 2}],
+            "pools": [{"name": "llm", "unit": "tokens"},
+                {"name": "ledger", "unit": "calls", "pull_margin": 2, "urgent_lead": 20,
+                 "debt_cap": 200}],
+            "services": [
+                {"name": "assist", "pool": "llm", "path": "/v1/generate", "default_cost": 20},
+                {"name": "balance", "pool": "ledger", "path": "/v1/call", "default_cost": 1},
+                {"name": "transfer", "pool": "ledger", "path": "/v1/call", "default_cost": 1,
+                 "repeatable": false}],
+            "upstreams": upstreams,
+        });
+    }
+
+    /// Writes the configuration as it is now; gives its revision.
+    pub fn configure(&self) -> u64 {
+        self.platform.put("frostdyke/configuration", self.configuration.to_string())
+    }
+
+    fn write_settings(&mut self, setup: &Setup) {
+        std::fs::write(self.dir.join("peer-secret"), "test secret").expect("a secret");
+        for (zone, &boxes) in setup.zones.iter().enumerate() {
+            for i in 0..boxes {
+                let name = format!("box-{zone}-{i}");
+                let settings = self.dir.join(format!("{name}.ini"));
+                self.routers.push(Router {
+                    zone: format!("zone-{zone}"),
+                    callers: free_port(),
+                    peers: free_port(),
+                    metrics: free_port(),
+                    settings,
+                    child: None,
+                    name,
+                });
+            }
+        }
+        let listed: Vec<Value> = self
+            .routers
+            .iter()
+            .map(|r| json!({"name": r.name, "zone": r.zone, "peer": r.peers}))
+            .collect();
+        self.platform.set_boxes(Value::from(listed).to_string());
+        for r in &self.routers {
+            let text = format!(
+                "[box]\nname = {}\nzone = {}\n\n[listen]\ncallers = {}\npeers = {}\nmetrics = {}\n\n\
+                 [platform]\naddress = {}\n\n[peers]\nsecret-file = peer-secret\n\n\
+                 [callers]\ntrust-workspace-header = true\n{}\n",
+                r.name, r.zone, r.callers, r.peers, r.metrics, self.platform.addr, setup.extra
+            );
+            std::fs::write(&r.settings, text).expect("settings");
+        }
+    }
+
+    pub fn start_router(&mut self, i: usize) {
+        let router = &mut self.routers[i];
+        let log = std::fs::File::create(router.settings.with_extension("log")).expect("a log");
+        let child = Command::new(env!("CARGO_BIN_EXE_frostdyke-router"))
+            .arg(&router.settings)
+            .stderr(Stdio::from(log))
+            .spawn()
+            .expect("the router starts");
+        router.child = Some(child);
+    }
+
+    /// Waits until every router has told another that it lives.
+    fn wait_joined(&self) {
+        for router in &self.routers {
+            let peers = self.routers.iter().filter(|r| r.zone == router.zone).count();
+            wait_until("the boxes know each other", || {
+                router.metric("frostdyke_live_boxes") == Some(peers as f64)
+            });
+        }
+    }
+
+    pub fn log_of(&self, i: usize) -> String {
+        let path = self.routers[i].settings.with_extension("log");
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
+    /// How often each request of the services ran, over all zones.
+    pub fn ran(&self, key: &str) -> u64 {
+        self.services.iter().filter_map(|s| s.ran().get(key).copied()).sum()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for router in &mut self.routers {
+            router.kill();
+        }
+        if !thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.dir);
+        }
+    }
+}
+
+impl Router {
+    pub fn signal(&self, signal: Signal) {
+        let child = self.child.as_ref().expect("it runs");
+        kill(Pid::from_raw(child.id() as i32), signal).expect("the process is ours");
+    }
+
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Waits until the process has ended by itself; gives whether it ended well.
+    pub fn wait(&mut self) -> bool {
+        let mut child = self.child.take().expect("it runs");
+        let mut status = None;
+        wait_until("the router ends", || {
+            status = child.try_wait().expect("it is ours");
+            status.is_some()
+        });
+        status.is_some_and(|s| s.success())
+    }
+
+    pub fn wait_ready(&self) {
+        let url = format!("http://{}/readyz", self.callers);
+        wait_until("the router is ready", || ureq::get(&url).call().is_ok());
+    }
+
+    /// The first figure of this name on the metrics page.
+    pub fn metric(&self, name: &str) -> Option<f64> {
+        let mut resp = ureq::get(format!("http://{}/metrics", self.metrics)).call().ok()?;
+        let page = resp.body_mut().read_to_string().ok()?;
+        let line = page.lines().find(|l| l.starts_with(name))?;
+        line.rsplit_once(' ')?.1.parse().ok()
+    }
+
+    /// Sends a request and reads its answer to the end.
+    pub fn send(&self, service: &str, body: &str, headers: &[(&str, &str)]) -> Reply {
+        let url = format!("http://{}/v1/services/{service}", self.callers);
+        let config = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(PATIENCE))
+            .build();
+        let mut req = ureq::Agent::from(config).post(url).header("frostdyke-workspace", "alpha");
+        for (name, value) in headers {
+            req = req.header(*name, *value);
+        }
+        match req.send(body) {
+            Ok(resp) => read(resp),
+            Err(e) => Reply { body: e.to_string(), ..Reply::default() },
+        }
+    }
+}
+
+fn read(resp: ureq::http::Response<ureq::Body>) -> Reply {
+    let text = |name: &str| {
+        let value = resp.headers().get(name).and_then(|v| v.to_str().ok());
+        value.unwrap_or("").to_owned()
+    };
+    let mut reply = Reply {
+        status: resp.status().as_u16(),
+        outcome: text("frostdyke-outcome"),
+        request: text("frostdyke-request-id"),
+        retry_after: text("retry-after").parse().ok(),
+        ..Reply::default()
+    };
+    let mut bytes = Vec::new();
+    reply.whole = resp.into_body().into_reader().read_to_end(&mut bytes).is_ok();
+    reply.body = String::from_utf8_lossy(&bytes).into_owned();
+    reply
+}
+
+/// Waits for a condition, or fails the test.
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(Instant::now() < until, "waited in vain: {what}");
+        thread::sleep(LOOK);
+    }
+}
+
+pub fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// A port that was free just now.
+pub fn free_port() -> SocketAddr {
+    let listener = TcpListener::bind(any_port()).expect("a port is free");
+    listener.local_addr().expect("it is bound")
+}
