Tell no caller "not run" of a request that an earlier try has sent

Cause: tests/holds_not_run.rs, with 2000 requests under random faults of the service: a repeatable request was sent, its answer was lost, it waited for a second try, expired, and its caller was told not-run though it had run once.

Ruled out: the sending side; the flag that is set before the first byte leaves agreed with the service's count in all other cases.

Change: a request of which a byte may have left keeps that outcome, whatever becomes of its later tries. Tests of whole answers, of not-run and of planned stops; each fleet of a test has a loopback address of its own, since ports that were free on a shared one were sometimes taken before a router bound them.

--- a/src/router/flow.rs
+++ b/src/router/flow.rs
@@ -71,8 +71,12 @@
     body: Bytes,
     tale: Tale,
 ) -> Result<Response<Body>, Cause> {
-    let mut flow = Flow { service: service.clone(), ask, body, tale, claimed: None };
-    let result = flow.run().await;
+    let mut flow = Flow { service: service.clone(), ask, body, tale, claimed: None, failed: None };
+    // A request that was sent once doesn't become "not run" because its next try wasn't sent.
+    let result = flow.run().await.map_err(|cause| match (cause.outcome(), flow.failed.take()) {
+        (Outcome::NotRun, Some(earlier)) => earlier,
+        _ => cause,
+    });
     if let Err(cause) = &result {
         flow.tale.end(cause.outcome());
     }
@@ -85,6 +89,8 @@
     body: Bytes,
     tale: Tale,
     claimed: Option<Claimed>,
+    /// Why the last try failed of which a byte may have left.
+    failed: Option<Cause>,
 }
 
 /// What sending came to.
@@ -108,6 +114,9 @@
                 Sent::Answered(resp) => return Ok(resp),
                 Sent::Again(cause) => cause,
             };
+            if cause.outcome() != Outcome::NotRun {
+                self.failed = Some(cause.clone());
+            }
             if TRIES_MAX <= self.tale.attempts.len() || !self.may_retry() {
                 return Err(cause);
             }
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -26,7 +26,6 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
-use http_body_util::StreamBody;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use serde::Deserialize;
@@ -276,11 +275,10 @@
     let (tx, rx) = mpsc::channel(4);
     tokio::spawn(stream(state, prompt, prefix, faults.clone(), tx));
     let echoed = if faults.crossed { format!("{id}-crossed") } else { id };
-    let frames = StreamBody::new(Frames(rx));
     Ok(Response::builder()
         .header("content-type", "text/event-stream")
         .header("frostdyke-request-id", echoed)
-        .body(BodyExt::boxed(frames))
+        .body(web::stream(rx))
         .expect("a valid answer"))
 }
 
@@ -311,27 +309,13 @@
         }
     }
     if faults.endless {
-        return std::future::pending().await;
+        return tx.closed().await;
     }
     let total = prompt.prompt_tokens + prompt.max_tokens;
     let end = format!("data: {{\"usage\":{{\"total_tokens\":{total}}}}}\n\ndata: [DONE]\n\n");
     run.finished = tx.send(Ok(Frame::data(Bytes::from(end)))).await.is_ok();
 }
 
-/// The receiving end of a channel, as a stream of frames.
-struct Frames(mpsc::Receiver<io::Result<Frame<Bytes>>>);
-
-impl futures_core::Stream for Frames {
-    type Item = io::Result<Frame<Bytes>>;
-
-    fn poll_next(
-        mut self: std::pin::Pin<&mut Self>,
-        cx: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Self::Item>> {
-        self.0.poll_recv(cx)
-    }
-}
-
 fn header<'a>(req: &'a Request<Incoming>, name: &str) -> &'a str {
     req.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or("")
 }
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -11,14 +11,17 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
+use hyper::body::Frame;
 use hyper::body::Incoming;
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::sync::mpsc;
 
 use crate::engine::Load;
 use crate::web;
@@ -118,11 +121,28 @@
         return Err(io::Error::other("the answer is lost"));
     }
     let text = format!("{{\"ran\":{times},\"bytes\":{}}}", body.len());
-    let length = if faults.short { text.len() + 10 } else { text.len() };
+    if faults.short {
+        return Ok(short(&id, text));
+    }
     Ok(Response::builder()
         .header("content-type", "application/json")
-        .header("content-length", length)
         .header("frostdyke-request-id", id)
         .body(web::full(text))
         .expect("a valid answer"))
 }
+
+/// An answer that ends before the length it promised.
+fn short(id: &str, text: String) -> Response<Body> {
+    let length = text.len() + 10;
+    let (tx, rx) = mpsc::channel(1);
+    tokio::spawn(async move {
+        let _ = tx.send(Ok(Frame::data(Bytes::from(text)))).await;
+        // The beginning is on its way before the end fails to come.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    });
+    Response::builder()
+        .header("content-length", length)
+        .header("frostdyke-request-id", id)
+        .body(web::stream(rx))
+        .expect("a valid answer")
+}
--- a/standin/src/web.rs
+++ b/standin/src/web.rs
@@ -4,7 +4,6 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::mpsc;
 use std::thread;
 
 use bytes::Bytes;
@@ -13,12 +12,15 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::StreamBody;
 use http_body_util::combinators::BoxBody;
+use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
+use tokio::sync::mpsc;
 
 /// A body whose error ends the connection where the caller can see it.
 pub type Body = BoxBody<Bytes, io::Error>;
@@ -30,7 +32,7 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = io::Result<Response<Body>>> + Send + 'static,
 {
-    let (tx, rx) = mpsc::channel();
+    let (tx, rx) = std::sync::mpsc::channel();
     thread::spawn(move || {
         let runtime = match Builder::new_multi_thread().worker_threads(2).enable_all().build() {
             Ok(runtime) => runtime,
@@ -54,6 +56,11 @@
     Full::new(data.into()).map_err(|e: Infallible| match e {}).boxed()
 }
 
+/// A body that comes piece by piece; its length isn't known.
+pub fn stream(rx: mpsc::Receiver<io::Result<Frame<Bytes>>>) -> Body {
+    BodyExt::boxed(StreamBody::new(Frames(rx)))
+}
+
 /// A JSON answer.
 pub fn json(status: StatusCode, value: &impl serde::Serialize) -> Response<Body> {
     let text = serde_json::to_vec(value).expect("stand-in values serialize");
@@ -87,3 +94,17 @@
         });
     }
 }
+
+/// The receiving end of a channel, as a stream of frames.
+struct Frames(mpsc::Receiver<io::Result<Frame<Bytes>>>);
+
+impl futures_core::Stream for Frames {
+    type Item = io::Result<Frame<Bytes>>;
+
+    fn poll_next(
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Self::Item>> {
+        self.0.poll_recv(cx)
+    }
+}
--- a/tests/util/fleet.rs
+++ b/tests/util/fleet.rs
@@ -62,6 +62,7 @@
     pub services: Vec<Service>,
     pub routers: Vec<Router>,
     pub configuration: Value,
+    number: u64,
     dir: PathBuf,
 }
 
@@ -101,6 +102,7 @@
             services: Vec::new(),
             routers: Vec::new(),
             configuration: Value::Null,
+            number,
             dir,
         };
         fleet.start_upstreams(setup);
@@ -161,9 +163,9 @@
                 let settings = self.dir.join(format!("{name}.ini"));
                 self.routers.push(Router {
                     zone: format!("zone-{zone}"),
-                    callers: free_port(),
-                    peers: free_port(),
-                    metrics: free_port(),
+                    callers: free_port(self.number),
+                    peers: free_port(self.number),
+                    metrics: free_port(self.number),
                     settings,
                     child: None,
                     name,
@@ -316,8 +318,11 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-/// A port that was free just now.
-pub fn free_port() -> SocketAddr {
-    let listener = TcpListener::bind(any_port()).expect("a port is free");
+/// A port that was free just now, on an address that no other fleet uses: a port that is free
+/// on an address which all share may be gone before the router takes it.
+fn free_port(fleet: u64) -> SocketAddr {
+    let pid = std::process::id();
+    let ip = [127, (1 + pid % 250) as u8, (1 + pid / 250 % 250) as u8, (1 + fleet % 250) as u8];
+    let listener = TcpListener::bind(SocketAddr::from((ip, 0))).expect("a port is free");
     listener.local_addr().expect("it is bound")
 }
