Intent API and command line: plan, confirm, drain, status, explain

Cause: operators had no way to change the configuration but to write the object.

Change: frostdyke-operator and frostdykectl. A plan is bound to the revision it was made for and named by a hash; applied plans are kept in the object, so that a lost answer is settled by reading back.

Ruled out: merging a stale plan; its operator is shown a new one instead.

--- /dev/null
+++ b/src/bin/ctl.rs
@@ -0,0 +1,101 @@
+//! `frostdykectl`: see `frostdyke::ctl`.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use frostdyke::ctl;
+use frostdyke::ctl::Error;
+use frostdyke::operator::intent::Intent;
+
+/// The exit code when an input is wrong or refused.
+const BAD_INPUT: u8 = 2;
+
+/// The exit code when the operator didn't confirm.
+const NOT_CONFIRMED: u8 = 3;
+
+/// Tells the fleet what operators want, and shows how it is.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+struct Options {
+    /// The operators' port of any box
+    #[bpaf(argument("IP:PORT"), env("FROSTDYKE_OPERATOR"))]
+    operator: SocketAddr,
+    /// A file that holds the operator's token
+    #[bpaf(argument("FILE"), env("FROSTDYKE_TOKEN_FILE"))]
+    token_file: PathBuf,
+    /// Print JSON instead of tables
+    json: bool,
+    /// Show the plan and do nothing
+    dry_run: bool,
+    /// Confirm the plan without asking
+    yes: bool,
+    #[bpaf(external)]
+    command: Command,
+}
+
+#[derive(Clone, Debug, Bpaf)]
+enum Command {
+    /// Show the configuration
+    #[bpaf(command)]
+    Show,
+    /// Show the state of every box: who waits, and which upstream gets nothing and why
+    #[bpaf(command)]
+    Status,
+    /// Tell why a request was placed as it was
+    #[bpaf(command)]
+    Explain {
+        /// The request's id, from the header frostdyke-request-id
+        #[bpaf(positional("REQUEST-ID"))]
+        request: String,
+    },
+    /// Give an upstream no new work
+    #[bpaf(command)]
+    Drain {
+        /// The upstream
+        #[bpaf(positional("UPSTREAM"))]
+        upstream: String,
+    },
+    /// Give an upstream work again
+    #[bpaf(command)]
+    Undrain {
+        /// The upstream
+        #[bpaf(positional("UPSTREAM"))]
+        upstream: String,
+    },
+    /// State the intent in a file
+    #[bpaf(command)]
+    Apply {
+        /// The intent (JSON), or - for standard input
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+}
+
+fn main() -> ExitCode {
+    let opts = options().run();
+    let command = match opts.command {
+        Command::Show => ctl::Command::Show,
+        Command::Status => ctl::Command::Status,
+        Command::Explain { request } => ctl::Command::Explain(request),
+        Command::Drain { upstream } => ctl::Command::Intend(Intent::Drain { upstream }),
+        Command::Undrain { upstream } => ctl::Command::Intend(Intent::Undrain { upstream }),
+        Command::Apply { file } => ctl::Command::Apply(file),
+    };
+    let result = ctl::run(&ctl::Options {
+        operator: opts.operator,
+        token_file: opts.token_file,
+        json: opts.json,
+        dry_run: opts.dry_run,
+        yes: opts.yes,
+        command,
+    });
+    let Err(e) = result else { return ExitCode::SUCCESS };
+    eprintln!("{e}");
+    match e {
+        Error::File { .. } | Error::Intent { .. } | Error::Refused(_) => ExitCode::from(BAD_INPUT),
+        Error::NotConfirmed => ExitCode::from(NOT_CONFIRMED),
+        Error::Call(_) => ExitCode::FAILURE,
+    }
+}
--- /dev/null
+++ b/src/ctl/mod.rs
@@ -0,0 +1,178 @@
+//! The operators' command line: talks to the intent API of any box.
+
+pub mod table;
+
+use std::io;
+use std::io::BufRead;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use ureq::Agent;
+
+use crate::operator::Confirmed;
+use crate::operator::Shown;
+use crate::operator::fleet::Answer;
+use crate::operator::intent::Intent;
+use crate::operator::plan::Plan;
+use crate::status::Explanation;
+use crate::status::Status;
+
+/// How long the intent API may take.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// What to do, and how.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The operators' port of any box.
+    pub operator: SocketAddr,
+    /// A file that holds the operator's token.
+    pub token_file: PathBuf,
+    /// Print JSON instead of tables.
+    pub json: bool,
+    /// Show the plan and don't ask for confirmation.
+    pub dry_run: bool,
+    /// Confirm without asking.
+    pub yes: bool,
+    /// What to do.
+    pub command: Command,
+}
+
+/// What to do.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Show the configuration.
+    Show,
+    /// Show the state of every box.
+    Status,
+    /// Tell why a request was placed as it was.
+    Explain(String),
+    /// State an intent, and confirm its plan.
+    Intend(Intent),
+    /// State the intent that a file (or `-`) holds as JSON, and confirm its plan.
+    Apply(PathBuf),
+}
+
+/// Why a command failed. Exit codes are in docs/OPERATING.md.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A file can't be read.
+    #[error("{}: {source}", path.display())]
+    File { path: PathBuf, source: io::Error },
+    /// A file doesn't hold an intent.
+    #[error("{}: {source}", path.display())]
+    Intent { path: PathBuf, source: serde_json::Error },
+    /// The intent API can't be reached, or answered what it shouldn't.
+    #[error("{0}")]
+    Call(#[from] ureq::Error),
+    /// The intent API refused.
+    #[error("{0}")]
+    Refused(String),
+    /// The operator didn't confirm.
+    #[error("not confirmed; nothing was done")]
+    NotConfirmed,
+}
+
+/// Runs one command.
+pub fn run(opts: &Options) -> Result<(), Error> {
+    let api = Api::new(opts)?;
+    match &opts.command {
+        Command::Show => {
+            let shown: Shown = api.get("/v1/configuration")?;
+            print(opts, &shown, table::configuration);
+        }
+        Command::Status => {
+            let answers: Vec<Answer<Status>> = api.get("/v1/status")?;
+            print(opts, &answers, |a| table::status(a));
+        }
+        Command::Explain(request) => {
+            let path = format!("/v1/explanations/{request}");
+            let answers: Vec<Answer<Explanation>> = api.get(&path)?;
+            print(opts, &answers, |a| table::explanation(request, a));
+        }
+        Command::Intend(intent) => intend(&api, opts, intent)?,
+        Command::Apply(path) => intend(&api, opts, &read_intent(path)?)?,
+    }
+    Ok(())
+}
+
+fn intend(api: &Api, opts: &Options, intent: &Intent) -> Result<(), Error> {
+    let plan: Plan = api.post("/v1/plans", intent)?;
+    print(opts, &plan, table::plan);
+    if opts.dry_run {
+        return Ok(());
+    }
+    if !opts.yes && !asked_to_confirm()? {
+        return Err(Error::NotConfirmed);
+    }
+    let confirmed: Confirmed = api.post("/v1/confirmations", &plan)?;
+    print(opts, &confirmed, |c| format!("applied as revision {}\n", c.revision));
+    Ok(())
+}
+
+fn asked_to_confirm() -> Result<bool, Error> {
+    eprint!("confirm? [y/N] ");
+    let mut line = String::new();
+    let read = io::stdin().lock().read_line(&mut line);
+    read.map_err(|source| Error::File { path: PathBuf::from("-"), source })?;
+    Ok(matches!(line.trim(), "y" | "yes"))
+}
+
+fn read_intent(path: &PathBuf) -> Result<Intent, Error> {
+    let text = match path.to_str() {
+        Some("-") => io::read_to_string(io::stdin()),
+        _ => std::fs::read_to_string(path),
+    };
+    let text = text.map_err(|source| Error::File { path: path.clone(), source })?;
+    serde_json::from_str(&text).map_err(|source| Error::Intent { path: path.clone(), source })
+}
+
+fn print<T: Serialize>(opts: &Options, value: &T, table: impl FnOnce(&T) -> String) {
+    if opts.json {
+        println!("{}", serde_json::to_string(value).expect("answers serialize"));
+    } else {
+        print!("{}", table(value));
+    }
+}
+
+struct Api {
+    agent: Agent,
+    base: String,
+    bearer: String,
+}
+
+impl Api {
+    fn new(opts: &Options) -> Result<Api, Error> {
+        let path = &opts.token_file;
+        let token = std::fs::read_to_string(path);
+        let token = token.map_err(|source| Error::File { path: path.clone(), source })?;
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .proxy(None)
+            .timeout_global(Some(TIMEOUT))
+            .build();
+        let (base, bearer) = (format!("http://{}", opts.operator), token.trim().to_owned());
+        Ok(Api { agent: config.into(), base, bearer: format!("Bearer {bearer}") })
+    }
+
+    fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        let req = self.agent.get(format!("{}{path}", self.base));
+        read(req.header("authorization", &self.bearer).call()?)
+    }
+
+    fn post<T: DeserializeOwned>(&self, path: &str, body: &impl Serialize) -> Result<T, Error> {
+        let req = self.agent.post(format!("{}{path}", self.base));
+        let text = serde_json::to_vec(body).expect("intents and plans serialize");
+        read(req.header("authorization", &self.bearer).send(&text)?)
+    }
+}
+
+fn read<T: DeserializeOwned>(mut resp: ureq::http::Response<ureq::Body>) -> Result<T, Error> {
+    let text = resp.body_mut().read_to_string()?;
+    if !resp.status().is_success() {
+        return Err(Error::Refused(table::problem(&text)));
+    }
+    serde_json::from_str(&text).map_err(|e| Error::Refused(e.to_string()))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,12 +3,14 @@
 pub mod claims;
 pub mod cli;
 pub mod config;
+pub mod ctl;
 pub mod dispatch;
 pub mod load;
 pub mod log;
 pub mod metrics;
 pub mod names;
 pub mod node;
+pub mod operator;
 pub mod peer;
 pub mod platform;
 pub mod router;
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -69,13 +69,17 @@
 
 /// Why a peer couldn't be told something.
 #[derive(Debug, thiserror::Error)]
-enum Error {
+pub enum Error {
+    /// Neither the box list nor the settings name the box.
     #[error("no address is known")]
     NoAddress,
+    /// Nothing listens there.
     #[error("connecting: {0}")]
     Connect(std::io::Error),
+    /// It took too long.
     #[error("too slow")]
     Timeout,
+    /// The call failed.
     #[error("calling: {0}")]
     Call(#[from] jsonrpsee::core::ClientError),
 }
@@ -130,6 +134,28 @@
     }
 }
 
+/// Connects to a router's port for peers.
+pub async fn connect(
+    addr: SocketAddr,
+    secret: &Secret,
+    traffic: &Arc<Traffic>,
+) -> Result<WsClient, Error> {
+    let connecting = TcpStream::connect(addr);
+    let stream = timeout(CONNECT_TIMEOUT, connecting).await.map_err(|_| Error::Timeout)?;
+    let stream = stream.map_err(Error::Connect)?;
+    stream.set_nodelay(true).map_err(Error::Connect)?;
+    let mut headers = HeaderMap::new();
+    let bearer = format!("Bearer {}", secret.expose());
+    if let Ok(value) = HeaderValue::from_str(&bearer) {
+        headers.insert("authorization", value);
+    }
+    let client = WsClientBuilder::default()
+        .set_headers(headers)
+        .request_timeout(CALL_TIMEOUT)
+        .build_with_stream(format!("ws://{addr}"), Counted::new(stream, traffic));
+    Ok(timeout(CONNECT_TIMEOUT, client).await.map_err(|_| Error::Timeout)??)
+}
+
 /// The link to one peer.
 struct Link {
     me: BoxName,
@@ -213,28 +239,11 @@
         {
             return Ok(client.clone());
         }
-        let client = Arc::new(self.connect(addr).await?);
+        let client = Arc::new(connect(addr, &self.secret, &self.traffic).await?);
         self.client = Some((addr, client.clone()));
         Ok(client)
     }
 
-    async fn connect(&self, addr: SocketAddr) -> Result<WsClient, Error> {
-        let connecting = TcpStream::connect(addr);
-        let stream = timeout(CONNECT_TIMEOUT, connecting).await.map_err(|_| Error::Timeout)?;
-        let stream = stream.map_err(Error::Connect)?;
-        stream.set_nodelay(true).map_err(Error::Connect)?;
-        let mut headers = HeaderMap::new();
-        let bearer = format!("Bearer {}", self.secret.expose());
-        if let Ok(value) = HeaderValue::from_str(&bearer) {
-            headers.insert("authorization", value);
-        }
-        let client = WsClientBuilder::default()
-            .set_headers(headers)
-            .request_timeout(CALL_TIMEOUT)
-            .build_with_stream(format!("ws://{addr}"), Counted::new(stream, &self.traffic));
-        Ok(timeout(CONNECT_TIMEOUT, client).await.map_err(|_| Error::Timeout)??)
-    }
-
     async fn rest(&mut self, error: &Error, rx: &mut mpsc::Receiver<Message>) {
         self.client = None;
         if matches!(error, Error::Connect(_)) {
