Prove configuration and leaving; hold ports until all of a fleet's are drawn

Cause: a test of ten failed now and then: the kernel gave the same free port twice for two routers of one fleet.

Change: ports are held until all are drawn. Tests of configuration (operators racing, lost answers, platform down, restart without memory, never an older one) and of leaving upstreams (drain, own word, box list, frozen dispatcher); an upstream that the box list shows as leaving gets no new work.

--- a/src/dispatch/upstreams.rs
+++ b/src/dispatch/upstreams.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::config;
+use crate::names::BoxName;
 use crate::names::UpstreamName;
 use crate::peer::message::Ending;
 
@@ -62,6 +63,7 @@
     slots: u32,
     draining: bool,
     leaving: bool,
+    listed_leaving: bool,
     gone: bool,
     running: u32,
     peak: Peak,
@@ -109,7 +111,7 @@
         if self.gone || self.draining {
             return Some(Aside::Draining);
         }
-        if self.leaving {
+        if self.leaving || self.listed_leaving {
             return Some(Aside::Leaving);
         }
         if self.retry_at.is_some() || self.trial {
@@ -148,7 +150,8 @@
 
     /// The number of slots of all upstreams that may get work.
     pub fn slots(&self) -> u32 {
-        let usable = |u: &&Upstream| !u.gone && !u.draining && !u.leaving;
+        let usable =
+            |u: &&Upstream| !matches!(u.why_aside(), Some(Aside::Draining | Aside::Leaving));
         self.all.iter().filter(usable).map(|u| u.slots).sum()
     }
 
@@ -226,6 +229,15 @@
         self.place(i, before);
     }
 
+    /// Takes in which upstreams the box list shows as leaving.
+    pub fn list_leaving(&mut self, leaving: &BTreeSet<BoxName>) {
+        for i in 0..self.all.len() {
+            let before = self.all[i].free();
+            self.all[i].listed_leaving = leaving.contains(self.all[i].name.as_str());
+            self.place(i, before);
+        }
+    }
+
     /// Lets upstreams whose time aside is over have a trial. Costs O(n): call it on ticks.
     pub fn tick(&mut self, now: Duration) {
         for i in 0..self.all.len() {
@@ -259,6 +271,7 @@
             slots: 0,
             draining: false,
             leaving: false,
+            listed_leaving: false,
             gone: false,
             running: 0,
             peak: Peak::default(),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod roles;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -101,6 +102,7 @@
     pools: BTreeMap<PoolName, Pool>,
     owners: BTreeMap<PoolName, BoxName>,
     live: Vec<BoxName>,
+    listed_leaving: BTreeSet<BoxName>,
     incarnations: BTreeMap<BoxName, u64>,
     admission: Admission,
     waiting: HashMap<TicketId, Waiting>,
@@ -148,6 +150,7 @@
             pools: BTreeMap::new(),
             owners: BTreeMap::new(),
             live: vec![id.name.clone()],
+            listed_leaving: BTreeSet::new(),
             incarnations: BTreeMap::new(),
             admission: Admission::default(),
             waiting: HashMap::new(),
@@ -311,6 +314,11 @@
     /// Takes over a newer box list.
     pub fn list(&mut self, boxes: &[ListedBox], now: Duration) {
         self.members.list(boxes, now);
+        // Upstreams run on boxes, too; they are listed by their own names.
+        self.listed_leaving = boxes.iter().filter(|b| b.leaving).map(|b| b.name.clone()).collect();
+        for pool in self.pools.values_mut() {
+            pool.upstreams_mut().list_leaving(&self.listed_leaving);
+        }
         self.refresh_roles(now);
         self.settle(now);
     }
--- a/src/node/roles.rs
+++ b/src/node/roles.rs
@@ -53,7 +53,8 @@
         if !self.pools.contains_key(name) {
             let cell = CellId { name: self.id.name.clone(), incarnation: self.next_cell };
             self.next_cell += 1;
-            let pool = Pool::new(name, &self.id.zone, cell, self.cfg.clone(), self.tuning)?;
+            let mut pool = Pool::new(name, &self.id.zone, cell, self.cfg.clone(), self.tuning)?;
+            pool.upstreams_mut().list_leaving(&self.listed_leaving);
             self.pools.insert(name.clone(), pool);
         }
         self.pools.get_mut(name)
--- a/tests/util/fleet.rs
+++ b/tests/util/fleet.rs
@@ -4,9 +4,11 @@
 use std::io::Read;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
+use std::process::Output;
 use std::process::Stdio;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -23,6 +25,11 @@
 use nix::unistd::Pid;
 use serde_json::Value;
 use serde_json::json;
+use sha2::Digest;
+use sha2::Sha256;
+
+/// The token of the operator `jo`.
+pub const TOKEN: &str = "test token";
 
 /// How long anything may take that a test waits for.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -62,6 +69,7 @@
     pub services: Vec<Service>,
     pub routers: Vec<Router>,
     pub configuration: Value,
+    operators: Vec<Child>,
     number: u64,
     dir: PathBuf,
 }
@@ -102,6 +110,7 @@
             services: Vec::new(),
             routers: Vec::new(),
             configuration: Value::Null,
+            operators: Vec::new(),
             number,
             dir,
         };
@@ -157,15 +166,16 @@
 
     fn write_settings(&mut self, setup: &Setup) {
         std::fs::write(self.dir.join("peer-secret"), "test secret").expect("a secret");
+        let mut held = Vec::new();
         for (zone, &boxes) in setup.zones.iter().enumerate() {
             for i in 0..boxes {
                 let name = format!("box-{zone}-{i}");
                 let settings = self.dir.join(format!("{name}.ini"));
                 self.routers.push(Router {
                     zone: format!("zone-{zone}"),
-                    callers: free_port(self.number),
-                    peers: free_port(self.number),
-                    metrics: free_port(self.number),
+                    callers: free_port(self.number, &mut held),
+                    peers: free_port(self.number, &mut held),
+                    metrics: free_port(self.number, &mut held),
                     settings,
                     child: None,
                     name,
@@ -178,10 +188,13 @@
             .map(|r| json!({"name": r.name, "zone": r.zone, "peer": r.peers}))
             .collect();
         self.platform.set_boxes(Value::from(listed).to_string());
+        let seeds: Vec<String> =
+            self.routers.iter().map(|r| format!("{} {} {}", r.name, r.zone, r.peers)).collect();
+        let seeds = seeds.join(", ");
         for r in &self.routers {
             let text = format!(
                 "[box]\nname = {}\nzone = {}\n\n[listen]\ncallers = {}\npeers = {}\nmetrics = {}\n\n\
-                 [platform]\naddress = {}\n\n[peers]\nsecret-file = peer-secret\n\n\
+                 [platform]\naddress = {}\n\n[peers]\nsecret-file = peer-secret\nseeds = {seeds}\n\n\
                  [callers]\ntrust-workspace-header = true\n{}\n",
                 r.name, r.zone, r.callers, r.peers, r.metrics, self.platform.addr, setup.extra
             );
@@ -189,6 +202,51 @@
         }
     }
 
+    /// Starts an operator process; gives its port.
+    pub fn start_operator(&mut self) -> SocketAddr {
+        let addr = free_port(self.number, &mut Vec::new());
+        let digest = hex::encode(Sha256::digest(TOKEN));
+        std::fs::write(self.dir.join("tokens"), format!("jo {digest}\n")).expect("tokens");
+        std::fs::write(self.dir.join("token"), TOKEN).expect("a token");
+        let text = format!(
+            "[box]\nname = box-0-0\nzone = zone-0\n\n[listen]\noperators = {addr}\n\n\
+             [platform]\naddress = {}\n\n[peers]\nsecret-file = peer-secret\n\n\
+             [operators]\ntokens-file = tokens\n",
+            self.platform.addr
+        );
+        let settings = self.dir.join("operator.ini");
+        std::fs::write(&settings, text).expect("settings");
+        let log = std::fs::File::create(self.dir.join("operator.log")).expect("a log");
+        let child = Command::new(env!("CARGO_BIN_EXE_frostdyke-operator"))
+            .arg(&settings)
+            .stderr(Stdio::from(log))
+            .spawn()
+            .expect("the operator process starts");
+        self.operators.push(child);
+        wait_until("operators are served", || TcpStream::connect(addr).is_ok());
+        addr
+    }
+
+    /// Runs `frostdykectl`.
+    pub fn ctl(&self, operator: SocketAddr, args: &[&str]) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_frostdykectl"))
+            .args(["--operator", &operator.to_string(), "--token-file"])
+            .arg(self.dir.join("token"))
+            .args(args)
+            .stdin(Stdio::null())
+            .output()
+            .expect("it runs")
+    }
+
+    /// Waits until a revision is in force on every router.
+    pub fn wait_in_force(&self, revision: u64) {
+        for router in &self.routers {
+            wait_until("the revision is in force", || {
+                router.metric("frostdyke_revision") == Some(revision as f64)
+            });
+        }
+    }
+
     pub fn start_router(&mut self, i: usize) {
         let router = &mut self.routers[i];
         let log = std::fs::File::create(router.settings.with_extension("log")).expect("a log");
@@ -226,6 +284,10 @@
         for router in &mut self.routers {
             router.kill();
         }
+        for operator in &mut self.operators {
+            let _ = operator.kill();
+            let _ = operator.wait();
+        }
         if !thread::panicking() {
             let _ = std::fs::remove_dir_all(&self.dir);
         }
@@ -319,10 +381,13 @@
 }
 
 /// A port that was free just now, on an address that no other fleet uses: a port that is free
-/// on an address which all share may be gone before the router takes it.
-fn free_port(fleet: u64) -> SocketAddr {
+/// on an address which all share may be gone before the router takes it. It is held until `held`
+/// is dropped, lest the next one is the same.
+fn free_port(fleet: u64, held: &mut Vec<TcpListener>) -> SocketAddr {
     let pid = std::process::id();
     let ip = [127, (1 + pid % 250) as u8, (1 + pid / 250 % 250) as u8, (1 + fleet % 250) as u8];
     let listener = TcpListener::bind(SocketAddr::from((ip, 0))).expect("a port is free");
-    listener.local_addr().expect("it is bound")
+    let addr = listener.local_addr().expect("it is bound");
+    held.push(listener);
+    addr
 }
