--- /dev/null
+++ b/benches/capacity/pool.rs
@@ -0,0 +1,135 @@
+//! A dispatcher with a backlog, for the benches.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use frostdyke::config::Catalog;
+use frostdyke::config::Pool as Policy;
+use frostdyke::config::Revision;
+use frostdyke::config::Service;
+use frostdyke::config::Unit;
+use frostdyke::config::Upstream;
+use frostdyke::config::Workspace;
+use frostdyke::dispatch::ledger::CellId;
+use frostdyke::dispatch::pool::Action;
+use frostdyke::dispatch::pool::Pool;
+use frostdyke::dispatch::pool::Tuning;
+use frostdyke::peer::message::Class;
+use frostdyke::peer::message::Done;
+use frostdyke::peer::message::Ending;
+use frostdyke::peer::message::Grant;
+use frostdyke::peer::message::Message;
+use frostdyke::peer::message::Ticket;
+use frostdyke::peer::message::TicketId;
+
+const SLOTS: u32 = 8;
+
+/// A configuration of this size.
+pub fn configuration(workspaces: usize, engines: usize) -> Catalog {
+    let workspace = |w: usize| Workspace {
+        name: name(w).as_str().into(),
+        weight: 1,
+        key_digests: vec!["0".repeat(64)],
+        waiting_limit: 1 << 20,
+        running_limit: 1 << 20,
+    };
+    let upstream = |e: usize| Upstream {
+        name: format!("engine-{e}").as_str().into(),
+        pool: "llm".into(),
+        zone: "zone".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        slots: SLOTS,
+        draining: false,
+    };
+    Catalog {
+        workspaces: (0..workspaces).map(workspace).collect(),
+        services: vec![Service {
+            name: "assist".into(),
+            pool: "llm".into(),
+            path: "/".to_owned(),
+            default_cost: 100,
+            repeatable: true,
+        }],
+        pools: vec![Policy {
+            name: "llm".into(),
+            unit: Unit::Tokens,
+            urgent_lead: 2000,
+            background_every: 10,
+            pull_margin: 2000,
+            debt_cap: 20_000,
+            retry_percent: 10,
+        }],
+        upstreams: (0..engines).map(upstream).collect(),
+        applied: Vec::new(),
+    }
+}
+
+/// A dispatcher all of whose slots are taken and that has a ticket of every workspace waiting.
+pub struct Backlog {
+    pool: Pool,
+    workspaces: usize,
+    next: u64,
+    now: Duration,
+    running: Vec<Grant>,
+    out: Vec<Action>,
+}
+
+impl Backlog {
+    pub fn new(workspaces: usize, engines: usize) -> Backlog {
+        let cfg = Revision::new(1, configuration(workspaces, engines)).expect("it is valid");
+        let cell = CellId { name: "box".into(), incarnation: 1 };
+        let tuning = Tuning::default();
+        let pool = Pool::new(&"llm".into(), &"zone".into(), cell, Arc::new(cfg), tuning);
+        let pool = pool.expect("it is in the configuration");
+        let now = Duration::from_secs(100);
+        let mut backlog =
+            Backlog { pool, workspaces, next: 0, now, running: Vec::new(), out: Vec::new() };
+        for _ in 0..engines * SLOTS as usize + workspaces {
+            backlog.submit();
+        }
+        backlog
+    }
+
+    /// Registers one more ticket.
+    pub fn submit(&mut self) {
+        self.next += 1;
+        self.now += Duration::from_micros(10);
+        let workspace = name(self.next as usize % self.workspaces);
+        let ticket = Ticket {
+            id: TicketId(self.next),
+            router: "box".into(),
+            workspace: workspace.as_str().into(),
+            service: "assist".into(),
+            pool: "llm".into(),
+            class: Class::Normal,
+            deadline_ms: 600_000,
+            prefix: 0,
+            avoid: None,
+            forwarded: false,
+        };
+        self.pool.submit(ticket, self.now, &mut self.out);
+        self.collect();
+    }
+
+    /// One request ends, which grants another, and a new one comes.
+    pub fn turn(&mut self) {
+        let at = self.next as usize % self.running.len();
+        let grant = self.running.swap_remove(at);
+        let cost = 50 + self.next % 100;
+        let done = Done { pool: "llm".into(), grant: grant.id, cost, ending: Ending::Answered };
+        self.pool.done(&done, self.now, &mut self.out);
+        self.submit();
+    }
+
+    fn collect(&mut self) {
+        for action in self.out.drain(..) {
+            if let Action::Send { message: Message::Grant(grant), .. } = action {
+                self.running.push(grant);
+            }
+        }
+    }
+}
+
+fn name(w: usize) -> String {
+    format!("workspace-{w}")
+}
--- /dev/null
+++ b/benches/claims.rs
@@ -0,0 +1,76 @@
+//! What claiming a key costs: latency and store writes against requests a second, for one box that
+//! writes for its zone. `cargo bench --bench claims` prints `name value bound ok|FAIL`.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use frostdyke::claims::Claim;
+use frostdyke::claims::Claims;
+use frostdyke::claims::Courier;
+use frostdyke::claims::Key;
+use frostdyke::load;
+use frostdyke::names::BoxName;
+use frostdyke::platform::client::Client;
+use frostdyke_standin::platform::Platform;
+use hdrhistogram::Histogram;
+use uuid::Uuid;
+
+const SECONDS: u64 = 4;
+
+/// Store writes a second that a zone may cause.
+const WRITES: f64 = 20.0;
+
+/// Writes all claims itself.
+struct Alone;
+
+impl Courier for Alone {
+    fn writer_of(&self, _: u64) -> Option<BoxName> {
+        None
+    }
+
+    fn send(&self, _: &BoxName, _: Claim) {}
+}
+
+fn main() {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    let mut failed = false;
+    for rate in [10, 100, 1000] {
+        let (histogram, writes) = runtime.block_on(run(rate));
+        let (p50, p99) = (histogram.value_at_quantile(0.5), histogram.value_at_quantile(0.99));
+        println!("claims.{rate}.p50-ms {:.1}", p50 as f64 / 1000.0);
+        println!("claims.{rate}.p99-ms {:.1}", p99 as f64 / 1000.0);
+        let ok = writes <= WRITES;
+        failed |= !ok;
+        let verdict = if ok { "ok" } else { "FAIL" };
+        println!("claims.{rate}.writes-per-second {writes:.1} {WRITES:.1} {verdict}");
+    }
+    if failed {
+        std::process::exit(1);
+    }
+}
+
+async fn run(rate: u64) -> (Histogram<u64>, f64) {
+    let platform = Platform::start(([127, 0, 0, 1], 0).into()).expect("the platform starts");
+    let claims = Claims::new(Arc::new(Client::new(platform.addr)), Box::new(Alone));
+    let mut interval = tokio::time::interval(Duration::from_secs(1) / rate as u32);
+    let mut running = tokio::task::JoinSet::new();
+    for n in 0..rate * SECONDS {
+        interval.tick().await;
+        let claims = claims.clone();
+        running.spawn(async move {
+            let text = Uuid::now_v7().to_string();
+            let key = Key::new("alpha", &text, SystemTime::now()).expect("it is new");
+            let begun = Instant::now();
+            let attempt = claims.take(key, n + 1).await.expect("nobody else has it");
+            claims.settle(key, attempt, true);
+            begun.elapsed()
+        });
+    }
+    let mut histogram = load::histogram();
+    for took in running.join_all().await {
+        histogram.saturating_record(took.as_micros() as u64);
+    }
+    (histogram, platform.calls().writes as f64 / SECONDS as f64)
+}
--- a/src/claims/mod.rs
+++ b/src/claims/mod.rs
@@ -29,13 +29,13 @@
 use crate::platform::Objects;
 
 /// Objects that the records are spread over.
-pub const SHARDS: u64 = 8;
+pub const SHARDS: u64 = 4;
 
 /// How old a key may be.
 pub const WINDOW: Duration = Duration::from_secs(600);
 
 /// How far the clocks of boxes and callers may differ. Records outlive the window by as much.
-pub const SKEW: Duration = Duration::from_secs(300);
+pub const SKEW: Duration = Duration::from_secs(60);
 
 /// How long another box may take to answer before this one writes itself.
 const REMOTE_WAIT: Duration = Duration::from_millis(700);
--- a/src/claims/writer.rs
+++ b/src/claims/writer.rs
@@ -27,7 +27,7 @@
 const QUEUE_MAX: usize = 8192;
 
 /// Least time between two updates of one process, so that its writes stay flat under load.
-const SPACING: Duration = Duration::from_millis(70);
+const SPACING: Duration = Duration::from_millis(55);
 
 /// Tries of one update against others who write the same shard.
 const TRIES_MAX: usize = 8;
--- a/src/load/client.rs
+++ b/src/load/client.rs
@@ -13,6 +13,7 @@
 use ureq::Agent;
 
 use crate::config::Unit;
+use crate::load::histogram;
 use crate::load::scenario::Scenario;
 use crate::load::scenario::Workspace;
 use crate::router::meter;
@@ -183,8 +184,3 @@
         }
     }
 }
-
-/// Microseconds up to ten minutes, to three digits.
-fn histogram() -> Histogram<u64> {
-    Histogram::new_with_max(600_000_000, 3).expect("the bounds are valid")
-}
--- a/src/load/compare.rs
+++ b/src/load/compare.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use hdrhistogram::Histogram;
 use serde::Serialize;
 use ureq::Agent;
 
+use crate::load::histogram;
+
 /// How long an answer may take.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -88,8 +89,3 @@
     resp.body_mut().read_to_vec().map_err(fail)?;
     Ok(begun.elapsed().as_micros() as u64)
 }
-
-/// Microseconds, to three digits.
-fn histogram() -> Histogram<u64> {
-    Histogram::new(3).expect("the digits are valid")
-}
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -18,11 +18,16 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hdrhistogram::Histogram;
+
 use crate::load::client::Client;
 use crate::load::report::Report;
 use crate::load::scenario::Scenario;
 use crate::load::scrape::Sample;
 
+/// Ten minutes.
+const MICROS_MAX: u64 = 600_000_000;
+
 /// How often a router is asked whether it is ready.
 const READY_EVERY: Duration = Duration::from_millis(50);
 
@@ -85,6 +90,11 @@
     Ok(())
 }
 
+/// A histogram of microseconds up to ten minutes, to three digits. Longer times count as that.
+pub fn histogram() -> Histogram<u64> {
+    Histogram::new_with_max(MICROS_MAX, 3).expect("the bounds are valid")
+}
+
 fn check(report: &Report) -> Result<(), Error> {
     match report.workspaces.iter().map(|w| w.ran).sum::<u64>() {
         0 => Err(Error::Nothing),
