--- /dev/null
+++ b/src/dispatch/pool/grants.rs
@@ -0,0 +1,260 @@
+//! Grants from their beginning to their end, and what becomes of lost ones.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::dispatch::pool::Granted;
+use crate::dispatch::pool::Pool;
+use crate::dispatch::pool::decision::Action;
+use crate::dispatch::pool::decision::Decision;
+use crate::dispatch::pool::decision::Why;
+use crate::dispatch::pool::waited;
+use crate::names::BoxName;
+use crate::names::ServiceName;
+use crate::names::WorkspaceName;
+use crate::peer::message::Done;
+use crate::peer::message::Ending;
+use crate::peer::message::Grant;
+use crate::peer::message::GrantId;
+use crate::peer::message::Message;
+use crate::peer::message::Running;
+use crate::peer::message::TicketId;
+
+/// Weight of the newest grant in the average time between grants.
+const PACE_GAIN: f64 = 0.05;
+
+/// Checks in a row that a router may leave unanswered before its grants count as lost.
+const UNANSWERED_MAX: u32 = 2;
+
+/// How often the routers are asked whether they still use their grants.
+const CHECK_EVERY: Duration = Duration::from_secs(5);
+
+/// Weight of the newest request in the estimate of a workspace's costs.
+const ESTIMATE_GAIN: f64 = 0.1;
+
+impl Pool {
+    /// Charges a request that outgrew what was charged for it.
+    pub fn progress(&mut self, id: GrantId, cover: u64) {
+        let Some(granted) = self.grants.get_mut(&id) else { return };
+        if cover <= granted.cover {
+            return;
+        }
+        let more = cover - granted.cover;
+        granted.cover = cover;
+        let workspace = granted.workspace.clone();
+        self.charge(&workspace, more as i64);
+    }
+
+    /// Ends a grant: trues the charge up and gives the slot to the next.
+    pub fn done(&mut self, done: &Done, now: Duration, out: &mut Vec<Action>) {
+        if let Some(pull) = self.pulls.get_mut(&done.grant) {
+            pull.early = Some(done.clone());
+            return;
+        }
+        let Some(granted) = self.end_grant(done.grant, now) else { return };
+        self.upstreams.release(&granted.upstream, done.ending, now);
+        if matches!(done.ending, Ending::Answered) {
+            self.learn(&granted.workspace, &granted.service, done.cost);
+        }
+        self.charge(&granted.workspace, done.cost as i64 - granted.cover as i64);
+        self.fill(now, out);
+    }
+
+    /// Takes over grants that an earlier dispatcher gave.
+    pub fn adopt(&mut self, router: &BoxName, running: &[Running], now: Duration) {
+        for r in running {
+            if self.grants.contains_key(&r.grant) {
+                continue;
+            }
+            self.upstreams.adopt(&r.upstream, now);
+            let granted = Granted {
+                ticket: None,
+                router: router.clone(),
+                workspace: r.workspace.clone(),
+                service: r.service.clone(),
+                upstream: r.upstream.clone(),
+                cover: r.cover,
+                at: now,
+            };
+            self.start_grant(r.grant, granted);
+        }
+    }
+
+    /// Frees grants that their router doesn't use.
+    pub fn not_running(
+        &mut self,
+        router: &BoxName,
+        grants: &[GrantId],
+        now: Duration,
+        out: &mut Vec<Action>,
+    ) {
+        self.unanswered.remove(router);
+        for &id in grants {
+            if let Some(granted) = self.end_grant(id, now) {
+                self.upstreams.release(&granted.upstream, Ending::Unused, now);
+                self.charge(&granted.workspace, -(granted.cover as i64));
+            }
+        }
+        self.fill(now, out);
+    }
+
+    /// Forgets the tickets and grants of a router that is gone.
+    pub fn router_gone(&mut self, router: &BoxName, now: Duration, out: &mut Vec<Action>) {
+        let tickets: Vec<TicketId> =
+            self.queue.tickets().filter(|t| t.router == *router).map(|t| t.id).collect();
+        for id in tickets {
+            self.cancel(id);
+        }
+        let grants: Vec<GrantId> =
+            self.grants.iter().filter(|(_, g)| g.router == *router).map(|(&id, _)| id).collect();
+        for id in grants {
+            if let Some(granted) = self.end_grant(id, now) {
+                self.upstreams.release(&granted.upstream, Ending::Cancelled, now);
+            }
+        }
+        self.fill(now, out);
+    }
+
+    /// What a request of this workspace and service will likely cost, in the pool's unit.
+    pub fn estimate(&self, workspace: &str, service: &str) -> u64 {
+        let learned = self.estimates.get(workspace).and_then(|s| s.get(service));
+        let default = || self.cfg.service(service).map_or(1, |s| u64::from(s.default_cost));
+        learned.map_or_else(default, |e| e.round() as u64)
+    }
+
+    pub(super) fn grant(
+        &mut self,
+        workspace: &WorkspaceName,
+        why: Why,
+        now: Duration,
+        out: &mut Vec<Action>,
+    ) {
+        let floor = self.floor();
+        let waiting_workspaces = self.queue.workspace_count();
+        let candidates = self.upstreams.candidates();
+        let Some(ticket) = self.queue.pop(workspace, self.policy.background_every, now) else {
+            return;
+        };
+        let arrival = self.left(ticket.id);
+        let gap = now.saturating_sub(self.granted).as_secs_f64();
+        self.pace += PACE_GAIN * (gap - self.pace);
+        self.granted = now;
+        let upstream = self
+            .upstreams
+            .take(ticket.prefix, ticket.avoid.as_ref(), now)
+            .expect("a slot was seen to be free");
+        self.since_patience = match why {
+            Why::Patience => 0,
+            _ => self.since_patience.saturating_add(1),
+        };
+        let virtual_time = self.ledger.virtual_time(workspace);
+        self.virtual_time = self.virtual_time.max(self.ledger.known_time(workspace));
+        let cover = self.estimate(workspace, &ticket.service);
+        self.mean_cover += PACE_GAIN * (cover as f64 - self.mean_cover);
+        out.push(Action::Decided(Decision {
+            ticket: ticket.id,
+            router: ticket.router.clone(),
+            pool: self.policy.name.clone(),
+            workspace: workspace.clone(),
+            service: ticket.service.clone(),
+            upstream: upstream.clone(),
+            why,
+            virtual_time,
+            floor,
+            waiting_workspaces,
+            candidates,
+            estimate: cover,
+            waited_ms: waited(arrival, now),
+        }));
+        let id = self.new_grant();
+        let granted = Granted {
+            ticket: Some(ticket.id),
+            router: ticket.router,
+            workspace: workspace.clone(),
+            service: ticket.service,
+            upstream,
+            cover,
+            at: now,
+        };
+        self.start_grant(id, granted);
+        self.charge(workspace, cover as i64);
+        self.note_waiting(workspace);
+        self.send_grant(id, out);
+    }
+
+    pub(super) fn send_grant(&self, id: GrantId, out: &mut Vec<Action>) {
+        let granted = &self.grants[&id];
+        let Some(ticket) = granted.ticket else { return };
+        let grant = Grant {
+            id,
+            ticket,
+            upstream: granted.upstream.clone(),
+            dispatcher: BoxName::none(),
+            cover: granted.cover,
+        };
+        out.push(Action::Send { to: granted.router.clone(), message: Message::Grant(grant) });
+    }
+
+    pub(super) fn new_grant(&mut self) -> GrantId {
+        self.next_grant += 1;
+        GrantId(self.next_grant)
+    }
+
+    pub(super) fn start_grant(&mut self, id: GrantId, granted: Granted) {
+        *self.running.entry(granted.workspace.clone()).or_default() += 1;
+        if let Some(ticket) = granted.ticket {
+            self.by_ticket.insert(ticket, id);
+        }
+        let workspace = granted.workspace.clone();
+        self.grants.insert(id, granted);
+        self.park_if_full(&workspace);
+    }
+
+    pub(super) fn end_grant(&mut self, id: GrantId, now: Duration) -> Option<Granted> {
+        let granted = self.grants.remove(&id)?;
+        if let Some(ticket) = granted.ticket {
+            self.by_ticket.remove(&ticket);
+        }
+        let was_full = self.is_full(&granted.workspace);
+        let running = self.running.get_mut(&granted.workspace).expect("counted at its start");
+        *running -= 1;
+        if *running == 0 {
+            self.running.remove(&granted.workspace);
+        }
+        if was_full {
+            // Being held back by its own limit earns a workspace no credit.
+            self.lift_to_floor(&granted.workspace, now);
+            self.queue.park(&granted.workspace, false);
+        }
+        Some(granted)
+    }
+
+    pub(super) fn check_grants(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if now < self.checked + CHECK_EVERY {
+            return;
+        }
+        self.checked = now;
+        let silent = self.unanswered.iter().filter(|(_, n)| UNANSWERED_MAX <= **n);
+        let silent: Vec<BoxName> = silent.map(|(router, _)| router.clone()).collect();
+        for router in silent {
+            self.unanswered.remove(&router);
+            self.router_gone(&router, now, out);
+        }
+        let mut asked: BTreeMap<&BoxName, Vec<GrantId>> = BTreeMap::new();
+        for (&id, granted) in self.grants.iter().filter(|(_, g)| g.at + CHECK_EVERY <= now) {
+            asked.entry(&granted.router).or_default().push(id);
+        }
+        for (to, mut g) in asked {
+            g.sort();
+            *self.unanswered.entry(to.clone()).or_default() += 1;
+            let message = Message::Check { p: self.policy.name.clone(), g };
+            out.push(Action::Send { to: to.clone(), message });
+        }
+    }
+
+    pub(super) fn learn(&mut self, workspace: &WorkspaceName, service: &ServiceName, cost: u64) {
+        let services = self.estimates.entry(workspace.clone()).or_default();
+        let estimate = services.entry(service.clone()).or_insert(cost as f64);
+        *estimate += ESTIMATE_GAIN * (cost as f64 - *estimate);
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -102,6 +102,8 @@
     pools: BTreeMap<PoolName, Pool>,
     owners: BTreeMap<PoolName, BoxName>,
     live: Vec<BoxName>,
+    /// Whether roles must be found anew though nobody came or went.
+    roles_stale: bool,
     listed_leaving: BTreeSet<BoxName>,
     incarnations: BTreeMap<BoxName, u64>,
     admission: Admission,
@@ -150,6 +152,7 @@
             pools: BTreeMap::new(),
             owners: BTreeMap::new(),
             live: vec![id.name.clone()],
+            roles_stale: true,
             listed_leaving: BTreeSet::new(),
             incarnations: BTreeMap::new(),
             admission: Admission::default(),
@@ -329,6 +332,7 @@
             return;
         }
         self.cfg = Arc::new(revision);
+        self.roles_stale = true;
         self.out.push(Output::Changed(Change::Configured { revision: self.cfg.number }));
         let cfg = self.cfg.clone();
         self.pools.retain(|name, _| cfg.pool(name).is_some());
--- a/src/node/roles.rs
+++ b/src/node/roles.rs
@@ -33,9 +33,14 @@
         }
     }
 
-    /// Finds out who is alive and who dispatches what, and acts on changes.
+    /// Finds out who is alive and who dispatches what, and acts on changes. Cheap when nobody came
+    /// or went.
     pub(super) fn refresh_roles(&mut self, now: Duration) {
-        self.note_members(now);
+        let changed = self.note_members(now);
+        if !changed && !self.roles_stale {
+            return;
+        }
+        self.roles_stale = false;
         let pools: Vec<PoolName> = self.cfg.catalog.pools.iter().map(|p| p.name.clone()).collect();
         for pool in pools {
             let owner = self.members.owner(&pool, now).clone();
@@ -121,9 +126,11 @@
         }
     }
 
-    fn note_members(&mut self, now: Duration) {
+    /// Notes who is alive; tells whether that has changed.
+    fn note_members(&mut self, now: Duration) -> bool {
         let live: Vec<BoxName> = self.members.live(now).cloned().collect();
-        if live != self.live {
+        let changed = live != self.live;
+        if changed {
             let gone: Vec<BoxName> =
                 self.live.iter().filter(|n| !live.contains(n)).cloned().collect();
             let fresh: Vec<BoxName> =
@@ -139,6 +146,7 @@
         for name in self.members.departed(now) {
             self.forget_router(&name, now);
         }
+        changed
     }
 
     /// Notes which start of a box was heard; a new one has forgotten what the old one asked for.
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -1,6 +1,9 @@
 //! The platform over HTTP, by `ureq`.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use ureq::Agent;
@@ -29,6 +32,18 @@
 pub struct Client {
     agent: Agent,
     base: String,
+    calls: Arc<Calls>,
+}
+
+/// Calls to the platform so far: each counts against its rates.
+#[derive(Debug, Default)]
+pub struct Calls {
+    /// Reads of objects and of the box list.
+    pub reads: AtomicU64,
+    /// Conditional updates.
+    pub writes: AtomicU64,
+    /// Waiting reads.
+    pub watches: AtomicU64,
 }
 
 impl Client {
@@ -41,7 +56,12 @@
             .timeout_connect(Some(CONNECT_TIMEOUT))
             .timeout_global(Some(CALL_TIMEOUT))
             .build();
-        Client { agent: config.into(), base: format!("http://{addr}") }
+        Client { agent: config.into(), base: format!("http://{addr}"), calls: Arc::default() }
+    }
+
+    /// The calls so far.
+    pub fn calls(&self) -> &Arc<Calls> {
+        &self.calls
     }
 
     fn read(&self, url: &str, timeout: Duration) -> Result<Response<ureq::Body>, Error> {
@@ -57,11 +77,13 @@
 
 impl Objects for Client {
     fn get(&self, name: &str) -> Result<Option<Object>, Error> {
+        self.calls.reads.fetch_add(1, Ordering::Relaxed);
         let url = format!("{}/objects/{name}", self.base);
         object(self.read(&url, CALL_TIMEOUT)?)
     }
 
     fn put(&self, name: &str, value: &[u8], expected: u64) -> Result<u64, Error> {
+        self.calls.writes.fetch_add(1, Ordering::Relaxed);
         let url = format!("{}/objects/{name}", self.base);
         let sent = self.agent.put(&url).header("if-version", expected.to_string()).send(value);
         let resp = sent.map_err(|e| match e {
@@ -82,6 +104,7 @@
     }
 
     fn watch(&self, name: &str, after: u64, wait: Duration) -> Result<Option<Object>, Error> {
+        self.calls.watches.fetch_add(1, Ordering::Relaxed);
         let wait_ms = wait.as_millis();
         let url = format!("{}/objects/{name}?after={after}&wait_ms={wait_ms}", self.base);
         object(self.read(&url, wait + WATCH_SLACK)?)
@@ -90,6 +113,7 @@
 
 impl Boxes for Client {
     fn boxes(&self) -> Result<Vec<ListedBox>, Error> {
+        self.calls.reads.fetch_add(1, Ordering::Relaxed);
         let mut resp = self.read(&format!("{}/boxes", self.base), CALL_TIMEOUT)?;
         let body = bytes(&mut resp)?;
         serde_json::from_slice(&body).map_err(|e| Error::Unexpected(e.to_string()))
--- a/src/router/flow.rs
+++ b/src/router/flow.rs
@@ -228,7 +228,7 @@
             idle_timeout: self.service.limits.idle_timeout,
         };
         self.note_sent(true);
-        let Ok(mut incoming) = self.service.senders.send(outgoing) else {
+        let Ok(mut incoming) = self.service.senders.send(&self.ask.workspace, outgoing) else {
             self.note_sent(false);
             placed.end(Ending::Unused);
             self.note_ending("busy");
--- a/src/router/send.rs
+++ b/src/router/send.rs
@@ -4,9 +4,11 @@
 //! Each request gets a connection of its own, which is closed afterwards: nothing of an earlier
 //! answer can come up in a later one. `ureq` is told never to retry, redirect or pool.
 
+use std::collections::HashMap;
 use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -31,9 +33,15 @@
 use ureq::unversioned::transport::TcpConnector;
 use ureq::unversioned::transport::Transport;
 
+use crate::names::WorkspaceName;
+
 /// Bytes read from an upstream at once.
 const PIECE_MAX: usize = 16 << 10;
 
+/// Buffers of a connection, each way, in bytes. Every running request has both, so they are what a
+/// router's memory goes to; a response head has to fit.
+const BUFFER: usize = 16 << 10;
+
 /// Pieces of an answer that wait for a slow caller; what comes after waits at the upstream.
 const PIECES_MAX: usize = 8;
 
@@ -107,11 +115,12 @@
     rx: Receiver<Job>,
     live: Arc<AtomicUsize>,
     max: usize,
+    running: Arc<Mutex<HashMap<WorkspaceName, usize>>>,
 }
 
-/// All threads are in use.
+/// All threads are in use, or as many as one workspace may have.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("all sending threads are in use")]
+#[error("the sending threads are in use")]
 pub struct Busy;
 
 struct Job {
@@ -119,6 +128,40 @@
     agent: Agent,
     sent: Arc<AtomicBool>,
     events: mpsc::Sender<Event>,
+    share: Share,
+}
+
+/// Counts a thread as a workspace's for as long as it lives.
+struct Share {
+    running: Arc<Mutex<HashMap<WorkspaceName, usize>>>,
+    workspace: WorkspaceName,
+}
+
+impl Share {
+    fn take(
+        running: &Arc<Mutex<HashMap<WorkspaceName, usize>>>,
+        workspace: &WorkspaceName,
+        most: usize,
+    ) -> Result<Share, Busy> {
+        let mut counts = running.lock().expect("no panic under lock");
+        let count = counts.entry(workspace.clone()).or_default();
+        if most <= *count {
+            return Err(Busy);
+        }
+        *count += 1;
+        Ok(Share { running: running.clone(), workspace: workspace.clone() })
+    }
+}
+
+impl Drop for Share {
+    fn drop(&mut self) {
+        let mut counts = self.running.lock().expect("no panic under lock");
+        let Some(count) = counts.get_mut(&self.workspace) else { return };
+        *count -= 1;
+        if *count == 0 {
+            counts.remove(&self.workspace);
+        }
+    }
 }
 
 impl Senders {
@@ -126,16 +169,17 @@
     pub fn new(max: usize) -> Senders {
         // Without room of its own, the channel takes a job only when a thread waits for one.
         let (tx, rx) = channel::bounded(0);
-        Senders { tx, rx, live: Arc::default(), max }
+        Senders { tx, rx, live: Arc::default(), max, running: Arc::default() }
     }
 
-    /// Sends a request; doesn't block.
-    pub fn send(&self, outgoing: Outgoing) -> Result<Incoming, Busy> {
+    /// Sends a request of a workspace; doesn't block. No workspace gets all the threads.
+    pub fn send(&self, workspace: &WorkspaceName, outgoing: Outgoing) -> Result<Incoming, Busy> {
+        let share = Share::take(&self.running, workspace, self.max.div_ceil(2))?;
         let (events, rx) = mpsc::channel(PIECES_MAX);
         let sent = Arc::new(AtomicBool::new(false));
         let agent = agent(&outgoing, &sent);
         let incoming = Incoming { events: rx, agent: Some(agent.clone()) };
-        match self.tx.try_send(Job { outgoing, agent, sent, events }) {
+        match self.tx.try_send(Job { outgoing, agent, sent, events, share }) {
             Ok(()) => Ok(incoming),
             Err(TrySendError::Full(job) | TrySendError::Disconnected(job)) => {
                 self.spawn(job)?;
@@ -172,7 +216,7 @@
 
 impl Job {
     fn run(self) {
-        let Job { outgoing, agent, sent, events } = self;
+        let Job { outgoing, agent, sent, events, share: _share } = self;
         let failed = |reason: String| Event::Failed { sent: sent.load(Ordering::SeqCst), reason };
         let mut req = Request::post(format!("http://{}{}", outgoing.addr, outgoing.path));
         if let Some(headers) = req.headers_mut() {
@@ -215,6 +259,8 @@
         .max_redirects(0)
         .max_redirects_will_error(false)
         .proxy(None)
+        .input_buffer_size(BUFFER)
+        .output_buffer_size(BUFFER)
         .max_idle_connections(0)
         .max_idle_connections_per_host(0)
         .timeout_connect(Some(CONNECT_TIMEOUT))
--- a/tests/holds_no_starvation.rs
+++ b/tests/holds_no_starvation.rs
@@ -2,9 +2,14 @@
 
 mod util;
 
+use std::thread;
+use std::time::Duration;
+
 use frostdyke::peer::message::Class;
 use util::SECOND;
 use util::backlogged;
+use util::fleet;
+use util::fleet::Fleet;
 use util::rig::Rig;
 use util::rig::Setup;
 use util::rig::Traffic;
@@ -86,3 +91,28 @@
     let wait = longest_wait(&rig, 1);
     assert!(wait <= 2.0, "it waited {wait} s");
 }
+
+/// A workspace with many requests at one router leaves threads for the others.
+#[test]
+fn one_workspace_cannot_have_all_threads_of_a_router() {
+    let setup = fleet::Setup {
+        slots: 64,
+        token: Duration::from_millis(20),
+        extra: "max-running = 8".to_owned(),
+        ..fleet::Setup::default()
+    };
+    let fleet = Fleet::start(&setup);
+    let router = &fleet.routers[0];
+    thread::scope(|scope| {
+        let long = || router.send("assist", "{\"max_tokens\":100}", &[]);
+        let sent: Vec<_> = (0..12).map(|_| scope.spawn(long)).collect();
+        fleet::wait_until("half of the threads run", || fleet.engines[0].running() == 4);
+        let other = [("frostdyke-workspace", "beta")];
+        let reply = router.send_as("assist", "{\"max_tokens\":1}", &other);
+        assert_eq!(reply.status, 200, "{reply:?}");
+        let replies: Vec<_> = sent.into_iter().map(|s| s.join().expect("no panic")).collect();
+        let refused: Vec<_> = replies.iter().filter(|r| r.status == 503).collect();
+        assert_eq!(refused.len(), 8, "{replies:?}");
+        assert!(refused.iter().all(|r| r.outcome == "not-run" && r.retry_after.is_some()));
+    });
+}
--- a/tests/util/fleet.rs
+++ b/tests/util/fleet.rs
@@ -331,14 +331,20 @@
         line.rsplit_once(' ')?.1.parse().ok()
     }
 
-    /// Sends a request and reads its answer to the end.
+    /// Sends a request of workspace `alpha` and reads its answer to the end.
     pub fn send(&self, service: &str, body: &str, headers: &[(&str, &str)]) -> Reply {
+        let alpha = [("frostdyke-workspace", "alpha")];
+        self.send_as(service, body, &[&alpha, headers].concat())
+    }
+
+    /// Sends a request with just these headers.
+    pub fn send_as(&self, service: &str, body: &str, headers: &[(&str, &str)]) -> Reply {
         let url = format!("http://{}/v1/services/{service}", self.callers);
         let config = ureq::Agent::config_builder()
             .http_status_as_error(false)
             .timeout_global(Some(PATIENCE))
             .build();
-        let mut req = ureq::Agent::from(config).post(url).header("frostdyke-workspace", "alpha");
+        let mut req = ureq::Agent::from(config).post(url);
         for (name, value) in headers {
             req = req.header(*name, *value);
         }
