--- a/src/load/plot.rs
+++ b/src/load/plot.rs
@@ -5,6 +5,7 @@
 use plotters::prelude::*;
 
 use crate::load::report::Report;
+use crate::load::report::WorkspaceReport;
 
 /// Size of the picture, in pixels.
 const SIZE: (u32, u32) = (960, 480);
@@ -13,7 +14,7 @@
 pub fn draw(path: &Path, report: &Report) -> Result<(), String> {
     let root = SVGBackend::new(path, SIZE).into_drawing_area();
     root.fill(&WHITE).map_err(|e| e.to_string())?;
-    let share = |w: &crate::load::report::WorkspaceReport| {
+    let share = |w: &WorkspaceReport| {
         w.per_second.iter().map(|&n| n as f64 / w.weight).collect::<Vec<f64>>()
     };
     let top = report.workspaces.iter().flat_map(share).fold(1.0, f64::max);
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -8,6 +8,7 @@
 
 use crate::load::client::Counts;
 use crate::load::scenario::Scenario;
+use crate::load::scrape::PoolSample;
 use crate::load::scrape::Sample;
 
 /// Seconds at the start and the end that don't count for the gap and the utilisation.
@@ -195,7 +196,7 @@
     let Some(last) = counted.last() else { return Vec::new() };
     let report = |name: &String| {
         let of_pool: Vec<_> = counted.iter().filter_map(|s| s.pools.get(name)).collect();
-        let share = |p: &&&crate::load::scrape::PoolSample| p.running / p.slots.max(1.0);
+        let share = |p: &&&PoolSample| p.running / p.slots.max(1.0);
         let busy: Vec<f64> =
             of_pool.iter().filter(|p| p.waiting != 0.0).map(|p| share(&p)).collect();
         PoolReport {
--- a/src/node/receive.rs
+++ b/src/node/receive.rs
@@ -5,6 +5,8 @@
 
 use crate::config::Catalog;
 use crate::config::Revision;
+use crate::dispatch::pool::Action;
+use crate::dispatch::pool::Pool;
 use crate::names::BoxName;
 use crate::names::PoolName;
 use crate::node::Change;
@@ -200,11 +202,7 @@
         }
     }
 
-    fn with_pool(
-        &mut self,
-        name: &PoolName,
-        f: impl FnOnce(&mut crate::dispatch::pool::Pool, &mut Vec<crate::dispatch::pool::Action>),
-    ) {
+    fn with_pool(&mut self, name: &PoolName, f: impl FnOnce(&mut Pool, &mut Vec<Action>)) {
         let mut actions = Vec::new();
         if let Some(pool) = self.pools.get_mut(name) {
             f(pool, &mut actions);
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -10,6 +10,7 @@
 
 use crate::claims::Claim;
 use crate::claims::Verdict;
+use crate::config::Catalog;
 use crate::dispatch::ledger::CellId;
 use crate::dispatch::ledger::Entry;
 use crate::names::BoxName;
@@ -342,7 +343,7 @@
     WantConfiguration { v: u64 },
     /// The sender's configuration.
     #[serde(rename = "V")]
-    Configuration { v: u64, c: Box<crate::config::Catalog> },
+    Configuration { v: u64, c: Box<Catalog> },
 }
 
 /// What one call between routers carries: the sending box, and the messages in order.
--- a/src/router/flow.rs
+++ b/src/router/flow.rs
@@ -24,7 +24,10 @@
 use crate::claims::Key;
 use crate::claims::Verdict;
 use crate::config::settings::Limits;
+use crate::names::BoxName;
+use crate::names::ServiceName;
 use crate::names::UpstreamName;
+use crate::names::WorkspaceName;
 use crate::peer::message::Class;
 use crate::peer::message::Ending;
 use crate::peer::message::Ticket;
@@ -35,6 +38,7 @@
 use crate::router::answer::Outcome;
 use crate::router::answer::REQUEST_ID;
 use crate::router::ask::Ask;
+use crate::router::ask::PREFIX;
 use crate::router::hub::Hub;
 use crate::router::meter;
 use crate::router::meter::Meter;
@@ -339,7 +343,7 @@
             headers.insert(REQUEST_ID, id);
         }
         if self.ask.prefix != 0 {
-            headers.insert(crate::router::ask::PREFIX, HeaderValue::from(self.ask.prefix));
+            headers.insert(PREFIX, HeaderValue::from(self.ask.prefix));
         }
         headers
     }
@@ -357,8 +361,8 @@
     /// The request's id, as the caller is told.
     pub request: String,
     first: TicketId,
-    workspace: crate::names::WorkspaceName,
-    service: crate::names::ServiceName,
+    workspace: WorkspaceName,
+    service: ServiceName,
     attempts: Vec<Attempt>,
     arrived: Instant,
 }
@@ -377,7 +381,7 @@
         }
     }
 
-    fn router(&self) -> crate::names::BoxName {
+    fn router(&self) -> BoxName {
         self.hub.read(|node, _| node.identity().name.clone())
     }
 
--- a/src/router/health.rs
+++ b/src/router/health.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use ureq::Agent;
 
+use crate::config::Upstream;
 use crate::dispatch::upstreams::Report;
 use crate::names::PoolName;
 use crate::names::UpstreamName;
@@ -67,11 +68,8 @@
     let cfg = node.configuration();
     let zone = &node.identity().zone;
     let of_pool = |pool: &PoolName| -> Vec<Target> {
-        let target = |u: &crate::config::Upstream| Target {
-            pool: u.pool.clone(),
-            name: u.name.clone(),
-            addr: u.address,
-        };
+        let target =
+            |u: &Upstream| Target { pool: u.pool.clone(), name: u.name.clone(), addr: u.address };
         cfg.upstreams(pool, zone).map(target).collect()
     };
     node.pools().flat_map(|p| of_pool(p.name())).collect()
