Drop what nobody calls; send raw requests of a test in one place

Cause: read once more, the change had four public functions without a caller (Remotes::any_idle, Members::suspects, Ledger::len and is_empty), and two tests of holds_answers wrote the same request out.

Ruled out: joining the main functions of the programs, since their usage texts and settings differ and what is alike is in cli already.

Behaviour and assertions are as they were.

--- a/src/dispatch/ledger.rs
+++ b/src/dispatch/ledger.rs
@@ -216,16 +216,6 @@
         true
     }
 
-    /// How many entries all cells hold together.
-    pub fn len(&self) -> usize {
-        self.own.len() + self.others.values().map(|c| c.charged.len()).sum::<usize>()
-    }
-
-    /// Whether no cell holds an entry.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
     /// The line of a workspace in the own cell, moved to a new version.
     fn line(&mut self, workspace: &WorkspaceName) -> &mut Line {
         self.version += 1;
--- a/src/dispatch/remotes.rs
+++ b/src/dispatch/remotes.rs
@@ -181,11 +181,6 @@
         }
     }
 
-    /// Whether any zone has slots without work.
-    pub fn any_idle(&self) -> bool {
-        self.zones.values().any(|r| r.idle != 0)
-    }
-
     fn forget_waiting(&mut self, zone: &ZoneName) {
         let listed: Vec<(WorkspaceName, VirtualTime)> = self
             .waiting
--- a/src/peer/member.rs
+++ b/src/peer/member.rs
@@ -119,13 +119,6 @@
         me.into_iter().chain(heard.map(|(name, _)| name))
     }
 
-    /// The boxes of the own zone that were heard once but not lately.
-    pub fn suspects(&self, now: Duration) -> impl Iterator<Item = &BoxName> {
-        let after = self.gossip.suspect_after;
-        let silent = self.heard.iter().filter(move |(_, h)| h.at + after <= now);
-        silent.map(|(name, _)| name)
-    }
-
     /// The box of the own zone that has the role `key`. A box that leaves gives its roles up, but
     /// the last one alive keeps them.
     pub fn owner(&self, key: &str, now: Duration) -> &BoxName {
--- a/tests/holds_answers.rs
+++ b/tests/holds_answers.rs
@@ -24,6 +24,20 @@
     fleet.routers[0].send("assist", &format!("{{\"max_tokens\":{tokens}}}"), &[])
 }
 
+/// Sends a request and leaves its answer to be read, or not.
+fn begin(fleet: &Fleet, tokens: u64) -> TcpStream {
+    let mut caller = TcpStream::connect(fleet.routers[0].callers).expect("it listens");
+    let body = format!("{{\"max_tokens\":{tokens}}}");
+    write!(
+        caller,
+        "POST /v1/services/assist HTTP/1.1\r\nhost: x\r\nfrostdyke-workspace: alpha\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .expect("it is sent");
+    caller
+}
+
 #[test]
 fn answers_come_whole_and_to_whom_they_belong() {
     let fleet = Fleet::start(&Setup { zones: vec![2, 1], ..Setup::default() });
@@ -94,15 +108,7 @@
 fn when_the_caller_leaves_the_upstream_stops_and_the_slot_is_free() {
     let setup = Setup { slots: 1, token: Duration::from_millis(20), ..Setup::default() };
     let fleet = Fleet::start(&setup);
-    let mut caller = TcpStream::connect(fleet.routers[0].callers).expect("it listens");
-    let body = "{\"max_tokens\":5000}";
-    write!(
-        caller,
-        "POST /v1/services/assist HTTP/1.1\r\nhost: x\r\nfrostdyke-workspace: alpha\r\n\
-         content-length: {}\r\n\r\n{body}",
-        body.len()
-    )
-    .expect("it is sent");
+    let caller = begin(&fleet, 5000);
     wait_until("it runs", || fleet.engines[0].running() == 1);
     drop(caller);
     wait_until("the engine stops", || fleet.engines[0].cancelled() == 1);
@@ -115,15 +121,7 @@
 fn a_slow_caller_holds_back_only_its_own_answer() {
     let setup = Setup { token: Duration::ZERO, ..Setup::default() };
     let fleet = Fleet::start(&setup);
-    let mut caller = TcpStream::connect(fleet.routers[0].callers).expect("it listens");
-    let body = "{\"max_tokens\":2000000}";
-    write!(
-        caller,
-        "POST /v1/services/assist HTTP/1.1\r\nhost: x\r\nfrostdyke-workspace: alpha\r\n\
-         content-length: {}\r\n\r\n{body}",
-        body.len()
-    )
-    .expect("it is sent");
+    let mut caller = begin(&fleet, 2000000);
     let mut first = [0; 64];
     caller.read_exact(&mut first).expect("the answer begins");
     for _ in 0..5 {
