Serve the metrics page and operators by hyper; a hang of the tests is gone

Stacks of three hung runs out of 88, taken with gdb under load: the test reads a router's metrics page, and the page's thread is parked for a connection that has data. astra 0.4 registers a connection with the poller before it enters it in its own table; an event in between is dropped, and with edge triggering no other comes. Second, found on reading that: every open connection holds one of its threads, so two idle ones shut the page.

Change: web, a small module over hyper, for the page, the intent API and the accept loop of the callers' port; bodies of strangers are refused unread; frostdyke-operator ends what is under way at SIGTERM, and a taken port is an error instead of a panic.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,4 +15,6 @@
 pub mod platform;
 pub mod router;
 pub mod status;
+pub mod stop;
 pub mod util;
+pub mod web;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,10 +1,13 @@
 //! Figures of a process, by `opentelemetry`, on a page in Prometheus' format.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::thread;
 
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::header::CONTENT_TYPE;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Histogram;
@@ -13,9 +16,13 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::Encoder;
 use prometheus::Registry;
+use prometheus::TEXT_FORMAT;
 use prometheus::TextEncoder;
+use tokio::net::TcpListener;
 
 use crate::peer::traffic::Traffic;
+use crate::web;
+use crate::web::Page;
 
 /// Bounds of the histograms of waits, in seconds.
 const WAIT_BOUNDS: [f64; 12] =
@@ -116,24 +123,9 @@
         buf
     }
 
-    /// Serves the page on a thread of its own until the process ends. The answers are short, so
-    /// `astra` fits here.
-    ///
-    /// # Panics
-    ///
-    /// On that thread, when the address is taken.
-    pub fn serve(&self, addr: SocketAddr) {
-        let metrics = self.clone();
-        thread::spawn(move || {
-            let page = move |_: astra::Request, _: astra::ConnectionInfo| {
-                astra::ResponseBuilder::new()
-                    .header("content-type", "text/plain; version=0.0.4")
-                    .body(astra::Body::new(metrics.page()))
-                    .expect("a valid answer")
-            };
-            // Ends only with the process.
-            let _ = astra::Server::bind(addr).max_workers(PAGE_WORKERS).serve(page);
-        });
+    /// Serves the page until the process ends.
+    pub async fn serve(self, listener: TcpListener) {
+        web::serve(listener, 0, Arc::new(self), std::future::pending()).await;
     }
 
     /// Flushes what is pending.
@@ -142,5 +134,10 @@
     }
 }
 
-/// Threads for the metrics page.
-const PAGE_WORKERS: usize = 2;
+impl Page for Metrics {
+    fn answer(&self, _: Request<Bytes>) -> Response<Bytes> {
+        let mut resp = Response::new(Bytes::from(self.page()));
+        resp.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(TEXT_FORMAT));
+        resp
+    }
+}
--- a/src/operator/fleet.rs
+++ b/src/operator/fleet.rs
@@ -1,14 +1,12 @@
 //! Asks the routers of the whole fleet.
 
-use std::io;
 use std::sync::Arc;
 
 use jsonrpsee::core::client::ClientT;
 use jsonrpsee::rpc_params;
 use serde::Deserialize;
 use serde::Serialize;
-use tokio::runtime::Builder;
-use tokio::runtime::Runtime;
+use tokio::runtime::Handle;
 use tokio::task::JoinSet;
 
 use crate::config::settings;
@@ -38,15 +36,14 @@
     boxes: Arc<dyn Boxes>,
     seeds: Vec<ListedBox>,
     secret: Secret,
-    runtime: Runtime,
+    runtime: Handle,
 }
 
 impl Fleet {
-    /// Nobody is asked yet.
-    pub fn new(boxes: Arc<dyn Boxes>, cfg: &settings::Operator) -> io::Result<Fleet> {
-        let runtime = Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+    /// Nobody is asked yet. Calls go on `runtime`, from threads that may block.
+    pub fn new(boxes: Arc<dyn Boxes>, cfg: &settings::Operator, runtime: Handle) -> Fleet {
         let (seeds, secret) = (cfg.seeds.clone(), cfg.secret.clone());
-        Ok(Fleet { boxes, seeds, secret, runtime })
+        Fleet { boxes, seeds, secret, runtime }
     }
 
     /// The state of every box.
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -6,21 +6,25 @@
 pub mod plan;
 
 use std::io;
-use std::io::Read;
 use std::sync::Arc;
 
-use astra::Body;
-use astra::ConnectionInfo;
-use astra::Request;
-use astra::Response;
-use astra::ResponseBuilder;
-use astra::Server;
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Request;
+use http::Response;
+use http::header::AUTHORIZATION;
+use http::header::CONTENT_TYPE;
+use http::request::Parts;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use sha2::Digest;
 use sha2::Sha256;
 use slog::Logger;
 use slog::info;
 use subtle::ConstantTimeEq;
+use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+use tokio::runtime::Handle;
 
 use crate::config::Catalog;
 use crate::config::Fault;
@@ -33,17 +37,20 @@
 use crate::platform;
 use crate::platform::Objects;
 use crate::platform::client::Client;
+use crate::stop::Signals;
+use crate::web;
+use crate::web::Page;
 
-/// Threads that serve operators.
-const WORKERS: usize = 8;
+/// Threads of the asynchronous runtime.
+const WORKERS: usize = 2;
 
 /// Longest body, in bytes: a whole configuration fits.
-const BODY_MAX: u64 = 2 << 20;
+const BODY_MAX: usize = 2 << 20;
 
 /// Why the operators' port can't be served.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
-    /// The runtime for calls to the routers can't be had.
+    /// The runtime or its signals can't be had.
     #[error("starting the runtime: {0}")]
     Runtime(io::Error),
     /// The port can't be served.
@@ -113,19 +120,26 @@
     pub revision: u64,
 }
 
-/// Serves operators until the process ends.
-///
-/// # Panics
-///
-/// When the operators' port is taken.
+/// Serves operators until the process is told to stop; then ends what is under way.
 pub fn run(cfg: settings::Operator) -> Result<(), Error> {
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(WORKERS)
+        .enable_all()
+        .build()
+        .map_err(Error::Runtime)?;
+    runtime.block_on(serve(cfg))
+}
+
+async fn serve(cfg: settings::Operator) -> Result<(), Error> {
     let (log, _guard) = log::open(&cfg.log, "frostdyke-operator", &cfg.identity.name);
+    let mut signals = Signals::new().map_err(Error::Runtime)?;
+    let listener = TcpListener::bind(cfg.operators).await.map_err(Error::Serve)?;
     let client = Arc::new(Client::new(cfg.platform));
-    let fleet = Fleet::new(client.clone(), &cfg).map_err(Error::Runtime)?;
+    let fleet = Fleet::new(client.clone(), &cfg, Handle::current());
     info!(log, "listening"; "operators" => %cfg.operators);
-    let api = Api { objects: client, fleet, tokens: cfg.tokens, log };
-    let serve = move |mut req: Request, _: ConnectionInfo| api.serve(&mut req);
-    Server::bind(cfg.operators).max_workers(WORKERS).serve(serve).map_err(Error::Serve)
+    let api = Arc::new(Api { objects: client, fleet, tokens: cfg.tokens, log });
+    web::serve(listener, BODY_MAX, api, signals.next()).await;
+    Ok(())
 }
 
 struct Api {
@@ -135,26 +149,28 @@
     log: Logger,
 }
 
-impl Api {
-    fn serve(&self, req: &mut Request) -> Response {
-        match self.handle(req) {
-            Ok(resp) => resp,
-            Err(problem) => answer(problem.status(), &problem),
-        }
+impl Page for Api {
+    fn refuse(&self, head: &Parts) -> Option<Response<Bytes>> {
+        self.authenticate(&head.headers).err().map(|problem| refusal(&problem))
+    }
+
+    fn answer(&self, req: Request<Bytes>) -> Response<Bytes> {
+        self.handle(&req).unwrap_or_else(|problem| refusal(&problem))
     }
+}
 
-    fn handle(&self, req: &mut Request) -> Result<Response, Problem> {
-        let operator = self.authenticate(req)?;
-        let path = req.uri().path().to_owned();
-        match (req.method().as_str(), path.as_str()) {
+impl Api {
+    fn handle(&self, req: &Request<Bytes>) -> Result<Response<Bytes>, Problem> {
+        let operator = self.authenticate(req.headers())?;
+        match (req.method().as_str(), req.uri().path()) {
             ("GET", "/v1/configuration") => Ok(answer(200, &plan::read(&*self.objects)?)),
             ("GET", "/v1/status") => Ok(answer(200, &self.fleet.status())),
             ("POST", "/v1/plans") => {
-                let intent: Intent = body(req)?;
+                let intent: Intent = read(req.body())?;
                 Ok(answer(200, &plan::make(&*self.objects, intent)?))
             }
             ("POST", "/v1/confirmations") => {
-                let plan: Plan = body(req)?;
+                let plan: Plan = read(req.body())?;
                 let confirmed = plan::confirm(&*self.objects, &plan, operator)?;
                 info!(self.log, "plan applied";
                     "plan" => &plan.hash, "by" => operator, "revision" => confirmed.revision);
@@ -169,8 +185,8 @@
     }
 
     /// The operator whom the token names. Every digest is compared, and in constant time.
-    fn authenticate(&self, req: &Request) -> Result<&str, Problem> {
-        let header = req.headers().get("authorization").and_then(|v| v.to_str().ok());
+    fn authenticate(&self, headers: &HeaderMap) -> Result<&str, Problem> {
+        let header = headers.get(AUTHORIZATION).and_then(|v| v.to_str().ok());
         let token = header.and_then(|v| v.strip_prefix("Bearer ")).unwrap_or("");
         let digest = Sha256::digest(token.as_bytes());
         let mut found = None;
@@ -183,19 +199,19 @@
     }
 }
 
-fn body<T: serde::de::DeserializeOwned>(req: &mut Request) -> Result<T, Problem> {
-    let mut text = Vec::new();
-    let read = req.body_mut().reader().take(BODY_MAX).read_to_end(&mut text);
-    let bad = |reason: String| Problem::BadBody { reason };
-    read.map_err(|e| bad(e.to_string()))?;
-    serde_json::from_slice(&text).map_err(|e| bad(e.to_string()))
+fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, Problem> {
+    serde_json::from_slice(body).map_err(|e| Problem::BadBody { reason: e.to_string() })
+}
+
+fn refusal(problem: &Problem) -> Response<Bytes> {
+    answer(problem.status(), problem)
 }
 
-fn answer(status: u16, value: &impl Serialize) -> Response {
+fn answer(status: u16, value: &impl Serialize) -> Response<Bytes> {
     let text = serde_json::to_vec(value).expect("answers serialize");
-    ResponseBuilder::new()
+    Response::builder()
         .status(status)
-        .header("content-type", "application/json")
-        .body(Body::new(text))
+        .header(CONTENT_TYPE, "application/json")
+        .body(Bytes::from(text))
         .expect("a valid answer")
 }
--- a/src/router/answer.rs
+++ b/src/router/answer.rs
@@ -17,6 +17,7 @@
 use crate::claims::KeyFault;
 use crate::node::Refusal;
 use crate::router::ask::Fault;
+use crate::web::BodyFault;
 
 /// Names the request, for whoever asks about it.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("frostdyke-request-id");
@@ -68,12 +69,9 @@
     /// Another method than POST.
     #[error("only POST is served here")]
     Method,
-    /// The body is longer than the limit.
-    #[error("the body is too long")]
-    BodyTooLong,
-    /// The body didn't come, or not in time.
-    #[error("the body did not come whole")]
-    BodyCut,
+    /// The body is longer than the limit, or didn't come whole in time.
+    #[error(transparent)]
+    Body(#[from] BodyFault),
     /// The router refused to let it wait.
     #[error(transparent)]
     Refused(#[from] Refusal),
@@ -125,8 +123,8 @@
             Cause::NoClaim { .. } => "no-claim",
             Cause::NoPath => "no-path",
             Cause::Method => "method",
-            Cause::BodyTooLong => "body-too-long",
-            Cause::BodyCut => "body-cut",
+            Cause::Body(BodyFault::TooLong) => "body-too-long",
+            Cause::Body(BodyFault::Cut) => "body-cut",
             Cause::Refused(Refusal::WaitingLimit { .. }) => "waiting-limit",
             Cause::Refused(Refusal::Hopeless { .. }) => "deadline-hopeless",
             Cause::Refused(Refusal::NoPool) => "no-pool",
@@ -149,8 +147,8 @@
             Cause::Bad(Fault::Header(..) | Fault::Key(_)) => StatusCode::BAD_REQUEST,
             Cause::DuplicateRan | Cause::DuplicateElsewhere => StatusCode::CONFLICT,
             Cause::Method => StatusCode::METHOD_NOT_ALLOWED,
-            Cause::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
-            Cause::BodyCut => StatusCode::REQUEST_TIMEOUT,
+            Cause::Body(BodyFault::TooLong) => StatusCode::PAYLOAD_TOO_LARGE,
+            Cause::Body(BodyFault::Cut) => StatusCode::REQUEST_TIMEOUT,
             Cause::Refused(Refusal::WaitingLimit { .. }) => StatusCode::TOO_MANY_REQUESTS,
             Cause::Refused(Refusal::Hopeless { .. }) => StatusCode::SERVICE_UNAVAILABLE,
             Cause::Refused(Refusal::NoPool)
--- a/src/router/front.rs
+++ b/src/router/front.rs
@@ -3,27 +3,21 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
-use hyper_util::server::graceful::GracefulShutdown;
 use opentelemetry::KeyValue;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::Semaphore;
 
-use crate::config::settings::Limits;
 use crate::names::BoxName;
 use crate::router::answer;
 use crate::router::answer::Body;
@@ -32,6 +26,7 @@
 use crate::router::flow;
 use crate::router::flow::Service;
 use crate::router::flow::Tale;
+use crate::web;
 
 /// Where services are.
 const SERVICES: &str = "/v1/services/";
@@ -39,9 +34,6 @@
 /// Smallest buffer that `hyper` reads a head into, in bytes.
 const HEAD_BUF_MIN: usize = 8 << 10;
 
-/// Pause after a failure to accept a connection.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-
 /// Serves callers until `stopped`; then finishes what is under way and returns.
 pub async fn serve(
     listener: TcpListener,
@@ -49,31 +41,8 @@
     me: BoxName,
     stopped: impl Future<Output = ()>,
 ) {
-    let connections = Arc::new(Semaphore::new(service.limits.max_connections));
-    let graceful = GracefulShutdown::new();
-    tokio::pin!(stopped);
-    loop {
-        let permit = tokio::select! {
-            permit = connections.clone().acquire_owned() => permit.expect("never closed"),
-            () = &mut stopped => break,
-        };
-        let stream = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = &mut stopped => break,
-        };
-        let Ok((stream, _)) = stream else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let connection = connection(stream, &service, &me);
-        let connection = graceful.watch(connection);
-        tokio::spawn(async move {
-            // A caller that leaves, or sends what isn't HTTP, is its own business.
-            let _ = connection.await;
-            drop(permit);
-        });
-    }
-    graceful.shutdown().await;
+    let max = service.limits.max_connections;
+    web::accept(listener, max, stopped, |stream| connection(stream, &service, &me)).await;
 }
 
 fn connection(
@@ -89,7 +58,6 @@
         Future: Send,
     > + use<>,
 > {
-    let _ = stream.set_nodelay(true);
     let limits = &service.limits;
     let mut builder = http1::Builder::new();
     builder
@@ -158,20 +126,7 @@
     }
     let cfg = service.hub.configuration();
     let ask = ask::read(name, &head.headers, &cfg, &service.limits)?;
-    let body = read_body(body, &service.limits).await?;
+    let limits = &service.limits;
+    let body = web::read_body(body, limits.max_body, limits.head_timeout).await?;
     Ok((ask, body))
 }
-
-async fn read_body(body: Incoming, limits: &Limits) -> Result<Bytes, Cause> {
-    let length = hyper::body::Body::size_hint(&body).lower();
-    if (limits.max_body as u64) < length {
-        return Err(Cause::BodyTooLong);
-    }
-    let collecting = Limited::new(body, limits.max_body).collect();
-    let collected = tokio::time::timeout(limits.head_timeout, collecting).await;
-    match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(Cause::BodyTooLong),
-        Ok(Err(_)) | Err(_) => Err(Cause::BodyCut),
-    }
-}
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -20,8 +20,6 @@
 use slog::info;
 use slog::warn;
 use tokio::net::TcpListener;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 use tokio::sync::watch;
 
 use crate::config::settings;
@@ -41,6 +39,7 @@
 use crate::router::flow::Service;
 use crate::router::hub::Hub;
 use crate::router::send::Senders;
+use crate::stop::Signals;
 use crate::util;
 
 /// Time between ticks of the node.
@@ -79,6 +78,8 @@
     let traffic = Arc::new(Traffic::default());
     let callers = bind("[listen] callers", cfg.callers).await?;
     let peers = bind("[listen] peers", cfg.peers).await?;
+    let page = bind("[listen] metrics", cfg.metrics).await?;
+    let signals = Signals::new().map_err(|source| Error::Io { what: "signals", source })?;
     let hub = start_hub(&cfg, &metrics, &traffic, log.clone());
     info!(log, "listening"; "callers" => %cfg.callers, "peers" => %cfg.peers);
 
@@ -90,12 +91,12 @@
         stopping,
     });
     show(&metrics, &traffic, &service);
-    metrics.serve(cfg.metrics);
+    tokio::spawn(metrics.clone().serve(page));
     follow_platform(&cfg, &hub);
     health::watch(hub.clone());
     tokio::spawn(server::serve(peers, cfg.secret.clone(), hub.clone(), traffic));
     tokio::spawn(tick(hub.clone()));
-    let stopped = wait_for_stop(hub.clone(), stop);
+    let stopped = wait_for_stop(hub.clone(), signals, stop);
     front::serve(callers, service, cfg.identity.name.clone(), stopped).await;
     info!(log, "stopped");
     metrics.stop();
@@ -166,24 +167,13 @@
 
 /// Waits for SIGTERM or SIGINT, then for all requests to end. The port stays open meanwhile, so
 /// that callers the balancer still sends here hear that their request did not run.
-async fn wait_for_stop(hub: Arc<Hub>, stop: watch::Sender<bool>) {
-    let (Ok(mut term), Ok(mut int)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
-    else {
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
-    }
+async fn wait_for_stop(hub: Arc<Hub>, mut signals: Signals, stop: watch::Sender<bool>) {
+    signals.next().await;
     info!(hub.log(), "stopping"; "running" => hub.read(|node, _| node.running()));
     hub.with(|node, now| node.leave(now));
     let _ = stop.send(true);
     tokio::spawn(async move {
-        tokio::select! {
-            _ = term.recv() => {}
-            _ = int.recv() => {}
-        }
+        signals.next().await;
         std::process::exit(1);
     });
     while hub.read(|node, _| node.running() + node.waiting()) != 0 {
--- a/tests/holds_configuration.rs
+++ b/tests/holds_configuration.rs
@@ -21,6 +21,7 @@
 use util::fleet::Fleet;
 use util::fleet::Setup;
 use util::fleet::any_port;
+use util::fleet::http;
 
 fn three_zones() -> Fleet {
     Fleet::start(&Setup { zones: vec![2, 1, 1], ..Setup::default() })
@@ -61,8 +62,8 @@
     let operator = fleet.start_operator();
     let url = format!("http://{operator}/v1/configuration");
     for token in ["", "Bearer ", "Bearer wrong"] {
-        let result = ureq::get(&url).header("authorization", token).call();
-        assert!(matches!(result, Err(ureq::Error::StatusCode(401))), "{result:?}");
+        let resp = http().get(&url).header("authorization", token).call().expect("an answer");
+        assert_eq!(resp.status(), 401, "{resp:?}");
     }
 }
 
--- a/tests/holds_planned_stop.rs
+++ b/tests/holds_planned_stop.rs
@@ -11,6 +11,7 @@
 use nix::sys::signal::Signal;
 use util::fleet::Fleet;
 use util::fleet::Setup;
+use util::fleet::http;
 use util::fleet::wait_until;
 
 /// Router after router is stopped and started while callers stream. A caller that is told that its
@@ -28,8 +29,7 @@
         for caller in 0..16 {
             let (urls, over, whole, moved) = (&urls, &over, &whole, &moved);
             scope.spawn(move || {
-                let config = ureq::Agent::config_builder().http_status_as_error(false).build();
-                let agent = ureq::Agent::from(config);
+                let agent = http();
                 let mut router = caller;
                 while !over.load(Ordering::Relaxed) {
                     let url = &urls[router % urls.len()];
@@ -100,7 +100,8 @@
         wait_until("it runs", || fleet.engines[0].running() == 1);
         router.signal(Signal::SIGTERM);
         wait_until("it stops", || {
-            ureq::get(format!("http://{}/readyz", router.callers)).call().is_err()
+            let ready = http().get(format!("http://{}/readyz", router.callers)).call();
+            ready.is_ok_and(|r| r.status() == 503)
         });
         router.signal(Signal::SIGTERM);
     });
--- a/tests/util/fleet.rs
+++ b/tests/util/fleet.rs
@@ -2,6 +2,7 @@
 //! conditions, and whatever was started ends with the fleet.
 
 use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
@@ -335,12 +336,13 @@
 
     pub fn wait_ready(&self) {
         let url = format!("http://{}/readyz", self.callers);
-        wait_until("the router is ready", || ureq::get(&url).call().is_ok());
+        let ready = || http().get(&url).call().is_ok_and(|r| r.status() == 200);
+        wait_until("the router is ready", ready);
     }
 
     /// The first figure of this name on the metrics page.
     pub fn metric(&self, name: &str) -> Option<f64> {
-        let mut resp = ureq::get(format!("http://{}/metrics", self.metrics)).call().ok()?;
+        let mut resp = http().get(format!("http://{}/metrics", self.metrics)).call().ok()?;
         let page = resp.body_mut().read_to_string().ok()?;
         let line = page.lines().find(|l| l.starts_with(name))?;
         line.rsplit_once(' ')?.1.parse().ok()
@@ -355,11 +357,7 @@
     /// Sends a request with just these headers.
     pub fn send_as(&self, service: &str, body: &str, headers: &[(&str, &str)]) -> Reply {
         let url = format!("http://{}/v1/services/{service}", self.callers);
-        let config = ureq::Agent::config_builder()
-            .http_status_as_error(false)
-            .timeout_global(Some(PATIENCE))
-            .build();
-        let mut req = ureq::Agent::from(config).post(url);
+        let mut req = http().post(url);
         for (name, value) in headers {
             req = req.header(*name, *value);
         }
@@ -370,6 +368,26 @@
     }
 }
 
+/// Sends these bytes as they are, and gives the beginning of what comes back.
+pub fn raw(addr: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(addr).expect("it listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+    // Who is refused early may not have been read to the end.
+    let _ = stream.write_all(bytes);
+    let mut buf = [0; 4096];
+    let n = stream.read(&mut buf).unwrap_or(0);
+    String::from_utf8_lossy(&buf[..n]).into_owned()
+}
+
+/// A client that gives up where a test would wait for ever.
+pub fn http() -> ureq::Agent {
+    let config = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(PATIENCE))
+        .build();
+    config.into()
+}
+
 fn read(resp: ureq::http::Response<ureq::Body>) -> Reply {
     let text = |name: &str| {
         let value = resp.headers().get(name).and_then(|v| v.to_str().ok());
