Pass on what has come of an answer before it is cut

Ruled out: the caller's side (the router's own log shows the head); a pause before the cut as the service stand-in has one, which only makes it rarer.

Change: the body asks for one more poll before it gives its error; hyper writes out what it holds meanwhile.

Conclusion: a cut answer carries its outcome.

--- a/src/router/flow.rs
+++ b/src/router/flow.rs
@@ -292,8 +292,8 @@
             headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
         let chunked = headers.contains_key(header::TRANSFER_ENCODING);
         let tale = self.tale.take();
-        let mut answer =
-            Answer { placed, tale, incoming, left: length, framed: length.is_some() || chunked };
+        let framed = length.is_some() || chunked;
+        let mut answer = Answer { placed, tale, incoming, left: length, framed, cutting: None };
         if length == Some(0) {
             answer.end(Ending::Answered);
         }
@@ -496,6 +496,8 @@
     left: Option<u64>,
     /// Whether the upstream's end of the body can be told from a cut.
     framed: bool,
+    /// Why the answer is about to be cut.
+    cutting: Option<io::Error>,
 }
 
 impl Answer {
@@ -510,24 +512,30 @@
         self.tale.end(Outcome::Ran);
     }
 
-    fn cut(&mut self, reason: &str) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+    /// Cuts the answer at the next poll. An error now would take along what `hyper` has not yet
+    /// passed on: the head, even. While it is told to wait, it does that first.
+    fn cut(&mut self, reason: &str, cx: &Context<'_>) -> Poll<Option<FrameResult>> {
         if self.placed.ended {
             return Poll::Ready(None);
         }
         self.end(Ending::Failed);
-        Poll::Ready(Some(Err(io::Error::other(reason.to_owned()))))
+        self.cutting = Some(io::Error::other(reason.to_owned()));
+        cx.waker().wake_by_ref();
+        Poll::Pending
     }
 }
 
+type FrameResult = Result<Frame<Bytes>, io::Error>;
+
 impl hyper::body::Body for Answer {
     type Data = Bytes;
     type Error = io::Error;
 
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<FrameResult>> {
         let this = &mut *self;
+        if let Some(e) = this.cutting.take() {
+            return Poll::Ready(Some(Err(e)));
+        }
         let event = match this.incoming.poll_next(cx) {
             Poll::Pending => return Poll::Pending,
             Poll::Ready(event) => event,
@@ -548,9 +556,9 @@
                 this.end(Ending::Answered);
                 Poll::Ready(None)
             }
-            Some(Event::End) => this.cut("the answer's end can't be told from a cut"),
-            Some(Event::Failed { reason, .. }) => this.cut(&reason),
-            Some(Event::Head { .. }) | None => this.cut("the sending thread ended"),
+            Some(Event::End) => this.cut("the answer's end can't be told from a cut", cx),
+            Some(Event::Failed { reason, .. }) => this.cut(&reason, cx),
+            Some(Event::Head { .. }) | None => this.cut("the sending thread ended", cx),
         }
     }
 }
--- a/tests/holds_answers.rs
+++ b/tests/holds_answers.rs
@@ -4,6 +4,8 @@
 
 use std::io::Read;
 use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
@@ -12,6 +14,7 @@
 use frostdyke_standin::service;
 use util::fleet::Fleet;
 use util::fleet::Setup;
+use util::fleet::any_port;
 use util::fleet::wait_until;
 
 fn engine_faults(faults: engine::Faults) -> Fleet {
@@ -83,6 +86,43 @@
     assert!(!reply.whole, "{reply:?}");
 }
 
+/// An upstream that begins to answer and is gone in the same moment.
+fn serve_cut_answers() -> SocketAddr {
+    let listener = TcpListener::bind(any_port()).expect("a port is free");
+    let addr = listener.local_addr().expect("it is bound");
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            let mut buf = [0; 4096];
+            let _ = stream.read(&mut buf);
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nabc");
+        }
+    });
+    addr
+}
+
+/// What has come is passed on before the cut, the head above all.
+#[test]
+fn a_caller_is_told_the_outcome_of_an_answer_that_is_cut_at_once() {
+    let mut fleet = Fleet::start(&Setup::default());
+    let mut upstream = fleet.configuration["upstreams"][1].clone();
+    upstream["address"] = serve_cut_answers().to_string().into();
+    // An upstream that fails is soon put aside, so it has many names.
+    fleet.configuration["upstreams"] = (0..60)
+        .map(|i| {
+            upstream["name"] = format!("cut-{i}").into();
+            upstream.clone()
+        })
+        .collect();
+    fleet.configure();
+    fleet.wait_in_force(2);
+    for _ in 0..100 {
+        let reply = fleet.routers[0].send("transfer", "{}", &[]);
+        assert_eq!((reply.status, reply.outcome.as_str()), (200, "ran"), "{reply:?}");
+        assert!(!reply.whole, "{reply:?}");
+    }
+}
+
 #[test]
 fn a_late_answer_reaches_nobody_else() {
     let fleet = engine_faults(engine::Faults { late_ms: 400, ..Default::default() });
