Refuse keys at once while the store hangs; catch routers at each step; same runs every time

Cause: (1) docs/PROOFS.md listed a store that hangs: each claim waited for calls of up to 2 s, once a second again. (2) Kills and freezes came at random moments only, and two writers of a shard only by chance. (3) The rig's runs differed from run to run, by the order of hash maps, so a bound that fails once can't be looked at again.

Ruled out: a shorter timeout alone for (1), which a slow but working store would fail.

Change: after a failed call the writer refuses keys where they are handed in, and a probe on its own thread finds out when the store is back; calls for claims take a second at most; the gauge frostdyke_claims_down. The stand-ins hold requests before or after they take effect, so that a test stops a router between any two steps. The pure code uses rustc-hash's maps, which order alike in every run.

--- a/src/claims/mod.rs
+++ b/src/claims/mod.rs
@@ -228,6 +228,11 @@
         }
     }
 
+    /// Whether keys are refused since the store can't be reached.
+    pub fn is_down(&self) -> bool {
+        self.writer.is_down()
+    }
+
     /// Conditional updates tried so far.
     pub fn writes(&self) -> u64 {
         self.writer.writes()
--- a/src/claims/writer.rs
+++ b/src/claims/writer.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -32,7 +33,8 @@
 /// Tries of one update against others who write the same shard.
 const TRIES_MAX: usize = 8;
 
-/// After a failure the store isn't asked again for this long, and claims are answered at once.
+/// After a failure claims are refused at once, until the store has answered a probe. The first
+/// comes after this long, and so does each that follows a failed one.
 const REST: Duration = Duration::from_secs(1);
 
 /// How long news that nobody waits for may wait for an update that is made anyway.
@@ -48,6 +50,7 @@
 pub struct Writer {
     tx: Sender<Pending>,
     writes: Arc<AtomicU64>,
+    down: Arc<AtomicBool>,
 }
 
 struct Pending {
@@ -60,10 +63,12 @@
     pub fn start(objects: Arc<dyn Objects>) -> Writer {
         let (tx, rx) = channel::bounded(QUEUE_MAX);
         let writes = Arc::new(AtomicU64::new(0));
+        let down = Arc::new(AtomicBool::new(false));
         let job = Job {
             objects,
             rx,
             writes: writes.clone(),
+            down: down.clone(),
             known: HashMap::new(),
             lazy: Vec::new(),
             lazy_since: Instant::now(),
@@ -71,11 +76,15 @@
             failed: None,
         };
         thread::spawn(move || job.run());
-        Writer { tx, writes }
+        Writer { tx, writes, down }
     }
 
-    /// Hands a claim over; doesn't block.
+    /// Hands a claim over; doesn't block. While the store can't be reached, keys are refused here,
+    /// so that nobody waits for a call to it.
     pub fn submit(&self, claim: Claim, answer: Answer) {
+        if claim.op == Op::Take && self.is_down() {
+            return answer(Verdict::Unavailable);
+        }
         if let Err(e) = self.tx.try_send(Pending { claim, answer }) {
             (e.into_inner().answer)(Verdict::Unavailable);
         }
@@ -85,12 +94,18 @@
     pub fn writes(&self) -> u64 {
         self.writes.load(Ordering::Relaxed)
     }
+
+    /// Whether the store could not be reached when it was last asked.
+    pub fn is_down(&self) -> bool {
+        self.down.load(Ordering::Relaxed)
+    }
 }
 
 struct Job {
     objects: Arc<dyn Objects>,
     rx: Receiver<Pending>,
     writes: Arc<AtomicU64>,
+    down: Arc<AtomicBool>,
     /// The shards as last seen, with their versions.
     known: HashMap<u64, (u64, Book)>,
     /// News that nobody waits for.
@@ -104,13 +119,15 @@
     fn run(mut self) {
         loop {
             let mut urgent = Vec::new();
-            match self.rx.recv_timeout(LAZY) {
+            let wait = if self.failed.is_some() { REST } else { LAZY };
+            match self.rx.recv_timeout(wait) {
                 Ok(pending) => self.sort_in(pending, &mut urgent),
                 Err(channel::RecvTimeoutError::Timeout) => {}
                 Err(channel::RecvTimeoutError::Disconnected) => return,
             }
-            if self.is_resting() {
+            if self.failed.is_some() {
                 refuse(urgent);
+                self.probe();
                 continue;
             }
             self.wait_for_turn();
@@ -135,8 +152,18 @@
         }
     }
 
-    fn is_resting(&self) -> bool {
-        self.failed.is_some_and(|at| at.elapsed() < REST)
+    /// Looks whether the store is back, when it is time to.
+    fn probe(&mut self) {
+        if self.failed.is_some_and(|at| at.elapsed() < REST) {
+            return;
+        }
+        let failed = self.objects.get(&name(0)).is_err();
+        self.note_store(failed);
+    }
+
+    fn note_store(&mut self, failed: bool) {
+        self.failed = failed.then(Instant::now);
+        self.down.store(failed, Ordering::Relaxed);
     }
 
     fn wait_for_turn(&self) {
@@ -176,13 +203,12 @@
         let claims: Vec<Claim> = pending.iter().map(|p| p.claim.clone()).collect();
         match self.update(shard, &claims, &news) {
             Ok(verdicts) => {
-                self.failed = None;
                 for (pending, verdict) in pending.into_iter().zip(verdicts) {
                     (pending.answer)(verdict);
                 }
             }
             Err(_) => {
-                self.failed = Some(Instant::now());
+                self.note_store(true);
                 self.known.remove(&shard);
                 // The claims may have been written all the same, though nothing will be sent.
                 for claim in claims {
--- a/src/config/catalog.rs
+++ b/src/config/catalog.rs
@@ -2,10 +2,10 @@
 //!
 //! The platform's Object API keeps it as one JSON value. Its object version is the revision.
 
-use std::collections::HashMap;
-use std::collections::HashSet;
 use std::net::SocketAddr;
 
+use rustc_hash::FxHashMap;
+use rustc_hash::FxHashSet;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -148,9 +148,9 @@
     pub number: u64,
     /// What was accepted.
     pub catalog: Catalog,
-    services: HashMap<ServiceName, usize>,
-    workspaces: HashMap<WorkspaceName, usize>,
-    pools: HashMap<PoolName, usize>,
+    services: FxHashMap<ServiceName, usize>,
+    workspaces: FxHashMap<WorkspaceName, usize>,
+    pools: FxHashMap<PoolName, usize>,
 }
 
 impl Revision {
@@ -210,7 +210,7 @@
     check_names(&mut faults, "services", catalog.services.iter().map(|s| s.name.as_str()));
     check_names(&mut faults, "pools", catalog.pools.iter().map(|p| p.name.as_str()));
     check_names(&mut faults, "upstreams", catalog.upstreams.iter().map(|u| u.name.as_str()));
-    let pools: HashSet<&str> = catalog.pools.iter().map(|p| p.name.as_str()).collect();
+    let pools: FxHashSet<&str> = catalog.pools.iter().map(|p| p.name.as_str()).collect();
     for (i, workspace) in catalog.workspaces.iter().enumerate() {
         if workspace.weight == 0 {
             faults.push(fault(format!("workspaces[{i}].weight"), "must be at least 1"));
@@ -247,7 +247,7 @@
 }
 
 fn check_names<'a>(faults: &mut Vec<Fault>, kind: &str, names: impl Iterator<Item = &'a str>) {
-    let mut seen = HashSet::new();
+    let mut seen = FxHashSet::default();
     for (i, name) in names.enumerate() {
         let field = format!("{kind}[{i}].name");
         let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
--- a/src/dispatch/ledger.rs
+++ b/src/dispatch/ledger.rs
@@ -14,8 +14,8 @@
 //! them too, serve it as it does itself; the assumption is dropped when they are heard.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 
+use rustc_hash::FxHashMap;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -51,11 +51,11 @@
 pub struct Ledger {
     mine: CellId,
     version: u64,
-    own: HashMap<WorkspaceName, Line>,
+    own: FxHashMap<WorkspaceName, Line>,
     changed: BTreeMap<u64, WorkspaceName>,
     others: BTreeMap<CellId, Copy>,
-    accounts: HashMap<WorkspaceName, Account>,
-    assumed: HashMap<ZoneName, HashMap<WorkspaceName, VirtualTime>>,
+    accounts: FxHashMap<WorkspaceName, Account>,
+    assumed: FxHashMap<ZoneName, FxHashMap<WorkspaceName, VirtualTime>>,
     charged: VirtualTime,
 }
 
@@ -70,7 +70,7 @@
 struct Copy {
     version: u64,
     /// The version at which each entry last changed, beside what is charged.
-    charged: HashMap<WorkspaceName, (VirtualTime, u64)>,
+    charged: FxHashMap<WorkspaceName, (VirtualTime, u64)>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -86,11 +86,11 @@
         Ledger {
             mine,
             version: 0,
-            own: HashMap::new(),
+            own: FxHashMap::default(),
             changed: BTreeMap::new(),
             others: BTreeMap::new(),
-            accounts: HashMap::new(),
-            assumed: HashMap::new(),
+            accounts: FxHashMap::default(),
+            assumed: FxHashMap::default(),
             charged: 0,
         }
     }
@@ -175,7 +175,7 @@
 
     /// The copies of other cells as far as they changed after the versions in `since`; all of a
     /// cell that isn't in there.
-    pub fn copies(&self, since: &HashMap<CellId, u64>) -> Vec<OtherCell> {
+    pub fn copies(&self, since: &FxHashMap<CellId, u64>) -> Vec<OtherCell> {
         let mut copies = Vec::new();
         for (cell, copy) in &self.others {
             let known = since.get(cell).copied().unwrap_or(0);
--- a/src/dispatch/pool/exchange.rs
+++ b/src/dispatch/pool/exchange.rs
@@ -2,9 +2,10 @@
 //! the role over.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::time::Duration;
 
+use rustc_hash::FxHashMap;
+
 use crate::dispatch::ledger::CellId;
 use crate::dispatch::ledger::Entry;
 use crate::dispatch::pool::Granted;
@@ -234,7 +235,7 @@
             // would follow this one gets the news of other zones, too.
             let others = match (standby, since) {
                 (true, _) => self.ledger.copies(&remote.relayed),
-                (false, 0) => self.ledger.copies(&HashMap::new()),
+                (false, 0) => self.ledger.copies(&FxHashMap::default()),
                 (false, _) => Vec::new(),
             };
             if standby {
@@ -257,7 +258,7 @@
     /// All that this dispatcher knows, for the box that takes the role over: counters, waiting
     /// tickets and grants. The routers tell it the latter, too, but only once they know of it.
     pub fn hand_over(&self, now: Duration) -> Vec<Message> {
-        let others = self.ledger.copies(&HashMap::new());
+        let others = self.ledger.copies(&FxHashMap::default());
         let summary = self.summarise(0, 0, 0, others);
         let mut messages = vec![Message::Summary(Box::new(summary))];
         let mut tickets: Vec<&Ticket> = self.queue.tickets().collect();
--- a/src/dispatch/pool/mod.rs
+++ b/src/dispatch/pool/mod.rs
@@ -6,11 +6,12 @@
 mod order;
 
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
+use rustc_hash::FxHashMap;
+
 pub use crate::dispatch::pool::decision::Action;
 pub use crate::dispatch::pool::decision::Decision;
 pub use crate::dispatch::pool::decision::Why;
@@ -65,15 +66,15 @@
     queue: Queue,
     upstreams: Upstreams,
     remotes: Remotes,
-    arrived: HashMap<TicketId, Arrival>,
+    arrived: FxHashMap<TicketId, Arrival>,
     expiry: BTreeSet<(Duration, TicketId)>,
-    grants: HashMap<GrantId, Granted>,
-    by_ticket: HashMap<TicketId, GrantId>,
-    pulls: HashMap<GrantId, PendingPull>,
+    grants: FxHashMap<GrantId, Granted>,
+    by_ticket: FxHashMap<TicketId, GrantId>,
+    pulls: FxHashMap<GrantId, PendingPull>,
     /// The latest pulls of others that were answered.
     answered: VecDeque<GrantId>,
-    running: HashMap<WorkspaceName, u32>,
-    estimates: HashMap<WorkspaceName, HashMap<ServiceName, f64>>,
+    running: FxHashMap<WorkspaceName, u32>,
+    estimates: FxHashMap<WorkspaceName, FxHashMap<ServiceName, f64>>,
     virtual_time: VirtualTime,
     next_grant: u64,
     since_patience: u32,
@@ -86,7 +87,7 @@
     mean_weight: f64,
     checked: Duration,
     /// Checks in a row that a router didn't answer.
-    unanswered: HashMap<BoxName, u32>,
+    unanswered: FxHashMap<BoxName, u32>,
     /// Routers of this zone found to be gone, and when, for the other zones to hear.
     gone: Vec<(BoxName, Duration)>,
     /// Zones not heard since taking over, once it is known which there are.
@@ -142,14 +143,14 @@
             queue: Queue::default(),
             upstreams: Upstreams::default(),
             remotes: Remotes::default(),
-            arrived: HashMap::new(),
+            arrived: FxHashMap::default(),
             expiry: BTreeSet::new(),
-            grants: HashMap::new(),
-            by_ticket: HashMap::new(),
-            pulls: HashMap::new(),
+            grants: FxHashMap::default(),
+            by_ticket: FxHashMap::default(),
+            pulls: FxHashMap::default(),
             answered: VecDeque::new(),
-            running: HashMap::new(),
-            estimates: HashMap::new(),
+            running: FxHashMap::default(),
+            estimates: FxHashMap::default(),
             virtual_time: 0,
             next_grant,
             since_patience: 0,
@@ -158,7 +159,7 @@
             mean_cover: 0.0,
             mean_weight: mean_weight(&cfg),
             checked: Duration::ZERO,
-            unanswered: HashMap::new(),
+            unanswered: FxHashMap::default(),
             gone: Vec::new(),
             unheard: BTreeSet::new(),
             expects: false,
--- a/src/dispatch/queue.rs
+++ b/src/dispatch/queue.rs
@@ -4,10 +4,11 @@
 //! the middle of its workspace's queue is skipped when it comes up.
 
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use rustc_hash::FxHashMap;
+
 use crate::dispatch::ledger::VirtualTime;
 use crate::names::WorkspaceName;
 use crate::peer::message::Class;
@@ -20,8 +21,8 @@
 /// The waiting tickets of one pool.
 #[derive(Debug, Default)]
 pub struct Queue {
-    tickets: HashMap<TicketId, Ticket>,
-    flows: HashMap<WorkspaceName, Flow>,
+    tickets: FxHashMap<TicketId, Ticket>,
+    flows: FxHashMap<WorkspaceName, Flow>,
     order: BTreeSet<(VirtualTime, WorkspaceName)>,
     urgent: BTreeSet<(VirtualTime, WorkspaceName)>,
     oldest: BTreeSet<(Duration, WorkspaceName)>,
--- a/src/dispatch/remotes.rs
+++ b/src/dispatch/remotes.rs
@@ -2,9 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::time::Duration;
 
+use rustc_hash::FxHashMap;
+
 use crate::dispatch::ledger::CellId;
 use crate::dispatch::ledger::VirtualTime;
 use crate::names::BoxName;
@@ -20,7 +21,7 @@
 pub struct Remotes {
     zones: BTreeMap<ZoneName, Remote>,
     order: BTreeSet<(VirtualTime, WorkspaceName)>,
-    waiting: HashMap<WorkspaceName, Waiting>,
+    waiting: FxHashMap<WorkspaceName, Waiting>,
 }
 
 /// One other zone.
@@ -39,7 +40,7 @@
     /// Free slots there that have no work.
     pub idle: u32,
     /// For the box that would follow this one: the versions of other cells it was told.
-    pub relayed: HashMap<CellId, u64>,
+    pub relayed: FxHashMap<CellId, u64>,
     /// All that the own cell had charged when it was last heard.
     pub charged_when_heard: VirtualTime,
     /// The idle slots it was last told of.
@@ -70,7 +71,7 @@
             told: None,
             told_version: 0,
             idle: 0,
-            relayed: HashMap::new(),
+            relayed: FxHashMap::default(),
             charged_when_heard: 0,
             told_idle: 0,
             cell: None,
--- a/src/dispatch/upstreams.rs
+++ b/src/dispatch/upstreams.rs
@@ -1,10 +1,11 @@
 //! The upstreams of one pool in one availability zone: their free slots, and which of them to take.
 
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use rustc_hash::FxHashMap;
+
 use crate::config;
 use crate::names::BoxName;
 use crate::names::UpstreamName;
@@ -51,9 +52,9 @@
 #[derive(Debug, Default)]
 pub struct Upstreams {
     all: Vec<Upstream>,
-    index: HashMap<UpstreamName, usize>,
+    index: FxHashMap<UpstreamName, usize>,
     free: BTreeSet<(u32, usize)>,
-    prefixes: HashMap<u64, UpstreamName>,
+    prefixes: FxHashMap<u64, UpstreamName>,
     prefix_order: VecDeque<u64>,
 }
 
--- a/src/node/admit.rs
+++ b/src/node/admit.rs
@@ -1,8 +1,9 @@
 //! What a router lets wait: limits per workspace, hopeless deadlines, and the retry budget.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
+use rustc_hash::FxHashMap;
+
 use crate::dispatch::retry::RetryBudget;
 use crate::names::PoolName;
 use crate::names::WorkspaceName;
@@ -33,8 +34,8 @@
 /// The requests that wait at one router, counted.
 #[derive(Debug, Default)]
 pub struct Admission {
-    counts: HashMap<WorkspaceName, HashMap<PoolName, Lane>>,
-    budgets: HashMap<PoolName, RetryBudget>,
+    counts: FxHashMap<WorkspaceName, FxHashMap<PoolName, Lane>>,
+    budgets: FxHashMap<PoolName, RetryBudget>,
 }
 
 /// The requests of one workspace that wait for one pool.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -8,13 +8,13 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rustc_hash::FxHashMap;
 
 pub use crate::node::admit::Refusal;
 
@@ -107,10 +107,10 @@
     listed_leaving: BTreeSet<BoxName>,
     incarnations: BTreeMap<BoxName, u64>,
     admission: Admission,
-    waiting: HashMap<TicketId, Waiting>,
+    waiting: FxHashMap<TicketId, Waiting>,
     /// Grants and their ends to be told again, the earliest first.
     unheard: VecDeque<Unheard>,
-    running: HashMap<TicketId, Running>,
+    running: FxHashMap<TicketId, Running>,
     next_ticket: u64,
     next_cell: u64,
     beats: u64,
@@ -156,9 +156,9 @@
             listed_leaving: BTreeSet::new(),
             incarnations: BTreeMap::new(),
             admission: Admission::default(),
-            waiting: HashMap::new(),
+            waiting: FxHashMap::default(),
             unheard: VecDeque::new(),
-            running: HashMap::new(),
+            running: FxHashMap::default(),
             next_ticket: util::id_base(&id.name, id.incarnation, "ticket"),
             next_cell: id.incarnation,
             beats: 0,
--- a/src/node/receive.rs
+++ b/src/node/receive.rs
@@ -1,8 +1,9 @@
 //! What a node does with each kind of message.
 
-use std::collections::HashSet;
 use std::time::Duration;
 
+use rustc_hash::FxHashSet;
+
 use crate::config::Catalog;
 use crate::config::Revision;
 use crate::dispatch::pool::Action;
@@ -131,7 +132,7 @@
     }
 
     fn handle_check(&mut self, from: &BoxName, p: PoolName, grants: &[GrantId]) {
-        let used: HashSet<GrantId> = self.running.values().map(|r| r.grant.id).collect();
+        let used: FxHashSet<GrantId> = self.running.values().map(|r| r.grant.id).collect();
         let g: Vec<GrantId> = grants.iter().copied().filter(|id| !used.contains(id)).collect();
         // Sent even when empty: it tells that this router lives.
         self.send(from.clone(), Message::NotRunning { p, g });
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -15,7 +15,7 @@
 use crate::platform::Object;
 use crate::platform::Objects;
 
-/// How long an ordinary call may take.
+/// How long a call other than a watch may take, unless it is told otherwise.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// How long connecting may take.
@@ -33,6 +33,7 @@
     agent: Agent,
     base: String,
     calls: Arc<Calls>,
+    timeout: Duration,
 }
 
 /// Calls to the platform so far: each counts against its rates.
@@ -54,9 +55,14 @@
             .max_redirects(0)
             .proxy(None)
             .timeout_connect(Some(CONNECT_TIMEOUT))
-            .timeout_global(Some(CALL_TIMEOUT))
             .build();
-        Client { agent: config.into(), base: format!("http://{addr}"), calls: Arc::default() }
+        let base = format!("http://{addr}");
+        Client { agent: config.into(), base, calls: Arc::default(), timeout: CALL_TIMEOUT }
+    }
+
+    /// The same, but calls other than watches are given up after `timeout`.
+    pub fn with_timeout(&self, timeout: Duration) -> Client {
+        Client { timeout, ..self.clone() }
     }
 
     /// The calls so far.
@@ -79,13 +85,14 @@
     fn get(&self, name: &str) -> Result<Option<Object>, Error> {
         self.calls.reads.fetch_add(1, Ordering::Relaxed);
         let url = format!("{}/objects/{name}", self.base);
-        object(self.read(&url, CALL_TIMEOUT)?)
+        object(self.read(&url, self.timeout)?)
     }
 
     fn put(&self, name: &str, value: &[u8], expected: u64) -> Result<u64, Error> {
         self.calls.writes.fetch_add(1, Ordering::Relaxed);
         let url = format!("{}/objects/{name}", self.base);
-        let sent = self.agent.put(&url).header("if-version", expected.to_string()).send(value);
+        let req = self.agent.put(&url).header("if-version", expected.to_string());
+        let sent = req.config().timeout_global(Some(self.timeout)).build().send(value);
         let resp = sent.map_err(|e| match e {
             ureq::Error::ConnectionFailed | ureq::Error::Timeout(ureq::Timeout::Connect) => {
                 Error::Unavailable(e.to_string())
@@ -114,7 +121,7 @@
 impl Boxes for Client {
     fn boxes(&self) -> Result<Vec<ListedBox>, Error> {
         self.calls.reads.fetch_add(1, Ordering::Relaxed);
-        let mut resp = self.read(&format!("{}/boxes", self.base), CALL_TIMEOUT)?;
+        let mut resp = self.read(&format!("{}/boxes", self.base), self.timeout)?;
         let body = bytes(&mut resp)?;
         serde_json::from_slice(&body).map_err(|e| Error::Unexpected(e.to_string()))
     }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -45,6 +45,9 @@
 /// Time between ticks of the node.
 const TICK: Duration = Duration::from_millis(20);
 
+/// How long a call to the store for a claim may take: somebody waits for it.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Threads of the asynchronous runtime: the boxes are small.
 const WORKERS: usize = 4;
 
@@ -137,7 +140,7 @@
     });
     let tell = |hub: Arc<Hub>| move |news| take_in(&hub, news);
     platform::watch::configuration(client.clone(), tell(hub.clone()));
-    hub.open_claims(client.clone());
+    hub.open_claims(Arc::new(client.with_timeout(CLAIM_TIMEOUT)));
     platform::watch::boxes(client, tell(hub.clone()));
 }
 
@@ -201,6 +204,11 @@
     let hub = service.hub.clone();
     metrics.count("frostdyke_claim_writes", move || hub.claims().map_or(0, |c| c.writes()));
     let hub = service.hub.clone();
+    metrics.gauge("frostdyke_claims_down", move || {
+        let down = hub.claims().is_some_and(|c| c.is_down());
+        vec![(f64::from(u8::from(down)), Vec::new())]
+    });
+    let hub = service.hub.clone();
     metrics.gauge("frostdyke_live_boxes", move || {
         vec![(hub.read(|node, now| node.members().live(now).count()) as f64, Vec::new())]
     });
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -2,6 +2,7 @@
 //! service. They live in a process of their own or inside a test. Not shipped.
 
 pub mod engine;
+pub mod hold;
 pub mod platform;
 pub mod service;
 mod web;
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -27,6 +27,8 @@
 use serde::Serialize;
 use tokio::sync::Notify;
 
+use crate::hold::Hold;
+use crate::hold::Holding;
 use crate::web;
 use crate::web::Body;
 
@@ -45,6 +47,8 @@
     pub lose_answers: u64,
     /// The box list shows changes this much later, in milliseconds.
     pub box_list_lag_ms: u64,
+    /// Writes stop here until this is lifted.
+    pub hold: Option<Hold>,
 }
 
 /// Calls so far.
@@ -71,6 +75,7 @@
     objects: Mutex<HashMap<String, Object>>,
     boxes: Mutex<Vec<(Instant, Bytes)>>,
     faults: Mutex<Faults>,
+    holding: Holding,
     changed: Notify,
     writes: AtomicU64,
     reads: AtomicU64,
@@ -116,6 +121,11 @@
     pub fn calls(&self) -> Calls {
         self.state.calls()
     }
+
+    /// Writes that stop where `Faults::hold` says.
+    pub fn held(&self) -> u64 {
+        self.state.holding.count()
+    }
 }
 
 impl State {
@@ -239,7 +249,9 @@
     if VALUE_MAX < value.len() {
         return Ok(web::status(StatusCode::PAYLOAD_TOO_LARGE));
     }
+    state.holding.wait(Hold::Before, || state.faults().hold).await;
     let result = state.put(name, Some(version), value);
+    state.holding.wait(Hold::After, || state.faults().hold).await;
     if state.loses_answer() {
         return Err(io::Error::other("the answer is lost"));
     }
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -24,6 +24,8 @@
 use tokio::sync::mpsc;
 
 use crate::engine::Load;
+use crate::hold::Hold;
+use crate::hold::Holding;
 use crate::web;
 use crate::web::Body;
 
@@ -41,6 +43,8 @@
     pub slow_ms: u64,
     /// The service says that it leaves.
     pub leaving: bool,
+    /// Requests stop here until this is lifted.
+    pub hold: Option<Hold>,
 }
 
 /// A running fake service.
@@ -55,12 +59,24 @@
     delay: Duration,
     ran: Mutex<HashMap<String, u64>>,
     faults: Mutex<Faults>,
+    holding: Holding,
+}
+
+impl State {
+    fn hold(&self) -> Option<Hold> {
+        self.faults.lock().expect("no panic under lock").hold
+    }
 }
 
 impl Service {
     /// Starts a fake service that takes `delay` for each request.
     pub fn start(addr: SocketAddr, delay: Duration) -> io::Result<Service> {
-        let state = Arc::new(State { delay, ran: Mutex::default(), faults: Mutex::default() });
+        let state = Arc::new(State {
+            delay,
+            ran: Mutex::default(),
+            faults: Mutex::default(),
+            holding: Holding::default(),
+        });
         let shared = state.clone();
         let addr = web::serve(addr, move |req| handle(shared.clone(), req))?;
         Ok(Service { addr, state })
@@ -75,6 +91,11 @@
     pub fn ran(&self) -> HashMap<String, u64> {
         self.state.ran.lock().expect("no panic under lock").clone()
     }
+
+    /// Requests that stop where `Faults::hold` says.
+    pub fn held(&self) -> u64 {
+        self.state.holding.count()
+    }
 }
 
 async fn handle(state: Arc<State>, req: Request<Incoming>) -> io::Result<Response<Body>> {
@@ -110,12 +131,14 @@
     if faults.cut_before {
         return Err(io::Error::other("cut before it ran"));
     }
+    state.holding.wait(Hold::Before, || state.hold()).await;
     let times = {
         let mut ran = state.ran.lock().expect("no panic under lock");
         let times = ran.entry(key).or_default();
         *times += 1;
         *times
     };
+    state.holding.wait(Hold::After, || state.hold()).await;
     tokio::time::sleep(state.delay + Duration::from_millis(faults.slow_ms)).await;
     if faults.lose_answers {
         return Err(io::Error::other("the answer is lost"));
--- /dev/null
+++ b/tests/claims.rs
@@ -0,0 +1,222 @@
+//! Claims of keys over a store in memory: what is written, by whom, and what a writer does when the
+//! store fails.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use frostdyke::claims::Claim;
+use frostdyke::claims::Claims;
+use frostdyke::claims::Courier;
+use frostdyke::claims::Key;
+use frostdyke::claims::KeyFault;
+use frostdyke::claims::Op;
+use frostdyke::claims::SKEW;
+use frostdyke::claims::Verdict;
+use frostdyke::claims::WINDOW;
+use frostdyke::claims::book::Book;
+use frostdyke::claims::book::RECORDS_MAX;
+use frostdyke::names::BoxName;
+use frostdyke::platform::Error;
+use frostdyke::platform::Object;
+use frostdyke::platform::Objects;
+use uuid::Uuid;
+
+/// What the store does with calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Mood {
+    #[default]
+    Well,
+    /// Calls fail at once.
+    Down,
+    /// Calls don't return.
+    Hangs,
+}
+
+#[derive(Default)]
+struct Store {
+    objects: Mutex<HashMap<String, Object>>,
+    mood: Mutex<Mood>,
+    changed: Condvar,
+    /// Calls that are under way.
+    calls: AtomicU64,
+}
+
+impl Store {
+    fn set(&self, mood: Mood) {
+        *self.mood.lock().expect("no panic") = mood;
+        self.changed.notify_all();
+    }
+
+    fn call(&self) -> Result<(), Error> {
+        self.calls.fetch_add(1, Ordering::SeqCst);
+        let mood = self.mood.lock().expect("no panic");
+        let mood = self.changed.wait_while(mood, |m| *m == Mood::Hangs).expect("no panic");
+        self.calls.fetch_sub(1, Ordering::SeqCst);
+        match *mood {
+            Mood::Down => Err(Error::Unavailable("down".to_owned())),
+            Mood::Well | Mood::Hangs => Ok(()),
+        }
+    }
+}
+
+impl Objects for Store {
+    fn get(&self, name: &str) -> Result<Option<Object>, Error> {
+        self.call()?;
+        Ok(self.objects.lock().expect("no panic").get(name).cloned())
+    }
+
+    fn put(&self, name: &str, value: &[u8], expected: u64) -> Result<u64, Error> {
+        self.call()?;
+        let mut objects = self.objects.lock().expect("no panic");
+        let current = objects.get(name).map_or(0, |o| o.version);
+        if expected != current {
+            return Err(Error::Conflict { current });
+        }
+        let object = Object { version: current + 1, value: value.to_vec() };
+        objects.insert(name.to_owned(), object);
+        Ok(current + 1)
+    }
+
+    fn watch(&self, _: &str, _: u64, _: Duration) -> Result<Option<Object>, Error> {
+        Ok(None)
+    }
+}
+
+/// Every box believes that it writes every shard.
+struct Alone;
+
+impl Courier for Alone {
+    fn writer_of(&self, _: u64) -> Option<BoxName> {
+        None
+    }
+
+    fn send(&self, _: &BoxName, _: Claim) {}
+}
+
+fn claims(store: &Arc<Store>) -> Arc<Claims> {
+    Claims::new(store.clone(), Box::new(Alone))
+}
+
+fn new_key() -> String {
+    Uuid::now_v7().to_string()
+}
+
+fn key(text: &str) -> Key {
+    Key::new("alpha", text, SystemTime::now()).expect("a new key")
+}
+
+#[tokio::test]
+async fn of_four_writers_of_a_shard_one_gets_each_key() {
+    let store = Arc::new(Store::default());
+    let writers: Vec<Arc<Claims>> = (0..4).map(|_| claims(&store)).collect();
+    let keys: Vec<Key> = (0..40).map(|_| key(&new_key())).collect();
+    let mut tasks = tokio::task::JoinSet::new();
+    for (w, writer) in writers.iter().enumerate() {
+        for (k, &key) in keys.iter().enumerate() {
+            let writer = writer.clone();
+            let attempt = (w * keys.len() + k) as u64;
+            tasks.spawn(async move { (k, writer.take(key, attempt).await) });
+        }
+    }
+    let mut taken = vec![0; keys.len()];
+    for (k, result) in tasks.join_all().await {
+        match result {
+            Ok(_) => taken[k] += 1,
+            Err(verdict) => assert_eq!(verdict, Verdict::Elsewhere),
+        }
+    }
+    assert_eq!(taken, vec![1; keys.len()]);
+}
+
+/// Nobody waits for a store that is known to be out of reach, though a probe hangs in it.
+#[tokio::test]
+async fn while_the_store_hangs_keys_are_refused_at_once() {
+    let store = Arc::new(Store::default());
+    let claims = claims(&store);
+    store.set(Mood::Down);
+    assert_eq!(claims.take(key(&new_key()), 1).await, Err(Verdict::Unavailable));
+    store.set(Mood::Hangs);
+    while store.calls.load(Ordering::SeqCst) == 0 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    for attempt in 2..50 {
+        assert_eq!(claims.take(key(&new_key()), attempt).await, Err(Verdict::Unavailable));
+    }
+    store.set(Mood::Well);
+    let back = key(&new_key());
+    while claims.take(back, 100).await.is_err() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert!(!claims.is_down());
+}
+
+#[test]
+fn keys_that_cant_be_judged_are_refused() {
+    let now = SystemTime::now();
+    let v4 = Uuid::new_v4().to_string();
+    assert_eq!(Key::new("a", &v4, now), Err(KeyFault::Kind));
+    assert_eq!(Key::new("a", "theft-alarm-7", now), Err(KeyFault::Kind));
+    let key = new_key();
+    let later = now + WINDOW + Duration::from_secs(2);
+    assert_eq!(Key::new("a", &key, later), Err(KeyFault::Old));
+    let earlier = now - SKEW - Duration::from_secs(2);
+    assert_eq!(Key::new("a", &key, earlier), Err(KeyFault::Future));
+    assert_ne!(Key::new("a", &key, now), Key::new("b", &key, now));
+}
+
+fn claim(attempt: u64, op: Op, made: u64) -> Claim {
+    Claim { key: "abc".to_owned(), made, attempt, op }
+}
+
+/// A record is forgotten only when every router, whatever its clock within the skew, would refuse
+/// the key.
+#[test]
+fn a_record_outlives_its_key() {
+    let made = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_secs();
+    let mut book = Book::default();
+    assert_eq!(book.apply(&claim(1, Op::Take, made), made), Verdict::Taken);
+    let refused = made + WINDOW.as_secs() + SKEW.as_secs();
+    book.expire(refused);
+    assert_eq!(book.apply(&claim(2, Op::Take, made), refused), Verdict::Elsewhere);
+    // Nobody can bring it back, either.
+    let forgotten = refused + SKEW.as_secs() + 1;
+    book.expire(forgotten);
+    assert!(book.records.is_empty());
+    assert_eq!(book.apply(&claim(3, Op::Take, made), forgotten), Verdict::Elsewhere);
+}
+
+#[test]
+fn only_the_attempt_that_has_a_key_can_release_it() {
+    let mut book = Book::default();
+    assert_eq!(book.apply(&claim(1, Op::Take, 100), 100), Verdict::Taken);
+    book.apply(&claim(2, Op::Release, 100), 100);
+    assert_eq!(book.apply(&claim(2, Op::Take, 100), 100), Verdict::Elsewhere);
+    assert_eq!(book.apply(&claim(1, Op::Take, 100), 100), Verdict::Taken, "told again");
+    book.apply(&claim(1, Op::Release, 100), 100);
+    assert_eq!(book.apply(&claim(2, Op::Take, 100), 100), Verdict::Taken);
+}
+
+#[test]
+fn a_full_shard_stays_below_a_megabyte() {
+    let mut book = Book::default();
+    let now = 1_790_000_000;
+    let filler = |n: usize| Claim {
+        key: format!("{:032x}", u128::MAX - n as u128),
+        made: now,
+        attempt: u64::MAX - n as u64,
+        op: Op::Take,
+    };
+    for n in 0..RECORDS_MAX {
+        assert_eq!(book.apply(&filler(n), now), Verdict::Taken);
+    }
+    assert_eq!(book.apply(&filler(RECORDS_MAX), now), Verdict::Full);
+    let size = serde_json::to_vec(&book).expect("it serializes").len();
+    assert!(size < 1 << 20, "it has {size} bytes");
+}
--- a/tests/holds_at_most_once.rs
+++ b/tests/holds_at_most_once.rs
@@ -8,17 +8,9 @@
 use std::thread;
 use std::time::Duration;
 use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
-use frostdyke::claims::Claim;
 use frostdyke::claims::Key;
-use frostdyke::claims::KeyFault;
-use frostdyke::claims::Op;
-use frostdyke::claims::SKEW;
-use frostdyke::claims::Verdict;
-use frostdyke::claims::WINDOW;
-use frostdyke::claims::book::Book;
-use frostdyke::claims::book::RECORDS_MAX;
+use frostdyke_standin::hold::Hold;
 use frostdyke_standin::platform;
 use frostdyke_standin::service;
 use nix::sys::signal::Signal;
@@ -201,66 +193,104 @@
     assert!(30 <= ran, "only {ran} of 60 ran at all, the test tells nothing");
 }
 
-#[test]
-fn keys_that_cant_be_judged_are_refused() {
-    let now = SystemTime::now();
-    let v4 = Uuid::new_v4().to_string();
-    assert_eq!(Key::new("a", &v4, now), Err(KeyFault::Kind));
-    assert_eq!(Key::new("a", "theft-alarm-7", now), Err(KeyFault::Kind));
-    let key = new_key();
-    let later = now + WINDOW + Duration::from_secs(2);
-    assert_eq!(Key::new("a", &key, later), Err(KeyFault::Old));
-    let earlier = now - SKEW - Duration::from_secs(2);
-    assert_eq!(Key::new("a", &key, earlier), Err(KeyFault::Future));
-    assert_ne!(Key::new("a", &key, now), Key::new("b", &key, now));
+/// Where a router is caught with a request that must not be repeated.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// Its claim is on the way to the store.
+    ClaimUnwritten,
+    /// Its claim is written, and it doesn't know yet.
+    ClaimWritten,
+    /// The request is sent and hasn't run.
+    Sent,
+    /// It ran, and the router doesn't know yet.
+    Ran,
 }
 
-fn claim(attempt: u64, op: Op, made: u64) -> Claim {
-    Claim { key: "abc".to_owned(), made, attempt, op }
+impl Step {
+    /// Makes everybody's requests stop at this step, or go on.
+    fn hold(self, fleet: &Fleet, hold: bool) {
+        let at = match self {
+            Step::ClaimUnwritten | Step::Sent => Hold::Before,
+            Step::ClaimWritten | Step::Ran => Hold::After,
+        };
+        let hold = hold.then_some(at);
+        match self {
+            Step::ClaimUnwritten | Step::ClaimWritten => {
+                fleet.platform.set_faults(platform::Faults { hold, ..Default::default() });
+            }
+            Step::Sent | Step::Ran => {
+                let faults = service::Faults { hold, ..Default::default() };
+                fleet.services.iter().for_each(|s| s.set_faults(faults.clone()));
+            }
+        }
+    }
+
+    fn held(self, fleet: &Fleet) -> u64 {
+        match self {
+            Step::ClaimUnwritten | Step::ClaimWritten => fleet.platform.held(),
+            Step::Sent | Step::Ran => fleet.services.iter().map(|s| s.held()).sum(),
+        }
+    }
 }
 
-/// A record is forgotten only when every router, whatever its clock within the skew, would refuse
-/// the key.
-#[test]
-fn a_record_outlives_its_key() {
-    let made = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_secs();
-    let mut book = Book::default();
-    assert_eq!(book.apply(&claim(1, Op::Take, made), made), Verdict::Taken);
-    let refused = made + WINDOW.as_secs() + SKEW.as_secs();
-    book.expire(refused);
-    assert_eq!(book.apply(&claim(2, Op::Take, made), refused), Verdict::Elsewhere);
-    // Nobody can bring it back, either.
-    let forgotten = refused + SKEW.as_secs() + 1;
-    book.expire(forgotten);
-    assert!(book.records.is_empty());
-    assert_eq!(book.apply(&claim(3, Op::Take, made), forgotten), Verdict::Elsewhere);
+/// Catches a router at a step; the caller sends the key again through the other zone, then the
+/// router goes on if it still can, and the caller tries once more everywhere.
+fn caught_at(step: Step, killed: bool, writer: &str) {
+    let mut fleet = Fleet::start(&Setup { zones: vec![1, 1], ..Setup::default() });
+    let key = key_written_in(writer);
+    step.hold(&fleet, true);
+    thread::scope(|scope| {
+        let first = scope.spawn(|| transfer(&fleet, 0, &key));
+        wait_until("the request is at the step", || step.held(&fleet) == 1);
+        let signal = if killed { Signal::SIGKILL } else { Signal::SIGSTOP };
+        fleet.routers[0].signal(signal);
+        step.hold(&fleet, false);
+        let second = again(&fleet, 1, &key);
+        assert_ne!(second.outcome, "not-run", "{step:?}, killed {killed}: {second:?}");
+        if !killed {
+            fleet.routers[0].signal(Signal::SIGCONT);
+        }
+        first.join().expect("no panic");
+    });
+    fleet.routers[0].kill();
+    fleet.start_router(0);
+    fleet.routers[0].wait_ready();
+    for router in [0, 1] {
+        again(&fleet, router, &key);
+    }
+    let ran = fleet.ran(&key);
+    assert!(ran <= 1, "{step:?}, killed {killed}, written in {writer}: ran {ran} times");
+    // A service may give up what it hasn't begun when its caller is gone.
+    let surely = matches!(step, Step::Ran) || matches!(step, Step::Sent) && !killed;
+    assert!(!surely || ran == 1, "{step:?}, killed {killed}: it did not run");
+}
+
+/// A key whose claims are usually written by the box of this zone.
+fn key_written_in(zone: &str) -> String {
+    let home = |key: &str| {
+        let shard = Key::new("alpha", key, SystemTime::now()).expect("a new key").shard();
+        frostdyke::util::rendezvous(&format!("claims/{shard}"), ["zone-0", "zone-1"].into_iter())
+    };
+    std::iter::repeat_with(new_key).find(|key| home(key) == Some(zone)).expect("endless")
+}
+
+/// Sends a key that may have been sent before.
+fn again(fleet: &Fleet, router: usize, key: &str) -> Reply {
+    fleet.routers[router].send("transfer", "{}", &[("idempotency-key", key)])
 }
 
 #[test]
-fn only_the_attempt_that_has_a_key_can_release_it() {
-    let mut book = Book::default();
-    assert_eq!(book.apply(&claim(1, Op::Take, 100), 100), Verdict::Taken);
-    book.apply(&claim(2, Op::Release, 100), 100);
-    assert_eq!(book.apply(&claim(2, Op::Take, 100), 100), Verdict::Elsewhere);
-    assert_eq!(book.apply(&claim(1, Op::Take, 100), 100), Verdict::Taken, "told again");
-    book.apply(&claim(1, Op::Release, 100), 100);
-    assert_eq!(book.apply(&claim(2, Op::Take, 100), 100), Verdict::Taken);
+fn a_router_killed_at_any_step_leaves_no_key_to_run_twice() {
+    for step in [Step::ClaimUnwritten, Step::ClaimWritten, Step::Sent, Step::Ran] {
+        caught_at(step, true, "zone-0");
+        caught_at(step, true, "zone-1");
+    }
 }
 
 #[test]
-fn a_full_shard_stays_below_a_megabyte() {
-    let mut book = Book::default();
-    let now = 1_790_000_000;
-    let filler = |n: usize| Claim {
-        key: format!("{:032x}", u128::MAX - n as u128),
-        made: now,
-        attempt: u64::MAX - n as u64,
-        op: Op::Take,
-    };
-    for n in 0..RECORDS_MAX {
-        assert_eq!(book.apply(&filler(n), now), Verdict::Taken);
+fn a_router_frozen_at_any_step_runs_no_key_twice_when_it_wakes() {
+    for step in [Step::ClaimUnwritten, Step::ClaimWritten, Step::Sent, Step::Ran] {
+        caught_at(step, false, "zone-0");
+        caught_at(step, false, "zone-1");
     }
-    assert_eq!(book.apply(&filler(RECORDS_MAX), now), Verdict::Full);
-    let size = serde_json::to_vec(&book).expect("it serializes").len();
-    assert!(size < 1 << 20, "it has {size} bytes");
 }
--- a/tests/holds_not_run.rs
+++ b/tests/holds_not_run.rs
@@ -68,7 +68,7 @@
                     cut_before: rng.random_bool(0.2),
                     short: rng.random_bool(0.1),
                     slow_ms: rng.random_range(0..30),
-                    leaving: false,
+                    ..Default::default()
                 });
             }
             thread::sleep(Duration::from_millis(50));
--- a/tests/util/rig.rs
+++ b/tests/util/rig.rs
@@ -8,8 +8,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
-use std::collections::HashMap;
-use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -38,6 +36,8 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rustc_hash::FxHashMap;
+use rustc_hash::FxHashSet;
 
 pub const POOL: &str = "llm";
 pub const SERVICE: &str = "assist";
@@ -212,12 +212,12 @@
     members: Vec<Member>,
     engines: Vec<Engine>,
     runs: Vec<Run>,
-    requests: HashMap<TicketId, Request>,
-    started: HashSet<TicketId>,
+    requests: FxHashMap<TicketId, Request>,
+    started: FxHashSet<TicketId>,
     queue: BinaryHeap<Reverse<(Duration, u64, Event)>>,
     calls: Vec<Option<Vec<Message>>>,
     /// Calls held back by one box for another, and until when.
-    held: HashMap<(usize, usize), VecDeque<Duration>>,
+    held: FxHashMap<(usize, usize), VecDeque<Duration>>,
     sequence: u64,
     rng: SmallRng,
     revision: Revision,
@@ -237,11 +237,11 @@
             members: Vec::new(),
             engines: engines(&setup),
             runs: Vec::new(),
-            requests: HashMap::new(),
-            started: HashSet::new(),
+            requests: FxHashMap::default(),
+            started: FxHashSet::default(),
             queue: BinaryHeap::new(),
             calls: Vec::new(),
-            held: HashMap::new(),
+            held: FxHashMap::default(),
             sequence: 0,
             rng: SmallRng::seed_from_u64(setup.seed),
             revision,
