Survive whatever peers and callers send

Cause: a property test that feeds a node any messages of peers found, first, a loop without end: a summary in the receiver's own name, with four billion tickets waiting, has it pull from itself that often, all under the router's lock. Second, amounts at the edges of 64 bits overflow the counters.

Ruled out: that peers are trusted by the secret is no help against a fault of theirs; a limit on pulls a tick, which only slows the loop.

Change: a summary in one's own name is passed over; a zone that gives nothing to a pull counts as having nothing until it is heard; amounts and costs beyond what can be true in 17 years are not believed. Callers' heads: random ones, near-valid ones and plain bytes are answered or closed, the next caller is served, memory stays.

Conclusion: no panic, no hang, no growth in what was tried.

--- a/src/dispatch/ledger.rs
+++ b/src/dispatch/ledger.rs
@@ -27,6 +27,10 @@
 /// Parts of one cost unit that virtual time is counted in.
 pub const PARTS: i64 = 1000;
 
+/// Largest amount that is believed of another, either way. At the rate of the largest pools (134
+/// thousand tokens a second) one cell reaches it in 17 years; a hundred such add up without overflow.
+pub const AMOUNT_MAX: VirtualTime = 1 << 56;
+
 /// Service received, divided by the workspace's weight, in thousandths of the pool's unit.
 pub type VirtualTime = i64;
 
@@ -46,6 +50,14 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry(pub WorkspaceName, pub VirtualTime, pub VirtualTime, pub u32);
 
+impl Entry {
+    /// Whether its amounts can be true.
+    fn is_sane(&self) -> bool {
+        let sane = |amount: VirtualTime| (-AMOUNT_MAX..=AMOUNT_MAX).contains(&amount);
+        sane(self.1) && sane(self.2)
+    }
+}
+
 /// The service of all workspaces on one pool.
 #[derive(Debug)]
 pub struct Ledger {
@@ -206,7 +218,7 @@
             return false;
         }
         copy.version = upto;
-        for Entry(workspace, charged, offset, _) in entries {
+        for Entry(workspace, charged, offset, _) in entries.iter().filter(|e| e.is_sane()) {
             let line = (*charged, upto);
             let before = copy.charged.insert(workspace.clone(), line).map_or(0, |(c, _)| c);
             let account = self.accounts.entry(workspace.clone()).or_default();
--- a/src/dispatch/pool/exchange.rs
+++ b/src/dispatch/pool/exchange.rs
@@ -6,8 +6,10 @@
 
 use rustc_hash::FxHashMap;
 
+use crate::dispatch::ledger::AMOUNT_MAX;
 use crate::dispatch::ledger::CellId;
 use crate::dispatch::ledger::Entry;
+use crate::dispatch::pool::COST_MAX;
 use crate::dispatch::pool::Granted;
 use crate::dispatch::pool::PendingPull;
 use crate::dispatch::pool::Pool;
@@ -123,6 +125,8 @@
         self.remotes.set_waiting(&pulled.zone, &pulled.workspace, pulled.left, at);
         let Some(pending) = self.pulls.remove(&pulled.grant) else { return };
         let Some(taken) = pulled.taken else {
+            // Whatever it said of itself before, asking again now would give as little.
+            self.remotes.set_waiting(&pending.zone, &pulled.workspace, 0, at);
             if !pending.overdue {
                 self.upstreams.release(&pending.upstream, Ending::Unused, now);
             }
@@ -138,7 +142,7 @@
             workspace: taken.workspace,
             service: taken.service,
             upstream: pending.upstream,
-            cover: taken.cover,
+            cover: taken.cover.min(COST_MAX),
             at: now,
         };
         let (workspace, cover) = (granted.workspace.clone(), granted.cover);
@@ -159,7 +163,7 @@
         for workspace in self.ledger.forget_assumed(&summary.zone) {
             self.moved(&workspace);
         }
-        self.virtual_time = self.virtual_time.max(summary.virtual_time);
+        self.virtual_time = self.virtual_time.max(summary.virtual_time.min(AMOUNT_MAX));
         for other in &summary.others {
             self.ledger.merge(&other.cell, other.upto, &other.entries);
             self.reorder(&other.entries);
--- a/src/dispatch/pool/grants.rs
+++ b/src/dispatch/pool/grants.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::dispatch::pool::COST_MAX;
 use crate::dispatch::pool::Granted;
 use crate::dispatch::pool::Pool;
 use crate::dispatch::pool::decision::Action;
@@ -39,6 +40,7 @@
     /// Charges a request that outgrew what was charged for it.
     pub fn progress(&mut self, id: GrantId, cover: u64) {
         let Some(granted) = self.grants.get_mut(&id) else { return };
+        let cover = cover.min(COST_MAX);
         if cover <= granted.cover {
             return;
         }
@@ -56,10 +58,11 @@
         }
         let Some(granted) = self.end_grant(done.grant, now) else { return };
         self.upstreams.release(&granted.upstream, done.ending, now);
+        let cost = done.cost.min(COST_MAX);
         if matches!(done.ending, Ending::Answered) {
-            self.learn(&granted.workspace, &granted.service, done.cost);
+            self.learn(&granted.workspace, &granted.service, cost);
         }
-        self.charge(&granted.workspace, done.cost as i64 - granted.cover as i64);
+        self.charge(&granted.workspace, cost as i64 - granted.cover as i64);
         self.fill(now, out);
     }
 
@@ -76,7 +79,7 @@
                 workspace: r.workspace.clone(),
                 service: r.service.clone(),
                 upstream: r.upstream.clone(),
-                cover: r.cover,
+                cover: r.cover.min(COST_MAX),
                 at: now,
             };
             self.start_grant(r.grant, granted);
--- a/src/dispatch/pool/mod.rs
+++ b/src/dispatch/pool/mod.rs
@@ -38,6 +38,9 @@
 use crate::peer::message::TicketId;
 use crate::util;
 
+/// Largest cost of one request that is believed of a router, in the pool's unit.
+const COST_MAX: u64 = 1 << 40;
+
 /// How fair pull and the exchange of counters behave; the benches vary it.
 #[derive(Clone, Copy, Debug)]
 pub struct Tuning {
--- a/src/node/receive.rs
+++ b/src/node/receive.rs
@@ -139,6 +139,10 @@
     }
 
     fn handle_summary(&mut self, from: &BoxName, summary: Summary, now: Duration) {
+        // What another box tells in this one's name would have it ask itself for work.
+        if summary.dispatcher == self.id.name {
+            return;
+        }
         let here = summary.zone == self.id.zone;
         let is_owner = self.is_owner(&summary.pool);
         if !here && !is_owner {
--- /dev/null
+++ b/tests/strangers.rs
@@ -0,0 +1,307 @@
+//! What comes over the wire and isn't what it should be gets a clear error, and does no harm.
+
+mod util;
+
+use std::time::Duration;
+
+use frostdyke::config::Revision;
+use frostdyke::dispatch::ledger::CellId;
+use frostdyke::dispatch::ledger::Entry;
+use frostdyke::dispatch::pool::Tuning;
+use frostdyke::node::Identity;
+use frostdyke::node::Node;
+use frostdyke::peer::member::Gossip;
+use frostdyke::peer::message::Beat;
+use frostdyke::peer::message::Class;
+use frostdyke::peer::message::Done;
+use frostdyke::peer::message::Ending;
+use frostdyke::peer::message::Envelope;
+use frostdyke::peer::message::Grant;
+use frostdyke::peer::message::GrantId;
+use frostdyke::peer::message::Message;
+use frostdyke::peer::message::OtherCell;
+use frostdyke::peer::message::Pull;
+use frostdyke::peer::message::Pulled;
+use frostdyke::peer::message::Running;
+use frostdyke::peer::message::Summary;
+use frostdyke::peer::message::Taken;
+use frostdyke::peer::message::Ticket;
+use frostdyke::peer::message::TicketId;
+use proptest::prelude::*;
+use util::fleet::Fleet;
+use util::fleet::Setup;
+use util::fleet::raw;
+
+/// Names from a small set, known ones and others, so that messages meet.
+fn name(known: &'static str) -> impl Strategy<Value = String> {
+    (0..4_u8).prop_map(move |n| format!("{known}-{n}"))
+}
+
+fn id() -> impl Strategy<Value = u64> {
+    prop_oneof![0..6_u64, any::<u64>()]
+}
+
+/// Amounts at the edges of what fits.
+fn amount() -> impl Strategy<Value = i64> {
+    prop_oneof![-1000..1000_i64, Just(i64::MAX), Just(i64::MIN), any::<i64>()]
+}
+
+fn cost() -> impl Strategy<Value = u64> {
+    prop_oneof![0..500_u64, Just(u64::MAX), Just(1 << 62), any::<u64>()]
+}
+
+fn cell() -> impl Strategy<Value = CellId> {
+    (name("box"), 0..3_u64).prop_map(|(b, incarnation)| CellId { name: (&*b).into(), incarnation })
+}
+
+fn entries() -> impl Strategy<Value = Vec<Entry>> {
+    let entry = (name("workspace"), amount(), amount(), any::<u32>());
+    let entry = entry.prop_map(|(w, charged, offset, n)| Entry((&*w).into(), charged, offset, n));
+    prop::collection::vec(entry, 0..4)
+}
+
+fn ticket() -> impl Strategy<Value = Ticket> {
+    (id(), name("box"), name("workspace"), any::<bool>(), cost(), id()).prop_map(
+        |(i, router, workspace, urgent, deadline_ms, prefix)| Ticket {
+            id: TicketId(i),
+            router: (&*router).into(),
+            workspace: (&*workspace).into(),
+            service: "assist".into(),
+            pool: "llm".into(),
+            class: if urgent { Class::Urgent } else { Class::Background },
+            deadline_ms,
+            prefix,
+            avoid: None,
+            forwarded: urgent,
+        },
+    )
+}
+
+fn ending() -> impl Strategy<Value = Ending> {
+    prop_oneof![
+        Just(Ending::Answered),
+        Just(Ending::Failed),
+        Just(Ending::Cancelled),
+        Just(Ending::Unused),
+    ]
+}
+
+fn running() -> impl Strategy<Value = Running> {
+    (id(), name("workspace"), name("engine"), cost()).prop_map(|(g, w, u, cover)| Running {
+        grant: GrantId(g),
+        workspace: (&*w).into(),
+        service: "assist".into(),
+        upstream: (&*u).into(),
+        cover,
+    })
+}
+
+fn summary() -> impl Strategy<Value = Summary> {
+    let other = (cell(), id(), entries());
+    let other = other.prop_map(|(cell, upto, entries)| OtherCell { cell, upto, entries });
+    let others = prop::collection::vec(other, 0..3);
+    (name("zone"), name("box"), cell(), (id(), id()), amount(), any::<u32>(), entries(), others)
+        .prop_map(|(zone, b, cell, (upto, seen), virtual_time, idle, entries, others)| Summary {
+            pool: "llm".into(),
+            zone: (&*zone).into(),
+            dispatcher: (&*b).into(),
+            cell,
+            upto,
+            seen,
+            virtual_time,
+            idle,
+            gone: vec![(&*b).into()],
+            entries,
+            others,
+            forwarded: false,
+        })
+}
+
+fn pull() -> impl Strategy<Value = Pull> {
+    (name("workspace"), id(), name("engine"), name("box"), any::<bool>()).prop_map(
+        |(w, g, u, b, any)| Pull {
+            pool: "llm".into(),
+            workspace: (&*w).into(),
+            grant: GrantId(g),
+            upstream: (&*u).into(),
+            dispatcher: (&*b).into(),
+            any,
+            forwarded: false,
+        },
+    )
+}
+
+fn pulled() -> impl Strategy<Value = Pulled> {
+    let taken = (id(), name("box"), name("workspace"), cost()).prop_map(|(t, b, w, cover)| Taken {
+        ticket: TicketId(t),
+        router: (&*b).into(),
+        workspace: (&*w).into(),
+        service: "assist".into(),
+        cover,
+    });
+    (id(), name("workspace"), name("zone"), prop::option::of(taken), any::<u32>()).prop_map(
+        |(g, w, z, taken, left)| Pulled {
+            pool: "llm".into(),
+            grant: GrantId(g),
+            workspace: (&*w).into(),
+            zone: (&*z).into(),
+            taken,
+            left,
+        },
+    )
+}
+
+fn beat() -> impl Strategy<Value = Beat> {
+    (name("box"), id(), id(), any::<bool>()).prop_map(|(b, incarnation, beat, leaving)| Beat {
+        name: (&*b).into(),
+        incarnation,
+        beat,
+        leaving,
+    })
+}
+
+fn message() -> impl Strategy<Value = Message> {
+    let grants = || prop::collection::vec(id().prop_map(GrantId), 0..4);
+    let p = || "llm".into();
+    prop_oneof![
+        (prop::collection::vec(beat(), 0..4), id()).prop_map(|(t, v)| Message::Heartbeat { t, v }),
+        ticket().prop_map(Message::Ticket),
+        id().prop_map(move |i| Message::Cancel { p: p(), i: TicketId(i) }),
+        (id(), id(), name("engine"), cost(), name("box")).prop_map(|(g, t, u, cover, b)| {
+            Message::Grant(Grant {
+                id: GrantId(g),
+                ticket: TicketId(t),
+                upstream: (&*u).into(),
+                cover,
+                dispatcher: (&*b).into(),
+            })
+        }),
+        (id(), cost()).prop_map(move |(g, e)| Message::Progress { p: p(), g: GrantId(g), e }),
+        (id(), cost(), ending()).prop_map(move |(g, cost, ending)| {
+            Message::Done(Done { pool: p(), grant: GrantId(g), cost, ending })
+        }),
+        (name("box"), prop::collection::vec(running(), 0..4))
+            .prop_map(move |(b, r)| Message::Running { p: p(), b: (&*b).into(), r }),
+        grants().prop_map(move |g| Message::Check { p: p(), g }),
+        grants().prop_map(move |g| Message::NotRunning { p: p(), g }),
+        summary().prop_map(|s| Message::Summary(Box::new(s))),
+        (name("zone"), cell(), id()).prop_map(move |(z, c, t)| Message::Copied {
+            p: p(),
+            z: (&*z).into(),
+            c,
+            t
+        }),
+        pull().prop_map(Message::Pull),
+        pulled().prop_map(Message::Pulled),
+        id().prop_map(|v| Message::WantConfiguration { v }),
+    ]
+}
+
+fn node() -> Node {
+    let setup = util::rig::Setup {
+        workspaces: vec![util::backlogged(&[], 1); 3],
+        zones: 2,
+        ..util::rig::Setup::default()
+    };
+    let id = Identity { name: "box-0".into(), zone: "zone-0".into(), incarnation: 1 };
+    let mut node = Node::new(id, Tuning::default(), Gossip::default());
+    let catalog = util::rig::catalog(&setup);
+    node.list(&util::rig::listed(&setup), Duration::ZERO);
+    node.configure(Revision::new(1, catalog).expect("a valid configuration"), Duration::ZERO);
+    node
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever peers say, in any order, a node goes on; and it still serves its own request.
+    #[test]
+    fn any_messages_of_peers_do_no_harm(
+        messages in prop::collection::vec((name("box"), message()), 1..60),
+    ) {
+        let mut node = node();
+        let mut now = Duration::ZERO;
+        for (from, message) in messages {
+            now += Duration::from_millis(700);
+            // Over the wire and back, as it would come.
+            let text = serde_json::to_string(&Envelope((&*from).into(), vec![message])).unwrap();
+            let Envelope(from, messages) = serde_json::from_str(&text).unwrap();
+            node.receive(&from, messages, now);
+            node.tick(now);
+            node.take_output();
+        }
+    }
+}
+
+/// A request head, whole or not, with odd parts.
+fn head() -> impl Strategy<Value = Vec<u8>> {
+    let method = prop_oneof![Just("POST"), Just("GET"), Just("BREW"), Just("")];
+    let path = prop_oneof![
+        Just("/v1/services/assist".to_owned()),
+        Just("/v1/services/".to_owned()),
+        "/[ -~]{0,60}",
+    ];
+    let name = prop_oneof![
+        Just("frostdyke-workspace".to_owned()),
+        Just("frostdyke-deadline-ms".to_owned()),
+        Just("frostdyke-class".to_owned()),
+        Just("idempotency-key".to_owned()),
+        Just("content-length".to_owned()),
+        Just("transfer-encoding".to_owned()),
+        "[!-~]{0,30}",
+    ];
+    let value = prop_oneof![
+        Just("alpha".to_owned()),
+        Just("-1".to_owned()),
+        Just("18446744073709551616".to_owned()),
+        Just("chunked".to_owned()),
+        "[ -~\\t]{0,300}",
+        "\\PC{0,40}",
+    ];
+    let headers = prop::collection::vec((name, value), 0..8);
+    (method, path, headers, any::<bool>()).prop_map(|(method, path, headers, ends)| {
+        let mut text = format!("{method} {path} HTTP/1.1\r\nconnection: close\r\n");
+        for (name, value) in headers {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+        if ends {
+            text.push_str("\r\n{}");
+        }
+        text.into_bytes()
+    })
+}
+
+/// Whatever callers send, they get an answer or a closed connection, and the next one is served.
+#[test]
+fn any_heads_of_callers_are_answered_or_refused() {
+    let extra = "head-timeout-ms = 50\ndefault-deadline-ms = 1000";
+    let setup = Setup { extra: extra.to_owned(), ..Setup::default() };
+    let fleet = Fleet::start(&setup);
+    let router = &fleet.routers[0];
+    let config = ProptestConfig {
+        cases: 400,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    let mut runner = proptest::test_runner::TestRunner::new(config);
+    let strategy = prop_oneof![head(), prop::collection::vec(any::<u8>(), 0..300)];
+    let checked = runner.run(&strategy, |bytes| {
+        let answer = raw(router.callers, &bytes);
+        let status = answer.strip_prefix("HTTP/1.1 ").and_then(|s| s.get(..3));
+        let clear = status.is_none_or(|s| s.starts_with(['2', '4']) || s == "503");
+        prop_assert!(clear, "{answer}");
+        Ok(())
+    });
+    assert_eq!(checked, Ok(()));
+    assert_eq!(router.send("balance", "{}", &[]).outcome, "ran");
+    assert!(router.resident() < RESIDENT_MAX, "{} bytes", router.resident());
+}
+
+/// Bytes that an idle router may hold after all that; it starts with a fifth of it.
+const RESIDENT_MAX: u64 = 64 << 20;
--- a/tests/util/fleet.rs
+++ b/tests/util/fleet.rs
@@ -316,6 +316,15 @@
         kill(Pid::from_raw(child.id() as i32), signal).expect("the process is ours");
     }
 
+    /// Bytes of memory that the process holds.
+    pub fn resident(&self) -> u64 {
+        let pid = self.child.as_ref().expect("it runs").id();
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("it runs");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).expect("a figure");
+        let kib = line.trim().trim_end_matches(" kB").parse::<u64>().expect("a number");
+        kib << 10
+    }
+
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
--- a/tests/util/rig.rs
+++ b/tests/util/rig.rs
@@ -309,7 +309,7 @@
         };
         let mut node = Node::new(id, self.setup.tuning, self.setup.gossip);
         let now = Duration::ZERO;
-        node.list(&self.listed(), now);
+        node.list(&listed(&self.setup), now);
         node.configure(self.revision.clone(), now);
         let member = &mut self.members[i];
         member.node = Some(node);
@@ -724,16 +724,6 @@
         self.sequence += 1;
         self.queue.push(Reverse((at, self.sequence, event)));
     }
-
-    fn listed(&self) -> Vec<ListedBox> {
-        let listed = |i: usize| ListedBox {
-            name: box_name(i),
-            zone: (&*zone_name(i / self.setup.boxes)).into(),
-            peer: ([127, 0, 0, 1], 1).into(),
-            leaving: false,
-        };
-        (0..self.setup.zones * self.setup.boxes).map(listed).collect()
-    }
 }
 
 impl Outcome {
@@ -780,7 +770,19 @@
     }
 }
 
-fn catalog(setup: &Setup) -> Catalog {
+/// The box list of a fleet.
+pub fn listed(setup: &Setup) -> Vec<ListedBox> {
+    let listed = |i: usize| ListedBox {
+        name: box_name(i),
+        zone: (&*zone_name(i / setup.boxes)).into(),
+        peer: ([127, 0, 0, 1], 1).into(),
+        leaving: false,
+    };
+    (0..setup.zones * setup.boxes).map(listed).collect()
+}
+
+/// The configuration of a fleet.
+pub fn catalog(setup: &Setup) -> Catalog {
     let pool = Pool {
         name: POOL.into(),
         unit: Unit::Tokens,
