Build the configurations of tests and benches in one place

Cause: the same configuration stood in tests/dispatch.rs, tests/util/rig.rs and benches/capacity/pool.rs; each new field of a service had to be added three times.

Change: tests/util/catalog.rs builds it, with the product's own defaults. Assertions and bounds are as they were.

Conclusion: the next field of a service (resume) goes in once.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -2,6 +2,8 @@
 //! configuration cost, at three sizes or more. `cargo bench --bench capacity` prints
 //! `name value bound ok|FAIL` and fails when a cost grows faster than its bound.
 
+#[path = "../tests/util/catalog.rs"]
+mod catalog;
 mod fleet;
 #[path = "capacity/pool.rs"]
 mod pool;
--- a/benches/capacity/pool.rs
+++ b/benches/capacity/pool.rs
@@ -4,11 +4,7 @@
 use std::time::Duration;
 
 use frostdyke::config::Catalog;
-use frostdyke::config::Pool as Policy;
 use frostdyke::config::Revision;
-use frostdyke::config::Service;
-use frostdyke::config::Unit;
-use frostdyke::config::Upstream;
 use frostdyke::config::Workspace;
 use frostdyke::dispatch::ledger::CellId;
 use frostdyke::dispatch::pool::Action;
@@ -22,46 +18,18 @@
 use frostdyke::peer::message::Ticket;
 use frostdyke::peer::message::TicketId;
 
+use super::catalog;
+
 const SLOTS: u32 = 8;
 
 /// A configuration of this size.
 pub fn configuration(workspaces: usize, engines: usize) -> Catalog {
     let workspace = |w: usize| Workspace {
-        name: name(w).as_str().into(),
-        weight: 1,
         key_digests: vec!["0".repeat(64)],
-        waiting_limit: 1 << 20,
-        running_limit: 1 << 20,
-    };
-    let upstream = |e: usize| Upstream {
-        name: format!("engine-{e}").as_str().into(),
-        pool: "llm".into(),
-        zone: "zone".into(),
-        address: ([127, 0, 0, 1], 1).into(),
-        slots: SLOTS,
-        draining: false,
+        ..catalog::workspace(&name(w), 1)
     };
-    Catalog {
-        workspaces: (0..workspaces).map(workspace).collect(),
-        services: vec![Service {
-            name: "assist".into(),
-            pool: "llm".into(),
-            path: "/".to_owned(),
-            default_cost: 100,
-            repeatable: true,
-        }],
-        pools: vec![Policy {
-            name: "llm".into(),
-            unit: Unit::Tokens,
-            urgent_lead: 2000,
-            background_every: 10,
-            pull_margin: 2000,
-            debt_cap: 20_000,
-            retry_percent: 10,
-        }],
-        upstreams: (0..engines).map(upstream).collect(),
-        applied: Vec::new(),
-    }
+    let upstream = |e: usize| catalog::upstream(&format!("engine-{e}"), "zone", SLOTS);
+    catalog::catalog((0..workspaces).map(workspace).collect(), (0..engines).map(upstream).collect())
 }
 
 /// A dispatcher all of whose slots are taken and that has a ticket of every workspace waiting.
--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -1,6 +1,8 @@
 //! What one placement decision costs: register a ticket, grant it, end it, with a backlog of many
 //! workspaces and 300 engines. `cargo bench --bench decision`.
 
+#[path = "../tests/util/catalog.rs"]
+mod catalog;
 #[path = "capacity/pool.rs"]
 mod pool;
 
--- a/benches/fairness.rs
+++ b/benches/fairness.rs
@@ -3,6 +3,8 @@
 //! `cargo bench --bench fairness` prints `name value bound ok|FAIL` and fails past a bound.
 //! `cargo bench --bench fairness -- sweep` prints the table of margins and exchange intervals.
 
+#[path = "../tests/util/catalog.rs"]
+mod catalog;
 mod fleet;
 #[path = "../tests/util/rig.rs"]
 mod rig;
--- a/benches/utilisation.rs
+++ b/benches/utilisation.rs
@@ -1,6 +1,8 @@
 //! How busy the slots are while work waits, and what the routers tell each other for it, in one
 //! run. `cargo bench --bench utilisation` prints `name value bound ok|FAIL`.
 
+#[path = "../tests/util/catalog.rs"]
+mod catalog;
 mod fleet;
 #[path = "../tests/util/rig.rs"]
 mod rig;
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -1,15 +1,11 @@
 //! The dispatcher of one pool, by itself.
 
+mod util;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use frostdyke::config::Catalog;
-use frostdyke::config::Pool as Policy;
 use frostdyke::config::Revision;
-use frostdyke::config::Service;
-use frostdyke::config::Unit;
-use frostdyke::config::Upstream;
-use frostdyke::config::Workspace;
 use frostdyke::dispatch::ledger::CellId;
 use frostdyke::dispatch::ledger::Entry;
 use frostdyke::dispatch::pool::Action;
@@ -27,46 +23,20 @@
 use frostdyke::peer::message::Summary;
 use frostdyke::peer::message::Ticket;
 use frostdyke::peer::message::TicketId;
+use util::catalog;
 
 const NOW: Duration = Duration::from_secs(10);
 
 fn configuration(slots: u32) -> Arc<Revision> {
-    let workspace = |name: &str| Workspace {
-        name: name.into(),
-        weight: 1,
-        key_digests: Vec::new(),
-        waiting_limit: 100,
-        running_limit: 100,
-    };
-    let catalog = Catalog {
-        workspaces: vec![workspace("a"), workspace("b")],
-        services: vec![Service {
-            name: "assist".into(),
-            pool: "llm".into(),
-            path: "/".to_owned(),
-            default_cost: 100,
-            repeatable: true,
-        }],
-        pools: vec![Policy {
-            name: "llm".into(),
-            unit: Unit::Tokens,
-            urgent_lead: 500,
-            background_every: 3,
-            pull_margin: 100,
-            debt_cap: 1000,
-            retry_percent: 10,
-        }],
-        upstreams: vec![Upstream {
-            name: "e1".into(),
-            pool: "llm".into(),
-            zone: "here".into(),
-            address: ([127, 0, 0, 1], 1).into(),
-            slots,
-            draining: false,
-        }],
-        applied: Vec::new(),
-    };
-    Arc::new(Revision::new(1, catalog).expect("it is valid"))
+    let workspaces = vec![catalog::workspace("a", 1), catalog::workspace("b", 1)];
+    let mut configuration =
+        catalog::catalog(workspaces, vec![catalog::upstream("e1", "here", slots)]);
+    let pool = &mut configuration.pools[0];
+    pool.urgent_lead = 500;
+    pool.background_every = 3;
+    pool.pull_margin = 100;
+    pool.debt_cap = 1000;
+    Arc::new(Revision::new(1, configuration).expect("it is valid"))
 }
 
 fn pool(slots: u32) -> Pool {
--- /dev/null
+++ b/tests/util/catalog.rs
@@ -0,0 +1,48 @@
+//! Configurations of one pool and one service, with limits that nobody meets.
+#![allow(dead_code)]
+
+use frostdyke::config::Catalog;
+use frostdyke::config::Upstream;
+use frostdyke::config::Workspace;
+use serde_json::json;
+
+pub const POOL: &str = "llm";
+pub const SERVICE: &str = "assist";
+
+/// More than any test or bench has waiting or running.
+const LIMIT: u32 = 1 << 20;
+
+pub fn workspace(name: &str, weight: u32) -> Workspace {
+    Workspace {
+        name: name.into(),
+        weight,
+        key_digests: Vec::new(),
+        waiting_limit: LIMIT,
+        running_limit: LIMIT,
+    }
+}
+
+pub fn upstream(name: &str, zone: &str, slots: u32) -> Upstream {
+    Upstream {
+        name: name.into(),
+        pool: POOL.into(),
+        zone: zone.into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        slots,
+        draining: false,
+    }
+}
+
+/// All that isn't given is as it is by default.
+pub fn catalog(workspaces: Vec<Workspace>, upstreams: Vec<Upstream>) -> Catalog {
+    let rest = json!({
+        "workspaces": [],
+        "services": [
+            {"name": SERVICE, "pool": POOL, "path": "/v1/generate", "default_cost": 100},
+        ],
+        "pools": [{"name": POOL, "unit": "tokens"}],
+        "upstreams": [],
+    });
+    let rest: Catalog = serde_json::from_value(rest).expect("a configuration");
+    Catalog { workspaces, upstreams, ..rest }
+}
--- a/tests/util/mod.rs
+++ b/tests/util/mod.rs
@@ -1,6 +1,7 @@
 //! What several test files share.
 #![allow(dead_code)]
 
+pub mod catalog;
 pub mod fleet;
 pub mod rig;
 
--- a/tests/util/rig.rs
+++ b/tests/util/rig.rs
@@ -12,11 +12,7 @@
 use std::time::Duration;
 
 use frostdyke::config::Catalog;
-use frostdyke::config::Pool;
 use frostdyke::config::Revision;
-use frostdyke::config::Service;
-use frostdyke::config::Unit;
-use frostdyke::config::Upstream;
 use frostdyke::config::Workspace;
 use frostdyke::dispatch::pool::Tuning;
 use frostdyke::dispatch::upstreams::Report;
@@ -36,12 +32,13 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+
+use super::catalog;
+use super::catalog::POOL;
+use super::catalog::SERVICE;
 use rustc_hash::FxHashMap;
 use rustc_hash::FxHashSet;
 
-pub const POOL: &str = "llm";
-pub const SERVICE: &str = "assist";
-
 const TICK: Duration = Duration::from_millis(10);
 const SAMPLE: Duration = Duration::from_millis(100);
 const PROGRESS: Duration = Duration::from_millis(200);
@@ -225,7 +222,8 @@
 
 impl Rig {
     pub fn new(setup: Setup) -> Rig {
-        let revision = Revision::new(1, catalog(&setup)).expect("the rig's configuration is valid");
+        let revision =
+            Revision::new(1, configuration(&setup)).expect("the rig's configuration is valid");
         let mut rig = Rig {
             net: Net::default(),
             now: Duration::ZERO,
@@ -782,49 +780,16 @@
 }
 
 /// The configuration of a fleet.
-pub fn catalog(setup: &Setup) -> Catalog {
-    let pool = Pool {
-        name: POOL.into(),
-        unit: Unit::Tokens,
-        urgent_lead: 2000,
-        background_every: 10,
-        pull_margin: 2000,
-        debt_cap: setup.debt_cap,
-        retry_percent: 10,
-    };
-    let service = Service {
-        name: SERVICE.into(),
-        pool: POOL.into(),
-        path: "/v1/generate".to_owned(),
-        default_cost: 100,
-        repeatable: true,
-    };
-    let workspace = |name: &str, weight| Workspace {
-        name: name.into(),
-        weight,
-        key_digests: Vec::new(),
-        waiting_limit: 1_000_000,
-        running_limit: 1_000_000,
-    };
+pub fn configuration(setup: &Setup) -> Catalog {
     let named = setup.workspaces.iter().enumerate();
     let mut workspaces: Vec<Workspace> =
-        named.map(|(w, t)| workspace(&workspace_name(w), t.weight)).collect();
-    workspaces.push(workspace("all", 1));
-    let upstreams = engines(setup).into_iter().map(|e| Upstream {
-        name: e.name.clone(),
-        pool: POOL.into(),
-        zone: (&*zone_name(e.zone)).into(),
-        address: ([127, 0, 0, 1], 1).into(),
-        slots: setup.slots,
-        draining: false,
-    });
-    Catalog {
-        workspaces,
-        services: vec![service],
-        pools: vec![pool],
-        upstreams: upstreams.collect(),
-        applied: Vec::new(),
-    }
+        named.map(|(w, t)| catalog::workspace(&workspace_name(w), t.weight)).collect();
+    workspaces.push(catalog::workspace("all", 1));
+    let upstream = |e: Engine| catalog::upstream(&e.name, &zone_name(e.zone), setup.slots);
+    let upstreams = engines(setup).into_iter().map(upstream).collect();
+    let mut configuration = catalog::catalog(workspaces, upstreams);
+    configuration.pools[0].debt_cap = setup.debt_cap;
+    configuration
 }
 
 fn engines(setup: &Setup) -> Vec<Engine> {
