Go on with an event stream that the upstream cut, where it can stream it again

Cause: a cut stream was cut at the caller, though the engines can resume; and the caller could be left with half an event.

Ruled out: passing on every byte and skipping what comes again (half an event stays when the engine is gone); sending the request again (it would run twice).

Change: a service may have a resume path; its streams are passed on in whole events and counted, and after a cut the same upstream is asked for the rest, three times at most and under the retry budget.

--- a/src/config/catalog.rs
+++ b/src/config/catalog.rs
@@ -18,6 +18,12 @@
 /// The name of the configuration object in the platform's Object API.
 pub const OBJECT: &str = "frostdyke/configuration";
 
+/// Stands in a path for the request's id.
+pub const REQUEST: &str = "{request}";
+
+/// Stands in a path for the number of events passed on.
+pub const FROM: &str = "{from}";
+
 /// Longest name of anything in the configuration, in bytes.
 pub const NAME_MAX: usize = 64;
 
@@ -68,6 +74,11 @@
     pub pool: PoolName,
     /// The path to call on an upstream.
     pub path: String,
+    /// The path by which an upstream streams an answer again, for event streams that were cut.
+    /// `{request}` in it stands for the request's id, `{from}` for the number of events that the
+    /// caller has. None where upstreams can't.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub resume: Option<String>,
     /// Cost assumed until requests of a workspace have ended, in the pool's unit.
     #[serde(default = "default_cost")]
     pub default_cost: u32,
@@ -151,6 +162,7 @@
     services: FxHashMap<ServiceName, usize>,
     workspaces: FxHashMap<WorkspaceName, usize>,
     pools: FxHashMap<PoolName, usize>,
+    upstreams: FxHashMap<UpstreamName, usize>,
 }
 
 impl Revision {
@@ -165,7 +177,9 @@
         let workspaces =
             catalog.workspaces.iter().enumerate().map(|(i, w)| (w.name.clone(), i)).collect();
         let pools = catalog.pools.iter().enumerate().map(|(i, p)| (p.name.clone(), i)).collect();
-        Ok(Revision { number, catalog, services, workspaces, pools })
+        let upstreams =
+            catalog.upstreams.iter().enumerate().map(|(i, u)| (u.name.clone(), i)).collect();
+        Ok(Revision { number, catalog, services, workspaces, pools, upstreams })
     }
 
     /// Looks up a service.
@@ -183,6 +197,11 @@
         self.pools.get(name).map(|&i| &self.catalog.pools[i])
     }
 
+    /// Looks up an upstream.
+    pub fn upstream(&self, name: &str) -> Option<&Upstream> {
+        self.upstreams.get(name).map(|&i| &self.catalog.upstreams[i])
+    }
+
     /// The upstreams of a pool in one availability zone.
     pub fn upstreams<'a>(
         &'a self,
@@ -229,6 +248,13 @@
         if !service.path.starts_with('/') {
             faults.push(fault(format!("services[{i}].path"), "must start with '/'"));
         }
+        let resumes = |p: &String| {
+            p.starts_with('/') && [REQUEST, FROM].iter().all(|place| p.contains(place))
+        };
+        if !service.resume.as_ref().is_none_or(resumes) {
+            let reason = "must start with '/' and hold {request} and {from}";
+            faults.push(fault(format!("services[{i}].resume"), reason));
+        }
     }
     for (i, pool) in catalog.pools.iter().enumerate() {
         if pool.background_every == 0 {
--- a/src/node/receive.rs
+++ b/src/node/receive.rs
@@ -217,7 +217,6 @@
 
     /// The pool of an upstream that a grant names.
     fn pool_of(&self, grant: &Grant) -> Option<PoolName> {
-        let mut upstreams = self.cfg.catalog.upstreams.iter();
-        upstreams.find(|u| u.name == grant.upstream).map(|u| u.pool.clone())
+        self.cfg.upstream(&grant.upstream).map(|u| u.pool.clone())
     }
 }
--- a/src/router/ask.rs
+++ b/src/router/ask.rs
@@ -61,6 +61,8 @@
     pub pool: PoolName,
     /// The path to call on the upstream.
     pub path: String,
+    /// The path that goes on with an answer, where upstreams have one.
+    pub resume: Option<String>,
     /// What its cost is counted in.
     pub unit: Unit,
     /// How much of a hurry it is in.
@@ -117,6 +119,7 @@
         service: service.name.clone(),
         pool: pool.name.clone(),
         path: service.path.clone(),
+        resume: service.resume.clone(),
         unit: pool.unit,
         class: class(headers)?,
         deadline: deadline(headers)?.unwrap_or(limits.default_deadline),
--- a/src/router/flow.rs
+++ b/src/router/flow.rs
@@ -1,19 +1,15 @@
 //! The life of one request: wait for a grant, send, and pass the answer on.
 
-use std::io;
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::Context;
-use std::task::Poll;
 
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderValue;
+use http::Method;
 use http::Response;
 use http::StatusCode;
 use http::header;
 use http_body_util::BodyExt;
-use hyper::body::Frame;
 use opentelemetry::KeyValue;
 use slog::info;
 use tokio::sync::oneshot;
@@ -40,8 +36,9 @@
 use crate::router::ask::Ask;
 use crate::router::ask::PREFIX;
 use crate::router::hub::Hub;
-use crate::router::meter;
-use crate::router::meter::Meter;
+use crate::router::relay::Answer;
+use crate::router::relay::Placed;
+use crate::router::resume::Resume;
 use crate::router::send::Event;
 use crate::router::send::Incoming;
 use crate::router::send::Outgoing;
@@ -121,7 +118,8 @@
             if cause.outcome() != Outcome::NotRun {
                 self.failed = Some(cause.clone());
             }
-            if TRIES_MAX <= self.tale.attempts.len() || !self.may_retry() {
+            if TRIES_MAX <= self.tale.attempts.len() || !self.service.hub.may_retry(&self.ask.pool)
+            {
                 return Err(cause);
             }
             id = self.service.hub.new_ticket_id();
@@ -192,24 +190,13 @@
         attempt.ending = "sent".to_owned();
         let class = KeyValue::new("class", class_name(self.ask.class));
         hub.metrics().waits.record(waited.as_secs_f64(), &[class]);
-        Ok(Placed {
-            hub: hub.clone(),
-            id,
-            upstream: start.upstream,
-            next_report: start.cover,
-            meter: meter::new(self.ask.unit),
-            labels: [
-                KeyValue::new("workspace", self.ask.workspace.to_string()),
-                KeyValue::new("pool", self.ask.pool.to_string()),
-            ],
-            ended: false,
-        })
+        Ok(Placed::new(hub, id, start, &self.ask))
     }
 
     /// Sends the request where it was placed, and waits until the answer begins.
     async fn send(&mut self, mut placed: Placed, deadline: Instant) -> Result<Sent, Cause> {
         let cfg = self.service.hub.configuration();
-        let upstream = cfg.catalog.upstreams.iter().find(|u| u.name == placed.upstream);
+        let upstream = cfg.upstream(&placed.upstream);
         // The last word on an upstream that leaves is had here, right before sending.
         let Some(upstream) = upstream.filter(|u| !u.draining) else {
             placed.end(Ending::Unused);
@@ -225,6 +212,7 @@
             "attempt" => self.tale.attempts.len(),
         );
         let outgoing = Outgoing {
+            method: Method::POST,
             addr: upstream.address,
             path: self.ask.path.clone(),
             headers: self.outgoing_headers(),
@@ -232,6 +220,7 @@
             idle_timeout: self.service.limits.idle_timeout,
         };
         self.note_sent(true);
+        let resume = self.resume(&outgoing);
         let Ok(mut incoming) = self.service.senders.send(&self.ask.workspace, outgoing) else {
             self.note_sent(false);
             placed.end(Ending::Unused);
@@ -246,7 +235,9 @@
             }
         };
         match first {
-            Some(Event::Head { status, headers }) => self.answer(placed, status, headers, incoming),
+            Some(Event::Head { status, headers }) => {
+                self.answer(placed, status, headers, incoming, resume)
+            }
             Some(Event::Failed { sent, reason }) => {
                 placed.end(Ending::Failed);
                 self.failed(sent, reason)
@@ -275,6 +266,7 @@
         status: StatusCode,
         headers: HeaderMap,
         incoming: Incoming,
+        resume: Option<Resume>,
     ) -> Result<Sent, Cause> {
         let echoed = headers.get(REQUEST_ID).map(HeaderValue::as_bytes);
         if echoed.is_some_and(|id| id != self.tale.request.as_bytes()) {
@@ -291,13 +283,11 @@
         let length =
             headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
         let chunked = headers.contains_key(header::TRANSFER_ENCODING);
-        let tale = self.tale.take();
         let framed = length.is_some() || chunked;
-        let mut answer = Answer { placed, tale, incoming, left: length, framed, cutting: None };
-        if length == Some(0) {
-            answer.end(Ending::Answered);
-        }
-        let request = answer.tale.request.clone();
+        let resume = resume.filter(|_| status == StatusCode::OK && is_event_stream(&headers));
+        let request = self.tale.request.clone();
+        let tale = self.tale.take();
+        let answer = Answer::new(placed, tale, incoming, length, framed, resume);
         let mut resp = Response::new(answer.boxed());
         *resp.status_mut() = status;
         *resp.headers_mut() = headers;
@@ -311,14 +301,12 @@
         Ok(Sent::Answered(resp))
     }
 
-    fn may_retry(&self) -> bool {
-        let pool = &self.ask.pool;
-        let allowed = self.service.hub.with(|node, _| node.may_retry(pool));
-        if allowed {
-            let label = KeyValue::new("pool", pool.to_string());
-            self.service.hub.metrics().retries.add(1, &[label]);
-        }
-        allowed
+    /// How to go on with the answer if it is cut, where the service's upstreams can.
+    fn resume(&self, outgoing: &Outgoing) -> Option<Resume> {
+        let path = self.ask.resume.as_deref()?;
+        let (workspace, pool) = (&self.ask.workspace, &self.ask.pool);
+        let request = &self.tale.request;
+        Some(Resume::new(&self.service, workspace, pool, request, outgoing.clone(), path))
     }
 
     fn ticket(&self, id: TicketId, avoid: Option<UpstreamName>, deadline: Instant) -> Ticket {
@@ -349,9 +337,7 @@
     }
 
     fn note_ending(&mut self, ending: &str) {
-        if let Some(attempt) = self.tale.attempts.last_mut() {
-            attempt.ending = ending.to_owned();
-        }
+        self.tale.note_ending(ending);
     }
 }
 
@@ -398,7 +384,15 @@
         }
     }
 
-    fn end(&mut self, outcome: Outcome) {
+    /// Notes how the last attempt ended, or goes on.
+    pub fn note_ending(&mut self, ending: &str) {
+        if let Some(attempt) = self.attempts.last_mut() {
+            attempt.ending = ending.to_owned();
+        }
+    }
+
+    /// Counts the request as ended, and remembers it to be asked about.
+    pub fn end(&mut self, outcome: Outcome) {
         let labels = [
             KeyValue::new("workspace", self.workspace.to_string()),
             KeyValue::new("outcome", outcome.as_str()),
@@ -450,130 +444,16 @@
     }
 }
 
-/// A request that has its grant. Dropped before its end, it counts as cancelled.
-struct Placed {
-    hub: Arc<Hub>,
-    id: TicketId,
-    upstream: UpstreamName,
-    /// The cost at which the node is told of it next.
-    next_report: u64,
-    meter: Box<dyn Meter>,
-    labels: [KeyValue; 2],
-    ended: bool,
-}
-
-impl Placed {
-    fn piece(&mut self, piece: &[u8]) {
-        let cost = self.meter.piece(piece);
-        if self.next_report < cost {
-            self.next_report = self.hub.produced(self.id, cost);
-        }
-    }
-
-    fn end(&mut self, ending: Ending) {
-        if self.ended {
-            return;
-        }
-        self.ended = true;
-        let cost = if ending == Ending::Unused { 0 } else { self.meter.cost() };
-        self.hub.finish(self.id, cost, ending);
-        self.hub.metrics().service.add(cost, &self.labels);
-    }
-}
-
-impl Drop for Placed {
-    fn drop(&mut self) {
-        self.end(Ending::Cancelled);
-    }
-}
-
-/// The body of an answer, as it comes from the upstream.
-struct Answer {
-    placed: Placed,
-    tale: Tale,
-    incoming: Incoming,
-    /// Bytes still to come, where the upstream has told the length.
-    left: Option<u64>,
-    /// Whether the upstream's end of the body can be told from a cut.
-    framed: bool,
-    /// Why the answer is about to be cut.
-    cutting: Option<io::Error>,
-}
-
-impl Answer {
-    fn end(&mut self, ending: Ending) {
-        if self.placed.ended {
-            return;
-        }
-        self.placed.end(ending);
-        if let Some(attempt) = self.tale.attempts.last_mut() {
-            attempt.ending = format!("{ending:?}").to_lowercase();
-        }
-        self.tale.end(Outcome::Ran);
-    }
-
-    /// Cuts the answer at the next poll. An error now would take along what `hyper` has not yet
-    /// passed on: the head, even. While it is told to wait, it does that first.
-    fn cut(&mut self, reason: &str, cx: &Context<'_>) -> Poll<Option<FrameResult>> {
-        if self.placed.ended {
-            return Poll::Ready(None);
-        }
-        self.end(Ending::Failed);
-        self.cutting = Some(io::Error::other(reason.to_owned()));
-        cx.waker().wake_by_ref();
-        Poll::Pending
-    }
-}
-
-type FrameResult = Result<Frame<Bytes>, io::Error>;
-
-impl hyper::body::Body for Answer {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<FrameResult>> {
-        let this = &mut *self;
-        if let Some(e) = this.cutting.take() {
-            return Poll::Ready(Some(Err(e)));
-        }
-        let event = match this.incoming.poll_next(cx) {
-            Poll::Pending => return Poll::Pending,
-            Poll::Ready(event) => event,
-        };
-        match event {
-            Some(Event::Piece(piece)) => {
-                this.placed.piece(&piece);
-                if let Some(left) = &mut this.left {
-                    *left = left.saturating_sub(piece.len() as u64);
-                    // Nobody asks for more once the last byte is there.
-                    if *left == 0 {
-                        this.end(Ending::Answered);
-                    }
-                }
-                Poll::Ready(Some(Ok(Frame::data(piece))))
-            }
-            Some(Event::End) if this.framed => {
-                this.end(Ending::Answered);
-                Poll::Ready(None)
-            }
-            Some(Event::End) => this.cut("the answer's end can't be told from a cut", cx),
-            Some(Event::Failed { reason, .. }) => this.cut(&reason, cx),
-            Some(Event::Head { .. }) | None => this.cut("the sending thread ended", cx),
-        }
-    }
-}
-
-impl Drop for Answer {
-    fn drop(&mut self) {
-        self.end(Ending::Cancelled);
-    }
-}
-
 /// Whether an upstream says that it didn't take the request on.
 fn is_refusal(status: StatusCode) -> bool {
     matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
 }
 
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let kind = headers.get(header::CONTENT_TYPE).map(HeaderValue::as_bytes);
+    kind.is_some_and(|kind| kind.starts_with(b"text/event-stream"))
+}
+
 fn class_name(class: Class) -> &'static str {
     match class {
         Class::Urgent => "urgent",
--- a/src/router/hub.rs
+++ b/src/router/hub.rs
@@ -26,6 +26,7 @@
 use crate::dispatch::pool::Pool;
 use crate::metrics::Metrics;
 use crate::names::BoxName;
+use crate::names::PoolName;
 use crate::names::UpstreamName;
 use crate::names::WorkspaceName;
 use crate::node::Change;
@@ -167,6 +168,15 @@
         self.with(|node, now| node.finish(id, cost, ending, now));
     }
 
+    /// Takes a retry out of a pool's budget, and counts it.
+    pub fn may_retry(&self, pool: &PoolName) -> bool {
+        let allowed = self.with(|node, _| node.may_retry(pool));
+        if allowed {
+            self.metrics.retries.add(1, &[KeyValue::new("pool", pool.to_string())]);
+        }
+        allowed
+    }
+
     /// Changes the node and does what comes of it.
     pub fn with<T>(&self, f: impl FnOnce(&mut Node, Duration) -> T) -> T {
         let mut inner = self.inner.lock().expect("no panic under lock");
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -8,6 +8,8 @@
 pub mod hub;
 pub mod meter;
 pub mod records;
+pub mod relay;
+pub mod resume;
 pub mod send;
 
 use std::io;
--- a/src/router/send.rs
+++ b/src/router/send.rs
@@ -21,6 +21,7 @@
 use crossbeam::channel::Sender;
 use crossbeam::channel::TrySendError;
 use http::HeaderMap;
+use http::Method;
 use http::Request;
 use http::StatusCode;
 use tokio::sync::mpsc;
@@ -57,6 +58,8 @@
 /// A request for an upstream.
 #[derive(Clone, Debug)]
 pub struct Outgoing {
+    /// How it asks.
+    pub method: Method,
     /// Where it goes.
     pub addr: SocketAddr,
     /// The path there.
@@ -218,12 +221,15 @@
     fn run(self) {
         let Job { outgoing, agent, sent, events, share: _share } = self;
         let failed = |reason: String| Event::Failed { sent: sent.load(Ordering::SeqCst), reason };
-        let mut req = Request::post(format!("http://{}{}", outgoing.addr, outgoing.path));
+        let uri = format!("http://{}{}", outgoing.addr, outgoing.path);
+        let mut req = Request::builder().method(&outgoing.method).uri(uri);
         if let Some(headers) = req.headers_mut() {
             headers.extend(outgoing.headers);
         }
-        let result =
-            req.body(&*outgoing.body).map_err(ureq::Error::from).and_then(|r| agent.run(r));
+        let result = match outgoing.method {
+            Method::GET => req.body(()).map_err(ureq::Error::from).and_then(|r| agent.run(r)),
+            _ => req.body(&*outgoing.body).map_err(ureq::Error::from).and_then(|r| agent.run(r)),
+        };
         let resp = match result {
             Ok(resp) => resp,
             Err(e) => return drop(events.blocking_send(failed(e.to_string()))),
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -69,8 +69,10 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Faults {
-    /// Answers are cut after this many tokens.
+    /// Answers are cut after this many tokens; those that are streamed again are not.
     pub cut_after: Option<u64>,
+    /// Those that are streamed again are cut before their first token.
+    pub cut_again: bool,
     /// Answers carry another request's id.
     pub crossed: bool,
     /// Every answer begins this much later, in milliseconds.
@@ -124,6 +126,7 @@
     ran: Mutex<HashMap<String, u64>>,
     tokens: AtomicU64,
     cancelled: AtomicU64,
+    resumed: AtomicU64,
 }
 
 #[derive(Deserialize)]
@@ -154,6 +157,7 @@
             ran: Mutex::default(),
             tokens: AtomicU64::new(0),
             cancelled: AtomicU64::new(0),
+            resumed: AtomicU64::new(0),
         });
         let shared = state.clone();
         let addr = web::serve(addr, move |req| handle(shared.clone(), req))?;
@@ -175,6 +179,11 @@
         self.state.running.load(Ordering::SeqCst)
     }
 
+    /// Answers that were streamed again.
+    pub fn resumed(&self) -> u64 {
+        self.state.resumed.load(Ordering::SeqCst)
+    }
+
     /// Requests whose caller left before the end.
     pub fn cancelled(&self) -> u64 {
         self.state.cancelled.load(Ordering::SeqCst)
@@ -348,6 +357,9 @@
     let Some(max_tokens) = asked else { return web::status(StatusCode::NOT_FOUND) };
     let prompt = Prompt { max_tokens, ..Prompt::default() };
     let faults = state.faults();
+    let cut_after = faults.cut_again.then_some(from);
+    let faults = Faults { cut_after, ..faults };
+    state.resumed.fetch_add(1, Ordering::SeqCst);
     begin(state, Generation { prompt, prefix: 0, class: 1, from, faults }, &id)
 }
 
--- a/tests/holds_answers.rs
+++ b/tests/holds_answers.rs
@@ -10,8 +10,10 @@
 use std::thread;
 use std::time::Duration;
 
+use frostdyke::router::resume::Events;
 use frostdyke_standin::engine;
 use frostdyke_standin::service;
+use proptest::prelude::*;
 use util::fleet::Fleet;
 use util::fleet::Setup;
 use util::fleet::any_port;
@@ -70,6 +72,71 @@
     assert_eq!((reply.status, reply.whole), (200, false), "{reply:?}");
 }
 
+/// A fleet whose engine can go on with an answer.
+fn resuming(faults: engine::Faults) -> Fleet {
+    let mut fleet = engine_faults(faults);
+    fleet.configuration["services"][0]["resume"] = "/resume/{request}?from={from}".into();
+    fleet.configure();
+    fleet.wait_in_force(2);
+    fleet
+}
+
+#[test]
+fn an_answer_that_is_cut_goes_on_where_the_engine_can() {
+    let fleet = resuming(engine::Faults { cut_after: Some(5), ..Default::default() });
+    let reply = ask(&fleet, 20);
+    assert_eq!((reply.status, reply.whole), (200, true), "{reply:?}");
+    let tokens = (0..20).map(|n| format!("data: {{\"token\":{n}}}\n\n"));
+    assert!(reply.body.starts_with(&tokens.collect::<String>()), "{reply:?}");
+    assert!(reply.body.ends_with("data: [DONE]\n\n"), "{reply:?}");
+    // The request ran once; only its answer was streamed again.
+    assert_eq!(fleet.engines[0].ran().values().sum::<u64>(), 1);
+    assert_eq!(fleet.engines[0].resumed(), 1);
+    wait_until("the slot is free again", || fleet.engines[0].running() == 0);
+}
+
+#[test]
+fn an_answer_that_is_cut_again_and_again_is_cut_visibly() {
+    let faults = engine::Faults { cut_after: Some(5), cut_again: true, ..Default::default() };
+    let fleet = resuming(faults);
+    let reply = ask(&fleet, 20);
+    assert_eq!((reply.status, reply.whole), (200, false), "{reply:?}");
+    assert!(reply.body.is_empty() || reply.body.ends_with("\n\n"), "half an event: {reply:?}");
+    assert_eq!(fleet.engines[0].resumed(), 3);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// However a stream is split and wherever it is cut, what was passed on and what comes from
+    /// the counted event on make it whole.
+    #[test]
+    fn a_cut_stream_goes_on_where_it_was(
+        sizes in prop::collection::vec(0..40_usize, 1..12),
+        pieces in prop::collection::vec(1..30_usize, 0..20),
+        windows in any::<bool>(),
+    ) {
+        let end = if windows { "\r\n\r\n" } else { "\n\n" };
+        let event = |(i, size): (usize, &usize)| format!("data: {i}{}{end}", "x".repeat(*size));
+        let stream: Vec<String> = sizes.iter().enumerate().map(event).collect();
+        let text = stream.concat().into_bytes();
+        let (mut events, mut passed, mut at) = (Events::default(), Vec::new(), 0);
+        for size in pieces {
+            let until = (at + size).min(text.len());
+            passed.extend(events.take(&text[at..until]).unwrap_or_default());
+            at = until;
+        }
+        let from = events.restart().expect("no event is too long") as usize;
+        passed.extend(stream[from..].concat().into_bytes());
+        prop_assert_eq!(passed, text);
+    }
+}
+
 #[test]
 fn an_answer_with_another_requests_id_is_never_passed_on() {
     let fleet = engine_faults(engine::Faults { crossed: true, ..Default::default() });
--- a/tests/util/rig.rs
+++ b/tests/util/rig.rs
@@ -32,12 +32,12 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rustc_hash::FxHashMap;
+use rustc_hash::FxHashSet;
 
 use super::catalog;
 use super::catalog::POOL;
 use super::catalog::SERVICE;
-use rustc_hash::FxHashMap;
-use rustc_hash::FxHashSet;
 
 const TICK: Duration = Duration::from_millis(10);
 const SAMPLE: Duration = Duration::from_millis(100);
