Change models by a controller a zone: leases, fenced orders, the weight store's rate

Cause: there was nothing that acts on engines: no leases, no orders, no way to change a model but by hand.

Ruled out: steps kept in an object, one controller for all zones, a lease judged by the time of day, a token bucket in the store; each with its reason in docs/DESIGN.md.

Change: frostdyke-controller. A pure lease that compares no clocks; a pure rollout that gives each engine's next step from what is seen of it; orders with a fence; reports in an object a zone. Intent load, frostdykectl load and engines, GET /v1/engines. The engine stand-in takes orders, with and without a check of fences.

--- a/src/bin/ctl.rs
+++ b/src/bin/ctl.rs
@@ -5,6 +5,7 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
+use frostdyke::config::EngineState;
 use frostdyke::ctl;
 use frostdyke::ctl::Error;
 use frostdyke::operator::intent::Intent;
@@ -43,6 +44,28 @@
     /// Show the state of every box: who waits, and which upstream gets nothing and why
     #[bpaf(command)]
     Status,
+    /// Show what the engines of every zone have loaded, and what they wait for
+    #[bpaf(command)]
+    Engines,
+    /// Load a model on every engine of a pool, one after the other
+    #[bpaf(command)]
+    Load {
+        /// An adapter beside it; may stand more than once
+        #[bpaf(argument("NAME"))]
+        adapter: Vec<String>,
+        /// What the engines do for their pool, such as prefill or decode
+        #[bpaf(argument("ROLE"), fallback(String::new()))]
+        role: String,
+        /// The pool
+        #[bpaf(positional("POOL"))]
+        pool: String,
+        /// The model
+        #[bpaf(positional("MODEL"))]
+        model: String,
+        /// Its version
+        #[bpaf(positional("VERSION"))]
+        version: String,
+    },
     /// Tell why a request was placed as it was
     #[bpaf(command)]
     Explain {
@@ -78,6 +101,12 @@
     let command = match opts.command {
         Command::Show => ctl::Command::Show,
         Command::Status => ctl::Command::Status,
+        Command::Engines => ctl::Command::Engines,
+        Command::Load { adapter, role, pool, model, version } => {
+            let adapters = adapter.into_iter().collect();
+            let engine = EngineState { model, version, adapters, role };
+            ctl::Command::Intend(Intent::Load { pool, engine })
+        }
         Command::Explain { request } => ctl::Command::Explain(request),
         Command::Drain { upstream } => ctl::Command::Intend(Intent::Drain { upstream }),
         Command::Undrain { upstream } => ctl::Command::Intend(Intent::Undrain { upstream }),
--- a/src/config/catalog.rs
+++ b/src/config/catalog.rs
@@ -2,6 +2,7 @@
 //!
 //! The platform's Object API keeps it as one JSON value. Its object version is the revision.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use rustc_hash::FxHashMap;
@@ -39,11 +40,21 @@
     pub pools: Vec<Pool>,
     /// Engines and plain services.
     pub upstreams: Vec<Upstream>,
+    /// What the weight store allows.
+    #[serde(default)]
+    pub weights: Weights,
     /// Plans applied lately, newest last, so that a lost answer to a write can be settled.
     #[serde(default)]
     pub applied: Vec<Applied>,
 }
 
+impl Catalog {
+    /// The availability zones that have upstreams, in order.
+    pub fn zones(&self) -> BTreeSet<&ZoneName> {
+        self.upstreams.iter().map(|u| &u.zone).collect()
+    }
+}
+
 /// One customer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -111,6 +122,9 @@
     /// Retries allowed as a share of the requests, in percent.
     #[serde(default = "retry_percent")]
     pub retry_percent: u32,
+    /// Engines of one availability zone that may be without work at once while they are changed.
+    #[serde(default = "one")]
+    pub unavailable_max: u32,
 }
 
 /// The unit of cost of a pool.
@@ -140,6 +154,39 @@
     /// Whether it gets no new work.
     #[serde(default)]
     pub draining: bool,
+    /// What an engine is to have loaded. None for one that is left as it is.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub engine: Option<EngineState>,
+}
+
+/// What an engine has loaded, or is to load.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EngineState {
+    /// The model.
+    pub model: String,
+    /// Its version.
+    pub version: String,
+    /// Adapters beside it, in any order.
+    #[serde(default)]
+    pub adapters: BTreeSet<String>,
+    /// What it does for its pool, such as `prefill` or `decode`; empty for all.
+    #[serde(default)]
+    pub role: String,
+}
+
+/// What the weight store allows, fleet-wide.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Weights {
+    /// Loads begun in a minute. The zones that have upstreams share them evenly.
+    pub loads_per_minute: u32,
+}
+
+impl Default for Weights {
+    fn default() -> Weights {
+        Weights { loads_per_minute: 6 }
+    }
 }
 
 /// A plan that was applied.
@@ -256,7 +303,13 @@
             faults.push(fault(format!("services[{i}].resume"), reason));
         }
     }
+    if catalog.weights.loads_per_minute == 0 {
+        faults.push(fault("weights.loads_per_minute".to_owned(), "must be at least 1"));
+    }
     for (i, pool) in catalog.pools.iter().enumerate() {
+        if pool.unavailable_max == 0 {
+            faults.push(fault(format!("pools[{i}].unavailable_max"), "must be at least 1"));
+        }
         if pool.background_every == 0 {
             faults.push(fault(format!("pools[{i}].background_every"), "must be at least 1"));
         }
@@ -265,6 +318,9 @@
         if !pools.contains(upstream.pool.as_str()) {
             faults.push(fault(format!("upstreams[{i}].pool"), "names no pool"));
         }
+        if upstream.engine.as_ref().is_some_and(|e| e.model.is_empty()) {
+            faults.push(fault(format!("upstreams[{i}].engine.model"), "must not be empty"));
+        }
         if upstream.slots == 0 {
             faults.push(fault(format!("upstreams[{i}].slots"), "must be at least 1"));
         }
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -87,6 +87,19 @@
     pub log: Log,
 }
 
+/// Settings of `frostdyke-controller`.
+#[derive(Clone, Debug)]
+pub struct Controller {
+    /// `[box]`: who this is.
+    pub identity: Box,
+    /// `[listen] metrics`: where the metrics page is.
+    pub metrics: SocketAddr,
+    /// `[platform] address`: where the platform's API is.
+    pub platform: SocketAddr,
+    /// `[log]`.
+    pub log: Log,
+}
+
 /// An operator and the digest of the token that names them.
 #[derive(Clone, Debug)]
 pub struct Token {
@@ -211,6 +224,18 @@
     rdr.finish(settings)
 }
 
+/// Reads the settings of `frostdyke-controller`.
+pub fn controller(path: &Path) -> Result<Controller, Error> {
+    let mut rdr = Reader::open(path)?;
+    let settings = Controller {
+        identity: rdr.identity(),
+        metrics: rdr.address("listen", "metrics"),
+        platform: rdr.address("platform", "address"),
+        log: rdr.log(),
+    };
+    rdr.finish(settings)
+}
+
 /// Reads typed values and collects what is wrong with them.
 struct Reader {
     path: PathBuf,
--- /dev/null
+++ b/src/controller/mod.rs
@@ -0,0 +1,233 @@
+//! The controller: brings the engines of its availability zone to what the configuration wants. One
+//! per box; the one that holds the zone's lease acts.
+
+pub mod engines;
+pub mod keeper;
+pub mod lease;
+pub mod report;
+pub mod rollout;
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use slog::Logger;
+use slog::info;
+use slog::warn;
+use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+use tokio::time::Instant;
+
+use crate::config::Revision;
+use crate::config::Upstream;
+use crate::config::settings;
+use crate::controller::engines::Engines;
+use crate::controller::engines::Envelope;
+use crate::controller::keeper::Keeper;
+use crate::controller::lease::Fence;
+use crate::controller::report::EngineReport;
+use crate::controller::report::Report;
+use crate::controller::rollout::Observed;
+use crate::controller::rollout::Step;
+use crate::controller::rollout::Weights;
+use crate::log;
+use crate::metrics;
+use crate::metrics::Metrics;
+use crate::names::UpstreamName;
+use crate::platform;
+use crate::platform::Objects;
+use crate::platform::client::Client;
+use crate::platform::watch::News;
+use crate::stop::Signals;
+use crate::util;
+
+/// Time between two looks at the engines.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// Engines asked at the same time.
+const AT_ONCE: usize = 16;
+
+/// How long a call to the store may take: short beside the lease.
+const STORE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Why a controller can't run.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A socket, a signal or the runtime can't be had.
+    #[error("{what}: {source}")]
+    Io { what: &'static str, source: io::Error },
+    /// The metrics can't be had.
+    #[error(transparent)]
+    Metrics(#[from] metrics::Error),
+}
+
+/// Runs a controller until it is told to stop; then it gives its lease up.
+pub fn run(cfg: settings::Controller) -> Result<(), Error> {
+    let io = |what| move |source| Error::Io { what, source };
+    let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build();
+    let runtime = runtime.map_err(io("starting the runtime"))?;
+    let result = runtime.block_on(async {
+        let mut signals = Signals::new().map_err(io("signals"))?;
+        let page = TcpListener::bind(cfg.metrics).await.map_err(io("[listen] metrics"))?;
+        let (log, _guard) = log::open(&cfg.log, "frostdyke-controller", &cfg.identity.name);
+        let metrics = Metrics::new()?;
+        let keeper = start(&cfg, &metrics, &log);
+        tokio::spawn(metrics.serve(page));
+        signals.next().await;
+        info!(log, "stopping");
+        // The store may hang; the lease then runs out by itself.
+        let _ = tokio::task::spawn_blocking(move || keeper.release()).await;
+        Ok(())
+    });
+    runtime.shutdown_background();
+    result
+}
+
+fn start(cfg: &settings::Controller, metrics: &Metrics, log: &Logger) -> Arc<Keeper> {
+    let client = Arc::new(Client::new(cfg.platform).with_timeout(STORE_TIMEOUT));
+    metrics.store_calls(client.calls());
+    let zone = cfg.identity.zone.clone();
+    let object = format!("frostdyke/leases/controller/{zone}");
+    let me = format!("{}/{}", cfg.identity.name, util::new_incarnation());
+    let keeper = Keeper::start(client.clone(), &object, &me, log.clone());
+    let (shown, revision) = (keeper.clone(), Arc::new(Mutex::new(Arc::new(Revision::default()))));
+    metrics.gauge("frostdyke_lease_held", move || {
+        vec![(f64::from(u8::from(shown.held().is_some())), Vec::new())]
+    });
+    let (latest, told) = (revision.clone(), log.clone());
+    platform::watch::configuration(client.clone(), move |news| take_in(&latest, news, &told));
+    let mut controller = Controller {
+        me: cfg.identity.clone(),
+        objects: client,
+        engines: Box::new(engines::Client::default()),
+        keeper: keeper.clone(),
+        reports: report::Writer::default(),
+        weights: None,
+        metrics: metrics.clone(),
+        log: log.clone(),
+    };
+    thread::spawn(move || {
+        let epoch = Instant::now();
+        loop {
+            let revision = revision.lock().expect("no panic under lock").clone();
+            controller.round(&revision, epoch.elapsed());
+            thread::sleep(LOOK);
+        }
+    });
+    keeper
+}
+
+fn take_in(latest: &Mutex<Arc<Revision>>, news: News, log: &Logger) {
+    match news {
+        News::Configuration { version, revision } => match *revision {
+            Ok(revision) => {
+                let mut latest = latest.lock().expect("no panic under lock");
+                if latest.number < revision.number {
+                    *latest = Arc::new(revision);
+                    info!(log, "configuration in force"; "revision" => version);
+                }
+            }
+            Err(faults) => {
+                let fault = faults.first().map(ToString::to_string);
+                warn!(log, "configuration refused"; "revision" => version, "fault" => fault);
+            }
+        },
+        News::Reach(Some(e)) => warn!(log, "platform lost"; "error" => %e),
+        News::Reach(None) => info!(log, "platform back"),
+        News::Boxes(_) => {}
+    }
+}
+
+struct Controller {
+    me: settings::Box,
+    objects: Arc<dyn Objects>,
+    engines: Box<dyn Engines>,
+    keeper: Arc<Keeper>,
+    reports: report::Writer,
+    /// What may be loaded, for the fence that it was counted under.
+    weights: Option<(Fence, Weights)>,
+    metrics: Metrics,
+    log: Logger,
+}
+
+impl Controller {
+    /// Looks at the engines, orders what is next, and reports. Does nothing without the lease.
+    fn round(&mut self, cfg: &Revision, now: Duration) {
+        let Some(fence) = self.keeper.held() else {
+            self.weights = None;
+            return;
+        };
+        let observed = self.observe(cfg);
+        let zone = self.me.zone.clone();
+        let weights = match self.weights.take() {
+            Some((counted, weights)) if counted == fence => weights,
+            _ => Weights::new(now),
+        };
+        let (_, weights) = self.weights.insert((fence, weights));
+        let steps = rollout::steps(cfg, &zone, &observed, weights, now);
+        let mut engines = Vec::with_capacity(steps.len());
+        for step in &steps {
+            let error = self.order(cfg, fence, step);
+            let seen = observed.get(&step.upstream);
+            engines.push(EngineReport {
+                upstream: step.upstream.clone(),
+                stage: step.stage,
+                state: seen.map(|o| o.state.clone()),
+                running: seen.map_or(0, |o| o.running),
+                error,
+            });
+        }
+        if engines.is_empty() || self.keeper.held() != Some(fence) {
+            return;
+        }
+        let (holder, revision) = (self.me.name.clone(), cfg.number);
+        self.reports.write(&*self.objects, Report { zone, holder, fence, revision, engines });
+    }
+
+    /// What the engines of this zone say of themselves, those that answer.
+    fn observe(&self, cfg: &Revision) -> BTreeMap<UpstreamName, Observed> {
+        let wanted: Vec<&Upstream> =
+            rollout::wanted(cfg, &self.me.zone).map(|(upstream, _)| upstream).collect();
+        let mut observed = BTreeMap::new();
+        for some in wanted.chunks(AT_ONCE) {
+            let answers: Vec<_> = thread::scope(|scope| {
+                let mut asked = Vec::with_capacity(some.len());
+                for &upstream in some {
+                    let ask = || (upstream.name.clone(), self.engines.observe(upstream));
+                    asked.push(scope.spawn(ask));
+                }
+                asked.into_iter().map(|a| a.join().expect("asking doesn't panic")).collect()
+            });
+            let good = answers.into_iter().filter_map(|(name, answer)| Some((name, answer.ok()?)));
+            observed.extend(good);
+        }
+        observed
+    }
+
+    /// Gives one order, if there is one and the lease is still held. Gives why it wasn't done.
+    fn order(&self, cfg: &Revision, fence: Fence, step: &Step) -> Option<String> {
+        let order = step.order.clone()?;
+        let upstream = cfg.upstream(&step.upstream)?;
+        if self.keeper.held() != Some(fence) {
+            return None;
+        }
+        let envelope = Envelope { fence, revision: cfg.number, order };
+        let result = self.engines.order(upstream, &envelope);
+        let error = result.err().map(|e| e.to_string());
+        // The users ask for a line for each placement decision: this places models on engines.
+        info!(self.log, "ordered";
+            "upstream" => %step.upstream,
+            "order" => ?envelope.order,
+            "fence" => fence.0,
+            "revision" => cfg.number,
+            "error" => error.as_deref(),
+        );
+        let done = if error.is_none() { "yes" } else { "no" };
+        self.metrics.orders.add(1, &[KeyValue::new("done", done)]);
+        error
+    }
+}
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -12,6 +12,7 @@
 use serde::de::DeserializeOwned;
 use ureq::Agent;
 
+use crate::controller::report::Report;
 use crate::operator::Confirmed;
 use crate::operator::Shown;
 use crate::operator::fleet::Answer;
@@ -47,6 +48,8 @@
     Show,
     /// Show the state of every box.
     Status,
+    /// Show what the engines of every zone have loaded, and what they wait for.
+    Engines,
     /// Tell why a request was placed as it was.
     Explain(String),
     /// State an intent, and confirm its plan.
@@ -87,6 +90,10 @@
             let answers: Vec<Answer<Status>> = api.get("/v1/status")?;
             print(opts, &answers, |a| table::status(a));
         }
+        Command::Engines => {
+            let reports: Vec<Report> = api.get("/v1/engines")?;
+            print(opts, &reports, |r| table::engines(r));
+        }
         Command::Explain(request) => {
             let path = format!("/v1/explanations/{request}");
             let answers: Vec<Answer<Explanation>> = api.get(&path)?;
--- a/src/ctl/table.rs
+++ b/src/ctl/table.rs
@@ -4,6 +4,8 @@
 
 use serde_json::Value;
 
+use crate::config::EngineState;
+use crate::controller::report::Report;
 use crate::operator::Shown;
 use crate::operator::fleet::Answer;
 use crate::operator::plan::Plan;
@@ -52,6 +54,42 @@
     out
 }
 
+/// The engines of every zone.
+pub fn engines(reports: &[Report]) -> String {
+    let mut out = String::new();
+    for r in reports {
+        let (holder, fence) = (&r.holder, r.fence.0);
+        let _ = writeln!(
+            out,
+            "zone {} revision {} controller {holder} fence {fence}",
+            r.zone, r.revision
+        );
+        for e in &r.engines {
+            let state = e.state.as_ref().map_or_else(|| "-".to_owned(), engine_state);
+            let error = e.error.as_ref().map_or_else(String::new, |e| format!(" ({e})"));
+            let stage = format!("{:?}", e.stage);
+            let _ = writeln!(
+                out,
+                "  {:<24} {stage:<16} {state} running {}{error}",
+                e.upstream, e.running
+            );
+        }
+    }
+    out
+}
+
+fn engine_state(state: &EngineState) -> String {
+    let adapters: Vec<&str> = state.adapters.iter().map(String::as_str).collect();
+    let mut text = format!("{}@{}", state.model, state.version);
+    if !adapters.is_empty() {
+        text.push_str(&format!(" +{}", adapters.join("+")));
+    }
+    if !state.role.is_empty() {
+        text.push_str(&format!(" as {}", state.role));
+    }
+    text
+}
+
 /// The state of every box.
 pub fn status(answers: &[Answer<Status>]) -> String {
     let mut out = String::new();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod claims;
 pub mod cli;
 pub mod config;
+pub mod controller;
 pub mod ctl;
 pub mod dispatch;
 pub mod load;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Figures of a process, by `opentelemetry`, on a page in Prometheus' format.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
@@ -21,6 +22,7 @@
 use tokio::net::TcpListener;
 
 use crate::peer::traffic::Traffic;
+use crate::platform::client::Calls;
 use crate::web;
 use crate::web::Page;
 
@@ -36,7 +38,7 @@
     Exporter(#[from] opentelemetry_sdk::error::OTelSdkError),
 }
 
-/// The figures of a router.
+/// The figures of a process.
 #[derive(Clone)]
 pub struct Metrics {
     registry: Registry,
@@ -52,6 +54,8 @@
     pub decisions: Counter<u64>,
     /// Requests sent again, by pool.
     pub retries: Counter<u64>,
+    /// Orders to engines, by whether they were done.
+    pub orders: Counter<u64>,
     /// Seconds from arrival to being sent, by class.
     pub waits: Histogram<f64>,
 }
@@ -71,6 +75,7 @@
             refused: meter.u64_counter("frostdyke_refused").build(),
             decisions: meter.u64_counter("frostdyke_decisions").build(),
             retries: meter.u64_counter("frostdyke_retries").build(),
+            orders: meter.u64_counter("frostdyke_orders").build(),
             waits: waits.with_boundaries(WAIT_BOUNDS.to_vec()).build(),
             registry,
             provider,
@@ -102,6 +107,19 @@
             .build();
     }
 
+    /// Shows the calls to the platform.
+    pub fn store_calls(&self, calls: &Arc<Calls>) {
+        let calls = calls.clone();
+        self.gauge("frostdyke_store_calls", move || {
+            let shown =
+                [("read", &calls.reads), ("write", &calls.writes), ("watch", &calls.watches)];
+            let figure = |(kind, count): (&'static str, &AtomicU64)| {
+                (count.load(Ordering::Relaxed) as f64, vec![KeyValue::new("kind", kind)])
+            };
+            shown.into_iter().map(figure).collect()
+        });
+    }
+
     /// Shows the traffic between routers.
     pub fn traffic(&self, traffic: &Arc<Traffic>) {
         let show = |name, read: fn(&Traffic) -> u64| {
--- a/src/operator/intent.rs
+++ b/src/operator/intent.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use crate::config::Catalog;
+use crate::config::EngineState;
 use crate::config::Fault;
 use crate::config::Pool;
 use crate::config::Service;
@@ -35,6 +36,8 @@
     Drain { upstream: String },
     /// Work for an upstream again.
     Undrain { upstream: String },
+    /// This loaded on every engine of a pool, one after the other.
+    Load { pool: String, engine: EngineState },
     /// The whole configuration as described.
     Replace { configuration: Catalog },
 }
@@ -67,6 +70,7 @@
         }
         Intent::Drain { upstream } => find(next, upstream)?.draining = true,
         Intent::Undrain { upstream } => find(next, upstream)?.draining = false,
+        Intent::Load { pool, engine } => load(next, pool, engine)?,
         Intent::Replace { configuration } => {
             let applied = std::mem::take(&mut next.applied);
             *next = Catalog { applied, ..configuration.clone() };
@@ -75,6 +79,16 @@
     Ok(())
 }
 
+fn load(next: &mut Catalog, pool: &str, engine: &EngineState) -> Result<(), Fault> {
+    if !next.pools.iter().any(|p| &*p.name == pool) {
+        return Err(unknown("pool", pool));
+    }
+    for upstream in next.upstreams.iter_mut().filter(|u| &*u.pool == pool) {
+        upstream.engine = Some(engine.clone());
+    }
+    Ok(())
+}
+
 fn put<T>(all: &mut Vec<T>, item: T, name: impl Fn(&T) -> &str) {
     match all.iter_mut().find(|known| name(known) == name(&item)) {
         Some(known) => *known = item,
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -30,6 +30,8 @@
 use crate::config::Fault;
 use crate::config::settings;
 use crate::config::settings::Token;
+use crate::controller::report;
+use crate::controller::report::Report;
 use crate::log;
 use crate::operator::fleet::Fleet;
 use crate::operator::intent::Intent;
@@ -164,6 +166,7 @@
         let operator = self.authenticate(req.headers())?;
         match (req.method().as_str(), req.uri().path()) {
             ("GET", "/v1/configuration") => Ok(answer(200, &plan::read(&*self.objects)?)),
+            ("GET", "/v1/engines") => Ok(answer(200, &self.engines()?)),
             ("GET", "/v1/status") => Ok(answer(200, &self.fleet.status())),
             ("POST", "/v1/plans") => {
                 let intent: Intent = read(req.body())?;
@@ -184,6 +187,16 @@
         }
     }
 
+    /// What the controllers of all zones have reported.
+    fn engines(&self) -> Result<Vec<Report>, Problem> {
+        let shown = plan::read(&*self.objects)?;
+        let mut reports = Vec::new();
+        for zone in shown.configuration.zones() {
+            reports.extend(report::read(&*self.objects, zone)?);
+        }
+        Ok(reports)
+    }
+
     /// The operator whom the token names. Every digest is compared, and in constant time.
     fn authenticate(&self, headers: &HeaderMap) -> Result<&str, Problem> {
         let header = headers.get(AUTHORIZATION).and_then(|v| v.to_str().ok());
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -14,8 +14,6 @@
 
 use std::io;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
@@ -132,14 +130,7 @@
 
 fn follow_platform(cfg: &settings::Router, hub: &Arc<Hub>) {
     let client = Arc::new(Client::new(cfg.platform));
-    let calls = client.calls().clone();
-    hub.metrics().gauge("frostdyke_store_calls", move || {
-        let shown = [("read", &calls.reads), ("write", &calls.writes), ("watch", &calls.watches)];
-        let figure = |(kind, count): (&'static str, &AtomicU64)| {
-            (count.load(Ordering::Relaxed) as f64, vec![KeyValue::new("kind", kind)])
-        };
-        shown.into_iter().map(figure).collect()
-    });
+    hub.metrics().store_calls(client.calls());
     let tell = |hub: Arc<Hub>| move |news| take_in(&hub, news);
     platform::watch::configuration(client.clone(), tell(hub.clone()));
     hub.open_claims(Arc::new(client.with_timeout(CLAIM_TIMEOUT)));
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -6,6 +6,7 @@
 //! - `GET /resume/ID?from=K` streams the answer of an earlier request again, from token K on.
 //! - `GET /load` gives the requests running, as they were a while ago, whether the engine leaves,
 //!   and what went into or out of the prefix cache since it was last asked.
+//! - `GET /state` and `PUT /orders`: see `orders`.
 //! - `PUT /control` sets `Faults`.
 //! - `GET /ran` counts the requests that ran.
 
@@ -16,6 +17,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -35,6 +37,9 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::hold::Hold;
+use crate::hold::Holding;
+use crate::orders::Orders;
 use crate::web;
 use crate::web::Body;
 
@@ -52,6 +57,10 @@
     pub prefill: Duration,
     /// How old the load report is.
     pub report_lag: Duration,
+    /// Time to load a model.
+    pub load: Duration,
+    /// Whether orders with a fence smaller than one seen before are refused.
+    pub checks_fence: bool,
 }
 
 impl Default for Settings {
@@ -61,6 +70,8 @@
             token: Duration::from_millis(2),
             prefill: Duration::from_millis(4),
             report_lag: Duration::from_millis(500),
+            load: Duration::from_millis(50),
+            checks_fence: true,
         }
     }
 }
@@ -83,6 +94,8 @@
     pub endless: bool,
     /// The engine says that it leaves.
     pub leaving: bool,
+    /// Orders stop here until this is lifted.
+    pub hold_orders: Option<Hold>,
 }
 
 /// What an engine reports of itself.
@@ -127,6 +140,8 @@
     tokens: AtomicU64,
     cancelled: AtomicU64,
     resumed: AtomicU64,
+    orders: Mutex<Orders>,
+    holding: Holding,
 }
 
 #[derive(Deserialize)]
@@ -158,6 +173,8 @@
             tokens: AtomicU64::new(0),
             cancelled: AtomicU64::new(0),
             resumed: AtomicU64::new(0),
+            orders: Mutex::default(),
+            holding: Holding::default(),
         });
         let shared = state.clone();
         let addr = web::serve(addr, move |req| handle(shared.clone(), req))?;
@@ -179,6 +196,16 @@
         self.state.running.load(Ordering::SeqCst)
     }
 
+    /// What orders have made of the engine.
+    pub fn orders(&self) -> MutexGuard<'_, Orders> {
+        self.state.orders.lock().expect("no panic under lock")
+    }
+
+    /// Orders that stop where `Faults::hold_orders` says.
+    pub fn held(&self) -> u64 {
+        self.state.holding.count()
+    }
+
     /// Answers that were streamed again.
     pub fn resumed(&self) -> u64 {
         self.state.resumed.load(Ordering::SeqCst)
@@ -210,7 +237,9 @@
         let lag = self.settings.report_lag;
         let old = history.iter().rev().find(|(at, _)| at.elapsed() >= lag);
         let events = std::mem::take(&mut *self.events.lock().expect("no panic under lock"));
-        Load { running: old.map_or(0, |(_, n)| *n), leaving: self.faults().leaving, events }
+        let drained = self.orders.lock().expect("no panic under lock").is_drained();
+        let leaving = self.faults().leaving || drained;
+        Load { running: old.map_or(0, |(_, n)| *n), leaving, events }
     }
 
     /// Puts a prefix into the cache; true when it was there already.
@@ -321,12 +350,32 @@
             *state.faults.lock().expect("no panic under lock") = faults;
             Ok(web::status(StatusCode::NO_CONTENT))
         }
+        (&Method::GET, "/state") => {
+            let running = state.running.load(Ordering::SeqCst);
+            let leaving = state.faults().leaving;
+            let mut orders = state.orders.lock().expect("no panic under lock");
+            Ok(web::json(StatusCode::OK, &orders.state(running, leaving)))
+        }
+        (&Method::PUT, "/orders") => order(&state, req).await,
         (&Method::GET, path) if path.starts_with("/resume/") => Ok(resume(state, &req)),
         (&Method::POST, _) => generate(state, req).await,
         _ => Ok(web::status(StatusCode::NOT_FOUND)),
     }
 }
 
+async fn order(state: &State, req: Request<Incoming>) -> io::Result<Response<Body>> {
+    let body = req.into_body().collect().await.map_err(io::Error::other)?.to_bytes();
+    let Ok(envelope) = serde_json::from_slice(&body) else {
+        return Ok(web::status(StatusCode::BAD_REQUEST));
+    };
+    state.holding.wait(Hold::Before, || state.faults().hold_orders).await;
+    let running = state.running.load(Ordering::SeqCst);
+    let settings = &state.settings;
+    let mut orders = state.orders.lock().expect("no panic under lock");
+    let status = orders.take(envelope, settings.checks_fence, running, settings.load);
+    Ok(web::status(status))
+}
+
 async fn generate(state: Arc<State>, req: Request<Incoming>) -> io::Result<Response<Body>> {
     let faults = state.faults();
     if faults.busy {
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod engine;
 pub mod hold;
+pub mod orders;
 pub mod platform;
 pub mod service;
 mod web;
--- a/tests/util/catalog.rs
+++ b/tests/util/catalog.rs
@@ -30,6 +30,7 @@
         address: ([127, 0, 0, 1], 1).into(),
         slots,
         draining: false,
+        engine: None,
     }
 }
 
--- a/tests/util/fleet.rs
+++ b/tests/util/fleet.rs
@@ -55,6 +55,8 @@
     pub slots: u32,
     pub token: Duration,
     pub delay: Duration,
+    /// Whether the engines check the fences of orders.
+    pub checks_fence: bool,
     pub extra: String,
 }
 
@@ -65,6 +67,7 @@
             slots: 8,
             token: Duration::from_millis(2),
             delay: Duration::from_millis(1),
+            checks_fence: true,
             extra: String::new(),
         }
     }
@@ -78,6 +81,7 @@
     pub routers: Vec<Router>,
     pub configuration: Value,
     operators: Vec<Child>,
+    pub controllers: Vec<Child>,
     number: u64,
     dir: PathBuf,
 }
@@ -119,6 +123,7 @@
             routers: Vec::new(),
             configuration: Value::Null,
             operators: Vec::new(),
+            controllers: Vec::new(),
             number,
             dir,
         };
@@ -141,6 +146,7 @@
             let settings = engine::Settings {
                 slots: setup.slots as usize,
                 token: setup.token,
+                checks_fence: setup.checks_fence,
                 ..engine::Settings::default()
             };
             let engine = Engine::start(any_port(), settings).expect("an engine starts");
@@ -240,6 +246,28 @@
         addr
     }
 
+    /// Starts a controller for a zone.
+    pub fn start_controller(&mut self, zone: usize) {
+        let number = self.controllers.len();
+        let guard = one_at_a_time();
+        let metrics = free_port(self.number, &mut Vec::new());
+        drop(guard);
+        let text = format!(
+            "[box]\nname = controller-{number}\nzone = zone-{zone}\n\n\
+             [listen]\nmetrics = {metrics}\n\n[platform]\naddress = {}\n",
+            self.platform.addr
+        );
+        let settings = self.dir.join(format!("controller-{number}.ini"));
+        std::fs::write(&settings, text).expect("settings");
+        let log = std::fs::File::create(settings.with_extension("log")).expect("a log");
+        let child = Command::new(env!("CARGO_BIN_EXE_frostdyke-controller"))
+            .arg(&settings)
+            .stderr(Stdio::from(log))
+            .spawn_alone()
+            .expect("the controller starts");
+        self.controllers.push(child);
+    }
+
     /// Runs `frostdykectl`.
     pub fn ctl(&self, operator: SocketAddr, args: &[&str]) -> Output {
         Command::new(env!("CARGO_BIN_EXE_frostdykectl"))
@@ -300,9 +328,9 @@
         for router in &mut self.routers {
             router.kill();
         }
-        for operator in &mut self.operators {
-            let _ = operator.kill();
-            let _ = operator.wait();
+        for child in self.operators.iter_mut().chain(&mut self.controllers) {
+            let _ = child.kill();
+            let _ = child.wait();
         }
         if !thread::panicking() {
             let _ = std::fs::remove_dir_all(&self.dir);
