--- a/src/dispatch/pool/grants.rs
+++ b/src/dispatch/pool/grants.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use rustc_hash::FxHashSet;
+
 use crate::dispatch::pool::COST_MAX;
 use crate::dispatch::pool::Granted;
 use crate::dispatch::pool::Pool;
@@ -13,6 +15,7 @@
 use crate::names::BoxName;
 use crate::names::ServiceName;
 use crate::names::WorkspaceName;
+use crate::peer::message::Digest;
 use crate::peer::message::Done;
 use crate::peer::message::Ending;
 use crate::peer::message::Grant;
@@ -36,6 +39,17 @@
 /// Weight of the newest request in the estimate of a workspace's costs.
 const ESTIMATE_GAIN: f64 = 0.1;
 
+/// What one router is asked for.
+#[derive(Default)]
+struct Asked {
+    /// Its grants that were given here.
+    own: Vec<GrantId>,
+    /// The latest of them that it must know of.
+    upto: Option<GrantId>,
+    /// Those that were taken over.
+    others: Vec<GrantId>,
+}
+
 impl Pool {
     /// Charges a request that outgrew what was charged for it.
     pub fn progress(&mut self, id: GrantId, cover: u64) {
@@ -104,6 +118,30 @@
         self.fill(now, out);
     }
 
+    /// Frees the grants in a range that their router doesn't use, but those of which it may not
+    /// know yet.
+    pub fn using(
+        &mut self,
+        router: &BoxName,
+        from: GrantId,
+        upto: GrantId,
+        used: &[GrantId],
+        now: Duration,
+        out: &mut Vec<Action>,
+    ) {
+        let used: FxHashSet<&GrantId> = used.iter().collect();
+        let unused = |(id, granted): &(&GrantId, &Granted)| {
+            (from..=upto).contains(*id)
+                && granted.router == *router
+                && granted.at + CHECK_EVERY <= now
+                && !used.contains(id)
+        };
+        let mut grants: Vec<GrantId> =
+            self.grants.iter().filter(unused).map(|(&id, _)| id).collect();
+        grants.sort();
+        self.not_running(router, &grants, now, out);
+    }
+
     /// Notes that a router of this zone is gone, and tells the other zones.
     pub fn lost_router(&mut self, router: &BoxName, now: Duration, out: &mut Vec<Action>) {
         self.gone.retain(|(_, at)| now < *at + GONE_KEPT);
@@ -255,16 +293,42 @@
             self.unanswered.remove(&router);
             self.router_gone(&router, now, out);
         }
-        let mut asked: BTreeMap<&BoxName, Vec<GrantId>> = BTreeMap::new();
-        for (&id, granted) in self.grants.iter().filter(|(_, g)| g.at + CHECK_EVERY <= now) {
-            asked.entry(&granted.router).or_default().push(id);
-        }
-        for (to, mut g) in asked {
-            g.sort();
+        for (to, message) in self.checks(now) {
             *self.unanswered.entry(to.clone()).or_default() += 1;
-            let message = Message::Check { p: self.policy.name.clone(), g };
-            out.push(Action::Send { to: to.clone(), message });
+            out.push(Action::Send { to, message });
+        }
+    }
+
+    /// Asks each router for its grants: for those given here, which have ids in one range, by a
+    /// digest; for those that were taken over, one by one. Young ones may not have arrived there.
+    fn checks(&self, now: Duration) -> Vec<(BoxName, Message)> {
+        let first = GrantId(self.first_grant);
+        let mut asked: BTreeMap<&BoxName, Asked> = BTreeMap::new();
+        for (&id, granted) in &self.grants {
+            let asked = asked.entry(&granted.router).or_default();
+            let is_own = first < id && id.0 <= self.next_grant;
+            let is_old = granted.at + CHECK_EVERY <= now;
+            match (is_own, is_old) {
+                (true, true) => asked.upto = asked.upto.max(Some(id)),
+                (false, true) => asked.others.push(id),
+                (_, false) => {}
+            }
+            if is_own {
+                asked.own.push(id);
+            }
+        }
+        let mut checks = Vec::with_capacity(asked.len());
+        for (to, mut asked) in asked {
+            if asked.upto.is_none() && asked.others.is_empty() {
+                continue;
+            }
+            asked.others.sort();
+            let own = asked.own.into_iter();
+            let d = asked.upto.map(|upto| Digest::new(first, upto, own));
+            let (p, g) = (self.policy.name.clone(), asked.others);
+            checks.push((to.clone(), Message::Check { p, g, d }));
         }
+        checks
     }
 
     pub(super) fn learn(&mut self, workspace: &WorkspaceName, service: &ServiceName, cost: u64) {
--- a/src/dispatch/pool/mod.rs
+++ b/src/dispatch/pool/mod.rs
@@ -79,6 +79,8 @@
     running: FxHashMap<WorkspaceName, u32>,
     estimates: FxHashMap<WorkspaceName, FxHashMap<ServiceName, f64>>,
     virtual_time: VirtualTime,
+    /// All grants of its own have greater ids.
+    first_grant: u64,
     next_grant: u64,
     since_patience: u32,
     /// When the last grant was given, and the average seconds between grants.
@@ -155,6 +157,7 @@
             running: FxHashMap::default(),
             estimates: FxHashMap::default(),
             virtual_time: 0,
+            first_grant: next_grant,
             next_grant,
             since_patience: 0,
             granted: Duration::ZERO,
--- a/src/node/receive.rs
+++ b/src/node/receive.rs
@@ -15,6 +15,7 @@
 use crate::node::Output;
 use crate::node::Running;
 use crate::peer::message::Beat;
+use crate::peer::message::Digest;
 use crate::peer::message::Done;
 use crate::peer::message::Ending;
 use crate::peer::message::Grant;
@@ -49,7 +50,10 @@
                 let router = if b.is_none() { from } else { &b };
                 self.with_pool(&p, |pool, _| pool.adopt(router, &r, now));
             }
-            Message::Check { p, g } => self.handle_check(from, p, &g),
+            Message::Check { p, g, d } => self.handle_check(from, p, &g, d),
+            Message::Using { p, f, u, g } => {
+                self.with_pool(&p, |pool, out| pool.using(from, f, u, &g, now, out));
+            }
             Message::NotRunning { p, g } => {
                 self.with_pool(&p, |pool, out| pool.not_running(from, &g, now, out));
             }
@@ -135,8 +139,23 @@
         }
     }
 
-    fn handle_check(&mut self, from: &BoxName, p: PoolName, grants: &[GrantId]) {
+    fn handle_check(
+        &mut self,
+        from: &BoxName,
+        p: PoolName,
+        grants: &[GrantId],
+        digest: Option<Digest>,
+    ) {
         let used: FxHashSet<GrantId> = self.running.values().map(|r| r.grant.id).collect();
+        if let Some(theirs) = digest {
+            let (f, u) = (theirs.from, theirs.upto);
+            if theirs != Digest::new(f, u, used.iter().copied()) {
+                let mut g: Vec<GrantId> =
+                    used.iter().copied().filter(|g| theirs.covers(*g)).collect();
+                g.sort();
+                self.send(from.clone(), Message::Using { p: p.clone(), f, u, g });
+            }
+        }
         let g: Vec<GrantId> = grants.iter().copied().filter(|id| !used.contains(id)).collect();
         // Sent even when empty: it tells that this router lives.
         self.send(from.clone(), Message::NotRunning { p, g });
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use serde_tuple::Deserialize_tuple;
 use serde_tuple::Serialize_tuple;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::claims::Claim;
 use crate::claims::Verdict;
@@ -97,6 +98,38 @@
     pub dispatcher: BoxName,
 }
 
+/// Grants in a few bytes: how many there are from one to another, and a sum of their hashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
+pub struct Digest {
+    /// The first that is covered.
+    pub from: GrantId,
+    /// The last that is covered.
+    pub upto: GrantId,
+    /// How many there are.
+    pub count: u32,
+    /// What tells them from as many others, but for one time in four billion.
+    pub sum: u32,
+}
+
+impl Digest {
+    /// The digest of those of `grants` that are in the range.
+    pub fn new(from: GrantId, upto: GrantId, grants: impl Iterator<Item = GrantId>) -> Digest {
+        let mut digest = Digest { from, upto, count: 0, sum: 0 };
+        for grant in grants {
+            if digest.covers(grant) {
+                digest.count += 1;
+                digest.sum = digest.sum.wrapping_add(xxh3_64(&grant.0.to_le_bytes()) as u32);
+            }
+        }
+        digest
+    }
+
+    /// Whether a grant is in the range.
+    pub fn covers(&self, grant: GrantId) -> bool {
+        (self.from..=self.upto).contains(&grant)
+    }
+}
+
 /// How a granted request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Ending {
@@ -317,9 +350,19 @@
         b: BoxName,
         r: Vec<Running>,
     },
-    /// Asks which of these grants the receiver still uses.
+    /// Asks which of these grants the receiver still uses, and whether it uses just those that the
+    /// digest tells.
     #[serde(rename = "K")]
-    Check { p: PoolName, g: Vec<GrantId> },
+    Check {
+        p: PoolName,
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        g: Vec<GrantId>,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        d: Option<Digest>,
+    },
+    /// The digest told others: these are the grants from `f` to `u` that the sender uses.
+    #[serde(rename = "U")]
+    Using { p: PoolName, f: GrantId, u: GrantId, g: Vec<GrantId> },
     /// These grants aren't used (any more).
     #[serde(rename = "X")]
     NotRunning { p: PoolName, g: Vec<GrantId> },
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -13,6 +13,7 @@
 use frostdyke::dispatch::pool::Tuning;
 use frostdyke::dispatch::upstreams::Report;
 use frostdyke::peer::message::Class;
+use frostdyke::peer::message::Digest;
 use frostdyke::peer::message::Done;
 use frostdyke::peer::message::Ending;
 use frostdyke::peer::message::Grant;
@@ -315,3 +316,47 @@
     let grants = grants(&out);
     assert_eq!(grants[0].upstream, grants[1].upstream);
 }
+
+/// The checks that a dispatcher sends at `now`.
+fn checks(pool: &mut Pool, now: Duration) -> Vec<(Vec<GrantId>, Option<Digest>)> {
+    let mut out = Vec::new();
+    pool.tick(now, &mut out);
+    let check = |action| match action {
+        Action::Send { message: Message::Check { g, d, .. }, .. } => Some((g, d)),
+        _ => None,
+    };
+    out.into_iter().filter_map(check).collect()
+}
+
+#[test]
+fn grants_are_checked_by_a_digest_and_the_unused_are_freed() {
+    let mut pool = pool(8);
+    let mut out = Vec::new();
+    for id in 1..=3 {
+        pool.submit(ticket(id, "a", Class::Normal), NOW, &mut out);
+    }
+    let ids: Vec<GrantId> = grants(&out).iter().map(|g| g.id).collect();
+    let later = NOW + Duration::from_secs(6);
+    let (listed, digest) = checks(&mut pool, later).pop().expect("it asks");
+    let digest = digest.expect("the grants are its own");
+    assert!(listed.is_empty());
+    assert_eq!(digest, Digest::new(digest.from, digest.upto, ids.iter().copied()));
+    // The router has lost one of them.
+    let used = [ids[0], ids[2]];
+    assert_ne!(digest, Digest::new(digest.from, digest.upto, used.into_iter()));
+    pool.using(&"box-1".into(), digest.from, digest.upto, &used, later, &mut out);
+    assert_eq!(pool.upstreams().running(), 2);
+}
+
+/// A grant of which the router may not know yet isn't freed because it isn't used.
+#[test]
+fn a_young_grant_is_not_freed() {
+    let mut pool = pool(8);
+    let mut out = Vec::new();
+    pool.submit(ticket(1, "a", Class::Normal), NOW, &mut out);
+    let later = NOW + Duration::from_secs(6);
+    pool.submit(ticket(2, "a", Class::Normal), later, &mut out);
+    let ids: Vec<GrantId> = grants(&out).iter().map(|g| g.id).collect();
+    pool.using(&"box-1".into(), GrantId(0), ids[1], &[], later, &mut out);
+    assert_eq!(pool.upstreams().running(), 1);
+}
--- a/tests/strangers.rs
+++ b/tests/strangers.rs
@@ -13,6 +13,7 @@
 use frostdyke::peer::member::Gossip;
 use frostdyke::peer::message::Beat;
 use frostdyke::peer::message::Class;
+use frostdyke::peer::message::Digest;
 use frostdyke::peer::message::Done;
 use frostdyke::peer::message::Ending;
 use frostdyke::peer::message::Envelope;
@@ -182,7 +183,14 @@
         }),
         (name("box"), prop::collection::vec(running(), 0..4))
             .prop_map(move |(b, r)| Message::Running { p: p(), b: (&*b).into(), r }),
-        grants().prop_map(move |g| Message::Check { p: p(), g }),
+        (grants(), id(), id(), any::<u32>()).prop_map(move |(g, from, upto, sum)| {
+            let (from, upto) = (GrantId(from), GrantId(upto));
+            Message::Check { p: p(), g, d: Some(Digest { from, upto, count: 1, sum }) }
+        }),
+        (grants(), id(), id()).prop_map(move |(g, f, u)| {
+            Message::Using { p: p(), f: GrantId(f), u: GrantId(u), g }
+        }),
+        Just(Message::Probe {}),
         grants().prop_map(move |g| Message::NotRunning { p: p(), g }),
         summary().prop_map(|s| Message::Summary(Box::new(s))),
         (name("zone"), cell(), id()).prop_map(move |(z, c, t)| Message::Copied {
