Tell a caller early that its request won't be served in time

Only arrivals were judged; what waited already was answered at its deadline. And the pace of grants was learned from nothing, a tenth at a time: after five grants of one a second it stood at 0.41.

Ruled out: judging by the dispatcher's queue, which the router doesn't see, and whose order changes; its own pace a workspace and pool is what its callers get.

Change: four times a second a router looks through what waits, in the order in which it will be served, and refuses what would take over twice the time it has left, with Retry-After. The pace counts its first samples in full.

Conclusion: refused early where the pace is known; where nothing is served at all, callers still wait for their deadline.

--- a/src/node/admit.rs
+++ b/src/node/admit.rs
@@ -17,6 +17,9 @@
 /// Longest time after which a refused caller is told to come back.
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(60);
 
+/// Only what is this many times out of reach is turned away: the estimate is rough.
+const HOPELESS_FACTOR: u32 = 2;
+
 /// Why a request can't wait here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Refusal {
@@ -44,12 +47,23 @@
     waiting: u32,
     /// Average seconds between grants while requests wait; 0 until known.
     pace: f64,
+    /// How many times the pace was measured.
+    samples: u32,
     granted: Option<Duration>,
 }
 
 impl Lane {
-    fn expected_wait(&self) -> Duration {
-        Duration::from_secs_f64(self.pace * f64::from(self.waiting))
+    /// Takes in the seconds between two grants. The first ones count for more: an average that
+    /// began at nothing would take long to be any good.
+    fn measured(&mut self, seconds: f64) {
+        self.samples = self.samples.saturating_add(1);
+        let gain = WAIT_GAIN.max(1.0 / f64::from(self.samples));
+        self.pace += gain * (seconds - self.pace);
+    }
+
+    /// How long a request waits that has so many of its lane ahead.
+    fn expected_wait(&self, ahead: u32) -> Duration {
+        Duration::from_secs_f64(self.pace * f64::from(ahead))
     }
 }
 
@@ -65,13 +79,12 @@
         let lanes = self.counts.entry(workspace.clone()).or_default();
         let waiting: u32 = lanes.values().map(|l| l.waiting).sum();
         let lane = lanes.entry(pool.clone()).or_default();
-        let expected = lane.expected_wait();
+        let expected = lane.expected_wait(lane.waiting);
         let retry_after = expected.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX);
         if limit <= waiting {
             return Err(Refusal::WaitingLimit { retry_after });
         }
-        // The estimate is rough: only what is clearly out of reach is turned away early.
-        if deadline.saturating_mul(2) < expected {
+        if deadline.saturating_mul(HOPELESS_FACTOR) < expected {
             return Err(Refusal::Hopeless { retry_after });
         }
         lane.waiting += 1;
@@ -79,6 +92,22 @@
         Ok(())
     }
 
+    /// Whether a request that waits with so many of its lane ahead can't be served in the time that
+    /// is `left`; and when its caller should come back.
+    pub fn is_hopeless(
+        &self,
+        workspace: &str,
+        pool: &str,
+        ahead: u32,
+        left: Duration,
+    ) -> Option<Refusal> {
+        let lane = self.counts.get(workspace)?.get(pool)?;
+        let expected = lane.expected_wait(ahead);
+        let retry_after = expected.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX);
+        let hopeless = left.saturating_mul(HOPELESS_FACTOR) < expected;
+        hopeless.then_some(Refusal::Hopeless { retry_after })
+    }
+
     /// Counts a request out that got no grant.
     pub fn leave(&mut self, workspace: &str, pool: &str) {
         if let Some(lane) = self.counts.get_mut(workspace).and_then(|l| l.get_mut(pool)) {
@@ -94,7 +123,7 @@
         lane.waiting -= 1;
         let since = lane.granted.replace(now).map(|at| (now - at).as_secs_f64());
         match since {
-            Some(s) if lane.waiting != 0 => lane.pace += WAIT_GAIN * (s - lane.pace),
+            Some(s) if lane.waiting != 0 => lane.measured(s),
             _ => lane.pace *= 1.0 - WAIT_GAIN,
         }
         if lane.waiting == 0 {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -27,11 +27,13 @@
 use crate::names::BoxName;
 use crate::names::PoolName;
 use crate::names::UpstreamName;
+use crate::names::WorkspaceName;
 use crate::names::ZoneName;
 use crate::node::admit::Admission;
 use crate::peer::member::Gossip;
 use crate::peer::member::ListedBox;
 use crate::peer::member::Members;
+use crate::peer::message::Class;
 use crate::peer::message::Done;
 use crate::peer::message::Ending;
 use crate::peer::message::Grant;
@@ -52,6 +54,9 @@
 /// A request that has produced this many times what was charged for it is charged anew.
 const OUTGROWN: u64 = 2;
 
+/// How often those that wait are looked through for such as can't be served in time.
+const GIVE_UP_EVERY: Duration = Duration::from_millis(250);
+
 /// Longest wait before a ticket is registered again.
 const RESEND_MAX: Duration = Duration::from_secs(16);
 
@@ -73,6 +78,8 @@
     Send { to: BoxName, message: Message },
     /// Send a waiting request to this upstream now; `cover` of its cost is charged already.
     Start { ticket: TicketId, upstream: UpstreamName, cover: u64 },
+    /// A request that waits won't be served in time; tell its caller now.
+    Refuse { ticket: TicketId, refusal: Refusal },
     /// Log and remember a decision of a dispatcher on this box.
     Decided(Decision),
     /// Log a change of state.
@@ -114,6 +121,7 @@
     next_ticket: u64,
     next_cell: u64,
     beats: u64,
+    gave_up: Duration,
     rng: SmallRng,
     out: Vec<Output>,
     inbox: VecDeque<Message>,
@@ -162,6 +170,7 @@
             next_ticket: util::id_base(&id.name, id.incarnation, "ticket"),
             next_cell: id.incarnation,
             beats: 0,
+            gave_up: Duration::ZERO,
             rng: SmallRng::seed_from_u64(util::id_base(&id.name, id.incarnation, "seed")),
             out: Vec::new(),
             inbox: VecDeque::new(),
@@ -261,14 +270,9 @@
     /// Takes back a request that waits: its caller left or its deadline passed. False when it
     /// doesn't wait (any more).
     pub fn withdraw(&mut self, id: TicketId, now: Duration) -> bool {
-        let Some(waiting) = self.waiting.remove(&id) else { return false };
-        self.admission.leave(&waiting.ticket.workspace, &waiting.ticket.pool);
-        let pool = waiting.ticket.pool;
-        if let Some(owner) = self.owners.get(&pool).cloned() {
-            self.send(owner, Message::Cancel { p: pool, i: id });
-        }
+        let waited = self.take_back(id);
         self.settle(now);
-        true
+        waited
     }
 
     /// Notes how much a running request has produced so far, in its pool's unit. Its dispatcher is
@@ -411,6 +415,7 @@
         self.beat(now);
         self.refresh_roles(now);
         self.resend(now);
+        self.give_up(now);
         let mut actions = Vec::new();
         for (name, pool) in &mut self.pools {
             if self.owners.get(name) != Some(&self.id.name) {
@@ -426,6 +431,53 @@
         self.settle(now);
     }
 
+    /// Forgets a ticket that waits, here and at its dispatcher.
+    fn take_back(&mut self, id: TicketId) -> bool {
+        let Some(waiting) = self.waiting.remove(&id) else { return false };
+        self.admission.leave(&waiting.ticket.workspace, &waiting.ticket.pool);
+        let pool = waiting.ticket.pool;
+        if let Some(owner) = self.owners.get(&pool).cloned() {
+            self.send(owner, Message::Cancel { p: pool, i: id });
+        }
+        true
+    }
+
+    /// Gives up on requests that can't be served in time, so that their callers hear of it early.
+    fn give_up(&mut self, now: Duration) {
+        if now < self.gave_up + GIVE_UP_EVERY {
+            return;
+        }
+        self.gave_up = now;
+        for (ticket, refusal) in self.hopeless(now) {
+            self.take_back(ticket);
+            self.out.push(Output::Refuse { ticket, refusal });
+        }
+    }
+
+    /// Those of the waiting that can't be served in time, each with the reason. Those that are given
+    /// up on are in nobody's way.
+    fn hopeless(&self, now: Duration) -> Vec<(TicketId, Refusal)> {
+        type Lane<'a> = (&'a WorkspaceName, &'a PoolName);
+        let mut lanes: BTreeMap<Lane, Vec<(Class, TicketId, Duration)>> = BTreeMap::new();
+        for (&id, waiting) in &self.waiting {
+            let (ticket, left) = (&waiting.ticket, waiting.expires.saturating_sub(now));
+            let lane = lanes.entry((&ticket.workspace, &ticket.pool)).or_default();
+            lane.push((ticket.class, id, left));
+        }
+        let mut hopeless = Vec::new();
+        for ((workspace, pool), mut lane) in lanes {
+            lane.sort();
+            let mut ahead = 0;
+            for (_, id, left) in lane {
+                match self.admission.is_hopeless(workspace, pool, ahead, left) {
+                    Some(refusal) => hopeless.push((id, refusal)),
+                    None => ahead += 1,
+                }
+            }
+        }
+        hopeless
+    }
+
     fn is_owner(&self, pool: &str) -> bool {
         self.owners.get(pool) == Some(&self.id.name)
     }
--- a/src/router/flow.rs
+++ b/src/router/flow.rs
@@ -177,7 +177,10 @@
         let mut stopping = self.service.stopping.clone();
         let start = tokio::select! {
             biased;
-            start = rx => start.map_err(|_| Cause::NotReady),
+            placement = rx => match placement {
+                Ok(placement) => placement.map_err(Cause::from),
+                Err(_) => Err(Cause::NotReady),
+            },
             _ = tokio::time::sleep_until(deadline) => Err(Cause::Expired),
             _ = stopping.wait_for(|&s| s) => Err(Cause::Stopping),
         };
--- a/src/router/hub.rs
+++ b/src/router/hub.rs
@@ -64,6 +64,9 @@
     pub cover: u64,
 }
 
+/// What becomes of a request that waits.
+pub type Placement = Result<Start, Refusal>;
+
 /// The node of this process with what its outputs need.
 pub struct Hub {
     inner: Mutex<Inner>,
@@ -78,7 +81,7 @@
 
 struct Inner {
     node: Node,
-    starts: HashMap<TicketId, oneshot::Sender<Start>>,
+    starts: HashMap<TicketId, oneshot::Sender<Placement>>,
     /// Calls of peers whose answers are held back.
     held: HashMap<BoxName, VecDeque<oneshot::Sender<Vec<Message>>>>,
 }
@@ -136,7 +139,7 @@
     }
 
     /// Lets a request wait; the receiver gets its grant.
-    pub fn submit(&self, ticket: Ticket) -> Result<oneshot::Receiver<Start>, Refusal> {
+    pub fn submit(&self, ticket: Ticket) -> Result<oneshot::Receiver<Placement>, Refusal> {
         let (tx, rx) = oneshot::channel();
         let id = ticket.id;
         let mut inner = self.inner.lock().expect("no panic under lock");
@@ -203,8 +206,9 @@
                 Output::Send { to, message } if Some(&to) == caller => answer.push(message),
                 Output::Send { to, message } => self.send(inner, &to, message),
                 Output::Start { ticket, upstream, cover } => {
-                    start(inner, ticket, Start { upstream, cover });
+                    place(inner, ticket, Ok(Start { upstream, cover }));
                 }
+                Output::Refuse { ticket, refusal } => place(inner, ticket, Err(refusal)),
                 Output::Decided(decision) => self.decided(decision),
                 Output::Changed(change) => self.changed(&change),
             }
@@ -364,11 +368,11 @@
     }
 }
 
-fn start(inner: &mut Inner, ticket: TicketId, start: Start) {
+fn place(inner: &mut Inner, ticket: TicketId, placement: Placement) {
     // The request may have left at this very moment; it then finds that it was granted when it
     // takes its ticket back.
     if let Some(tx) = inner.starts.remove(&ticket) {
-        let _ = tx.send(start);
+        let _ = tx.send(placement);
     }
 }
 
--- a/tests/util/rig.rs
+++ b/tests/util/rig.rs
@@ -516,6 +516,9 @@
                 Output::Changed(Change::Member { live: false, .. }) => {
                     self.outcome.suspicions += 1;
                 }
+                Output::Refuse { ticket, .. } => {
+                    self.requests.remove(&ticket);
+                }
                 Output::Decided(_) | Output::Changed(_) => {}
             }
         }
