Say who may use what, and why a workspace waits

Ruled out: a list of workspaces at each service, which every new workspace would change.

Change: a workspace may name the services it uses (all without); others are refused with 403 not-allowed. frostdykectl status tells for each waiting workspace whether it is at its running limit, or how many that are further behind go first.

Conclusion: both built; a workspace's share is still its weight.

--- a/src/config/catalog.rs
+++ b/src/config/catalog.rs
@@ -73,6 +73,16 @@
     /// Requests that may run at once per pool and availability zone.
     #[serde(default = "running_limit")]
     pub running_limit: u32,
+    /// The services that it may use. None for all of them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub services: Option<BTreeSet<ServiceName>>,
+}
+
+impl Workspace {
+    /// Whether it may use a service.
+    pub fn may_use(&self, service: &ServiceName) -> bool {
+        self.services.as_ref().is_none_or(|allowed| allowed.contains(service))
+    }
 }
 
 /// Something that callers address by name.
@@ -276,11 +286,18 @@
     check_names(&mut faults, "services", catalog.services.iter().map(|s| s.name.as_str()));
     check_names(&mut faults, "pools", catalog.pools.iter().map(|p| p.name.as_str()));
     check_names(&mut faults, "upstreams", catalog.upstreams.iter().map(|u| u.name.as_str()));
+    let services: FxHashSet<&str> = catalog.services.iter().map(|s| s.name.as_str()).collect();
     let pools: FxHashSet<&str> = catalog.pools.iter().map(|p| p.name.as_str()).collect();
     for (i, workspace) in catalog.workspaces.iter().enumerate() {
         if workspace.weight == 0 {
             faults.push(fault(format!("workspaces[{i}].weight"), "must be at least 1"));
         }
+        for service in workspace.services.iter().flatten() {
+            if !services.contains(service.as_str()) {
+                let reason = format!("there is no service '{service}'");
+                faults.push(fault(format!("workspaces[{i}].services"), &reason));
+            }
+        }
         for (k, digest) in workspace.key_digests.iter().enumerate() {
             if hex::decode(digest).map(|d| d.len()) != Ok(32) {
                 let field = format!("workspaces[{i}].key_digests[{k}]");
--- a/src/ctl/table.rs
+++ b/src/ctl/table.rs
@@ -6,6 +6,7 @@
 
 use crate::config::EngineState;
 use crate::controller::report::Report;
+use crate::dispatch::pool::Waits;
 use crate::operator::Shown;
 use crate::operator::fleet::Answer;
 use crate::operator::plan::Plan;
@@ -119,8 +120,11 @@
             for w in &p.workspaces {
                 let _ = writeln!(
                     out,
-                    "    workspace {} waits with {} at virtual time {}",
-                    w.workspace, w.waiting, w.virtual_time
+                    "    workspace {} waits with {} at virtual time {}: {}",
+                    w.workspace,
+                    w.waiting,
+                    w.virtual_time,
+                    why_waits(w.why)
                 );
             }
             for u in p.upstreams.iter().filter(|u| u.aside.is_some()) {
@@ -132,6 +136,15 @@
     out
 }
 
+fn why_waits(why: Waits) -> String {
+    match why {
+        Waits::RunningLimit { running } => format!("at its running limit of {running}"),
+        Waits::Slot { first: 0 } => "next when a slot is free".to_owned(),
+        Waits::Slot { first } => format!("no slot is free, {first} further behind go first"),
+        Waits::Turn { first } => format!("about to be served, {first} further behind go first"),
+    }
+}
+
 /// Why a request was placed as it was.
 pub fn explanation(request: &str, answers: &[Answer<Explanation>]) -> String {
     let mut out = String::new();
--- a/src/dispatch/pool/decision.rs
+++ b/src/dispatch/pool/decision.rs
@@ -35,6 +35,18 @@
     Pulled,
 }
 
+/// Why a workspace that waits isn't served now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "waits-for", rename_all = "kebab-case")]
+pub enum Waits {
+    /// It has as many requests running as it may.
+    RunningLimit { running: u32 },
+    /// All upstreams are full or aside; so many workspaces are further behind and go first.
+    Slot { first: usize },
+    /// There is a free slot, and so many workspaces go first; it is a matter of moments.
+    Turn { first: usize },
+}
+
 /// One placement decision, as it is logged and kept to be asked about.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Decision {
--- a/src/dispatch/pool/mod.rs
+++ b/src/dispatch/pool/mod.rs
@@ -14,6 +14,7 @@
 
 pub use crate::dispatch::pool::decision::Action;
 pub use crate::dispatch::pool::decision::Decision;
+pub use crate::dispatch::pool::decision::Waits;
 pub use crate::dispatch::pool::decision::Why;
 
 use crate::config;
@@ -290,6 +291,19 @@
         (most - least) as f64 / PARTS as f64
     }
 
+    /// Why a workspace that waits here isn't served now.
+    pub fn why_waits(&self, workspace: &WorkspaceName) -> Waits {
+        if self.is_full(workspace) {
+            let running = self.running.get(workspace).copied().unwrap_or(0);
+            return Waits::RunningLimit { running };
+        }
+        let first = self.queue.ahead_of(workspace);
+        match self.upstreams.has_free() {
+            true => Waits::Turn { first },
+            false => Waits::Slot { first },
+        }
+    }
+
     fn note_waiting(&mut self, workspace: &WorkspaceName) {
         self.ledger.note_waiting(workspace, self.queue.waiting(workspace));
     }
--- a/src/dispatch/queue.rs
+++ b/src/dispatch/queue.rs
@@ -127,6 +127,11 @@
         self.order.first().map(|(at, w)| (*at, w))
     }
 
+    /// How many workspaces are further behind than this one, which waits. Costs O(n): for operators.
+    pub fn ahead_of(&self, workspace: &str) -> usize {
+        self.order.iter().take_while(|(_, w)| w.as_str() != workspace).count()
+    }
+
     /// The workspace furthest behind of those with urgent work.
     pub fn first_urgent(&self) -> Option<(VirtualTime, &WorkspaceName)> {
         self.urgent.first().map(|(at, w)| (*at, w))
--- a/src/router/answer.rs
+++ b/src/router/answer.rs
@@ -115,6 +115,7 @@
             Cause::Bad(Fault::Unauthorized) => "unauthorized",
             Cause::Bad(Fault::NoWorkspace) => "no-workspace",
             Cause::Bad(Fault::NoService) => "no-service",
+            Cause::Bad(Fault::NotAllowed) => "not-allowed",
             Cause::Bad(Fault::Header(..)) => "bad-header",
             Cause::Bad(Fault::Key(KeyFault::Old)) => "key-too-old",
             Cause::Bad(Fault::Key(_)) => "bad-key",
@@ -141,7 +142,7 @@
     fn status(&self) -> StatusCode {
         match self {
             Cause::Bad(Fault::Unauthorized) => StatusCode::UNAUTHORIZED,
-            Cause::Bad(Fault::NoWorkspace) => StatusCode::FORBIDDEN,
+            Cause::Bad(Fault::NoWorkspace | Fault::NotAllowed) => StatusCode::FORBIDDEN,
             Cause::Bad(Fault::NoService) | Cause::NoPath => StatusCode::NOT_FOUND,
             Cause::Bad(Fault::Key(KeyFault::Old)) => StatusCode::GONE,
             Cause::Bad(Fault::Header(..) | Fault::Key(_)) => StatusCode::BAD_REQUEST,
--- a/src/router/ask.rs
+++ b/src/router/ask.rs
@@ -93,6 +93,9 @@
     /// The service doesn't exist.
     #[error("there is no service of this name")]
     NoService,
+    /// The workspace may not use the service.
+    #[error("this workspace may not use this service")]
+    NotAllowed,
     /// A header has a value that it can't have.
     #[error("{0}: {1}")]
     Header(HeaderName, &'static str),
@@ -110,6 +113,9 @@
 ) -> Result<Ask, Fault> {
     let workspace = authenticate(headers, cfg, limits.trust_workspace_header)?;
     let service = cfg.service(service).ok_or(Fault::NoService)?;
+    if !cfg.workspace(&workspace).is_some_and(|w| w.may_use(&service.name)) {
+        return Err(Fault::NotAllowed);
+    }
     let pool = cfg.pool(&service.pool).ok_or(Fault::NoService)?;
     let repeatable = repeatable(headers)?.unwrap_or(service.repeatable);
     let key = key(headers)?.filter(|_| !repeatable);
--- a/src/router/hub.rs
+++ b/src/router/hub.rs
@@ -395,6 +395,7 @@
         workspace: w.clone(),
         waiting: pool.queue().waiting(w),
         virtual_time: pool.ledger().virtual_time(w),
+        why: pool.why_waits(w),
     };
     let mut workspaces: Vec<WorkspaceStatus> = pool.queue().workspaces().map(status).collect();
     workspaces.sort_by_key(|w| w.virtual_time);
--- a/src/status.rs
+++ b/src/status.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::dispatch::pool::Decision;
+use crate::dispatch::pool::Waits;
 use crate::names::BoxName;
 use crate::names::PoolName;
 use crate::names::ServiceName;
@@ -61,6 +62,8 @@
     pub waiting: u32,
     /// Its virtual time, in thousandths of the pool's unit.
     pub virtual_time: i64,
+    /// Why its first ticket isn't served now.
+    pub why: Waits,
 }
 
 /// An upstream, and why it gets nothing if it doesn't.
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -11,6 +11,7 @@
 use frostdyke::dispatch::pool::Action;
 use frostdyke::dispatch::pool::Pool;
 use frostdyke::dispatch::pool::Tuning;
+use frostdyke::dispatch::pool::Waits;
 use frostdyke::dispatch::upstreams::Report;
 use frostdyke::peer::message::Class;
 use frostdyke::peer::message::Digest;
@@ -360,3 +361,15 @@
     pool.using(&"box-1".into(), GrantId(0), ids[1], &[], later, &mut out);
     assert_eq!(pool.upstreams().running(), 1);
 }
+
+#[test]
+fn it_tells_why_a_workspace_waits() {
+    let mut pool = pool(1);
+    let mut out = Vec::new();
+    pool.submit(ticket(1, "a", Class::Normal), NOW, &mut out);
+    pool.submit(ticket(2, "b", Class::Normal), NOW, &mut out);
+    pool.submit(ticket(3, "a", Class::Normal), NOW, &mut out);
+    // The first one was charged, so the other workspace is next.
+    assert_eq!(pool.why_waits(&"b".into()), Waits::Slot { first: 0 });
+    assert_eq!(pool.why_waits(&"a".into()), Waits::Slot { first: 1 });
+}
--- a/tests/holds_configuration.rs
+++ b/tests/holds_configuration.rs
@@ -9,6 +9,7 @@
 use frostdyke::node::Identity;
 use frostdyke::node::Node;
 use frostdyke::operator::Problem;
+use frostdyke::operator::intent;
 use frostdyke::operator::intent::Intent;
 use frostdyke::operator::plan;
 use frostdyke::peer::member::Gossip;
@@ -56,6 +57,24 @@
     assert!(String::from_utf8_lossy(&unknown.stderr).contains("there is no 'engine-9'"));
 }
 
+#[test]
+fn a_workspace_uses_only_what_it_may() {
+    let mut fleet = Fleet::start(&Setup::default());
+    fleet.configuration["workspaces"][0]["services"] = serde_json::json!(["balance"]);
+    fleet.configure();
+    fleet.wait_in_force(2);
+    assert_eq!(fleet.routers[0].send("balance", "{}", &[]).outcome, "ran");
+    let reply = fleet.routers[0].send("assist", "{}", &[]);
+    assert_eq!((reply.status, reply.outcome.as_str()), (403, "not-run"), "{reply:?}");
+    assert!(reply.body.contains("urn:frostdyke:not-allowed"), "{reply:?}");
+    let base = fleet.configuration.clone();
+    let base: Catalog = serde_json::from_value(base).expect("a configuration");
+    let mut workspace = base.workspaces[0].clone();
+    workspace.services = Some(["nothing".into()].into());
+    let faults = intent::apply(&base, &Intent::PutWorkspace { workspace }).expect_err("no such");
+    assert_eq!(faults[0].to_string(), "workspaces[0].services: there is no service 'nothing'");
+}
+
 #[test]
 fn who_has_no_token_gets_nowhere() {
     let mut fleet = Fleet::start(&Setup::default());
--- a/tests/util/catalog.rs
+++ b/tests/util/catalog.rs
@@ -19,6 +19,7 @@
         key_digests: Vec::new(),
         waiting_limit: LIMIT,
         running_limit: LIMIT,
+        services: None,
     }
 }
 
