--- a/src/claims/book.rs
+++ b/src/claims/book.rs
@@ -1,4 +1,4 @@
-//! The records of one shard: what its object holds, and what a claim does to it. Pure.
+//! The records of one shard and minute: what their object holds, and what a claim does to it. Pure.
 
 use std::collections::BTreeMap;
 
@@ -11,12 +11,14 @@
 use crate::claims::Verdict;
 use crate::claims::WINDOW;
 
-/// Records in one shard at most; the object stays below the platform's megabyte.
+/// Records in one object at most, which stays below the platform's megabyte.
 pub const RECORDS_MAX: usize = 12_000;
 
-/// What the object of a shard holds.
+/// What an object holds.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Book {
+    /// The minute of Unix time in which all these keys were made.
+    pub minute: u64,
     /// By key.
     pub records: BTreeMap<String, Record>,
 }
@@ -45,14 +47,11 @@
         }
     }
 
-    /// Forgets the records of keys that would be refused as too old, whatever the clock of the
-    /// router that is asked.
-    pub fn expire(&mut self, now: u64) {
-        let kept = WINDOW.as_secs() + 2 * SKEW.as_secs();
-        self.records.retain(|_, r| now <= r.0 + kept);
-    }
-
     fn take(&mut self, claim: &Claim, now: u64) -> Verdict {
+        // What is here is older by the whole ring: every router refuses such keys by now.
+        if self.minute < claim.minute() {
+            *self = Book { minute: claim.minute(), records: BTreeMap::new() };
+        }
         match self.records.get(&claim.key) {
             Some(record) if record.1 == claim.attempt => return Verdict::Taken,
             Some(record) if record.2 => return Verdict::Ran,
@@ -60,7 +59,8 @@
             None => {}
         }
         // Whoever is slow must not bring a key back whose record may be forgotten.
-        if claim.made + WINDOW.as_secs() + SKEW.as_secs() < now {
+        let is_old = claim.made + WINDOW.as_secs() + SKEW.as_secs() < now;
+        if is_old || claim.minute() < self.minute {
             return Verdict::Elsewhere;
         }
         if RECORDS_MAX <= self.records.len() {
--- a/src/claims/mod.rs
+++ b/src/claims/mod.rs
@@ -6,7 +6,9 @@
 //! others only saves writes, since it commits the claims of many requests in one update.
 //!
 //! Keys are UUIDs of version 7, which tell when they were made. A key older than the window is
-//! refused, so its record may be forgotten some time after that.
+//! refused, so its record may be forgotten some time after that. The records of a shard are spread
+//! over a ring of objects by the minute in which their keys were made: a commit writes the keys of a
+//! minute, not of all the window, and an object is forgotten as a whole when its turn comes again.
 
 pub mod book;
 pub mod writer;
@@ -28,9 +30,17 @@
 use crate::names::BoxName;
 use crate::platform::Objects;
 
-/// Objects that the records are spread over.
+/// Parts of the keys, each usually written by one box.
 pub const SHARDS: u64 = 4;
 
+/// Minutes until an object of a shard is used again.
+pub const RING: u64 = 16;
+
+const MINUTE: u64 = 60;
+
+// A record must outlive its key by as much as clocks may differ, on either side.
+const _: () = assert!(WINDOW.as_secs() + 2 * SKEW.as_secs() + MINUTE < (RING - 1) * MINUTE);
+
 /// How old a key may be.
 pub const WINDOW: Duration = Duration::from_secs(600);
 
@@ -239,10 +249,32 @@
     }
 }
 
-/// The shard of a claim.
-pub fn shard_of(claim: &Claim) -> Option<u64> {
-    let hash = u128::from_str_radix(&claim.key, 16).ok()?;
-    Some(xxh3_64(&hash.to_le_bytes()) % SHARDS)
+/// The object that holds a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Place {
+    shard: u64,
+    slot: u64,
+}
+
+impl Place {
+    /// Where the record of a claim is; nothing for a claim that names no key.
+    pub fn of(claim: &Claim) -> Option<Place> {
+        let hash = u128::from_str_radix(&claim.key, 16).ok()?;
+        let shard = xxh3_64(&hash.to_le_bytes()) % SHARDS;
+        Some(Place { shard, slot: claim.minute() % RING })
+    }
+
+    /// The name of the object.
+    pub fn object(&self) -> String {
+        format!("frostdyke/claims/{}/{}", self.shard, self.slot)
+    }
+}
+
+impl Claim {
+    /// The minute of Unix time in which the key was made.
+    pub fn minute(&self) -> u64 {
+        self.made / MINUTE
+    }
 }
 
 fn claim(key: Key, attempt: u64, op: Op) -> Claim {
--- a/src/claims/writer.rs
+++ b/src/claims/writer.rs
@@ -17,9 +17,9 @@
 
 use crate::claims::Claim;
 use crate::claims::Op;
+use crate::claims::Place;
 use crate::claims::Verdict;
 use crate::claims::book::Book;
-use crate::claims::shard_of;
 use crate::claims::unix;
 use crate::platform::Error;
 use crate::platform::Objects;
@@ -30,19 +30,25 @@
 /// Least time between two updates of one process, so that its writes stay flat under load.
 const SPACING: Duration = Duration::from_millis(55);
 
-/// Tries of one update against others who write the same shard.
+/// Tries of one update against others who write the same object.
 const TRIES_MAX: usize = 8;
 
 /// After a failure claims are refused at once, until the store has answered a probe. The first
 /// comes after this long, and so does each that follows a failed one.
 const REST: Duration = Duration::from_secs(1);
 
+/// What is read to find out whether the store is back; it need not be there.
+const PROBED: &str = "frostdyke/claims";
+
 /// How long news that nobody waits for may wait for an update that is made anyway.
 const LAZY: Duration = Duration::from_secs(2);
 
 /// News that nobody waits for and that the store hasn't taken in, at most.
 const LAZY_MAX: usize = 20_000;
 
+/// One commit in so many goes to an object with overdue news, however many claims wait.
+const NEWS_EVERY: u64 = 4;
+
 /// Called with the verdict on a claim.
 pub type Answer = Box<dyn FnOnce(Verdict) + Send>;
 
@@ -56,6 +62,19 @@
 struct Pending {
     claim: Claim,
     answer: Answer,
+    since: Instant,
+}
+
+/// News for one object, and since when there is any.
+struct News {
+    claims: Vec<Claim>,
+    since: Instant,
+}
+
+impl Default for News {
+    fn default() -> News {
+        News { claims: Vec::new(), since: Instant::now() }
+    }
 }
 
 impl Writer {
@@ -70,8 +89,9 @@
             writes: writes.clone(),
             down: down.clone(),
             known: HashMap::new(),
-            lazy: Vec::new(),
-            lazy_since: Instant::now(),
+            waiting: BTreeMap::new(),
+            lazy: BTreeMap::new(),
+            turns: 0,
             written: None,
             failed: None,
         };
@@ -85,7 +105,7 @@
         if claim.op == Op::Take && self.is_down() {
             return answer(Verdict::Unavailable);
         }
-        if let Err(e) = self.tx.try_send(Pending { claim, answer }) {
+        if let Err(e) = self.tx.try_send(Pending { claim, answer, since: Instant::now() }) {
             (e.into_inner().answer)(Verdict::Unavailable);
         }
     }
@@ -106,49 +126,90 @@
     rx: Receiver<Pending>,
     writes: Arc<AtomicU64>,
     down: Arc<AtomicBool>,
-    /// The shards as last seen, with their versions.
-    known: HashMap<u64, (u64, Book)>,
-    /// News that nobody waits for.
-    lazy: Vec<Claim>,
-    lazy_since: Instant,
+    /// The objects as last seen, with their versions.
+    known: HashMap<Place, (u64, Book)>,
+    /// Claims that somebody waits for, by their object.
+    waiting: BTreeMap<Place, Vec<Pending>>,
+    /// News that nobody waits for, by their object.
+    lazy: BTreeMap<Place, News>,
+    turns: u64,
     written: Option<Instant>,
     failed: Option<Instant>,
 }
 
 impl Job {
     fn run(mut self) {
-        loop {
-            let mut urgent = Vec::new();
-            let wait = if self.failed.is_some() { REST } else { LAZY };
-            match self.rx.recv_timeout(wait) {
-                Ok(pending) => self.sort_in(pending, &mut urgent),
-                Err(channel::RecvTimeoutError::Timeout) => {}
-                Err(channel::RecvTimeoutError::Disconnected) => return,
-            }
+        while self.gather() {
             if self.failed.is_some() {
-                refuse(urgent);
+                let waiting = std::mem::take(&mut self.waiting);
+                waiting.into_values().for_each(refuse);
                 self.probe();
                 continue;
             }
             self.wait_for_turn();
             while let Ok(pending) = self.rx.try_recv() {
-                self.sort_in(pending, &mut urgent);
+                self.sort_in(pending);
             }
-            self.commit_all(urgent);
+            if let Some(place) = self.next_place() {
+                let waiting = self.waiting.remove(&place).unwrap_or_default();
+                let news = self.lazy.remove(&place).unwrap_or_default();
+                self.commit(place, waiting, news.claims);
+            }
+        }
+    }
+
+    /// Waits until there is something to do, or nothing came for a while; false at the end.
+    fn gather(&mut self) -> bool {
+        if !self.waiting.is_empty() {
+            return true;
         }
+        let wait = if self.failed.is_some() { REST } else { LAZY };
+        match self.rx.recv_timeout(wait) {
+            Ok(pending) => self.sort_in(pending),
+            Err(channel::RecvTimeoutError::Timeout) => {}
+            Err(channel::RecvTimeoutError::Disconnected) => return false,
+        }
+        true
     }
 
     /// Claims are answered; other news goes along with them.
-    fn sort_in(&mut self, pending: Pending, urgent: &mut Vec<Pending>) {
+    fn sort_in(&mut self, pending: Pending) {
+        let Some(place) = Place::of(&pending.claim) else {
+            return (pending.answer)(Verdict::Unavailable);
+        };
         if pending.claim.op == Op::Take {
-            urgent.push(pending);
-            return;
+            self.waiting.entry(place).or_default().push(pending);
+        } else {
+            self.put_off(place, pending.claim);
         }
-        if self.lazy.is_empty() {
-            self.lazy_since = Instant::now();
+    }
+
+    /// Keeps news for the next commit of its object.
+    fn put_off(&mut self, place: Place, claim: Claim) {
+        let kept: usize = self.lazy.values().map(|news| news.claims.len()).sum();
+        if kept < LAZY_MAX {
+            self.lazy.entry(place).or_default().claims.push(claim);
         }
-        if self.lazy.len() < LAZY_MAX {
-            self.lazy.push(pending.claim);
+    }
+
+    /// The object to write next: the one for which claims have waited longest in sum, so that a full
+    /// one goes first and none waits for ever. Now and then, or when no claims wait, one with news
+    /// that is overdue.
+    fn next_place(&mut self) -> Option<Place> {
+        let overdue = || {
+            let oldest = self.lazy.iter().min_by_key(|(_, news)| news.since)?;
+            (LAZY <= oldest.1.since.elapsed()).then_some(*oldest.0)
+        };
+        let waited =
+            |waiting: &[Pending]| -> Duration { waiting.iter().map(|p| p.since.elapsed()).sum() };
+        let claimed = || {
+            let places = self.waiting.iter();
+            places.max_by_key(|(_, waiting)| waited(waiting)).map(|(place, _)| *place)
+        };
+        self.turns += 1;
+        match self.turns.is_multiple_of(NEWS_EVERY) {
+            true => overdue().or_else(claimed),
+            false => claimed().or_else(overdue),
         }
     }
 
@@ -157,7 +218,7 @@
         if self.failed.is_some_and(|at| at.elapsed() < REST) {
             return;
         }
-        let failed = self.objects.get(&name(0)).is_err();
+        let failed = self.objects.get(PROBED).is_err();
         self.note_store(failed);
     }
 
@@ -172,36 +233,10 @@
         }
     }
 
-    fn commit_all(&mut self, urgent: Vec<Pending>) {
-        let mut shards: BTreeMap<u64, Vec<Pending>> = BTreeMap::new();
-        for pending in urgent {
-            match shard_of(&pending.claim) {
-                Some(shard) => shards.entry(shard).or_default().push(pending),
-                None => (pending.answer)(Verdict::Unavailable),
-            }
-        }
-        let overdue = !self.lazy.is_empty() && LAZY <= self.lazy_since.elapsed();
-        let mut lazy: BTreeMap<u64, Vec<Claim>> = BTreeMap::new();
-        for claim in std::mem::take(&mut self.lazy) {
-            lazy.entry(shard_of(&claim).unwrap_or(0)).or_default().push(claim);
-        }
-        if overdue {
-            for &shard in lazy.keys() {
-                shards.entry(shard).or_default();
-            }
-        }
-        for (shard, pending) in shards {
-            self.wait_for_turn();
-            let news = lazy.remove(&shard).unwrap_or_default();
-            self.commit(shard, pending, news);
-        }
-        self.lazy.extend(lazy.into_values().flatten());
-    }
-
-    /// Commits claims and news of one shard, and answers the claims.
-    fn commit(&mut self, shard: u64, pending: Vec<Pending>, news: Vec<Claim>) {
+    /// Commits claims and news of one object, and answers the claims.
+    fn commit(&mut self, place: Place, pending: Vec<Pending>, news: Vec<Claim>) {
         let claims: Vec<Claim> = pending.iter().map(|p| p.claim.clone()).collect();
-        match self.update(shard, &claims, &news) {
+        match self.update(place, &claims, &news) {
             Ok(verdicts) => {
                 for (pending, verdict) in pending.into_iter().zip(verdicts) {
                     (pending.answer)(verdict);
@@ -209,13 +244,12 @@
             }
             Err(_) => {
                 self.note_store(true);
-                self.known.remove(&shard);
+                self.known.remove(&place);
                 // The claims may have been written all the same, though nothing will be sent.
-                for claim in claims {
-                    self.lazy.push(Claim { op: Op::Release, ..claim });
+                let released = claims.into_iter().map(|c| Claim { op: Op::Release, ..c });
+                for claim in released.chain(news) {
+                    self.put_off(place, claim);
                 }
-                self.lazy.extend(news);
-                self.lazy.truncate(LAZY_MAX);
                 refuse(pending);
             }
         }
@@ -223,14 +257,14 @@
 
     fn update(
         &mut self,
-        shard: u64,
+        place: Place,
         claims: &[Claim],
         news: &[Claim],
     ) -> Result<Vec<Verdict>, Error> {
         for _ in 0..TRIES_MAX {
-            let (version, mut book) = match self.known.remove(&shard) {
+            let (version, mut book) = match self.known.remove(&place) {
                 Some(known) => known,
-                None => self.read(shard)?,
+                None => self.read(place)?,
             };
             let before = book.clone();
             let now = unix(SystemTime::now());
@@ -240,18 +274,17 @@
             let verdicts = claims.iter().map(|c| book.apply(c, now)).collect();
             if book == before {
                 // Only a fresh look tells that nothing has to be written.
-                let (version, fresh) = self.read(shard)?;
+                let (version, fresh) = self.read(place)?;
                 let same = fresh == before;
-                self.known.insert(shard, (version, fresh));
+                self.known.insert(place, (version, fresh));
                 if same {
                     return Ok(verdicts);
                 }
                 continue;
             }
-            book.expire(now);
-            match self.write(shard, &book, version) {
+            match self.write(place, &book, version) {
                 Ok(version) => {
-                    self.known.insert(shard, (version, book));
+                    self.known.insert(place, (version, book));
                     return Ok(verdicts);
                 }
                 // Somebody else has written, or this did and its answer is lost: the records tell.
@@ -262,19 +295,19 @@
         Err(Error::Unavailable("too many conflicts".to_owned()))
     }
 
-    fn read(&self, shard: u64) -> Result<(u64, Book), Error> {
-        let Some(object) = self.objects.get(&name(shard))? else {
+    fn read(&self, place: Place) -> Result<(u64, Book), Error> {
+        let Some(object) = self.objects.get(&place.object())? else {
             return Ok((0, Book::default()));
         };
         let book = serde_json::from_slice(&object.value);
         book.map(|b| (object.version, b)).map_err(|e| Error::Unexpected(e.to_string()))
     }
 
-    fn write(&mut self, shard: u64, book: &Book, version: u64) -> Result<u64, Error> {
+    fn write(&mut self, place: Place, book: &Book, version: u64) -> Result<u64, Error> {
         self.writes.fetch_add(1, Ordering::Relaxed);
         self.written = Some(Instant::now());
         let value = serde_json::to_vec(book).expect("records serialize");
-        self.objects.put(&name(shard), &value, version)
+        self.objects.put(&place.object(), &value, version)
     }
 }
 
@@ -283,7 +316,3 @@
         (p.answer)(Verdict::Unavailable);
     }
 }
-
-fn name(shard: u64) -> String {
-    format!("frostdyke/claims/{shard}")
-}
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -60,6 +60,8 @@
     pub reads: u64,
     /// Waiting reads.
     pub watches: u64,
+    /// Bytes of values that were to be written.
+    pub written: u64,
 }
 
 /// A running fake platform.
@@ -80,6 +82,7 @@
     writes: AtomicU64,
     reads: AtomicU64,
     watches: AtomicU64,
+    written: AtomicU64,
 }
 
 #[derive(Clone)]
@@ -171,6 +174,7 @@
             writes: self.writes.load(Ordering::Relaxed),
             reads: self.reads.load(Ordering::Relaxed),
             watches: self.watches.load(Ordering::Relaxed),
+            written: self.written.load(Ordering::Relaxed),
         }
     }
 }
@@ -246,6 +250,7 @@
         return Ok(web::status(StatusCode::PRECONDITION_REQUIRED));
     };
     let value = body(req).await?;
+    state.written.fetch_add(value.len() as u64, Ordering::Relaxed);
     if VALUE_MAX < value.len() {
         return Ok(web::status(StatusCode::PAYLOAD_TOO_LARGE));
     }
