--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -5,6 +5,7 @@
 mod admit;
 mod receive;
 mod roles;
+mod wait;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -27,13 +28,13 @@
 use crate::names::BoxName;
 use crate::names::PoolName;
 use crate::names::UpstreamName;
-use crate::names::WorkspaceName;
 use crate::names::ZoneName;
 use crate::node::admit::Admission;
+use crate::node::wait::Unheard;
+use crate::node::wait::Waiting;
 use crate::peer::member::Gossip;
 use crate::peer::member::ListedBox;
 use crate::peer::member::Members;
-use crate::peer::message::Class;
 use crate::peer::message::Done;
 use crate::peer::message::Ending;
 use crate::peer::message::Grant;
@@ -42,24 +43,9 @@
 use crate::peer::message::TicketId;
 use crate::util;
 
-/// First wait before a ticket that got no grant is registered again; doubled each time.
-const RESEND_FIRST: Duration = Duration::from_secs(4);
-
-/// Grants and their ends that are kept to be told again.
-const UNHEARD_MAX: usize = 4096;
-
-/// Wait before a ticket is registered again when messages to its dispatcher were lost.
-const RESEND_LOST: Duration = Duration::from_millis(300);
-
 /// A request that has produced this many times what was charged for it is charged anew.
 const OUTGROWN: u64 = 2;
 
-/// How often those that wait are looked through for such as can't be served in time.
-const GIVE_UP_EVERY: Duration = Duration::from_millis(250);
-
-/// Longest wait before a ticket is registered again.
-const RESEND_MAX: Duration = Duration::from_secs(16);
-
 /// Who a box is.
 #[derive(Clone, Debug)]
 pub struct Identity {
@@ -127,22 +113,6 @@
     inbox: VecDeque<Message>,
 }
 
-#[derive(Debug)]
-struct Waiting {
-    ticket: Ticket,
-    expires: Duration,
-    resend_at: Duration,
-    backoff: Duration,
-}
-
-/// A grant or its end that its receiver likely hasn't heard of.
-#[derive(Debug)]
-struct Unheard {
-    at: Duration,
-    to: BoxName,
-    message: Message,
-}
-
 #[derive(Debug)]
 struct Running {
     ticket: Ticket,
@@ -247,34 +217,6 @@
         TicketId(self.next_ticket)
     }
 
-    /// Lets a request wait to be placed, or says at once why it can't.
-    pub fn submit(&mut self, ticket: Ticket, now: Duration) -> Result<(), Refusal> {
-        if self.cfg.pool(&ticket.pool).is_none() {
-            return Err(Refusal::NoPool);
-        }
-        let limit = self.cfg.workspace(&ticket.workspace).map_or(0, |w| w.waiting_limit);
-        let deadline = Duration::from_millis(ticket.deadline_ms);
-        self.admission.admit(&ticket.workspace, &ticket.pool, limit, deadline)?;
-        let waiting = Waiting {
-            expires: now + deadline,
-            resend_at: now + RESEND_FIRST,
-            backoff: RESEND_FIRST,
-            ticket: ticket.clone(),
-        };
-        self.waiting.insert(ticket.id, waiting);
-        self.register(ticket);
-        self.settle(now);
-        Ok(())
-    }
-
-    /// Takes back a request that waits: its caller left or its deadline passed. False when it
-    /// doesn't wait (any more).
-    pub fn withdraw(&mut self, id: TicketId, now: Duration) -> bool {
-        let waited = self.take_back(id);
-        self.settle(now);
-        waited
-    }
-
     /// Notes how much a running request has produced so far, in its pool's unit. Its dispatcher is
     /// told only when that has outgrown what was charged by a factor, so the messages grow with
     /// the logarithm of the cost. Gives the cost from which on this needs to be called again.
@@ -382,23 +324,6 @@
         self.settle(now);
     }
 
-    /// Notes that messages to a box were likely lost: what waits there is registered again soon, and
-    /// grants and their ends are told again, lest their slots stay taken.
-    pub fn lost(&mut self, name: &BoxName, messages: Vec<Message>, now: Duration) {
-        let at = now + RESEND_LOST;
-        for waiting in self.waiting.values_mut() {
-            if self.owners.get(&waiting.ticket.pool) == Some(name) {
-                waiting.resend_at = waiting.resend_at.min(at);
-            }
-        }
-        for message in messages {
-            let matters = matches!(message, Message::Done(_) | Message::Grant(_));
-            if matters && self.unheard.len() < UNHEARD_MAX {
-                self.unheard.push_back(Unheard { at, to: name.clone(), message });
-            }
-        }
-    }
-
     /// Tells the zone that this box is about to stop, and gives its roles to others.
     pub fn leave(&mut self, now: Duration) {
         let (t, boxes) = self.members.leave(now);
@@ -431,97 +356,10 @@
         self.settle(now);
     }
 
-    /// Forgets a ticket that waits, here and at its dispatcher.
-    fn take_back(&mut self, id: TicketId) -> bool {
-        let Some(waiting) = self.waiting.remove(&id) else { return false };
-        self.admission.leave(&waiting.ticket.workspace, &waiting.ticket.pool);
-        let pool = waiting.ticket.pool;
-        if let Some(owner) = self.owners.get(&pool).cloned() {
-            self.send(owner, Message::Cancel { p: pool, i: id });
-        }
-        true
-    }
-
-    /// Gives up on requests that can't be served in time, so that their callers hear of it early.
-    fn give_up(&mut self, now: Duration) {
-        if now < self.gave_up + GIVE_UP_EVERY {
-            return;
-        }
-        self.gave_up = now;
-        for (ticket, refusal) in self.hopeless(now) {
-            self.take_back(ticket);
-            self.out.push(Output::Refuse { ticket, refusal });
-        }
-    }
-
-    /// Those of the waiting that can't be served in time, each with the reason. Those that are given
-    /// up on are in nobody's way.
-    fn hopeless(&self, now: Duration) -> Vec<(TicketId, Refusal)> {
-        type Lane<'a> = (&'a WorkspaceName, &'a PoolName);
-        let mut lanes: BTreeMap<Lane, Vec<(Class, TicketId, Duration)>> = BTreeMap::new();
-        for (&id, waiting) in &self.waiting {
-            let (ticket, left) = (&waiting.ticket, waiting.expires.saturating_sub(now));
-            let lane = lanes.entry((&ticket.workspace, &ticket.pool)).or_default();
-            lane.push((ticket.class, id, left));
-        }
-        let mut hopeless = Vec::new();
-        for ((workspace, pool), mut lane) in lanes {
-            lane.sort();
-            let mut ahead = 0;
-            for (_, id, left) in lane {
-                match self.admission.is_hopeless(workspace, pool, ahead, left) {
-                    Some(refusal) => hopeless.push((id, refusal)),
-                    None => ahead += 1,
-                }
-            }
-        }
-        hopeless
-    }
-
     fn is_owner(&self, pool: &str) -> bool {
         self.owners.get(pool) == Some(&self.id.name)
     }
 
-    /// Registers a ticket with the dispatcher of its pool.
-    fn register(&mut self, ticket: Ticket) {
-        if let Some(owner) = self.owners.get(&ticket.pool).cloned() {
-            // The receiver knows from whom it comes, and whose the service is.
-            let (router, pool) = (BoxName::none(), PoolName::none());
-            self.send(owner, Message::Ticket(Ticket { router, pool, ..ticket }));
-        }
-    }
-
-    fn resend(&mut self, now: Duration) {
-        let mut due = Vec::new();
-        for waiting in self.waiting.values_mut() {
-            if waiting.resend_at <= now {
-                waiting.backoff = (waiting.backoff * 2).min(RESEND_MAX);
-                waiting.resend_at = now + waiting.backoff;
-                due.push(waiting.renewed(now));
-            }
-        }
-        due.sort_by_key(|t| t.id);
-        for ticket in due {
-            self.register(ticket);
-        }
-        while self.unheard.front().is_some_and(|u| u.at <= now) {
-            let unheard = self.unheard.pop_front().expect("just seen");
-            let to = match &unheard.message {
-                Message::Done(done) => self.dispatcher_now(&unheard.to, &done.pool),
-                _ => unheard.to,
-            };
-            self.send(to, unheard.message);
-        }
-    }
-
-    /// Who should hear what a dispatcher didn't: itself, or in this zone whoever followed it.
-    fn dispatcher_now(&self, before: &BoxName, pool: &str) -> BoxName {
-        match self.owners.get(pool) {
-            Some(owner) if self.members.is_of_zone(before) => owner.clone(),
-            _ => before.clone(),
-        }
-    }
-
     fn perform(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
@@ -547,11 +385,3 @@
         }
     }
 }
-
-impl Waiting {
-    /// The ticket with what is left of its time.
-    fn renewed(&self, now: Duration) -> Ticket {
-        let left = self.expires.saturating_sub(now);
-        Ticket { deadline_ms: left.as_millis() as u64, ..self.ticket.clone() }
-    }
-}
