--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -33,6 +33,7 @@
 use crate::controller::report::Report;
 use crate::controller::rollout::Observed;
 use crate::controller::rollout::Step;
+use crate::controller::rollout::Touched;
 use crate::controller::rollout::Weights;
 use crate::log;
 use crate::metrics;
@@ -106,7 +107,7 @@
         engines: Box::new(engines::Client::default()),
         keeper: keeper.clone(),
         reports: report::Writer::default(),
-        weights: None,
+        tenure: None,
         metrics: metrics.clone(),
         log: log.clone(),
     };
@@ -148,29 +149,32 @@
     engines: Box<dyn Engines>,
     keeper: Arc<Keeper>,
     reports: report::Writer,
-    /// What may be loaded, for the fence that it was counted under.
-    weights: Option<(Fence, Weights)>,
+    tenure: Option<Tenure>,
     metrics: Metrics,
     log: Logger,
 }
 
+/// What is known for as long as the lease is held under one fence.
+struct Tenure {
+    fence: Fence,
+    weights: Weights,
+    touched: Touched,
+}
+
 impl Controller {
     /// Looks at the engines, orders what is next, and reports. Does nothing without the lease.
     fn round(&mut self, cfg: &Revision, now: Duration) {
-        let Some(fence) = self.keeper.held() else {
-            self.weights = None;
+        let Some(mut tenure) = self.keeper.held().and_then(|fence| self.tenure(fence, now)) else {
+            self.tenure = None;
             return;
         };
-        let observed = self.observe(cfg);
-        let zone = self.me.zone.clone();
-        let weights = match self.weights.take() {
-            Some((counted, weights)) if counted == fence => weights,
-            _ => Weights::new(now),
-        };
-        let (_, weights) = self.weights.insert((fence, weights));
-        let steps = rollout::steps(cfg, &zone, &observed, weights, now);
+        let (fence, zone) = (tenure.fence, self.me.zone.clone());
+        let observed = self.observe(cfg, &tenure.touched);
+        let Tenure { weights, touched, .. } = &mut tenure;
+        let steps = rollout::steps(cfg, &zone, touched, &observed, weights, now);
         let mut engines = Vec::with_capacity(steps.len());
         for step in &steps {
+            touched.insert(step.upstream.clone());
             let error = self.order(cfg, fence, step);
             let seen = observed.get(&step.upstream);
             engines.push(EngineReport {
@@ -181,6 +185,7 @@
                 error,
             });
         }
+        self.tenure = Some(tenure);
         if engines.is_empty() || self.keeper.held() != Some(fence) {
             return;
         }
@@ -188,10 +193,21 @@
         self.reports.write(&*self.objects, Report { zone, holder, fence, revision, engines });
     }
 
+    /// What is known under this fence. A new holder learns from the last report which engines its
+    /// predecessors have touched; nothing while that can't be read.
+    fn tenure(&mut self, fence: Fence, now: Duration) -> Option<Tenure> {
+        if let Some(tenure) = self.tenure.take().filter(|t| t.fence == fence) {
+            return Some(tenure);
+        }
+        let last = report::read(&*self.objects, &self.me.zone).ok()?;
+        let engines = last.into_iter().flat_map(|report| report.engines);
+        let touched = engines.map(|engine| engine.upstream).collect();
+        Some(Tenure { fence, weights: Weights::new(now), touched })
+    }
+
     /// What the engines of this zone say of themselves, those that answer.
-    fn observe(&self, cfg: &Revision) -> BTreeMap<UpstreamName, Observed> {
-        let wanted: Vec<&Upstream> =
-            rollout::wanted(cfg, &self.me.zone).map(|(upstream, _)| upstream).collect();
+    fn observe(&self, cfg: &Revision, touched: &Touched) -> BTreeMap<UpstreamName, Observed> {
+        let wanted: Vec<&Upstream> = rollout::engines(cfg, &self.me.zone, touched).collect();
         let mut observed = BTreeMap::new();
         for some in wanted.chunks(AT_ONCE) {
             let answers: Vec<_> = thread::scope(|scope| {
--- a/src/controller/rollout.rs
+++ b/src/controller/rollout.rs
@@ -7,6 +7,7 @@
 //! or done by an earlier holder of the lease is no matter.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -100,18 +101,23 @@
     }
 }
 
-/// The next step of each engine of a zone that the configuration wants something of.
+/// Engines that were ordered something, by this controller or the lease's earlier holders.
+pub type Touched = BTreeSet<UpstreamName>;
+
+/// The next step of each engine of a zone that is to be changed, or may be in the middle of it.
 pub fn steps(
     cfg: &Revision,
     zone: &ZoneName,
+    touched: &Touched,
     observed: &BTreeMap<UpstreamName, Observed>,
     weights: &mut Weights,
     now: Duration,
 ) -> Vec<Step> {
     let every = load_every(cfg);
-    let mut idle = unavailable(cfg, zone, observed);
+    let mut idle = unavailable(cfg, zone, touched, observed);
     let mut steps = Vec::new();
-    for (upstream, wanted) in wanted(cfg, zone) {
+    for upstream in engines(cfg, zone, touched) {
+        let wanted = upstream.engine.as_ref();
         let seen = observed.get(&upstream.name);
         let idle = idle.entry(&upstream.pool).or_default();
         let max = cfg.pool(&upstream.pool).map_or(0, |p| p.unavailable_max);
@@ -127,18 +133,20 @@
     steps
 }
 
-/// The engines of a zone that the configuration wants something of, and what.
-pub fn wanted<'a>(
+/// The engines of a zone that the configuration wants something of, and those that were touched
+/// when it did: they must not be left without work.
+pub fn engines<'a>(
     cfg: &'a Revision,
     zone: &ZoneName,
-) -> impl Iterator<Item = (&'a Upstream, &'a EngineState)> {
+    touched: &Touched,
+) -> impl Iterator<Item = &'a Upstream> {
     let here = cfg.catalog.upstreams.iter().filter(move |u| u.zone == *zone);
-    here.filter_map(|u| Some((u, u.engine.as_ref()?)))
+    here.filter(|u| u.engine.is_some() || touched.contains(&u.name))
 }
 
 fn next(
     upstream: &Upstream,
-    wanted: &EngineState,
+    wanted: Option<&EngineState>,
     seen: &Observed,
     may_drain: bool,
     may_load: impl FnOnce() -> bool,
@@ -146,9 +154,9 @@
     if seen.loading {
         return (Stage::Loads, None);
     }
-    if seen.state == *wanted {
+    let Some(wanted) = wanted.filter(|wanted| seen.state != **wanted) else {
         return (Stage::Ready, seen.drained.then_some(Order::Undrain));
-    }
+    };
     if !seen.drained {
         // One that takes no work anyway takes none from the others.
         return match may_drain || seen.leaving || upstream.draining {
@@ -169,10 +177,11 @@
 fn unavailable<'a>(
     cfg: &'a Revision,
     zone: &ZoneName,
+    touched: &Touched,
     observed: &BTreeMap<UpstreamName, Observed>,
 ) -> BTreeMap<&'a PoolName, u32> {
     let mut count = BTreeMap::new();
-    for (upstream, _) in wanted(cfg, zone) {
+    for upstream in engines(cfg, zone, touched) {
         let seen = observed.get(&upstream.name);
         if upstream.draining || seen.is_none_or(|o| o.leaving || o.drained || o.loading) {
             *count.entry(&upstream.pool).or_default() += 1;
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -122,7 +122,12 @@
             return;
         }
         self.placed.end(ending);
-        self.tale.note_ending(&format!("{ending:?}").to_lowercase());
+        let resumed = self.resume.as_ref().map_or(0, Resume::times);
+        let mut text = format!("{ending:?}").to_lowercase();
+        if resumed != 0 {
+            text.push_str(&format!(", resumed {resumed} times"));
+        }
+        self.tale.note_ending(&text);
         self.tale.end(Outcome::Ran);
     }
 
@@ -152,7 +157,6 @@
         }
         let Some(incoming) = resume.again() else { return false };
         self.incoming = incoming;
-        self.tale.note_ending("resumed");
         true
     }
 
--- a/src/router/resume.rs
+++ b/src/router/resume.rs
@@ -67,6 +67,11 @@
         &self.pool
     }
 
+    /// How often the upstream was asked for the rest.
+    pub fn times(&self) -> u32 {
+        self.times
+    }
+
     /// Takes in a piece of the stream; gives the events that are whole, if any.
     pub fn piece(&mut self, piece: &[u8]) -> Option<Bytes> {
         self.events.take(piece)
--- a/tests/holds_answers.rs
+++ b/tests/holds_answers.rs
@@ -83,7 +83,7 @@
 
 #[test]
 fn an_answer_that_is_cut_goes_on_where_the_engine_can() {
-    let fleet = resuming(engine::Faults { cut_after: Some(5), ..Default::default() });
+    let mut fleet = resuming(engine::Faults { cut_after: Some(5), ..Default::default() });
     let reply = ask(&fleet, 20);
     assert_eq!((reply.status, reply.whole), (200, true), "{reply:?}");
     let tokens = (0..20).map(|n| format!("data: {{\"token\":{n}}}\n\n"));
@@ -92,6 +92,10 @@
     // The request ran once; only its answer was streamed again.
     assert_eq!(fleet.engines[0].ran().values().sum::<u64>(), 1);
     assert_eq!(fleet.engines[0].resumed(), 1);
+    let operator = fleet.start_operator();
+    let why = fleet.ctl(operator, &["explain", &reply.request]);
+    let why = String::from_utf8_lossy(&why.stdout).into_owned();
+    assert!(why.contains("answered, resumed 1 times"), "{why}");
     wait_until("the slot is free again", || fleet.engines[0].running() == 0);
 }
 
--- a/tests/holds_leases.rs
+++ b/tests/holds_leases.rs
@@ -8,6 +8,7 @@
 
 use frostdyke::config::EngineState;
 use frostdyke::config::Revision;
+use frostdyke::config::catalog::OBJECT;
 use frostdyke::controller::lease::Fence;
 use frostdyke::controller::lease::Lease;
 use frostdyke::controller::lease::Record;
@@ -18,6 +19,7 @@
 use frostdyke::controller::rollout::Observed;
 use frostdyke::controller::rollout::Order;
 use frostdyke::controller::rollout::Stage;
+use frostdyke::controller::rollout::Touched;
 use frostdyke::controller::rollout::Weights;
 use frostdyke::names::UpstreamName;
 use frostdyke_standin::engine;
@@ -258,7 +260,8 @@
     let mut loads = 0;
     for turn in 1..400 {
         let now = SECOND / 2 * turn;
-        let steps = rollout::steps(&cfg, &"here".into(), &observed, &mut weights, now);
+        let steps =
+            rollout::steps(&cfg, &"here".into(), &Touched::new(), &observed, &mut weights, now);
         let out = observed.values().filter(|o| o.leaving).count();
         assert!(out <= 1, "{out} engines are without work at once");
         observed.values_mut().for_each(|o| o.loading = false);
@@ -285,7 +288,9 @@
     let mut loads = Vec::new();
     for turn in 0..120 {
         let now = 600 * SECOND + SECOND * turn;
-        for step in rollout::steps(&cfg, &"here".into(), &observed, &mut weights, now) {
+        for step in
+            rollout::steps(&cfg, &"here".into(), &Touched::new(), &observed, &mut weights, now)
+        {
             if let Some(order @ Order::Load { .. }) = step.order {
                 obey(observed.get_mut(&step.upstream).expect("it is there"), &order);
                 loads.push(turn);
@@ -298,12 +303,54 @@
     assert_eq!(loads, [0, 30, 60, 90]);
 }
 
+/// Its operator has changed their mind in the middle.
+#[test]
+fn an_engine_that_is_no_longer_to_be_changed_takes_work_again() {
+    let (cfg, mut observed) = four_engines();
+    let mut catalog = cfg.catalog.clone();
+    catalog.upstreams.iter_mut().for_each(|u| u.engine = None);
+    let cfg = Revision::new(2, catalog).expect("it is valid");
+    obey(observed.get_mut("e1").expect("it is there"), &Order::Drain);
+    let mut weights = Weights::new(Duration::ZERO);
+    let touched = Touched::from(["e1".into()]);
+    let steps = rollout::steps(&cfg, &"here".into(), &touched, &observed, &mut weights, SECOND);
+    assert_eq!(steps.len(), 1, "the others were never touched");
+    assert_eq!(steps[0].order, Some(Order::Undrain));
+}
+
+/// The controller that drained it is gone, and what it was drained for, too.
+#[test]
+fn a_later_controller_gives_an_engine_its_work_back() {
+    let fleet = Fleet::start(&Setup { token: Duration::from_millis(50), ..Setup::default() });
+    std::thread::scope(|scope| {
+        let router = &fleet.routers[0];
+        let long = scope.spawn(|| router.send("assist", "{\"max_tokens\":100}", &[]));
+        wait_until("a request runs", || fleet.engines[0].running() == 1);
+        let mut configuration = fleet.configuration.clone();
+        let put = |c: &serde_json::Value| fleet.platform.put(OBJECT, c.to_string());
+        configuration["upstreams"][0]["engine"] = serde_json::json!({"model": "m", "version": "1"});
+        put(&configuration);
+        let mut first = fleet.controller(0, 0);
+        wait_until("it is drained", || fleet.engines[0].orders().is_drained());
+        wait_until("that is reported", || fleet.platform.get("frostdyke/engines/zone-0").is_some());
+        first.kill().expect("it is ours");
+        first.wait().expect("it is ours");
+        put(&fleet.configuration);
+        let mut second = fleet.controller(0, 1);
+        wait_until("it takes work", || !fleet.engines[0].orders().is_drained());
+        second.kill().expect("it is ours");
+        second.wait().expect("it is ours");
+        assert!(long.join().expect("no panic").whole);
+    });
+}
+
 #[test]
 fn an_engine_that_gives_no_answer_holds_the_others_up() {
     let (cfg, mut observed) = four_engines();
     observed.remove("e2");
     let mut weights = Weights::new(Duration::ZERO);
-    let steps = rollout::steps(&cfg, &"here".into(), &observed, &mut weights, SECOND);
+    let steps =
+        rollout::steps(&cfg, &"here".into(), &Touched::new(), &observed, &mut weights, SECOND);
     let stages: Vec<Stage> = steps.iter().map(|s| s.stage).collect();
     let waits = Stage::WaitsForTurn;
     assert_eq!(stages, [waits, waits, Stage::Unreachable, waits]);
--- a/tests/util/fleet.rs
+++ b/tests/util/fleet.rs
@@ -247,9 +247,14 @@
         addr
     }
 
-    /// Starts a controller for a zone.
+    /// Starts a controller for a zone; it ends with the fleet.
     pub fn start_controller(&mut self, zone: usize) {
-        let number = self.controllers.len();
+        let child = self.controller(zone, self.controllers.len());
+        self.controllers.push(child);
+    }
+
+    /// Starts a controller for a zone, the `number`th.
+    pub fn controller(&self, zone: usize, number: usize) -> Child {
         let guard = one_at_a_time();
         let metrics = free_port(self.number, &mut Vec::new());
         drop(guard);
@@ -261,12 +266,11 @@
         let settings = self.dir.join(format!("controller-{number}.ini"));
         std::fs::write(&settings, text).expect("settings");
         let log = std::fs::File::create(settings.with_extension("log")).expect("a log");
-        let child = Command::new(env!("CARGO_BIN_EXE_frostdyke-controller"))
+        Command::new(env!("CARGO_BIN_EXE_frostdyke-controller"))
             .arg(&settings)
             .stderr(Stdio::from(log))
             .spawn_alone()
-            .expect("the controller starts");
-        self.controllers.push(child);
+            .expect("the controller starts")
     }
 
     /// Runs `frostdykectl`.
