Judge the end of a resumed answer by its own head

Cause: read again: the end of a stream that was gone on with was told from a cut by the framing of its first part; an engine that frames the rest otherwise would have a cut taken for an end.

Ruled out: refusing a rest that is framed otherwise, which is whole all the same.

Change: the head of each part tells how its end is known.

Conclusion: no behaviour changes with engines that frame both alike.

--- a/src/router/flow.rs
+++ b/src/router/flow.rs
@@ -36,6 +36,7 @@
 use crate::router::ask::Ask;
 use crate::router::ask::PREFIX;
 use crate::router::hub::Hub;
+use crate::router::relay;
 use crate::router::relay::Answer;
 use crate::router::relay::Placed;
 use crate::router::resume::Resume;
@@ -285,8 +286,7 @@
         }
         let length =
             headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
-        let chunked = headers.contains_key(header::TRANSFER_ENCODING);
-        let framed = length.is_some() || chunked;
+        let framed = relay::is_framed(&headers);
         let resume = resume.filter(|_| status == StatusCode::OK && is_event_stream(&headers));
         let request = self.tale.request.clone();
         let tale = self.tale.take();
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -8,6 +8,9 @@
 use std::task::Poll;
 
 use bytes::Bytes;
+use http::HeaderMap;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
 use hyper::body::Frame;
 use opentelemetry::KeyValue;
 
@@ -212,7 +215,10 @@
                 Some(Event::Failed { .. }) if this.go_on() => continue,
                 Some(Event::Failed { reason, .. }) => return this.cut(&reason, cx),
                 Some(Event::Head { status, headers })
-                    if this.resume.as_ref().is_some_and(|r| r.is_mine(status, &headers)) => {}
+                    if this.resume.as_ref().is_some_and(|r| r.is_mine(status, &headers)) =>
+                {
+                    this.framed = is_framed(&headers);
+                }
                 Some(Event::Head { .. }) => return this.cut("the answer can't be resumed", cx),
                 None => return this.cut("the sending thread ended", cx),
             }
@@ -220,6 +226,11 @@
     }
 }
 
+/// Whether the end of a body can be told from a cut.
+pub fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 impl Drop for Answer {
     fn drop(&mut self) {
         self.end(Ending::Cancelled);
