--- a/tests/holds_configuration.rs
+++ b/tests/holds_configuration.rs
@@ -23,6 +23,8 @@
 use util::fleet::Setup;
 use util::fleet::any_port;
 use util::fleet::http;
+use util::rig;
+use util::rig::Rig;
 
 fn three_zones() -> Fleet {
     Fleet::start(&Setup { zones: vec![2, 1, 1], ..Setup::default() })
@@ -222,3 +224,28 @@
     upstreams[0].slots: must be at least 1
     ");
 }
+
+/// The platform reaches one box only, and a zone is cut off from the others meanwhile.
+#[test]
+fn a_zone_that_was_cut_off_hears_of_it_when_it_rejoins() {
+    let mut rig = Rig::new(rig::Setup::default());
+    rig.run_for(5 * SECOND);
+    rig.net.cut_zones.insert(1);
+    rig.configure(0, 2);
+    rig.run_for(10 * SECOND);
+    let revisions =
+        |rig: &Rig| -> Vec<u64> { (0..9).map(|i| rig.node(i).configuration().number).collect() };
+    // The zone that is cut off goes on with what it has.
+    assert_eq!(revisions(&rig), [2, 2, 2, 1, 1, 1, 2, 2, 2]);
+    rig.net.cut_zones.clear();
+    rig.run_for(10 * SECOND);
+    assert_eq!(revisions(&rig), [2; 9]);
+}
+
+#[test]
+fn a_slow_platform_delays_it_only() {
+    let fleet = three_zones();
+    fleet.platform.set_faults(Faults { slow_ms: 300, ..Faults::default() });
+    fleet.configure();
+    fleet.wait_in_force(2);
+}
--- a/tests/util/rig.rs
+++ b/tests/util/rig.rs
@@ -323,6 +323,16 @@
         self.flush(i);
     }
 
+    /// Gives one box the next revision of the configuration, as if its watch had brought it.
+    pub fn configure(&mut self, i: usize, number: u64) {
+        let catalog = configuration(&self.setup);
+        let revision = Revision::new(number, catalog).expect("the rig's configuration is valid");
+        let member = &mut self.members[i];
+        let node = member.node.as_mut().expect("the box is up");
+        node.configure(revision, self.now - member.started);
+        self.flush(i);
+    }
+
     /// Stops a box for a while without its noticing, or lets it go on.
     pub fn freeze(&mut self, i: usize, frozen: bool) {
         self.members[i].frozen = frozen;
