Judge hopeless requests, build clients and seed properties in one place each

Cause: read once more, the change had the rule for a hopeless deadline twice (at arrival and while it waits), the lookup of a learned cost twice, the same HTTP client in the controller and the load tool, and the same settings of a property test six times.

Ruled out: one error type for router and controller, since each layer has its own; the clients of frostdykectl and the platform, which differ in redirects and timeouts.

Change: Lane::refuse_hopeless, Pool::estimate_mut, util::http_agent, util::seeded in the tests. Behaviour, bounds and assertions are as they were.

Conclusion: the "configuration refused" and "platform lost" log lines still stand in both router and controller.

--- a/src/controller/engines.rs
+++ b/src/controller/engines.rs
@@ -15,6 +15,7 @@
 use crate::controller::lease::Fence;
 use crate::controller::rollout::Observed;
 use crate::controller::rollout::Order;
+use crate::util;
 
 /// How long an engine may take to answer.
 const TIMEOUT: Duration = Duration::from_millis(500);
@@ -62,13 +63,7 @@
 
 impl Default for Client {
     fn default() -> Client {
-        let config = Agent::config_builder()
-            .http_status_as_error(false)
-            .max_redirects(0)
-            .proxy(None)
-            .timeout_global(Some(TIMEOUT))
-            .build();
-        Client { agent: config.into() }
+        Client { agent: util::http_agent(TIMEOUT) }
     }
 }
 
--- a/src/dispatch/pool/grants.rs
+++ b/src/dispatch/pool/grants.rs
@@ -63,8 +63,7 @@
         granted.cover = cover;
         let (workspace, service) = (granted.workspace.clone(), granted.service.clone());
         self.charge(&workspace, more as i64);
-        let services = self.estimates.entry(workspace).or_default();
-        services.entry(service).or_default().outgrown(cover);
+        self.estimate_mut(&workspace, &service).outgrown(cover);
     }
 
     /// Ends a grant: trues the charge up and gives the slot to the next.
@@ -77,7 +76,7 @@
         self.upstreams.release(&granted.upstream, done.ending, now);
         let cost = done.cost.min(COST_MAX);
         if matches!(done.ending, Ending::Answered) {
-            self.learn(&granted.workspace, &granted.service, cost);
+            self.estimate_mut(&granted.workspace, &granted.service).ended(cost);
         }
         self.charge(&granted.workspace, cost as i64 - granted.cover as i64);
         self.fill(now, out);
@@ -334,9 +333,9 @@
         checks
     }
 
-    pub(super) fn learn(&mut self, workspace: &WorkspaceName, service: &ServiceName, cost: u64) {
+    fn estimate_mut(&mut self, workspace: &WorkspaceName, service: &ServiceName) -> &mut Estimate {
         let services = self.estimates.entry(workspace.clone()).or_default();
-        services.entry(service.clone()).or_default().ended(cost);
+        services.entry(service.clone()).or_default()
     }
 }
 
--- a/src/load/client.rs
+++ b/src/load/client.rs
@@ -17,6 +17,7 @@
 use crate::load::scenario::Scenario;
 use crate::load::scenario::Workspace;
 use crate::router::meter;
+use crate::util;
 
 /// Pause after a refusal that doesn't say when to come back.
 const PAUSE: Duration = Duration::from_millis(200);
@@ -70,14 +71,8 @@
             }
         };
         let seed = scenario.seed ^ ((workspace as u64) << 32) ^ number as u64;
-        let config = Agent::config_builder()
-            .http_status_as_error(false)
-            .max_redirects(0)
-            .proxy(None)
-            .timeout_global(Some(TIMEOUT))
-            .build();
         Client {
-            agent: config.into(),
+            agent: util::http_agent(TIMEOUT),
             workspace: settings,
             targets,
             rng: SmallRng::seed_from_u64(seed),
--- a/src/node/admit.rs
+++ b/src/node/admit.rs
@@ -61,7 +61,18 @@
         self.pace += gain * (seconds - self.pace);
     }
 
-    /// How long a request waits that has so many of its lane ahead.
+    /// When a refused caller should come back, for a request with so many of its lane ahead.
+    fn retry_after(&self, ahead: u32) -> Duration {
+        self.expected_wait(ahead).clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
+    }
+
+    /// Refuses a request with so many of its lane ahead that can't be served in the time that is
+    /// `left`.
+    fn refuse_hopeless(&self, ahead: u32, left: Duration) -> Option<Refusal> {
+        let hopeless = left.saturating_mul(HOPELESS_FACTOR) < self.expected_wait(ahead);
+        hopeless.then(|| Refusal::Hopeless { retry_after: self.retry_after(ahead) })
+    }
+
     fn expected_wait(&self, ahead: u32) -> Duration {
         Duration::from_secs_f64(self.pace * f64::from(ahead))
     }
@@ -79,33 +90,27 @@
         let lanes = self.counts.entry(workspace.clone()).or_default();
         let waiting: u32 = lanes.values().map(|l| l.waiting).sum();
         let lane = lanes.entry(pool.clone()).or_default();
-        let expected = lane.expected_wait(lane.waiting);
-        let retry_after = expected.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX);
         if limit <= waiting {
-            return Err(Refusal::WaitingLimit { retry_after });
+            return Err(Refusal::WaitingLimit { retry_after: lane.retry_after(lane.waiting) });
         }
-        if deadline.saturating_mul(HOPELESS_FACTOR) < expected {
-            return Err(Refusal::Hopeless { retry_after });
+        if let Some(refusal) = lane.refuse_hopeless(lane.waiting, deadline) {
+            return Err(refusal);
         }
         lane.waiting += 1;
         self.budget(pool, 0).deposit();
         Ok(())
     }
 
-    /// Whether a request that waits with so many of its lane ahead can't be served in the time that
-    /// is `left`; and when its caller should come back.
-    pub fn is_hopeless(
+    /// Refuses a request that waits, with so many of its lane ahead, and can't be served in the time
+    /// that is `left`.
+    pub fn refuse_hopeless(
         &self,
         workspace: &str,
         pool: &str,
         ahead: u32,
         left: Duration,
     ) -> Option<Refusal> {
-        let lane = self.counts.get(workspace)?.get(pool)?;
-        let expected = lane.expected_wait(ahead);
-        let retry_after = expected.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX);
-        let hopeless = left.saturating_mul(HOPELESS_FACTOR) < expected;
-        hopeless.then_some(Refusal::Hopeless { retry_after })
+        self.counts.get(workspace)?.get(pool)?.refuse_hopeless(ahead, left)
     }
 
     /// Counts a request out that got no grant.
--- a/src/node/wait.rs
+++ b/src/node/wait.rs
@@ -130,7 +130,7 @@
             lane.sort();
             let mut ahead = 0;
             for (_, id, left) in lane {
-                match self.admission.is_hopeless(workspace, pool, ahead, left) {
+                match self.admission.refuse_hopeless(workspace, pool, ahead, left) {
                     Some(refusal) => hopeless.push((id, refusal)),
                     None => ahead += 1,
                 }
--- a/src/util.rs
+++ b/src/util.rs
@@ -4,6 +4,7 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use ureq::Agent;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Bits that a counter may use below an `id_base`.
@@ -12,6 +13,18 @@
 /// Bits of an id in all: few, since ids go over the wire in decimal.
 const ID_BITS: u32 = 52;
 
+/// An HTTP client that gives up after `timeout`, goes where it is told only, and leaves it to the
+/// caller what a status means.
+pub fn http_agent(timeout: Duration) -> Agent {
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .proxy(None)
+        .timeout_global(Some(timeout))
+        .build();
+    config.into()
+}
+
 /// The number of this start of the process: milliseconds since the epoch, so a later start has a
 /// greater one.
 pub fn new_incarnation() -> u64 {
--- a/tests/holds_answers.rs
+++ b/tests/holds_answers.rs
@@ -110,12 +110,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 300,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(util::seeded(300))]
 
     /// However a stream is split and wherever it is cut, what was passed on and what comes from
     /// the counted event on make it whole.
--- a/tests/holds_fairness.rs
+++ b/tests/holds_fairness.rs
@@ -175,12 +175,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 8,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(util::seeded(8))]
 
     /// Whatever happened, some time later the gap is bounded again, nobody starves, and no slot is
     /// free while a ticket waits.
--- a/tests/holds_leases.rs
+++ b/tests/holds_leases.rs
@@ -157,12 +157,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 200,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(util::seeded(200))]
 
     /// Whatever happens to the processes and their calls, no two believe at the same time that they
     /// hold the lease, and each later holder's fence is greater.
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -1,5 +1,7 @@
 //! Links between routers and the port they meet.
 
+mod util;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -111,12 +113,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 500,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(util::seeded(500))]
 
     /// Whatever text comes as a message, reading it gives an error or a message that reads back.
     #[test]
--- a/tests/strangers.rs
+++ b/tests/strangers.rs
@@ -220,12 +220,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 300,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(util::seeded(300))]
 
     /// Whatever peers say, in any order, a node goes on; and it still serves its own request.
     #[test]
@@ -291,12 +286,7 @@
     let setup = Setup { extra: extra.to_owned(), ..Setup::default() };
     let fleet = Fleet::start(&setup);
     let router = &fleet.routers[0];
-    let config = ProptestConfig {
-        cases: 400,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
+    let config = util::seeded(400);
     let mut runner = proptest::test_runner::TestRunner::new(config);
     let strategy = prop_oneof![head(), prop::collection::vec(any::<u8>(), 0..300)];
     let checked = runner.run(&strategy, |bytes| {
--- a/tests/util/mod.rs
+++ b/tests/util/mod.rs
@@ -7,6 +7,8 @@
 
 use std::time::Duration;
 
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
 use rig::Setup;
 use rig::Traffic;
 
@@ -15,6 +17,11 @@
 /// Cost of the largest request.
 pub const LARGEST: f64 = 200.0;
 
+/// So many cases of a property, the same in every run.
+pub fn seeded(cases: u32) -> Config {
+    Config { cases, rng_seed: RngSeed::Fixed(7), failure_persistence: None, ..Config::default() }
+}
+
 /// A workspace that keeps `backlog` requests under way at each of these boxes (at all: none named).
 pub fn backlogged(boxes: &[usize], backlog: usize) -> Traffic {
     Traffic { boxes: boxes.to_vec(), backlog, ..Traffic::default() }
