--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -237,7 +237,7 @@
 }
 
 /// Reads typed values and collects what is wrong with them.
-struct Reader {
+pub(crate) struct Reader {
     path: PathBuf,
     ini: Ini,
     used: BTreeSet<(String, String)>,
@@ -245,7 +245,7 @@
 }
 
 impl Reader {
-    fn open(path: &Path) -> Result<Reader, Error> {
+    pub(crate) fn open(path: &Path) -> Result<Reader, Error> {
         let path = path.to_owned();
         match Ini::load_from_file(&path) {
             Ok(ini) => Ok(Reader { path, ini, used: BTreeSet::new(), faults: Vec::new() }),
@@ -253,7 +253,7 @@
         }
     }
 
-    fn finish<T>(mut self, settings: T) -> Result<T, Error> {
+    pub(crate) fn finish<T>(mut self, settings: T) -> Result<T, Error> {
         self.find_unknown();
         if self.faults.is_empty() {
             return Ok(settings);
@@ -277,13 +277,13 @@
         }
     }
 
-    fn identity(&mut self) -> Box {
+    pub(crate) fn identity(&mut self) -> Box {
         let name: String = self.required("box", "name", "box".to_owned());
         let zone: String = self.required("box", "zone", "zone".to_owned());
         Box { name: BoxName::from(&*name), zone: ZoneName::from(&*zone) }
     }
 
-    fn address(&mut self, section: &str, key: &str) -> SocketAddr {
+    pub(crate) fn address(&mut self, section: &str, key: &str) -> SocketAddr {
         self.required(section, key, SocketAddr::from(([127, 0, 0, 1], 0)))
     }
 
@@ -301,7 +301,7 @@
         }
     }
 
-    fn log(&mut self) -> Log {
+    pub(crate) fn log(&mut self) -> Log {
         let level: String = self.optional("log", "level", "info".to_owned());
         let level = slog::Level::from_str(&level).unwrap_or_else(|()| {
             self.fault("log", "level", "must be error, warning, info or debug");
@@ -353,7 +353,7 @@
         })
     }
 
-    fn required<T>(&mut self, section: &str, key: &str, placeholder: T) -> T
+    pub(crate) fn required<T>(&mut self, section: &str, key: &str, placeholder: T) -> T
     where
         T: FromStr,
         T::Err: fmt::Display,
@@ -365,7 +365,7 @@
         self.optional(section, key, placeholder)
     }
 
-    fn optional<T>(&mut self, section: &str, key: &str, default: T) -> T
+    pub(crate) fn optional<T>(&mut self, section: &str, key: &str, default: T) -> T
     where
         T: FromStr,
         T::Err: fmt::Display,
@@ -382,7 +382,7 @@
         self.ini.get_from(Some(section), key).map(str::to_owned)
     }
 
-    fn fault(&mut self, section: &str, key: &str, reason: &str) {
+    pub(crate) fn fault(&mut self, section: &str, key: &str, reason: &str) {
         self.faults.push(KeyFault {
             path: self.path.clone(),
             section: section.to_owned(),
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -83,6 +83,11 @@
         })
     }
 
+    /// What further figures are made by.
+    pub fn meter(&self) -> &Meter {
+        &self.meter
+    }
+
     /// Shows a figure that is read when the page is.
     pub fn gauge(
         &self,
--- /dev/null
+++ b/src/placement/cache.rs
@@ -0,0 +1,71 @@
+//! What an engine is believed to keep of the prompts that it has read.
+
+use rustc_hash::FxHashMap;
+
+use crate::proxy::dialect::Part;
+
+/// Parts of prompts, those unused longest giving way first.
+#[derive(Clone, Debug)]
+pub struct PrefixCache {
+    capacity: u64,
+    held: u64,
+    parts: FxHashMap<u64, Entry>,
+    uses: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    tokens: u32,
+    used: u64,
+}
+
+impl PrefixCache {
+    /// An empty cache for `capacity` tokens.
+    pub fn new(capacity: u64) -> PrefixCache {
+        PrefixCache { capacity, held: 0, parts: FxHashMap::default(), uses: 0 }
+    }
+
+    /// Tokens at the head of a prompt that need not be read again. A part counts only if all
+    /// before it are kept, too.
+    pub fn kept(&self, parts: &[Part]) -> u32 {
+        let tokens = |p: &Part| self.parts.get(&p.id).map(|e| e.tokens.min(p.tokens));
+        parts.iter().map_while(tokens).sum()
+    }
+
+    /// Notes that a prompt is read.
+    pub fn read(&mut self, parts: &[Part]) {
+        // The last part is the most used of a prompt's, so that it gives way after the others never
+        // helps; the first is used by more prompts and so is marked last.
+        for part in parts.iter().rev() {
+            self.uses += 1;
+            let entry = Entry { tokens: part.tokens, used: self.uses };
+            let before = self.parts.insert(part.id, entry).map_or(0, |e| e.tokens);
+            self.held = self.held + u64::from(part.tokens) - u64::from(before);
+        }
+        self.evict();
+    }
+
+    /// Forgets everything.
+    pub fn clear(&mut self) {
+        self.parts.clear();
+        self.held = 0;
+    }
+
+    fn evict(&mut self) {
+        if self.held <= self.capacity {
+            return;
+        }
+        // In bulk, since finding the oldest costs a sort: down to nine tenths.
+        let target = self.capacity / 10 * 9;
+        let mut by_age: Vec<(u64, u64)> = self.parts.iter().map(|(id, e)| (e.used, *id)).collect();
+        by_age.sort_unstable();
+        for (_, id) in by_age {
+            if self.held <= target {
+                return;
+            }
+            if let Some(entry) = self.parts.remove(&id) {
+                self.held -= u64::from(entry.tokens);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/placement/fleet.rs
@@ -0,0 +1,282 @@
+//! All upstreams that this box knows, and the choice of one for a request.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rustc_hash::FxHashMap;
+
+use crate::names::ServiceName;
+use crate::names::UpstreamName;
+use crate::names::ZoneName;
+use crate::placement::engine::Engine;
+use crate::placement::engine::Pace;
+use crate::proxy::dialect::Listed;
+use crate::proxy::dialect::Prompt;
+use crate::proxy::table::EngineLimits;
+
+/// How much more than its time a token that must be read counts, since reading it keeps the engine
+/// from others.
+const READ_WEIGHT: f64 = 2.0;
+
+/// Preference for an upstream in the own zone: bytes between zones are charged for.
+const ZONE_LEAD: Duration = Duration::from_millis(4);
+
+/// How long an upstream that failed is left alone at first; doubled with each failure in a row.
+const REST_FIRST: Duration = Duration::from_millis(400);
+
+/// Longest time that an upstream is left alone before it is tried again.
+const REST_MAX: Duration = Duration::from_secs(5);
+
+/// Weight of the newest answer time of a plain service in its average.
+const ANSWER_TIME_WEIGHT: f64 = 0.2;
+
+/// What a choice needs to know of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// What is to be read, where it is a model.
+    pub prompt: Option<&'a Prompt>,
+    /// Upstreams that are out of the question.
+    pub except: &'a [UpstreamName],
+}
+
+/// The choice for a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// Where it listens.
+    pub addr: std::net::SocketAddr,
+    /// Expected time to the first token; zero for plain services.
+    pub first_token: Duration,
+    /// Tokens of the prompt that it has to read.
+    pub unread: u32,
+}
+
+/// Why there is no choice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoChoice {
+    /// No upstream of the service is known and in use.
+    NoUpstream,
+    /// All that are in use have no room.
+    Full,
+}
+
+/// How a request at an upstream went, as far as it tells about the upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Health {
+    /// It answered as it should, after this time.
+    Good(Duration),
+    /// It refused or failed, though it can be reached.
+    Failed,
+    /// It can't be reached, or broke off.
+    Broken,
+}
+
+#[derive(Clone, Debug)]
+struct Upstream {
+    listed: Listed,
+    engine: Option<Engine>,
+    /// Requests of this box there.
+    outstanding: u32,
+    answer_time: f64,
+    failures: u32,
+    rests_until: Duration,
+}
+
+/// All upstreams that this box knows.
+#[derive(Debug)]
+pub struct Fleet {
+    zone: ZoneName,
+    pace: Pace,
+    upstreams: BTreeMap<UpstreamName, Upstream>,
+    by_service: FxHashMap<ServiceName, Vec<UpstreamName>>,
+}
+
+impl Fleet {
+    /// Nothing is known yet.
+    pub fn new(zone: ZoneName, pace: Pace) -> Fleet {
+        Fleet { zone, pace, upstreams: BTreeMap::new(), by_service: FxHashMap::default() }
+    }
+
+    /// Takes over an upstream that is new or has changed. `limits` where it is an engine.
+    pub fn set(&mut self, listed: Listed, limits: Option<EngineLimits>) {
+        if let Some(known) = self.upstreams.get_mut(&listed.name) {
+            known.listed = listed;
+            if known.engine.is_none() {
+                known.engine = limits.map(Engine::new);
+            }
+            return;
+        }
+        let of_service = self.by_service.entry(listed.service.clone()).or_default();
+        of_service.push(listed.name.clone());
+        let upstream = Upstream {
+            engine: limits.map(Engine::new),
+            outstanding: 0,
+            answer_time: 0.0,
+            failures: 0,
+            rests_until: Duration::ZERO,
+            listed,
+        };
+        self.upstreams.insert(upstream.listed.name.clone(), upstream);
+    }
+
+    /// Forgets an upstream.
+    pub fn remove(&mut self, name: &UpstreamName) {
+        let Some(upstream) = self.upstreams.remove(name) else { return };
+        if let Some(names) = self.by_service.get_mut(&upstream.listed.service) {
+            names.retain(|n| n != name);
+        }
+    }
+
+    /// Marks an upstream as leaving.
+    pub fn leave(&mut self, name: &UpstreamName) {
+        if let Some(upstream) = self.upstreams.get_mut(name) {
+            upstream.listed.leaving = true;
+        }
+    }
+
+    /// All upstreams, as listed.
+    pub fn listed(&self) -> impl Iterator<Item = &Listed> {
+        self.upstreams.values().map(|u| &u.listed)
+    }
+
+    /// Whether an upstream is known and not leaving.
+    pub fn is_open(&self, name: &UpstreamName) -> bool {
+        self.upstreams.get(name).is_some_and(|u| !u.listed.leaving)
+    }
+
+    /// Chooses the upstream with the least expected time, weighing what it must read.
+    pub fn choose(&self, wanted: Wanted<'_>, now: Duration) -> Result<Choice, NoChoice> {
+        let usable = self.usable(wanted, now);
+        if usable.is_empty() {
+            return Err(NoChoice::NoUpstream);
+        }
+        let with_room = usable.iter().filter(|u| u.has_room(wanted.prompt));
+        let best = with_room
+            .map(|u| (u.cost(wanted.prompt, self.pace, &self.zone, now), u))
+            .min_by(|a, b| a.0.total_cmp(&b.0));
+        let Some((_, upstream)) = best else { return Err(NoChoice::Full) };
+        Ok(upstream.choice(wanted.prompt, self.pace, now))
+    }
+
+    /// Notes a request that this box or another sends to an upstream.
+    pub fn place(
+        &mut self,
+        name: &UpstreamName,
+        request: u64,
+        prompt: &Prompt,
+        unread: u32,
+        now: Duration,
+    ) {
+        if let Some(engine) = self.engine(name) {
+            engine.place(request, prompt, unread, now);
+        }
+    }
+
+    /// Notes the first token of a request.
+    pub fn first(&mut self, name: &UpstreamName, request: u64, now: Duration) {
+        if let Some(engine) = self.engine(name) {
+            engine.first(request, now);
+        }
+    }
+
+    /// Notes the end of a request.
+    pub fn end(&mut self, name: &UpstreamName, request: u64) {
+        if let Some(engine) = self.engine(name) {
+            engine.end(request);
+        }
+    }
+
+    /// Counts a request of this box in.
+    pub fn sent(&mut self, name: &UpstreamName) {
+        if let Some(upstream) = self.upstreams.get_mut(name) {
+            upstream.outstanding += 1;
+        }
+    }
+
+    /// Counts a request of this box out, and notes how it went.
+    pub fn ended(&mut self, name: &UpstreamName, health: Option<Health>, now: Duration) {
+        let Some(upstream) = self.upstreams.get_mut(name) else { return };
+        upstream.outstanding = upstream.outstanding.saturating_sub(1);
+        if let Some(health) = health {
+            upstream.note(health, now);
+        }
+    }
+
+    /// Notes how a request of this box goes.
+    pub fn note(&mut self, name: &UpstreamName, health: Health, now: Duration) {
+        if let Some(upstream) = self.upstreams.get_mut(name) {
+            upstream.note(health, now);
+        }
+    }
+
+    /// Forgets what is too old to be true.
+    pub fn tick(&mut self, now: Duration) {
+        self.upstreams.values_mut().filter_map(|u| u.engine.as_mut()).for_each(|e| e.tick(now));
+    }
+
+    fn engine(&mut self, name: &UpstreamName) -> Option<&mut Engine> {
+        self.upstreams.get_mut(name)?.engine.as_mut()
+    }
+
+    /// Upstreams of a service that may get work; those that rest only if there are no others.
+    fn usable(&self, wanted: Wanted<'_>, now: Duration) -> Vec<&Upstream> {
+        let names = self.by_service.get(wanted.service).map_or(&[][..], Vec::as_slice);
+        let open: Vec<&Upstream> = names
+            .iter()
+            .filter_map(|n| self.upstreams.get(n))
+            .filter(|u| !u.listed.leaving && !wanted.except.contains(&u.listed.name))
+            .collect();
+        let awake: Vec<&Upstream> = open.iter().copied().filter(|u| u.rests_until <= now).collect();
+        if awake.is_empty() { open } else { awake }
+    }
+}
+
+impl Upstream {
+    fn has_room(&self, prompt: Option<&Prompt>) -> bool {
+        match (&self.engine, prompt) {
+            (Some(engine), Some(prompt)) => engine.has_room(prompt),
+            _ => true,
+        }
+    }
+
+    /// What sending a request here costs, in seconds: less is better.
+    fn cost(&self, prompt: Option<&Prompt>, pace: Pace, zone: &ZoneName, now: Duration) -> f64 {
+        let lead = if self.listed.zone == *zone { ZONE_LEAD.as_secs_f64() } else { 0.0 };
+        let Some((engine, prompt)) = self.engine.as_ref().zip(prompt) else {
+            return self.answer_time * f64::from(1 + self.outstanding) - lead;
+        };
+        let unread = engine.unread(prompt);
+        let reading = f64::from(unread) / pace.tokens_per_ms / 1000.0;
+        engine.first_token(unread, pace, now).as_secs_f64() + reading * (READ_WEIGHT - 1.0) - lead
+    }
+
+    fn choice(&self, prompt: Option<&Prompt>, pace: Pace, now: Duration) -> Choice {
+        let (first_token, unread) = match self.engine.as_ref().zip(prompt) {
+            Some((engine, prompt)) => {
+                let unread = engine.unread(prompt);
+                (engine.first_token(unread, pace, now), unread)
+            }
+            None => (Duration::ZERO, 0),
+        };
+        Choice { upstream: self.listed.name.clone(), addr: self.listed.addr, first_token, unread }
+    }
+
+    fn note(&mut self, health: Health, now: Duration) {
+        match health {
+            Health::Good(time) => {
+                self.failures = 0;
+                self.rests_until = Duration::ZERO;
+                self.answer_time += (time.as_secs_f64() - self.answer_time) * ANSWER_TIME_WEIGHT;
+            }
+            Health::Failed => self.answer_time += ANSWER_TIME_WEIGHT * REST_FIRST.as_secs_f64(),
+            Health::Broken => {
+                let rest = REST_FIRST * 2u32.saturating_pow(self.failures.min(8));
+                self.failures += 1;
+                self.rests_until = now + rest.min(REST_MAX);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/placement/mod.rs
@@ -0,0 +1,6 @@
+//! Where a request goes: models of the upstreams, fed by what this box and the others send there,
+//! and the choice among them. Nothing here does input or output; time is a parameter.
+
+pub mod cache;
+pub mod engine;
+pub mod fleet;
--- /dev/null
+++ b/src/proxy/dialect.rs
@@ -0,0 +1,144 @@
+//! How callers and upstreams say what this product needs to know. An adapter implements the traits
+//! here; everything else works with the typed values.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::StatusCode;
+use http::request;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::mpsc;
+
+use crate::names::ServiceName;
+use crate::names::UpstreamName;
+use crate::names::ZoneName;
+use crate::proxy::table::Table;
+
+/// What the head of a caller's request says.
+#[derive(Clone, Debug)]
+pub struct Head {
+    /// The caller's name for this try; answers of upstreams are compared with it.
+    pub id: String,
+    /// The host that the caller names.
+    pub host: String,
+    /// The API key.
+    pub key: Option<String>,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+    /// What a model is to read, where the request goes to one.
+    pub prompt: Option<Prompt>,
+    /// The last event that the caller has of an earlier try.
+    pub resume_after: Option<u64>,
+}
+
+/// What a model is to read.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// Tokens to be read.
+    pub tokens: u32,
+    /// Tokens that may be written at most.
+    pub written_max: u32,
+    /// The parts of the prompt, in order.
+    pub parts: Vec<Part>,
+}
+
+/// A part of a prompt that other prompts may share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// Names the part's content.
+    pub id: u64,
+    /// Its length.
+    pub tokens: u32,
+}
+
+/// A head that can't be served.
+#[derive(Debug, thiserror::Error)]
+#[error("the head is wrong: {0}")]
+pub struct BadHead(pub &'static str);
+
+/// What an upstream is told beside the caller's own headers.
+#[derive(Clone, Debug)]
+pub struct Outgoing<'a> {
+    /// The upstream that is meant; any other must not run the request.
+    pub upstream: &'a str,
+    /// How long the caller still waits.
+    pub left: Duration,
+    /// Whom the request is charged to.
+    pub workspace: Option<&'a str>,
+    /// The last event that came, where a stream is gone on with.
+    pub resume_after: Option<u64>,
+}
+
+/// What the head of an upstream's answer says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Verdict {
+    /// Whether it answers this request and no other.
+    pub own: bool,
+    /// Whether it says that the request did not run and won't.
+    pub not_run: bool,
+    /// Whether another upstream has the address now.
+    pub misdirected: bool,
+    /// Whether it is signed, as every answer of a run is.
+    pub signed: bool,
+}
+
+/// The headers of callers and upstreams.
+pub trait Dialect: Send + Sync {
+    /// Reads a caller's head.
+    fn read(&self, head: &request::Parts) -> Result<Head, BadHead>;
+
+    /// The headers for an upstream.
+    fn outgoing(&self, headers: &HeaderMap, out: &Outgoing<'_>) -> HeaderMap;
+
+    /// What an upstream's head says about the request named `id`.
+    fn judge(&self, id: &str, status: StatusCode, headers: &HeaderMap) -> Verdict;
+
+    /// The headers of an upstream's answer that its caller gets.
+    fn incoming(&self, headers: &HeaderMap) -> HeaderMap;
+}
+
+/// An upstream, as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// Names one start of the upstream process.
+    pub name: UpstreamName,
+    /// What it serves.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub addr: std::net::SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is about to stop: it gets no new work.
+    pub leaving: bool,
+}
+
+/// What the platform's store tells.
+#[derive(Clone, Debug)]
+pub enum News {
+    /// A configuration.
+    Configured(Arc<Table>),
+    /// A configuration that can't be read; the one in force stays.
+    BadConfiguration(String),
+    /// All upstreams that there are.
+    Listed(Vec<Listed>),
+    /// An upstream that is new or has changed.
+    Changed(Listed),
+    /// An upstream's entry is gone.
+    Gone(UpstreamName),
+    /// An entry that can't be read, and why.
+    BadEntry(String),
+    /// The store gives no answer, or refuses.
+    Lost(String),
+    /// The store answers again.
+    Regained,
+}
+
+/// The store that holds the configuration and the list of upstreams.
+pub trait Directory: Send + Sync {
+    /// Follows both until the receiver is gone. Needs a runtime.
+    fn follow(&self, tx: mpsc::UnboundedSender<News>);
+}
--- /dev/null
+++ b/src/proxy/front.rs
@@ -0,0 +1,96 @@
+//! The callers' port.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::header::CONNECTION;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+
+use crate::proxy::hub::Hub;
+use crate::proxy::link;
+use crate::proxy::request;
+use crate::proxy::stream::Body;
+use crate::proxy::table::Limits;
+
+/// Pause after a failure to accept a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// The smallest buffer for heads that `hyper` takes, in bytes.
+const HEAD_BUF_MIN: usize = 8 << 10;
+
+/// Added to the time for which connections may rest, so that a caller who comes back just in time
+/// still finds its own.
+const IDLE_SLACK: Duration = Duration::from_secs(1);
+
+/// Serves callers until the process ends.
+pub async fn serve(
+    listener: TcpListener,
+    hub: Arc<Hub>,
+    stopping: watch::Receiver<bool>,
+    connections_max: usize,
+) {
+    let connections = Arc::new(Semaphore::new(connections_max));
+    loop {
+        let Ok(permit) = connections.clone().acquire_owned().await else { return };
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                // Out of descriptors, say: others may be closed meanwhile.
+                slog::warn!(hub.log(), "can't accept"; "error" => %e);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let (hub, stopping) = (hub.clone(), stopping.clone());
+        tokio::spawn(async move {
+            serve_connection(stream, hub, stopping).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn serve_connection(stream: TcpStream, hub: Arc<Hub>, stopping: watch::Receiver<bool>) {
+    if link::guard(&stream).is_err() {
+        // The caller is gone already.
+        return;
+    }
+    let limits = hub.table().map(|t| t.limits.clone()).unwrap_or_default();
+    let service = service_fn(|req| answer(hub.clone(), stopping.clone(), req));
+    // A caller that leaves, or sends what isn't HTTP, is its own business.
+    let _ = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(rest(&limits))
+        .max_buf_size(limits.head_bytes.max(HEAD_BUF_MIN))
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+/// `hyper` counts the time for a head from the end of the last answer, so it is the time for which
+/// the connection may rest, too.
+fn rest(limits: &Limits) -> Duration {
+    limits.idle_timeout.max(limits.head_timeout) + IDLE_SLACK
+}
+
+async fn answer(
+    hub: Arc<Hub>,
+    stopping: watch::Receiver<bool>,
+    req: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    let mut resp = request::serve(hub, req).await;
+    if *stopping.borrow() {
+        resp.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(resp)
+}
--- /dev/null
+++ b/src/proxy/hub.rs
@@ -0,0 +1,353 @@
+//! What all requests of a process share, and the one place where the view meets the network.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use slog::Logger;
+use slog::info;
+use slog::warn;
+use tokio::time::Instant;
+
+use crate::names::ServiceName;
+use crate::names::UpstreamName;
+use crate::placement::fleet::Choice;
+use crate::placement::fleet::Fleet;
+use crate::placement::fleet::Health;
+use crate::placement::fleet::NoChoice;
+use crate::placement::fleet::Wanted;
+use crate::proxy::budget::Budget;
+use crate::proxy::dialect::Dialect;
+use crate::proxy::dialect::News;
+use crate::proxy::dialect::Prompt;
+use crate::proxy::figures::Figures;
+use crate::proxy::link::Links;
+use crate::proxy::peers::Message;
+use crate::proxy::peers::Peers;
+use crate::proxy::settings::Settings;
+use crate::proxy::table::Table;
+use crate::proxy::view::Change;
+use crate::proxy::view::Snapshot;
+use crate::proxy::view::View;
+
+/// Connections to one upstream that every box may have, however many boxes there are.
+const CONNECTIONS_MIN: u32 = 4;
+
+/// Part of an upstream's connections that all boxes use together.
+const CONNECTIONS_SHARE: f64 = 0.9;
+
+/// What all requests of a process share.
+pub struct Hub {
+    inner: Mutex<Inner>,
+    epoch: Instant,
+    dialect: Arc<dyn Dialect>,
+    links: Arc<Links>,
+    peers: Peers,
+    figures: Figures,
+    log: Logger,
+    in_flight: Arc<AtomicUsize>,
+}
+
+/// Counts a request while it is served.
+#[derive(Debug)]
+pub struct InFlight(Arc<AtomicUsize>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+struct Inner {
+    view: View,
+    budget: Budget,
+}
+
+impl Hub {
+    /// A hub that knows nothing yet.
+    pub fn new(
+        cfg: &Settings,
+        dialect: Arc<dyn Dialect>,
+        peers: Peers,
+        figures: Figures,
+        log: Logger,
+    ) -> Arc<Hub> {
+        let fleet = Fleet::new(cfg.identity.zone.clone(), cfg.pace);
+        let inner = Inner { view: View::new(fleet), budget: Budget::new(cfg.repeats) };
+        Arc::new(Hub {
+            inner: Mutex::new(inner),
+            epoch: Instant::now(),
+            dialect,
+            links: Arc::default(),
+            peers,
+            figures,
+            log,
+            in_flight: Arc::default(),
+        })
+    }
+
+    /// How callers and upstreams speak.
+    pub fn dialect(&self) -> &dyn Dialect {
+        &*self.dialect
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub fn enter(&self) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        InFlight(self.in_flight.clone())
+    }
+
+    /// Requests that are served now.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Connections to upstreams.
+    pub fn links(&self) -> &Arc<Links> {
+        &self.links
+    }
+
+    /// The other boxes.
+    pub fn peers(&self) -> &Peers {
+        &self.peers
+    }
+
+    /// The figures of this process.
+    pub fn metrics(&self) -> &Figures {
+        &self.figures
+    }
+
+    /// The log.
+    pub fn log(&self) -> &Logger {
+        &self.log
+    }
+
+    /// The configuration in force.
+    pub fn table(&self) -> Option<Arc<Table>> {
+        self.read(|view| view.table().cloned())
+    }
+
+    /// Its version; zero before the first.
+    pub fn version(&self) -> u64 {
+        self.read(View::version)
+    }
+
+    /// Time since the start, as the models take it.
+    pub fn now(&self) -> Duration {
+        self.epoch.elapsed()
+    }
+
+    /// Looks at the view.
+    pub fn read<T>(&self, f: impl FnOnce(&View) -> T) -> T {
+        f(&self.inner.lock().expect("no panic under lock").view)
+    }
+
+    /// Changes the view, and logs and tells what has changed by it.
+    pub fn change<T>(&self, f: impl FnOnce(&mut View, Duration) -> T) -> T {
+        let mut inner = self.inner.lock().expect("no panic under lock");
+        let result = f(&mut inner.view, self.now());
+        let changes = inner.view.take_changes();
+        let sees_store = inner.view.reaches_store();
+        drop(inner);
+        for change in changes {
+            self.announce(&change, sees_store);
+        }
+        result
+    }
+
+    /// Takes in what the store tells.
+    pub fn take_in(&self, news: News) {
+        match news {
+            News::Configured(table) => self.change(|view, _| view.configure(table)),
+            News::BadConfiguration(fault) => {
+                warn!(self.log, "configuration refused"; "fault" => fault);
+            }
+            News::Listed(all) => self.change(|view, now| view.list(all, now)),
+            News::Changed(listed) => self.change(|view, _| view.set(listed)),
+            News::Gone(name) => self.change(|view, now| view.gone(&name, now)),
+            News::BadEntry(fault) => warn!(self.log, "entry refused"; "fault" => fault),
+            News::Lost(cause) => {
+                if self.read(View::reaches_store) {
+                    warn!(self.log, "store lost"; "cause" => cause);
+                }
+                self.change(View::store_lost);
+            }
+            News::Regained => {
+                if !self.read(View::reaches_store) {
+                    info!(self.log, "store reached");
+                }
+                self.change(View::store_regained);
+            }
+        }
+    }
+
+    /// Takes over what another box knows.
+    pub fn take_over(&self, snapshot: Snapshot) {
+        self.change(|view, _| view.take_over(snapshot));
+    }
+
+    /// Takes in a message of another box.
+    pub fn receive(&self, message: Message) {
+        let now = self.now();
+        match message {
+            Message::Placed { upstream, request, prompt, unread } => {
+                let prompt = Prompt::from(prompt);
+                self.fleet(|fleet| fleet.place(&upstream, request, &prompt, unread, now));
+            }
+            Message::First { upstream, request } => {
+                self.fleet(|fleet| fleet.first(&upstream, request, now));
+            }
+            Message::Ended { upstream, request } => {
+                self.fleet(|fleet| fleet.end(&upstream, request));
+            }
+            Message::Leaving { upstream } => {
+                self.change(|view, _| view.told_leaving(&upstream));
+            }
+            Message::Beat(_) => {}
+        }
+    }
+
+    /// Chooses an upstream.
+    pub fn choose(&self, wanted: Wanted<'_>) -> Result<Choice, NoChoice> {
+        let now = self.now();
+        self.read(|view| view.fleet().choose(wanted, now))
+    }
+
+    /// Notes a request that is about to be sent, here and at the other boxes.
+    pub fn place(
+        self: &Arc<Hub>,
+        choice: &Choice,
+        request: u64,
+        prompt: Option<&Prompt>,
+    ) -> Placed {
+        let now = self.now();
+        self.fleet(|fleet| fleet.sent(&choice.upstream));
+        if let Some(prompt) = prompt {
+            self.fleet(|f| f.place(&choice.upstream, request, prompt, choice.unread, now));
+            self.peers.tell(&Message::Placed {
+                upstream: choice.upstream.clone(),
+                request,
+                prompt: prompt.into(),
+                unread: choice.unread,
+            });
+        }
+        Placed {
+            hub: self.clone(),
+            upstream: choice.upstream.clone(),
+            request,
+            expected: choice.first_token,
+            is_model: prompt.is_some(),
+            begun: AtomicBool::new(false),
+            health: None,
+        }
+    }
+
+    /// Counts a caller's request for the budget of repeats.
+    pub fn count_request(&self, service: &ServiceName) {
+        let now = self.now();
+        self.inner.lock().expect("no panic under lock").budget.request(service, now);
+    }
+
+    /// Takes a repeat out of the budget; false when it is used up.
+    pub fn may_repeat(&self, service: &ServiceName) -> bool {
+        let (now, boxes) = (self.now(), self.peers.live() + 1);
+        self.inner.lock().expect("no panic under lock").budget.repeat(service, boxes, now)
+    }
+
+    /// This box's part of the connections that an upstream takes.
+    pub fn share_of(&self, connections: u32) -> u32 {
+        let part = f64::from(connections) * CONNECTIONS_SHARE / (self.peers.live() + 1) as f64;
+        (part as u32).max(CONNECTIONS_MIN)
+    }
+
+    fn fleet<T>(&self, f: impl FnOnce(&mut Fleet) -> T) -> T {
+        f(self.inner.lock().expect("no panic under lock").view.fleet_mut())
+    }
+
+    fn announce(&self, change: &Change, sees_store: bool) {
+        match change {
+            Change::Configured(version) => info!(self.log, "configured"; "version" => version),
+            Change::Upstream(listed) => {
+                info!(self.log, "upstream"; "name" => listed.name.as_str(),
+                    "service" => listed.service.as_str(), "addr" => %listed.addr);
+            }
+            Change::Leaving(name) => {
+                info!(self.log, "upstream leaving"; "name" => name.as_str());
+                if sees_store {
+                    self.peers.tell(&Message::Leaving { upstream: name.clone() });
+                }
+            }
+            Change::Gone(name) => {
+                info!(self.log, "upstream gone"; "name" => name.as_str());
+                if sees_store {
+                    self.peers.tell(&Message::Leaving { upstream: name.clone() });
+                }
+            }
+            Change::Missing(name) => {
+                info!(self.log, "upstream's entry missing"; "name" => name.as_str());
+            }
+        }
+    }
+}
+
+/// A request's entry in the models, from before it is sent until it has ended.
+pub struct Placed {
+    hub: Arc<Hub>,
+    upstream: UpstreamName,
+    request: u64,
+    expected: Duration,
+    is_model: bool,
+    begun: AtomicBool,
+    health: Option<Health>,
+}
+
+impl Placed {
+    /// The upstream.
+    pub fn upstream(&self) -> &UpstreamName {
+        &self.upstream
+    }
+
+    /// The expected time to the first token.
+    pub fn expected(&self) -> Duration {
+        self.expected
+    }
+
+    /// Notes the first token, here and at the other boxes.
+    pub fn first(&self) {
+        if self.begun.swap(true, Ordering::Relaxed) || !self.is_model {
+            return;
+        }
+        let now = self.hub.now();
+        self.hub.fleet(|fleet| fleet.first(&self.upstream, self.request, now));
+        let (upstream, request) = (self.upstream.clone(), self.request);
+        self.hub.peers.tell(&Message::First { upstream, request });
+    }
+
+    /// Notes how the request went, before it has ended.
+    pub fn note(&self, health: Health) {
+        let now = self.hub.now();
+        self.hub.fleet(|fleet| fleet.note(&self.upstream, health, now));
+    }
+
+    /// Ends the entry.
+    pub fn close(mut self, health: Option<Health>) {
+        self.health = health;
+    }
+}
+
+impl Drop for Placed {
+    fn drop(&mut self) {
+        let now = self.hub.now();
+        self.hub.fleet(|fleet| {
+            fleet.ended(&self.upstream, self.health, now);
+            fleet.end(&self.upstream, self.request);
+        });
+        if self.is_model {
+            let (upstream, request) = (self.upstream.clone(), self.request);
+            self.hub.peers.tell(&Message::Ended { upstream, request });
+        }
+    }
+}
--- /dev/null
+++ b/src/proxy/mod.rs
@@ -0,0 +1,197 @@
+//! The proxy: the process on each box that takes callers' requests to upstreams.
+//!
+//! It learns routes, workspaces and upstreams from a [`dialect::Directory`], speaks with callers
+//! and upstreams through a [`dialect::Dialect`], and tells the other boxes by datagrams what it
+//! sends where. Everything runs on one thread.
+
+pub mod answer;
+pub mod budget;
+pub mod dialect;
+pub mod figures;
+pub mod front;
+pub mod hub;
+pub mod link;
+pub mod peers;
+pub mod pump;
+pub mod request;
+pub mod settings;
+pub mod side;
+pub mod stream;
+pub mod table;
+pub mod view;
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use slog::info;
+use slog::warn;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::log;
+use crate::metrics;
+use crate::metrics::Metrics;
+use crate::proxy::dialect::Dialect;
+use crate::proxy::dialect::Directory;
+use crate::proxy::figures::Figures;
+use crate::proxy::hub::Hub;
+use crate::proxy::peers::Peers;
+use crate::proxy::settings::Settings;
+use crate::stop::Signals;
+
+/// Time between looks at what is due.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Time between looks at the settings file, which may change without a signal.
+const SETTINGS_POLL: Duration = Duration::from_secs(1);
+
+/// After a stop signal the balancer still sends new callers for about two of its probes, a second
+/// each; the port stays open for them.
+const STOP_MIN: Duration = Duration::from_millis(2600);
+
+/// Left of the time to stop when the process ends at the latest.
+const STOP_RESERVE: Duration = Duration::from_millis(400);
+
+/// Why a proxy can't run.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A socket or the runtime can't be had.
+    #[error("{what}: {source}")]
+    Io { what: &'static str, source: io::Error },
+    /// The metrics can't be had.
+    #[error(transparent)]
+    Metrics(#[from] metrics::Error),
+}
+
+/// Where the proxy runs: how its surroundings speak.
+pub struct Surroundings {
+    /// The headers of callers and upstreams.
+    pub dialect: Arc<dyn Dialect>,
+    /// The store.
+    pub directory: Arc<dyn Directory>,
+}
+
+/// Runs a proxy until it is told to stop. `path` is the settings file, which is read again when it
+/// changes.
+pub fn run(cfg: Settings, path: &Path, around: Surroundings) -> Result<(), Error> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|source| Error::Io { what: "starting the runtime", source })?;
+    let result = runtime.block_on(serve(cfg, path.to_owned(), around));
+    runtime.shutdown_background();
+    result
+}
+
+async fn serve(cfg: Settings, path: PathBuf, around: Surroundings) -> Result<(), Error> {
+    let (log, _guard) = log::open(&cfg.log, "frostdyke-proxy", &cfg.identity.name);
+    let figures = Figures::new(Metrics::new()?);
+    let callers = bind("[listen] callers", cfg.callers).await?;
+    let ready = bind("[listen] ready", cfg.ready).await?;
+    let peer_port = bind("[listen] peers", cfg.peers).await?;
+    let socket = UdpSocket::bind(cfg.datagrams)
+        .await
+        .map_err(|source| Error::Io { what: "[listen] datagrams", source })?;
+    let mut signals = Signals::new().map_err(|source| Error::Io { what: "signals", source })?;
+    let peers = Peers::new(&cfg, socket);
+    peers.add_seeds(&cfg.seeds);
+    let hub = Hub::new(&cfg, around.dialect, peers, figures, log.clone());
+    info!(log, "started"; "callers" => %cfg.callers, "zone" => cfg.identity.zone.as_str());
+
+    let (stop, stopping) = watch::channel(false);
+    follow(&hub, &*around.directory);
+    peers::start(&hub);
+    tokio::spawn(tick(hub.clone()));
+    tokio::spawn(reload(hub.clone(), path));
+    tokio::spawn(side::serve_ready(ready, hub.clone(), stopping.clone()));
+    tokio::spawn(side::serve_peers(peer_port, hub.clone()));
+    tokio::spawn(front::serve(callers, hub.clone(), stopping, cfg.connections_max));
+
+    signals.next().await;
+    info!(log, "stopping"; "in_flight" => hub.in_flight());
+    let _ = stop.send(true);
+    drain(&hub, cfg.stop_within).await;
+    info!(log, "stopped"; "in_flight" => hub.in_flight());
+    Ok(())
+}
+
+async fn bind(what: &'static str, addr: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(addr).await.map_err(|source| Error::Io { what, source })
+}
+
+fn follow(hub: &Arc<Hub>, directory: &dyn Directory) {
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    directory.follow(tx);
+    let hub = hub.clone();
+    tokio::spawn(async move {
+        while let Some(news) = rx.recv().await {
+            hub.take_in(news);
+        }
+    });
+}
+
+async fn tick(hub: Arc<Hub>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        hub.change(view::View::tick);
+        hub.read(|view| {
+            hub.links().tick(|addr| view.fleet().listed().any(|l| l.addr == *addr));
+        });
+    }
+}
+
+/// Waits until all requests have ended and no new ones are to be expected, or time is up.
+async fn drain(hub: &Hub, within: Duration) {
+    let began = Instant::now();
+    let last = within.saturating_sub(STOP_RESERVE);
+    loop {
+        tokio::time::sleep(TICK).await;
+        let quiet = hub.in_flight() == 0 && STOP_MIN <= began.elapsed();
+        if quiet || last <= began.elapsed() {
+            return;
+        }
+    }
+}
+
+/// Reads the settings again when a signal says so, or when the file has changed.
+async fn reload(hub: Arc<Hub>, path: PathBuf) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        warn!(hub.log(), "no signal to reload by");
+        return;
+    };
+    let mut seen = modified(&path);
+    loop {
+        let signalled = tokio::select! {
+            _ = hangup.recv() => true,
+            () = tokio::time::sleep(SETTINGS_POLL) => false,
+        };
+        let now = modified(&path);
+        if !signalled && now == seen {
+            continue;
+        }
+        seen = now;
+        match settings::read(&path) {
+            Ok(cfg) => {
+                hub.peers().add_seeds(&cfg.seeds);
+                info!(hub.log(), "settings read again"; "seeds" => cfg.seeds.len());
+            }
+            Err(e) => warn!(hub.log(), "settings refused"; "error" => %e),
+        }
+    }
+}
+
+fn modified(path: &Path) -> Option<SystemTime> {
+    std::fs::metadata(path).and_then(|m| m.modified()).ok()
+}
--- /dev/null
+++ b/src/proxy/peers.rs
@@ -0,0 +1,310 @@
+//! What boxes tell each other, by datagrams: what they send where, and signs of life. All of it
+//! may be lost; a model that misses some is less exact, and nothing else depends on it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use slog::debug;
+use slog::info;
+use tokio::net::UdpSocket;
+use tokio::time::Instant;
+
+use crate::names::BoxName;
+use crate::names::UpstreamName;
+use crate::names::ZoneName;
+use crate::proxy::dialect::Part;
+use crate::proxy::dialect::Prompt;
+use crate::proxy::hub::Hub;
+use crate::proxy::settings::Settings;
+use crate::proxy::side;
+use crate::util;
+
+/// Time between signs of life.
+const BEAT: Duration = Duration::from_millis(400);
+
+/// A box that has not been heard of for this long gets no more than signs of life: five beats and
+/// a lost one.
+const SILENT_AFTER: Duration = Duration::from_millis(2400);
+
+/// A box that has not been heard of for this long is forgotten, unless it is a seed.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
+
+/// Largest datagram, in bytes: fits an Ethernet frame.
+const DATAGRAM_MAX: usize = 1400;
+
+/// Addresses of other boxes told in a sign of life.
+const TOLD_MAX: usize = 48;
+
+/// The store tells each box of a new configuration at about the same time; another box is asked
+/// for it only if the store has not told after this.
+const ASK_AFTER: Duration = Duration::from_millis(300);
+
+/// What boxes tell each other.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// A sign of life.
+    Beat(Beat),
+    /// A request is being sent to an engine.
+    Placed {
+        /// The engine.
+        upstream: UpstreamName,
+        /// Names the send.
+        request: u64,
+        /// What is to be read.
+        prompt: ToldPrompt,
+        /// Tokens of it that the sender believes must be read.
+        unread: u32,
+    },
+    /// A request has given its first token.
+    First {
+        /// The engine.
+        upstream: UpstreamName,
+        /// Names the send.
+        request: u64,
+    },
+    /// A request has ended.
+    Ended {
+        /// The engine.
+        upstream: UpstreamName,
+        /// Names the send.
+        request: u64,
+    },
+    /// The store says that an upstream leaves or is gone.
+    Leaving {
+        /// The upstream.
+        upstream: UpstreamName,
+    },
+}
+
+/// A sign of life.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The box.
+    pub name: BoxName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where it answers other boxes.
+    pub addr: SocketAddr,
+    /// Which start of it this is.
+    pub incarnation: u64,
+    /// The version of its configuration; zero for none.
+    pub version: u64,
+    /// Whether it sees the store.
+    pub sees_store: bool,
+    /// Boxes that it has heard of lately.
+    pub known: Vec<SocketAddr>,
+}
+
+/// A prompt, as boxes tell it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldPrompt {
+    tokens: u32,
+    written_max: u32,
+    parts: Vec<Part>,
+}
+
+impl From<&Prompt> for ToldPrompt {
+    fn from(prompt: &Prompt) -> ToldPrompt {
+        let Prompt { tokens, written_max, ref parts } = *prompt;
+        ToldPrompt { tokens, written_max, parts: parts.clone() }
+    }
+}
+
+impl From<ToldPrompt> for Prompt {
+    fn from(told: ToldPrompt) -> Prompt {
+        Prompt { tokens: told.tokens, written_max: told.written_max, parts: told.parts }
+    }
+}
+
+/// The other boxes.
+#[derive(Debug)]
+pub struct Peers {
+    me: SocketAddr,
+    name: BoxName,
+    zone: ZoneName,
+    incarnation: u64,
+    port: u16,
+    socket: Arc<UdpSocket>,
+    known: Mutex<BTreeMap<SocketAddr, Peer>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Peer {
+    is_seed: bool,
+    added: Instant,
+    heard: Option<Instant>,
+    version: u64,
+    sees_store: bool,
+}
+
+impl Peer {
+    fn is_live(&self) -> bool {
+        self.heard.is_some_and(|at| at.elapsed() < SILENT_AFTER)
+    }
+
+    fn is_forgotten(&self) -> bool {
+        !self.is_seed && FORGOTTEN_AFTER < self.heard.unwrap_or(self.added).elapsed()
+    }
+}
+
+impl Peers {
+    /// Nobody is known yet.
+    pub fn new(cfg: &Settings, socket: UdpSocket) -> Peers {
+        Peers {
+            me: cfg.peers,
+            name: cfg.identity.name.clone(),
+            zone: cfg.identity.zone.clone(),
+            incarnation: util::new_incarnation(),
+            port: cfg.datagrams.port(),
+            socket: Arc::new(socket),
+            known: Mutex::default(),
+        }
+    }
+
+    /// Adds boxes that may be there.
+    pub fn add_seeds(&self, seeds: &[SocketAddr]) {
+        let mut known = self.known.lock().expect("no panic under lock");
+        for seed in seeds.iter().filter(|s| **s != self.me) {
+            known.entry(*seed).or_insert_with(Peer::unheard).is_seed = true;
+        }
+    }
+
+    /// How many others are alive.
+    pub fn live(&self) -> usize {
+        let known = self.known.lock().expect("no panic under lock");
+        known.values().filter(|p| p.is_live()).count()
+    }
+
+    /// Tells all boxes that are alive.
+    pub fn tell(&self, message: &Message) {
+        let known = self.known.lock().expect("no panic under lock");
+        let live = known.iter().filter(|(_, p)| p.is_live()).map(|(addr, _)| *addr);
+        self.send(message, live);
+    }
+
+    /// Tells all boxes that this one is alive.
+    fn beat(&self, version: u64, sees_store: bool) {
+        let mut known = self.known.lock().expect("no panic under lock");
+        known.retain(|_, peer| !peer.is_forgotten());
+        let live = known.iter().filter(|(_, p)| p.is_live()).map(|(addr, _)| *addr);
+        let message = Message::Beat(Beat {
+            name: self.name.clone(),
+            zone: self.zone.clone(),
+            addr: self.me,
+            incarnation: self.incarnation,
+            version,
+            sees_store,
+            known: live.take(TOLD_MAX).collect(),
+        });
+        self.send(&message, known.keys().copied());
+    }
+
+    fn send(&self, message: &Message, to: impl Iterator<Item = SocketAddr>) {
+        let Ok(buf) = postcard::to_stdvec(message) else { return };
+        if DATAGRAM_MAX < buf.len() {
+            return;
+        }
+        for addr in to {
+            // What can't be sent now is lost, as any datagram may be.
+            let _ = self.socket.try_send_to(&buf, SocketAddr::new(addr.ip(), self.port));
+        }
+    }
+
+    /// Notes a sign of life; true when the box was not known to be alive.
+    fn hear(&self, beat: &Beat) -> bool {
+        if beat.addr == self.me {
+            return false;
+        }
+        let mut known = self.known.lock().expect("no panic under lock");
+        for addr in beat.known.iter().filter(|a| **a != self.me) {
+            known.entry(*addr).or_insert_with(Peer::unheard);
+        }
+        let peer = known.entry(beat.addr).or_insert_with(Peer::unheard);
+        let was_live = peer.is_live();
+        peer.heard = Some(Instant::now());
+        peer.version = beat.version;
+        peer.sees_store = beat.sees_store;
+        !was_live
+    }
+
+    /// A box that has a newer configuration than `version`, preferably one that sees the store.
+    fn ahead_of(&self, version: u64) -> Option<SocketAddr> {
+        let known = self.known.lock().expect("no panic under lock");
+        let ahead = known.iter().filter(|(_, p)| p.is_live() && version < p.version);
+        ahead.max_by_key(|(_, p)| (p.sees_store, p.version)).map(|(addr, _)| *addr)
+    }
+
+    /// A box that sees the store.
+    fn with_store(&self) -> Option<SocketAddr> {
+        let known = self.known.lock().expect("no panic under lock");
+        known.iter().find(|(_, p)| p.is_live() && p.sees_store).map(|(addr, _)| *addr)
+    }
+}
+
+impl Peer {
+    fn unheard() -> Peer {
+        Peer { is_seed: false, added: Instant::now(), heard: None, version: 0, sees_store: false }
+    }
+}
+
+/// Begins to tell, to listen and to ask.
+pub fn start(hub: &Arc<Hub>) {
+    tokio::spawn(listen(hub.clone()));
+    tokio::spawn(beat(hub.clone()));
+    tokio::spawn(catch_up(hub.clone()));
+}
+
+async fn listen(hub: Arc<Hub>) {
+    let socket = hub.peers().socket.clone();
+    let mut buf = [0; DATAGRAM_MAX];
+    loop {
+        let (len, from) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(e) => {
+                // A box that doesn't listen yet answers with an error.
+                debug!(hub.log(), "datagram"; "error" => %e);
+                continue;
+            }
+        };
+        let Ok(message) = postcard::from_bytes::<Message>(&buf[..len]) else {
+            debug!(hub.log(), "datagram refused"; "from" => %from);
+            continue;
+        };
+        if let Message::Beat(beat) = &message
+            && hub.peers().hear(beat)
+        {
+            info!(hub.log(), "box heard"; "name" => beat.name.as_str(),
+                "zone" => beat.zone.as_str(), "version" => beat.version);
+        }
+        hub.receive(message);
+    }
+}
+
+async fn beat(hub: Arc<Hub>) {
+    loop {
+        let (version, sees_store) = hub.read(|view| (view.version(), view.reaches_store()));
+        hub.peers().beat(version, sees_store);
+        tokio::time::sleep(BEAT).await;
+    }
+}
+
+/// Asks other boxes for what this one misses: a configuration that is newer, and the upstreams
+/// while it doesn't see the store.
+async fn catch_up(hub: Arc<Hub>) {
+    loop {
+        tokio::time::sleep(ASK_AFTER).await;
+        let (version, sees_store) = hub.read(|view| (view.version(), view.reaches_store()));
+        let ahead = hub.peers().ahead_of(version);
+        let other = if sees_store { None } else { hub.peers().with_store() };
+        let Some(addr) = ahead.or(other) else { continue };
+        match side::ask(addr).await {
+            Ok(snapshot) => hub.take_over(snapshot),
+            Err(e) => debug!(hub.log(), "box not asked"; "addr" => %addr, "error" => %e),
+        }
+    }
+}
--- /dev/null
+++ b/src/proxy/request.rs
@@ -0,0 +1,419 @@
+//! One caller's request: found its route, placed, sent, and sent again where that is safe.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_ENCODING;
+use http::header::CONTENT_LENGTH;
+use http::request;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use slog::debug;
+use slog::info;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::names::ServiceName;
+use crate::names::UpstreamName;
+use crate::names::WorkspaceName;
+use crate::placement::fleet::Choice;
+use crate::placement::fleet::Health;
+use crate::placement::fleet::NoChoice;
+use crate::placement::fleet::Wanted;
+use crate::proxy::answer;
+use crate::proxy::answer::Refusal;
+use crate::proxy::dialect::Head;
+use crate::proxy::dialect::Outgoing;
+use crate::proxy::dialect::Verdict;
+use crate::proxy::hub::Hub;
+use crate::proxy::hub::InFlight;
+use crate::proxy::hub::Placed;
+use crate::proxy::link;
+use crate::proxy::link::Lease;
+use crate::proxy::pump;
+use crate::proxy::stream;
+use crate::proxy::stream::Body;
+use crate::proxy::table::Repeat;
+use crate::proxy::table::Route;
+use crate::proxy::table::Table;
+use crate::web;
+use crate::web::BodyFault;
+
+/// Tries that reached no upstream, after which a request is refused.
+const UNSENT_MAX: u32 = 4;
+
+/// Sends of one request at most, those that upstreams refused included.
+const SENDS_MAX: u32 = 4;
+
+/// When to come back where no upstream can be had: entries come back within seconds.
+const NO_UPSTREAM_RETRY: Duration = Duration::from_millis(500);
+
+/// When to come back at the earliest after an overload.
+const OVERLOAD_RETRY_MIN: Duration = Duration::from_millis(100);
+
+/// Longest answer of a plain service that is held until it is whole.
+const WHOLE_MAX: usize = 4 << 20;
+
+/// A request with all that is known of it.
+pub struct Run {
+    /// The process.
+    pub hub: Arc<Hub>,
+    /// What the caller's head says.
+    pub head: Head,
+    /// The caller's head itself.
+    pub parts: request::Parts,
+    /// The route.
+    pub route: Route,
+    /// The service that the route's split gave it.
+    pub service: ServiceName,
+    /// Most connections of this box to one of the service's upstreams.
+    pub connections_max: u32,
+    /// Whom it is charged to.
+    pub workspace: Option<WorkspaceName>,
+    /// Its body.
+    pub body: Bytes,
+    /// When its head had come.
+    pub arrived: Instant,
+    /// When it must have ended.
+    pub deadline: Instant,
+    /// Upstreams that it was sent to, or that could not be reached.
+    pub tried: Vec<UpstreamName>,
+    /// Sends so far.
+    pub sends: u32,
+    /// Counts it until all of its answer has been passed on.
+    pub in_flight: InFlight,
+}
+
+/// What became of one send.
+enum Sent {
+    /// The answer to pass on.
+    Answer(Box<Reply>),
+    /// It did not reach the upstream.
+    Unsent(link::Error),
+    /// The upstream says that it did not run it.
+    NotRun,
+    /// It may have run. The answer to pass on if it isn't sent again, if there is one.
+    Unsure(Option<Box<Reply>>),
+}
+
+/// An upstream's answer whose body is still to come.
+pub struct Reply {
+    /// The answer.
+    pub resp: Response<Incoming>,
+    /// Its connection.
+    pub lease: Lease,
+    /// The request's entry in the models.
+    pub placed: Placed,
+}
+
+/// Serves one request.
+pub async fn serve(hub: Arc<Hub>, req: Request<Incoming>) -> Response<Body> {
+    let arrived = Instant::now();
+    let (parts, body) = req.into_parts();
+    let mut run = match admit(&hub, parts, arrived) {
+        Ok(run) => run,
+        Err((cause, id)) => return refuse(&hub, &id, cause),
+    };
+    match read_body(&hub, body, run.deadline).await {
+        Ok(body) => run.body = body,
+        Err(cause) => return refuse(&hub, &run.head.id, cause),
+    }
+    run.go().await
+}
+
+fn refuse(hub: &Hub, id: &str, cause: Refusal) -> Response<Body> {
+    info!(hub.log(), "refused"; "id" => id, "cause" => cause.code(), "version" => hub.version());
+    hub.metrics().refused(cause.code());
+    answer::refusal(cause)
+}
+
+/// Finds out what a request asks for, by its head.
+fn admit(
+    hub: &Arc<Hub>,
+    parts: request::Parts,
+    arrived: Instant,
+) -> Result<Run, (Refusal, String)> {
+    let head = hub.dialect().read(&parts).map_err(|_| (Refusal::BadHead, String::new()))?;
+    let fail = |cause| (cause, head.id.clone());
+    let table = hub.table().ok_or_else(|| fail(Refusal::NotConfigured))?;
+    let path = parts.uri.path();
+    let route = table.route(&head.host, path).ok_or_else(|| fail(Refusal::NoRoute))?.clone();
+    let workspace = workspace(&table, &route, &head).map_err(fail)?;
+    let draw = xxh3_64(head.id.as_bytes());
+    let service = route.target(draw).ok_or_else(|| fail(Refusal::NoRoute))?.clone();
+    let connections_max = table.service(&service).map_or(u32::MAX, |s| s.max_connections);
+    let patience = head.patience.map_or(route.timeout, |p| p.min(route.timeout));
+    hub.count_request(&service);
+    Ok(Run {
+        connections_max: hub.share_of(connections_max),
+        hub: hub.clone(),
+        head,
+        parts,
+        route,
+        service,
+        workspace,
+        body: Bytes::new(),
+        arrived,
+        deadline: arrived + patience,
+        tried: Vec::new(),
+        sends: 0,
+        in_flight: hub.enter(),
+    })
+}
+
+fn workspace(table: &Table, route: &Route, head: &Head) -> Result<Option<WorkspaceName>, Refusal> {
+    if !table.has_keys() {
+        return Ok(None);
+    }
+    let known = head.key.as_deref().and_then(|key| table.workspace(key));
+    match known {
+        Some(workspace) => Ok(Some(workspace.name.clone())),
+        None if route.anonymous => Ok(None),
+        None => Err(Refusal::UnknownKey),
+    }
+}
+
+async fn read_body(hub: &Hub, body: Incoming, deadline: Instant) -> Result<Bytes, Refusal> {
+    let max = hub.table().map_or(0, |t| t.limits.body_bytes);
+    let left = deadline.saturating_duration_since(Instant::now());
+    web::read_body(body, max, left).await.map_err(|fault| match fault {
+        BodyFault::TooLong => Refusal::BodyTooLong,
+        BodyFault::Cut => Refusal::BodyCut,
+    })
+}
+
+impl Run {
+    async fn go(mut self) -> Response<Body> {
+        let deadline = self.deadline;
+        match tokio::time::timeout_at(deadline, self.attempt()).await {
+            Ok(Ok(reply)) => self.answer(reply).await,
+            Ok(Err(cause)) => refuse(&self.hub, &self.head.id, cause),
+            Err(_) => refuse(&self.hub, &self.head.id, Refusal::TimedOut),
+        }
+    }
+
+    /// Sends the request until there is an answer to pass on.
+    async fn attempt(&mut self) -> Result<Box<Reply>, Refusal> {
+        let mut unsent = 0;
+        loop {
+            let choice = self.choose()?;
+            match self.send(&choice, None).await {
+                Sent::Answer(reply) => return Ok(reply),
+                Sent::Unsent(e) => {
+                    debug!(self.hub.log(), "not sent"; "id" => &self.head.id,
+                        "upstream" => choice.upstream.as_str(), "error" => %e);
+                    unsent += 1;
+                    if UNSENT_MAX <= unsent {
+                        return Err(Refusal::NoUpstream { retry_after: NO_UPSTREAM_RETRY });
+                    }
+                }
+                Sent::NotRun => {
+                    if !self.may_repeat() {
+                        return Err(Refusal::Overloaded { retry_after: OVERLOAD_RETRY_MIN });
+                    }
+                }
+                Sent::Unsure(reply) => {
+                    let repeatable =
+                        self.route.repeat != Repeat::Never && self.sends < self.route.max_upstreams;
+                    if !repeatable || !self.may_repeat() {
+                        return reply.ok_or(Refusal::Broken);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whether the request may be sent once more, by number and by the budget.
+    pub fn may_repeat(&self) -> bool {
+        self.sends < SENDS_MAX && self.hub.may_repeat(&self.service)
+    }
+
+    /// Chooses an upstream, or says why the request can't be served in time.
+    pub fn choose(&self) -> Result<Choice, Refusal> {
+        let wanted = Wanted {
+            service: &self.service,
+            prompt: self.head.prompt.as_ref(),
+            except: &self.tried,
+        };
+        let choice = self.hub.choose(wanted).map_err(|e| match e {
+            NoChoice::NoUpstream => Refusal::NoUpstream { retry_after: NO_UPSTREAM_RETRY },
+            NoChoice::Full => Refusal::Overloaded { retry_after: NO_UPSTREAM_RETRY },
+        })?;
+        let expected = self.arrived.elapsed() + choice.first_token;
+        if self.head.prompt.is_some() && self.route.aim < expected {
+            let retry_after = (expected - self.route.aim).max(OVERLOAD_RETRY_MIN);
+            return Err(Refusal::Overloaded { retry_after });
+        }
+        Ok(choice)
+    }
+
+    /// Sends the request to an upstream, from the event after `resume_after` on if that is given.
+    async fn send(&mut self, choice: &Choice, resume_after: Option<u64>) -> Sent {
+        self.tried.push(choice.upstream.clone());
+        let req = self.request_for(choice, resume_after);
+        let placed = self.place(choice);
+        let began = Instant::now();
+        let once = self.route.repeat == Repeat::Never;
+        let links = self.hub.links().clone();
+        let answer = links.send(choice.addr, self.connections_max, once, req).await;
+        let (resp, lease) = match answer {
+            Ok(answer) => answer,
+            Err(e) if e.is_unsent() => {
+                // Our own limit says nothing about the upstream.
+                let health = (!matches!(e, link::Error::NoneFree)).then_some(Health::Broken);
+                placed.close(health);
+                return Sent::Unsent(e);
+            }
+            Err(e) => {
+                self.sends += 1;
+                debug!(self.hub.log(), "no answer"; "id" => &self.head.id,
+                    "upstream" => choice.upstream.as_str(), "error" => %e);
+                placed.close(Some(Health::Broken));
+                return Sent::Unsure(None);
+            }
+        };
+        self.sends += 1;
+        let verdict = self.hub.dialect().judge(&self.head.id, resp.status(), resp.headers());
+        self.judge(resp, lease, placed, verdict, began)
+    }
+
+    fn judge(
+        &self,
+        resp: Response<Incoming>,
+        lease: Lease,
+        placed: Placed,
+        verdict: Verdict,
+        began: Instant,
+    ) -> Sent {
+        let status = resp.status();
+        debug!(self.hub.log(), "answered"; "id" => &self.head.id,
+            "upstream" => placed.upstream().as_str(), "status" => status.as_u16(),
+            "own" => verdict.own, "not_run" => verdict.not_run, "signed" => verdict.signed);
+        if verdict.misdirected || verdict.not_run {
+            let gone = verdict.misdirected.then_some(Health::Broken);
+            placed.close(Some(gone.unwrap_or(Health::Failed)));
+            return Sent::NotRun;
+        }
+        let is_odd = !verdict.own
+            || (status.is_success() && !verdict.signed)
+            || resp.headers().contains_key(CONTENT_ENCODING);
+        if is_odd {
+            placed.close(Some(Health::Failed));
+            return Sent::Unsure(None);
+        }
+        if is_promise(status) {
+            // It says "not run" to whoever reads the status, but the upstream doesn't say so.
+            placed.close(Some(Health::Failed));
+            return Sent::Unsure(None);
+        }
+        let reply = Box::new(Reply { resp, lease, placed });
+        if status.is_server_error() {
+            reply.placed.note(Health::Failed);
+            return Sent::Unsure(Some(reply));
+        }
+        reply.placed.note(Health::Good(began.elapsed()));
+        Sent::Answer(reply)
+    }
+
+    /// Sends the rest of a broken stream's request to another upstream.
+    pub async fn resume(&mut self, after: Option<u64>) -> Option<Box<Reply>> {
+        let repeatable =
+            self.route.repeat == Repeat::AfterEvent && self.sends < self.route.max_upstreams;
+        while repeatable && self.may_repeat() {
+            let choice = self.choose().ok()?;
+            match self.send(&choice, after.or(self.head.resume_after)).await {
+                Sent::Answer(reply) => return Some(reply),
+                Sent::Unsent(_) | Sent::NotRun => {}
+                Sent::Unsure(_) => return None,
+            }
+        }
+        None
+    }
+
+    fn request_for(&self, choice: &Choice, resume_after: Option<u64>) -> Request<Full<Bytes>> {
+        let out = Outgoing {
+            upstream: &choice.upstream,
+            left: self.deadline.saturating_duration_since(Instant::now()),
+            workspace: self.workspace.as_ref().map(WorkspaceName::as_str),
+            resume_after,
+        };
+        let mut req = Request::new(Full::new(self.body.clone()));
+        *req.method_mut() = self.parts.method.clone();
+        *req.uri_mut() = self.parts.uri.clone();
+        *req.headers_mut() = self.hub.dialect().outgoing(&self.parts.headers, &out);
+        if !self.body.is_empty() {
+            req.headers_mut().insert(CONTENT_LENGTH, HeaderValue::from(self.body.len()));
+        }
+        req
+    }
+
+    fn place(&self, choice: &Choice) -> Placed {
+        let name = format!("{}/{}", self.head.id, self.tried.len());
+        info!(self.hub.log(), "placed"; "id" => &self.head.id, "route" => &self.route.name,
+            "upstream" => choice.upstream.as_str(), "unread" => choice.unread,
+            "expected_ms" => choice.first_token.as_millis() as u64,
+            "version" => self.hub.version(), "try" => self.tried.len());
+        self.hub.place(choice, xxh3_64(name.as_bytes()), self.head.prompt.as_ref())
+    }
+
+    /// Passes an answer on.
+    async fn answer(self, reply: Box<Reply>) -> Response<Body> {
+        if self.route.streaming && reply.resp.status().is_success() {
+            return pump::start(self, *reply).await;
+        }
+        self.answer_whole(*reply).await
+    }
+
+    /// Passes an answer on once it has come whole, so that one that breaks off is never begun.
+    async fn answer_whole(self, reply: Reply) -> Response<Body> {
+        let Reply { resp, lease, placed } = reply;
+        let (head, body) = resp.into_parts();
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        match web::read_body(body, WHOLE_MAX, left).await {
+            Ok(bytes) => {
+                lease.keep(link::keep_alive(&head.headers));
+                placed.close(None);
+                self.log_end(head.status, "whole");
+                let headers = self.hub.dialect().incoming(&head.headers);
+                respond(head.status, headers, stream::whole(bytes))
+            }
+            Err(_) => {
+                placed.close(Some(Health::Broken));
+                refuse(&self.hub, &self.head.id, Refusal::Broken)
+            }
+        }
+    }
+
+    /// Logs the end of a request.
+    pub fn log_end(&self, status: StatusCode, outcome: &'static str) {
+        let took = self.arrived.elapsed();
+        info!(self.hub.log(), "ended"; "id" => &self.head.id, "status" => status.as_u16(),
+            "outcome" => outcome, "ms" => took.as_millis() as u64, "sends" => self.sends);
+        self.hub.metrics().ended(&self.route.name, outcome, took);
+    }
+}
+
+/// An answer to a caller.
+pub fn respond(status: StatusCode, headers: HeaderMap, body: Body) -> Response<Body> {
+    let mut resp = Response::new(body);
+    *resp.status_mut() = status;
+    *resp.headers_mut() = headers;
+    resp
+}
+
+/// Whether callers read a status as "has not run and never will".
+fn is_promise(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
--- /dev/null
+++ b/src/proxy/side.rs
@@ -0,0 +1,141 @@
+//! The ports beside the callers': whether this box serves, for the balancer; and for other boxes
+//! and the on-call engineer what it knows and its figures.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http_body_util::BodyExt;
+use http_body_util::Empty;
+use http_body_util::Limited;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+use crate::proxy::hub::Hub;
+use crate::proxy::view::Snapshot;
+use crate::proxy::view::View;
+use crate::web;
+use crate::web::Page;
+
+/// Where a box tells what it knows.
+const SNAPSHOT_PATH: &str = "/v1/snapshot";
+
+/// Where the figures are.
+const METRICS_PATH: &str = "/metrics";
+
+/// How long asking another box may take.
+const ASK_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Largest snapshot that is read, in bytes.
+const SNAPSHOT_MAX: usize = 8 << 20;
+
+/// Why another box can't be asked.
+#[derive(Debug, thiserror::Error)]
+pub enum AskError {
+    /// It can't be reached or breaks off.
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+    /// It doesn't speak as it should.
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    /// Its answer is too long or breaks off.
+    #[error("the answer: {0}")]
+    Body(Box<dyn std::error::Error + Send + Sync>),
+    /// Its answer can't be read.
+    #[error("the answer: {0}")]
+    Json(#[from] serde_json::Error),
+    /// It takes too long.
+    #[error("no answer in time")]
+    Timeout,
+}
+
+/// Tells the balancer whether this box serves, until the process ends.
+pub async fn serve_ready(listener: TcpListener, hub: Arc<Hub>, stopping: watch::Receiver<bool>) {
+    let page = Arc::new(Ready { hub, stopping });
+    web::serve(listener, 0, page, std::future::pending()).await;
+}
+
+/// Answers other boxes until the process ends.
+pub async fn serve_peers(listener: TcpListener, hub: Arc<Hub>) {
+    web::serve(listener, 0, Arc::new(Known { hub }), std::future::pending()).await;
+}
+
+/// Asks another box what it knows.
+pub async fn ask(addr: std::net::SocketAddr) -> Result<Snapshot, AskError> {
+    tokio::time::timeout(ASK_TIMEOUT, fetch(addr)).await.map_err(|_| AskError::Timeout)?
+}
+
+async fn fetch(addr: std::net::SocketAddr) -> Result<Snapshot, AskError> {
+    let stream = TcpStream::connect(addr).await?;
+    let (mut tx, conn) = http1::handshake(TokioIo::new(stream)).await?;
+    let conn = tokio::spawn(conn);
+    let mut req = Request::new(Empty::<Bytes>::new());
+    *req.uri_mut() = http::Uri::from_static(SNAPSHOT_PATH);
+    if let Ok(host) = HeaderValue::from_str(&addr.to_string()) {
+        req.headers_mut().insert(http::header::HOST, host);
+    }
+    let body = tx.send_request(req).await?.into_body();
+    let body = Limited::new(body, SNAPSHOT_MAX).collect().await.map_err(AskError::Body)?;
+    conn.abort();
+    Ok(serde_json::from_slice(&body.to_bytes())?)
+}
+
+struct Ready {
+    hub: Arc<Hub>,
+    stopping: watch::Receiver<bool>,
+}
+
+impl Page for Ready {
+    fn refuse(&self, _: &http::request::Parts) -> Option<Response<Bytes>> {
+        let ready = self.hub.read(View::is_ready) && !*self.stopping.borrow();
+        let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        Some(empty(status))
+    }
+
+    fn answer(&self, _: Request<Bytes>) -> Response<Bytes> {
+        empty(StatusCode::NOT_FOUND)
+    }
+}
+
+struct Known {
+    hub: Arc<Hub>,
+}
+
+impl Page for Known {
+    fn refuse(&self, head: &http::request::Parts) -> Option<Response<Bytes>> {
+        match head.uri.path() {
+            SNAPSHOT_PATH => Some(self.snapshot()),
+            METRICS_PATH => Some(Response::new(Bytes::from(self.hub.metrics().page()))),
+            _ => Some(empty(StatusCode::NOT_FOUND)),
+        }
+    }
+
+    fn answer(&self, _: Request<Bytes>) -> Response<Bytes> {
+        empty(StatusCode::NOT_FOUND)
+    }
+}
+
+impl Known {
+    fn snapshot(&self) -> Response<Bytes> {
+        let Ok(json) = serde_json::to_vec(&self.hub.read(View::snapshot)) else {
+            return empty(StatusCode::INTERNAL_SERVER_ERROR);
+        };
+        let mut resp = Response::new(Bytes::from(json));
+        resp.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        resp
+    }
+}
+
+fn empty(status: StatusCode) -> Response<Bytes> {
+    let mut resp = Response::new(Bytes::new());
+    *resp.status_mut() = status;
+    resp
+}
--- /dev/null
+++ b/src/proxy/view.rs
@@ -0,0 +1,246 @@
+//! What this box knows of the configuration and the upstreams, and when it believes the store.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::names::UpstreamName;
+use crate::placement::fleet::Fleet;
+use crate::proxy::dialect::Listed;
+use crate::proxy::table::EngineLimits;
+use crate::proxy::table::Table;
+
+/// Entries that lapse while the store is away come back by themselves when it returns; one that is
+/// still missing after this is gone.
+const LAPSE_GRACE: Duration = Duration::from_millis(2200);
+
+/// For how long after trouble with the store a missing entry may have lapsed during it.
+const TROUBLE_SHADOW: Duration = Duration::from_secs(4);
+
+/// What one box can tell another that can't ask the store.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The configuration in force.
+    pub table: Option<Arc<Table>>,
+    /// All upstreams in use or leaving.
+    pub upstreams: Vec<Listed>,
+}
+
+/// A change of what is believed, for the log and for the other boxes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A configuration came into force.
+    Configured(u64),
+    /// An upstream is new or has changed.
+    Upstream(Listed),
+    /// An upstream leaves: it gets no new work.
+    Leaving(UpstreamName),
+    /// An upstream is gone.
+    Gone(UpstreamName),
+    /// An upstream's entry is missing; it is kept until it is sure to be gone.
+    Missing(UpstreamName),
+}
+
+/// What this box knows.
+#[derive(Debug)]
+pub struct View {
+    table: Option<Arc<Table>>,
+    fleet: Fleet,
+    /// Upstreams whose entries are missing, and when they are given up.
+    missing: BTreeMap<UpstreamName, Duration>,
+    listed_once: bool,
+    reached: bool,
+    /// When the store last gave trouble.
+    trouble: Option<Duration>,
+    changes: Vec<Change>,
+}
+
+impl View {
+    /// Nothing is known yet.
+    pub fn new(fleet: Fleet) -> View {
+        View {
+            table: None,
+            fleet,
+            missing: BTreeMap::new(),
+            listed_once: false,
+            reached: false,
+            trouble: None,
+            changes: Vec::new(),
+        }
+    }
+
+    /// The configuration in force.
+    pub fn table(&self) -> Option<&Arc<Table>> {
+        self.table.as_ref()
+    }
+
+    /// The version in force; zero before the first.
+    pub fn version(&self) -> u64 {
+        self.table.as_ref().map_or(0, |t| t.version)
+    }
+
+    /// The upstreams.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// The upstreams, to note what is sent there.
+    pub fn fleet_mut(&mut self) -> &mut Fleet {
+        &mut self.fleet
+    }
+
+    /// Whether requests can be served: there are a configuration and upstreams.
+    pub fn is_ready(&self) -> bool {
+        self.table.is_some() && self.listed_once
+    }
+
+    /// Whether the store answers.
+    pub fn reaches_store(&self) -> bool {
+        self.reached
+    }
+
+    /// What has changed since the last call.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// What another box may take over.
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot { table: self.table.clone(), upstreams: self.fleet.listed().cloned().collect() }
+    }
+
+    /// Takes over a configuration, unless it is no newer than the one in force.
+    pub fn configure(&mut self, table: Arc<Table>) {
+        if table.version <= self.version() {
+            return;
+        }
+        self.changes.push(Change::Configured(table.version));
+        self.table = Some(table);
+        let known: Vec<Listed> = self.fleet.listed().cloned().collect();
+        for listed in known {
+            let limits = self.engine_limits(&listed);
+            self.fleet.set(listed, limits);
+        }
+    }
+
+    /// Takes over the store's whole list of upstreams.
+    pub fn list(&mut self, all: Vec<Listed>, now: Duration) {
+        let absent: Vec<UpstreamName> = self
+            .fleet
+            .listed()
+            .filter(|known| all.iter().all(|l| l.name != known.name))
+            .map(|known| known.name.clone())
+            .collect();
+        for listed in all {
+            self.set(listed);
+        }
+        for name in absent {
+            self.gone(&name, now);
+        }
+        self.listed_once = true;
+    }
+
+    /// Takes over one upstream.
+    pub fn set(&mut self, listed: Listed) {
+        self.missing.remove(&listed.name);
+        let known = self.fleet.listed().find(|l| l.name == listed.name);
+        if known == Some(&listed) {
+            return;
+        }
+        let change = if listed.leaving {
+            Change::Leaving(listed.name.clone())
+        } else {
+            Change::Upstream(listed.clone())
+        };
+        self.changes.push(change);
+        let limits = self.engine_limits(&listed);
+        self.fleet.set(listed, limits);
+    }
+
+    /// An entry is gone. Near trouble with the store it may only have lapsed.
+    pub fn gone(&mut self, name: &UpstreamName, now: Duration) {
+        let shadowed = self.trouble.is_some_and(|t| now < t + TROUBLE_SHADOW);
+        // One that was leaving is not missed.
+        if shadowed && self.fleet.is_open(name) {
+            let until = now + LAPSE_GRACE;
+            if !self.missing.contains_key(name) {
+                self.missing.insert(name.clone(), until);
+                self.changes.push(Change::Missing(name.clone()));
+            }
+            return;
+        }
+        self.drop_upstream(name);
+    }
+
+    /// Another box, which sees the store, says that an upstream leaves. Believed only while this
+    /// box doesn't see the store itself.
+    pub fn told_leaving(&mut self, name: &UpstreamName) {
+        if !self.reached && self.fleet.is_open(name) {
+            self.fleet.leave(name);
+            self.changes.push(Change::Leaving(name.clone()));
+        }
+    }
+
+    /// Takes over what another box knows, while this one doesn't see the store.
+    pub fn take_over(&mut self, snapshot: Snapshot) {
+        if let Some(table) = snapshot.table {
+            self.configure(table);
+        }
+        if self.reached {
+            return;
+        }
+        let is_useful = !snapshot.upstreams.is_empty();
+        for listed in snapshot.upstreams {
+            let known = self.fleet.listed().find(|l| l.name == listed.name);
+            // An upstream never returns from leaving.
+            if known.is_none_or(|k| !k.leaving) {
+                self.set(listed);
+            }
+        }
+        self.listed_once |= is_useful;
+    }
+
+    /// The store gives no answer, or refuses.
+    pub fn store_lost(&mut self, now: Duration) {
+        self.reached = false;
+        self.trouble = Some(now);
+    }
+
+    /// The store answers.
+    pub fn store_regained(&mut self, now: Duration) {
+        if !self.reached && self.trouble.is_some() {
+            self.trouble = Some(now);
+        }
+        self.reached = true;
+    }
+
+    /// Gives up what has been missing for too long, while the store answers.
+    pub fn tick(&mut self, now: Duration) {
+        self.fleet.tick(now);
+        if !self.reached {
+            return;
+        }
+        let due: Vec<UpstreamName> = self
+            .missing
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(n, _)| n.clone())
+            .collect();
+        for name in due {
+            self.drop_upstream(&name);
+        }
+    }
+
+    fn drop_upstream(&mut self, name: &UpstreamName) {
+        self.missing.remove(name);
+        self.fleet.remove(name);
+        self.changes.push(Change::Gone(name.clone()));
+    }
+
+    fn engine_limits(&self, listed: &Listed) -> Option<EngineLimits> {
+        self.table.as_ref()?.service(&listed.service)?.engine
+    }
+}
