Share engines fairly, copy prompts between them, and refuse late in a stop

Requests taken 5 s after SIGTERM did not end before the kill (LOST). Change: max-min shares among workspaces over the window, counted fleet-wide from datagrams; reading may take 85 % of an engine's time; parts that another engine keeps are copied; the wait is judged, not the size; no requests from 2.6 s after SIGTERM on, resting connections closed at once.

--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -13,12 +13,30 @@
 /// How fast engines read and answer; the same for all engines of a fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Pace {
-    /// Prompt tokens read in a millisecond, between the steps of running requests.
+    /// Prompt tokens read in a millisecond, while nothing else is done.
     pub tokens_per_ms: f64,
+    /// Time for a million pairs of a token that is read and one that stands before it.
+    pub pairs: Duration,
+    /// Time for a step, of which each piece of a prompt takes one.
+    pub step: Duration,
     /// Time from the end of reading to the first token, without any backlog.
     pub first_step: Duration,
 }
 
+/// Tokens of a prompt that are read in one step.
+const PIECE: f64 = 4096.0;
+
+impl Pace {
+    /// Seconds that it takes to read `unread` tokens behind `kept` ones.
+    pub fn reading(&self, kept: u32, unread: u32) -> f64 {
+        let unread = f64::from(unread);
+        let pairs = unread * (f64::from(kept) + unread / 2.0) / 1e6;
+        unread / self.tokens_per_ms / 1000.0
+            + pairs * self.pairs.as_secs_f64()
+            + (unread / PIECE).ceil() * self.step.as_secs_f64()
+    }
+}
+
 /// Part of an engine's memory that is believed to be left to cached prompts. Running requests take
 /// the rest.
 const CACHE_SHARE: f64 = 0.6;
@@ -26,6 +44,14 @@
 /// A request whose end isn't heard of is forgotten after this: longer than any is held.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(20);
 
+/// Part of its time that an engine may spend on reading prompts, over longer times. While it reads
+/// a piece, those that run get one token in the time of a dozen; without a pause in which they go
+/// on they would not end before their deadlines.
+const READING_SHARE: f64 = 0.85;
+
+/// Time to begin a copy from another engine; the users' sheets say 3.3 ms.
+const COPY_SETUP: Duration = Duration::from_millis(4);
+
 /// How long past its predicted time an engine's next first token may be before the delay counts
 /// against the engine: a few steps with a full piece of a prompt.
 const OVERDUE_SLACK: Duration = Duration::from_millis(250);
@@ -42,7 +68,8 @@
 struct Reading {
     request: u64,
     placed: Duration,
-    unread: u32,
+    /// Time to read it.
+    seconds: f64,
 }
 
 /// The model of one engine.
@@ -55,6 +82,10 @@
     run_tokens: u64,
     /// When it last gave the first token of a request.
     advanced: Duration,
+    /// Seconds of reading that were placed here lately, less what the engine may do in the time
+    /// since, and as of when.
+    load: f64,
+    load_at: Duration,
 }
 
 impl Engine {
@@ -68,12 +99,31 @@
             runs: FxHashMap::default(),
             run_tokens: 0,
             advanced: Duration::ZERO,
+            load: 0.0,
+            load_at: Duration::ZERO,
         }
     }
 
-    /// Tokens of a prompt that it would have to read.
-    pub fn unread(&self, prompt: &Prompt) -> u32 {
-        prompt.tokens.saturating_sub(self.cache.kept(&prompt.parts))
+    /// Tokens at the head of a prompt that it keeps.
+    pub fn kept(&self, prompt: &Prompt) -> u32 {
+        self.cache.kept(&prompt.parts).min(prompt.tokens)
+    }
+
+    /// Time that it takes to copy this many tokens from another engine.
+    pub fn copy_time(&self, tokens: u32) -> Duration {
+        let rate = self.limits.copied_per_s.max(1) as f64;
+        COPY_SETUP + Duration::from_secs_f64(f64::from(tokens) / rate)
+    }
+
+    /// How long a request has to wait here: for what is still to be read, and for the pause
+    /// between prompts that running requests need to go on.
+    pub fn wait(&self, now: Duration) -> Duration {
+        self.backlog(now).max(Duration::from_secs_f64(self.load(now) / READING_SHARE))
+    }
+
+    fn load(&self, now: Duration) -> f64 {
+        let drained = now.saturating_sub(self.load_at).as_secs_f64() * READING_SHARE;
+        (self.load - drained).max(0.0)
     }
 
     /// Whether it has a slot and memory for another request.
@@ -88,11 +138,15 @@
         self.runs.len()
     }
 
+    /// Tokens of memory that these take.
+    pub fn running_tokens(&self) -> u64 {
+        self.run_tokens
+    }
+
     /// How long it will read what it has been sent already.
-    pub fn backlog(&self, pace: Pace, now: Duration) -> Duration {
+    pub fn backlog(&self, now: Duration) -> Duration {
         let Some(head) = self.reading.front() else { return Duration::ZERO };
-        let tokens: u64 = self.reading.iter().map(|r| u64::from(r.unread)).sum();
-        let total = Duration::from_secs_f64(tokens as f64 / pace.tokens_per_ms / 1000.0);
+        let total = Duration::from_secs_f64(self.reading.iter().map(|r| r.seconds).sum());
         let elapsed = now.saturating_sub(head.placed.max(self.advanced));
         if elapsed <= total {
             return total - elapsed;
@@ -101,18 +155,14 @@
         (elapsed - total).saturating_sub(OVERDUE_SLACK)
     }
 
-    /// When the first token of a request sent now would come, from now on.
-    pub fn first_token(&self, unread: u32, pace: Pace, now: Duration) -> Duration {
-        self.backlog(pace, now)
-            + Duration::from_secs_f64(f64::from(unread) / pace.tokens_per_ms / 1000.0)
-            + pace.first_step
-    }
-
     /// Notes that a request is sent there.
-    pub fn place(&mut self, request: u64, prompt: &Prompt, unread: u32, now: Duration) {
+    pub fn place(&mut self, request: u64, prompt: &Prompt, unread: u32, pace: Pace, now: Duration) {
+        let seconds = pace.reading(prompt.tokens.saturating_sub(unread), unread);
+        self.load = self.load(now) + seconds;
+        self.load_at = now;
         let tokens = u64::from(prompt.tokens) + u64::from(prompt.written_max);
         self.cache.read(&prompt.parts);
-        self.reading.push_back(Reading { request, placed: now, unread });
+        self.reading.push_back(Reading { request, placed: now, seconds });
         if let Some(before) = self.runs.insert(request, Run { placed: now, tokens }) {
             self.run_tokens -= before.tokens;
         }
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -18,6 +18,12 @@
 /// from others.
 const READ_WEIGHT: f64 = 2.0;
 
+/// How much more than its time a copy between engines counts, since it is charged for.
+const COPY_WEIGHT: f64 = 2.0;
+
+/// Fewest tokens that are worth a copy: those that are read in the time of its setup, tenfold.
+const COPY_MIN: u32 = 2000;
+
 /// Preference for an upstream in the own zone: bytes between zones are charged for.
 const ZONE_LEAD: Duration = Duration::from_millis(4);
 
@@ -50,8 +56,37 @@
     pub addr: std::net::SocketAddr,
     /// Expected time to the first token; zero for plain services.
     pub first_token: Duration,
+    /// Expected wait until it begins to read the prompt.
+    pub wait: Duration,
     /// Tokens of the prompt that it has to read.
     pub unread: u32,
+    /// Tokens of the prompt that it copies from another engine.
+    pub copied: u32,
+    /// That engine.
+    pub copy_from: Option<std::net::SocketAddr>,
+    /// Requests that run or wait at the engine already.
+    pub running: usize,
+    /// Tokens of memory that these take.
+    pub running_tokens: u64,
+}
+
+/// How an engine would come by a prompt.
+#[derive(Clone, Copy, Debug)]
+struct Plan {
+    wait: Duration,
+    unread: u32,
+    /// Seconds to read these.
+    reading: f64,
+    copied: u32,
+    copy_time: Duration,
+    copy_from: Option<std::net::SocketAddr>,
+}
+
+/// The engine that keeps the most of a prompt.
+#[derive(Clone, Copy, Debug)]
+struct Source {
+    addr: std::net::SocketAddr,
+    kept: u32,
 }
 
 /// Why there is no choice.
@@ -153,12 +188,14 @@
         if usable.is_empty() {
             return Err(NoChoice::NoUpstream);
         }
+        let source = wanted.prompt.and_then(|prompt| source(&usable, prompt));
         let with_room = usable.iter().filter(|u| u.has_room(wanted.prompt));
         let best = with_room
-            .map(|u| (u.cost(wanted.prompt, self.pace, &self.zone, now), u))
+            .map(|u| (u, u.plan(wanted.prompt, source, self.pace, now)))
+            .map(|(u, plan)| (u.cost(plan.as_ref(), &self.zone), u, plan))
             .min_by(|a, b| a.0.total_cmp(&b.0));
-        let Some((_, upstream)) = best else { return Err(NoChoice::Full) };
-        Ok(upstream.choice(wanted.prompt, self.pace, now))
+        let Some((_, upstream, plan)) = best else { return Err(NoChoice::Full) };
+        Ok(upstream.choice(plan, self.pace))
     }
 
     /// Notes a request that this box or another sends to an upstream.
@@ -170,8 +207,9 @@
         unread: u32,
         now: Duration,
     ) {
+        let pace = self.pace;
         if let Some(engine) = self.engine(name) {
-            engine.place(request, prompt, unread, now);
+            engine.place(request, prompt, unread, pace, now);
         }
     }
 
@@ -242,26 +280,55 @@
         }
     }
 
+    /// How this engine would come by a prompt; nothing for plain services.
+    fn plan(
+        &self,
+        prompt: Option<&Prompt>,
+        source: Option<Source>,
+        pace: Pace,
+        now: Duration,
+    ) -> Option<Plan> {
+        let (engine, prompt) = self.engine.as_ref().zip(prompt)?;
+        let kept = engine.kept(prompt);
+        let gain = source.map_or(0, |s| s.kept.saturating_sub(kept));
+        let copied = if gain < COPY_MIN { 0 } else { gain };
+        let unread = prompt.tokens - kept - copied;
+        Some(Plan {
+            wait: engine.wait(now),
+            unread,
+            reading: pace.reading(kept + copied, unread),
+            copied,
+            copy_time: if copied == 0 { Duration::ZERO } else { engine.copy_time(copied) },
+            copy_from: source.filter(|_| copied != 0).map(|s| s.addr),
+        })
+    }
+
     /// What sending a request here costs, in seconds: less is better.
-    fn cost(&self, prompt: Option<&Prompt>, pace: Pace, zone: &ZoneName, now: Duration) -> f64 {
+    fn cost(&self, plan: Option<&Plan>, zone: &ZoneName) -> f64 {
         let lead = if self.listed.zone == *zone { ZONE_LEAD.as_secs_f64() } else { 0.0 };
-        let Some((engine, prompt)) = self.engine.as_ref().zip(prompt) else {
+        let Some(plan) = plan else {
             return self.answer_time * f64::from(1 + self.outstanding) - lead;
         };
-        let unread = engine.unread(prompt);
-        let reading = f64::from(unread) / pace.tokens_per_ms / 1000.0;
-        engine.first_token(unread, pace, now).as_secs_f64() + reading * (READ_WEIGHT - 1.0) - lead
+        let reading = plan.reading;
+        let copying = plan.copy_time.as_secs_f64();
+        plan.wait.as_secs_f64() + reading * READ_WEIGHT + copying * COPY_WEIGHT - lead
     }
 
-    fn choice(&self, prompt: Option<&Prompt>, pace: Pace, now: Duration) -> Choice {
-        let (first_token, unread) = match self.engine.as_ref().zip(prompt) {
-            Some((engine, prompt)) => {
-                let unread = engine.unread(prompt);
-                (engine.first_token(unread, pace, now), unread)
-            }
-            None => (Duration::ZERO, 0),
-        };
-        Choice { upstream: self.listed.name.clone(), addr: self.listed.addr, first_token, unread }
+    fn choice(&self, plan: Option<Plan>, pace: Pace) -> Choice {
+        let first_token = plan.as_ref().map_or(Duration::ZERO, |p| {
+            p.wait + p.copy_time + Duration::from_secs_f64(p.reading) + pace.first_step
+        });
+        Choice {
+            upstream: self.listed.name.clone(),
+            addr: self.listed.addr,
+            first_token,
+            wait: plan.as_ref().map_or(Duration::ZERO, |p| p.wait),
+            unread: plan.as_ref().map_or(0, |p| p.unread),
+            copied: plan.as_ref().map_or(0, |p| p.copied),
+            copy_from: plan.and_then(|p| p.copy_from),
+            running: self.engine.as_ref().map_or(0, Engine::running),
+            running_tokens: self.engine.as_ref().map_or(0, Engine::running_tokens),
+        }
     }
 
     fn note(&mut self, health: Health, now: Duration) {
@@ -280,3 +347,12 @@
         }
     }
 }
+
+/// The engine that keeps the most of a prompt.
+fn source(upstreams: &[&Upstream], prompt: &Prompt) -> Option<Source> {
+    let kept = |u: &&Upstream| {
+        let kept = u.engine.as_ref()?.kept(prompt);
+        Some(Source { addr: u.listed.addr, kept })
+    };
+    upstreams.iter().filter_map(kept).max_by_key(|s| s.kept)
+}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -4,3 +4,4 @@
 pub mod cache;
 pub mod engine;
 pub mod fleet;
+pub mod share;
--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -35,6 +35,9 @@
     /// No configuration is known yet. Not run.
     #[error("no configuration yet; not run")]
     NotConfigured,
+    /// This box is about to stop. Not run.
+    #[error("this box stops; not run")]
+    Stopping,
     /// No upstream can be had. Not run.
     #[error("no upstream; not run")]
     NoUpstream {
@@ -65,6 +68,7 @@
             Refusal::BodyTooLong => "body-too-long",
             Refusal::BodyCut => "body-cut",
             Refusal::NotConfigured => "not-configured",
+            Refusal::Stopping => "stopping",
             Refusal::NoUpstream { .. } => "no-upstream",
             Refusal::Overloaded { .. } => "overloaded",
             Refusal::Broken => "broken",
@@ -79,9 +83,10 @@
             Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
             Refusal::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::BodyCut => StatusCode::REQUEST_TIMEOUT,
-            Refusal::NotConfigured | Refusal::NoUpstream { .. } | Refusal::Overloaded { .. } => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Refusal::NotConfigured
+            | Refusal::Stopping
+            | Refusal::NoUpstream { .. }
+            | Refusal::Overloaded { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::Broken => StatusCode::BAD_GATEWAY,
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -90,6 +95,7 @@
     fn retry_after(&self) -> Option<Duration> {
         match self {
             Refusal::NotConfigured => Some(NOT_CONFIGURED_RETRY),
+            Refusal::Stopping => Some(STOPPING_RETRY),
             Refusal::NoUpstream { retry_after } | Refusal::Overloaded { retry_after } => {
                 Some(*retry_after)
             }
@@ -101,6 +107,9 @@
 /// A box that starts knows the configuration after about this long.
 const NOT_CONFIGURED_RETRY: Duration = Duration::from_millis(300);
 
+/// Another box serves at once; the caller's next connection is likely to lead there.
+const STOPPING_RETRY: Duration = Duration::from_millis(50);
+
 /// The answer for a refusal.
 pub fn refusal(cause: Refusal) -> Response<Body> {
     let text = Bytes::from(format!("{cause}\n"));
--- a/src/proxy/dialect.rs
+++ b/src/proxy/dialect.rs
@@ -44,6 +44,13 @@
     pub parts: Vec<Part>,
 }
 
+impl Prompt {
+    /// What a request is charged: a token that is written counts as two that are read.
+    pub fn charge(&self) -> u64 {
+        u64::from(self.tokens) + 2 * u64::from(self.written_max)
+    }
+}
+
 /// A part of a prompt that other prompts may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Part {
@@ -69,6 +76,8 @@
     pub workspace: Option<&'a str>,
     /// The last event that came, where a stream is gone on with.
     pub resume_after: Option<u64>,
+    /// Another engine, from which the upstream copies what it keeps of the prompt.
+    pub copy_from: Option<std::net::SocketAddr>,
 }
 
 /// What the head of an upstream's answer says.
--- a/src/proxy/front.rs
+++ b/src/proxy/front.rs
@@ -18,6 +18,9 @@
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 
+use crate::proxy::Stop;
+use crate::proxy::answer;
+use crate::proxy::answer::Refusal;
 use crate::proxy::hub::Hub;
 use crate::proxy::link;
 use crate::proxy::request;
@@ -38,7 +41,7 @@
 pub async fn serve(
     listener: TcpListener,
     hub: Arc<Hub>,
-    stopping: watch::Receiver<bool>,
+    stopping: watch::Receiver<Stop>,
     connections_max: usize,
 ) {
     let connections = Arc::new(Semaphore::new(connections_max));
@@ -61,20 +64,38 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, hub: Arc<Hub>, stopping: watch::Receiver<bool>) {
+async fn serve_connection(stream: TcpStream, hub: Arc<Hub>, stopping: watch::Receiver<Stop>) {
     if link::guard(&stream).is_err() {
         // The caller is gone already.
         return;
     }
     let limits = hub.table().map(|t| t.limits.clone()).unwrap_or_default();
-    let service = service_fn(|req| answer(hub.clone(), stopping.clone(), req));
-    // A caller that leaves, or sends what isn't HTTP, is its own business.
-    let _ = http1::Builder::new()
+    let service = service_fn(|req| respond(hub.clone(), stopping.clone(), req));
+    let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(rest(&limits))
         .max_buf_size(limits.head_bytes.max(HEAD_BUF_MIN))
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    // A caller that leaves, or sends what isn't HTTP, is its own business.
+    let _ = tokio::select! {
+        ended = &mut connection => ended,
+        () = told_to_stop(stopping.clone()) => {
+            // One that rests is closed now: what came on it later might not end in time.
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+}
+
+/// Waits until the process is told to stop. A connection that is made after that is not closed
+/// unused, since its caller could not know.
+async fn told_to_stop(mut stopping: watch::Receiver<Stop>) {
+    if *stopping.borrow() != Stop::No {
+        return std::future::pending().await;
+    }
+    // An error means that the process ends.
+    let _ = stopping.wait_for(|stop| *stop != Stop::No).await;
 }
 
 /// `hyper` counts the time for a head from the end of the last answer, so it is the time for which
@@ -83,13 +104,17 @@
     limits.idle_timeout.max(limits.head_timeout) + IDLE_SLACK
 }
 
-async fn answer(
+async fn respond(
     hub: Arc<Hub>,
-    stopping: watch::Receiver<bool>,
+    stopping: watch::Receiver<Stop>,
     req: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
-    let mut resp = request::serve(hub, req).await;
-    if *stopping.borrow() {
+    let stop = *stopping.borrow();
+    let mut resp = match stop {
+        Stop::Late => answer::refusal(Refusal::Stopping),
+        Stop::No | Stop::Begun => request::serve(hub, req).await,
+    };
+    if *stopping.borrow() != Stop::No {
         resp.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(resp)
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -14,11 +14,13 @@
 
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
+use crate::names::WorkspaceName;
 use crate::placement::fleet::Choice;
 use crate::placement::fleet::Fleet;
 use crate::placement::fleet::Health;
 use crate::placement::fleet::NoChoice;
 use crate::placement::fleet::Wanted;
+use crate::placement::share::Shares;
 use crate::proxy::budget::Budget;
 use crate::proxy::dialect::Dialect;
 use crate::proxy::dialect::News;
@@ -64,6 +66,7 @@
 struct Inner {
     view: View,
     budget: Budget,
+    shares: Shares,
 }
 
 impl Hub {
@@ -76,7 +79,11 @@
         log: Logger,
     ) -> Arc<Hub> {
         let fleet = Fleet::new(cfg.identity.zone.clone(), cfg.pace);
-        let inner = Inner { view: View::new(fleet), budget: Budget::new(cfg.repeats) };
+        let inner = Inner {
+            view: View::new(fleet),
+            budget: Budget::new(cfg.repeats),
+            shares: Shares::new(cfg.share_window),
+        };
         Arc::new(Hub {
             inner: Mutex::new(inner),
             epoch: Instant::now(),
@@ -193,9 +200,15 @@
     pub fn receive(&self, message: Message) {
         let now = self.now();
         match message {
-            Message::Placed { upstream, request, prompt, unread } => {
+            Message::Placed { upstream, request, prompt, unread, workspace } => {
                 let prompt = Prompt::from(prompt);
                 self.fleet(|fleet| fleet.place(&upstream, request, &prompt, unread, now));
+                if let Some(workspace) = workspace {
+                    self.shares(|shares| shares.begin(&workspace, prompt.charge(), now));
+                }
+            }
+            Message::Refused { workspace, tokens } => {
+                self.shares(|shares| shares.refuse(&workspace, tokens, now));
             }
             Message::First { upstream, request } => {
                 self.fleet(|fleet| fleet.first(&upstream, request, now));
@@ -222,6 +235,7 @@
         choice: &Choice,
         request: u64,
         prompt: Option<&Prompt>,
+        workspace: Option<&WorkspaceName>,
     ) -> Placed {
         let now = self.now();
         self.fleet(|fleet| fleet.sent(&choice.upstream));
@@ -232,7 +246,11 @@
                 request,
                 prompt: prompt.into(),
                 unread: choice.unread,
+                workspace: workspace.cloned(),
             });
+            if let Some(workspace) = workspace {
+                self.shares(|shares| shares.begin(workspace, prompt.charge(), now));
+            }
         }
         Placed {
             hub: self.clone(),
@@ -245,6 +263,24 @@
         }
     }
 
+    /// How much of its fair share a workspace would have used with this request.
+    pub fn share_used(&self, workspace: Option<&WorkspaceName>, prompt: &Prompt) -> f64 {
+        let now = self.now();
+        workspace.map_or(0.0, |w| self.shares(|shares| shares.used(w, prompt.charge(), now)))
+    }
+
+    /// Counts a request that is refused for want of time at the engines, here and at the others.
+    pub fn refuse(&self, workspace: Option<&WorkspaceName>, prompt: &Prompt) {
+        let Some(workspace) = workspace.cloned() else { return };
+        let (now, tokens) = (self.now(), prompt.charge());
+        self.shares(|shares| shares.refuse(&workspace, tokens, now));
+        self.peers.tell(&Message::Refused { workspace, tokens });
+    }
+
+    fn shares<T>(&self, f: impl FnOnce(&mut Shares) -> T) -> T {
+        f(&mut self.inner.lock().expect("no panic under lock").shares)
+    }
+
     /// Counts a caller's request for the budget of repeats.
     pub fn count_request(&self, service: &ServiceName) {
         let now = self.now();
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -62,6 +62,17 @@
 /// Left of the time to stop when the process ends at the latest.
 const STOP_RESERVE: Duration = Duration::from_millis(400);
 
+/// How far a stop has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stop {
+    /// No stop is asked for.
+    No,
+    /// Nothing is kept open, but who comes is served.
+    Begun,
+    /// Nobody should come any more; what does is refused, since it might not end in time.
+    Late,
+}
+
 /// Why a proxy can't run.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -108,7 +119,7 @@
     let hub = Hub::new(&cfg, around.dialect, peers, figures, log.clone());
     info!(log, "started"; "callers" => %cfg.callers, "zone" => cfg.identity.zone.as_str());
 
-    let (stop, stopping) = watch::channel(false);
+    let (stop, stopping) = watch::channel(Stop::No);
     follow(&hub, &*around.directory);
     peers::start(&hub);
     tokio::spawn(tick(hub.clone()));
@@ -119,8 +130,7 @@
 
     signals.next().await;
     info!(log, "stopping"; "in_flight" => hub.in_flight());
-    let _ = stop.send(true);
-    drain(&hub, cfg.stop_within).await;
+    drain(&hub, &stop, cfg.stop_within).await;
     info!(log, "stopped"; "in_flight" => hub.in_flight());
     Ok(())
 }
@@ -153,11 +163,15 @@
 }
 
 /// Waits until all requests have ended and no new ones are to be expected, or time is up.
-async fn drain(hub: &Hub, within: Duration) {
+async fn drain(hub: &Hub, stop: &watch::Sender<Stop>, within: Duration) {
     let began = Instant::now();
+    let _ = stop.send(Stop::Begun);
     let last = within.saturating_sub(STOP_RESERVE);
     loop {
         tokio::time::sleep(TICK).await;
+        if STOP_MIN <= began.elapsed() {
+            let _ = stop.send(Stop::Late);
+        }
         let quiet = hub.in_flight() == 0 && STOP_MIN <= began.elapsed();
         if quiet || last <= began.elapsed() {
             return;
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -16,6 +16,7 @@
 
 use crate::names::BoxName;
 use crate::names::UpstreamName;
+use crate::names::WorkspaceName;
 use crate::names::ZoneName;
 use crate::proxy::dialect::Part;
 use crate::proxy::dialect::Prompt;
@@ -59,6 +60,15 @@
         prompt: ToldPrompt,
         /// Tokens of it that the sender believes must be read.
         unread: u32,
+        /// Whom it is charged to.
+        workspace: Option<WorkspaceName>,
+    },
+    /// A request has been refused for want of time at the engines.
+    Refused {
+        /// Whom it would have been charged to.
+        workspace: WorkspaceName,
+        /// What it would have been charged.
+        tokens: u64,
     },
     /// A request has given its first token.
     First {
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -57,6 +57,13 @@
 /// When to come back at the earliest after an overload.
 const OVERLOAD_RETRY_MIN: Duration = Duration::from_millis(100);
 
+/// Part of a route's aim that a request may wait for an engine; the rest is for reading the prompt
+/// and the first step.
+const WAIT_SHARE: f64 = 0.7;
+
+/// The same for a workspace that has had its fair share: it gets what the others leave.
+const WAIT_SHARE_OVER: f64 = 0.15;
+
 /// Longest answer of a plain service that is held until it is whole.
 const WHOLE_MAX: usize = 4 << 20;
 
@@ -245,9 +252,16 @@
             NoChoice::NoUpstream => Refusal::NoUpstream { retry_after: NO_UPSTREAM_RETRY },
             NoChoice::Full => Refusal::Overloaded { retry_after: NO_UPSTREAM_RETRY },
         })?;
-        let expected = self.arrived.elapsed() + choice.first_token;
-        if self.head.prompt.is_some() && self.route.aim < expected {
-            let retry_after = (expected - self.route.aim).max(OVERLOAD_RETRY_MIN);
+        // The wait is judged, not the time to the first token, so that long prompts are refused no
+        // more often than short ones.
+        let Some(prompt) = &self.head.prompt else { return Ok(choice) };
+        let used = self.hub.share_used(self.workspace.as_ref(), prompt);
+        let share = if used <= 1.0 { WAIT_SHARE } else { WAIT_SHARE_OVER };
+        let wait_max = self.route.aim.mul_f64(share);
+        let wait = choice.wait + self.arrived.elapsed();
+        if wait_max < wait {
+            self.hub.refuse(self.workspace.as_ref(), prompt);
+            let retry_after = (wait - wait_max).max(OVERLOAD_RETRY_MIN);
             return Err(Refusal::Overloaded { retry_after });
         }
         Ok(choice)
@@ -342,6 +356,7 @@
             left: self.deadline.saturating_duration_since(Instant::now()),
             workspace: self.workspace.as_ref().map(WorkspaceName::as_str),
             resume_after,
+            copy_from: choice.copy_from,
         };
         let mut req = Request::new(Full::new(self.body.clone()));
         *req.method_mut() = self.parts.method.clone();
@@ -357,9 +372,12 @@
         let name = format!("{}/{}", self.head.id, self.tried.len());
         info!(self.hub.log(), "placed"; "id" => &self.head.id, "route" => &self.route.name,
             "upstream" => choice.upstream.as_str(), "unread" => choice.unread,
+            "copied" => choice.copied, "running" => choice.running,
+            "running_tokens" => choice.running_tokens, "wait_ms" => choice.wait.as_millis() as u64,
             "expected_ms" => choice.first_token.as_millis() as u64,
             "version" => self.hub.version(), "try" => self.tried.len());
-        self.hub.place(choice, xxh3_64(name.as_bytes()), self.head.prompt.as_ref())
+        let prompt = self.head.prompt.as_ref();
+        self.hub.place(choice, xxh3_64(name.as_bytes()), prompt, self.workspace.as_ref())
     }
 
     /// Passes an answer on.
--- a/src/proxy/settings.rs
+++ b/src/proxy/settings.rs
@@ -10,9 +10,14 @@
 use crate::placement::engine::Pace;
 use crate::proxy::budget::Bounds;
 
-/// Prompt tokens that an engine reads in a millisecond while it serves others; the users' sheets
-/// say 51.1 for an engine that does nothing else.
-const TOKENS_PER_MS: f64 = 48.0;
+/// Prompt tokens that an engine reads in a millisecond, by the users' sheets.
+const TOKENS_PER_MS: f64 = 51.1;
+
+/// Time for a million pairs of tokens, by the users' sites.
+const PAIRS_US: u64 = 323;
+
+/// Time for a step with some requests running: 5.09 ms and a little for each, by the users' sheets.
+const STEP_MS: u64 = 6;
 
 /// Time from the end of reading to the first token; the users' sheets say 47 ms.
 const FIRST_STEP_MS: u64 = 50;
@@ -40,6 +45,8 @@
     pub stop_within: Duration,
     /// `[repeats]`: what the fleet may send again.
     pub repeats: Bounds,
+    /// `[shares] window-s`: over how long fair shares are counted.
+    pub share_window: Duration,
     /// `[engines]`: how fast engines read.
     pub pace: Pace,
     /// `[log]`.
@@ -64,8 +71,11 @@
             slack: rdr.optional("repeats", "slack", 0.0),
             window: Duration::from_secs_f64(rdr.optional("repeats", "window-s", 10.0)),
         },
+        share_window: Duration::from_secs_f64(rdr.optional("shares", "window-s", 4.0)),
         pace: Pace {
             tokens_per_ms: rdr.optional("engines", "tokens-per-ms", TOKENS_PER_MS),
+            pairs: Duration::from_micros(rdr.optional("engines", "pairs-us", PAIRS_US)),
+            step: Duration::from_millis(rdr.optional("engines", "step-ms", STEP_MS)),
             first_step: Duration::from_millis(rdr.optional(
                 "engines",
                 "first-step-ms",
--- a/src/proxy/side.rs
+++ b/src/proxy/side.rs
@@ -19,6 +19,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use crate::proxy::Stop;
 use crate::proxy::hub::Hub;
 use crate::proxy::view::Snapshot;
 use crate::proxy::view::View;
@@ -58,7 +59,7 @@
 }
 
 /// Tells the balancer whether this box serves, until the process ends.
-pub async fn serve_ready(listener: TcpListener, hub: Arc<Hub>, stopping: watch::Receiver<bool>) {
+pub async fn serve_ready(listener: TcpListener, hub: Arc<Hub>, stopping: watch::Receiver<Stop>) {
     let page = Arc::new(Ready { hub, stopping });
     web::serve(listener, 0, page, std::future::pending()).await;
 }
@@ -90,12 +91,12 @@
 
 struct Ready {
     hub: Arc<Hub>,
-    stopping: watch::Receiver<bool>,
+    stopping: watch::Receiver<Stop>,
 }
 
 impl Page for Ready {
     fn refuse(&self, _: &http::request::Parts) -> Option<Response<Bytes>> {
-        let ready = self.hub.read(View::is_ready) && !*self.stopping.borrow();
+        let ready = self.hub.read(View::is_ready) && *self.stopping.borrow() == Stop::No;
         let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         Some(empty(status))
     }
--- a/src/proxy/table.rs
+++ b/src/proxy/table.rs
@@ -76,6 +76,8 @@
     pub slots: u32,
     /// Tokens that its memory holds: cached prompts and running requests.
     pub memory_tokens: u64,
+    /// Tokens of a prompt's memory that it copies from another engine in a second.
+    pub copied_per_s: u64,
 }
 
 /// Whom a request is charged to.
