Copy prompts less often, believe engines to keep more, and make the weights settings

Change: copy-weight 16, cache-share 0.8, reading-share 0.8, copies from 400 tokens on; [engines] in the settings.

--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -7,48 +7,13 @@
 use rustc_hash::FxHashMap;
 
 use crate::placement::cache::PrefixCache;
+use crate::placement::tuning::Tuning;
 use crate::proxy::dialect::Prompt;
 use crate::proxy::table::EngineLimits;
 
-/// How fast engines read and answer; the same for all engines of a fleet.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Pace {
-    /// Prompt tokens read in a millisecond, while nothing else is done.
-    pub tokens_per_ms: f64,
-    /// Time for a million pairs of a token that is read and one that stands before it.
-    pub pairs: Duration,
-    /// Time for a step, of which each piece of a prompt takes one.
-    pub step: Duration,
-    /// Time from the end of reading to the first token, without any backlog.
-    pub first_step: Duration,
-}
-
-/// Tokens of a prompt that are read in one step.
-const PIECE: f64 = 4096.0;
-
-impl Pace {
-    /// Seconds that it takes to read `unread` tokens behind `kept` ones.
-    pub fn reading(&self, kept: u32, unread: u32) -> f64 {
-        let unread = f64::from(unread);
-        let pairs = unread * (f64::from(kept) + unread / 2.0) / 1e6;
-        unread / self.tokens_per_ms / 1000.0
-            + pairs * self.pairs.as_secs_f64()
-            + (unread / PIECE).ceil() * self.step.as_secs_f64()
-    }
-}
-
-/// Part of an engine's memory that is believed to be left to cached prompts. Running requests take
-/// the rest.
-const CACHE_SHARE: f64 = 0.6;
-
 /// A request whose end isn't heard of is forgotten after this: longer than any is held.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(20);
 
-/// Part of its time that an engine may spend on reading prompts, over longer times. While it reads
-/// a piece, those that run get one token in the time of a dozen; without a pause in which they go
-/// on they would not end before their deadlines.
-const READING_SHARE: f64 = 0.85;
-
 /// Time to begin a copy from another engine; the users' sheets say 3.3 ms.
 const COPY_SETUP: Duration = Duration::from_millis(4);
 
@@ -90,8 +55,8 @@
 
 impl Engine {
     /// An engine that is believed to be idle and empty.
-    pub fn new(limits: EngineLimits) -> Engine {
-        let capacity = (limits.memory_tokens as f64 * CACHE_SHARE) as u64;
+    pub fn new(limits: EngineLimits, tuning: Tuning) -> Engine {
+        let capacity = (limits.memory_tokens as f64 * tuning.cache_share) as u64;
         Engine {
             limits,
             cache: PrefixCache::new(capacity),
@@ -117,12 +82,13 @@
 
     /// How long a request has to wait here: for what is still to be read, and for the pause
     /// between prompts that running requests need to go on.
-    pub fn wait(&self, now: Duration) -> Duration {
-        self.backlog(now).max(Duration::from_secs_f64(self.load(now) / READING_SHARE))
+    pub fn wait(&self, tuning: Tuning, now: Duration) -> Duration {
+        self.backlog(now)
+            .max(Duration::from_secs_f64(self.load(tuning, now) / tuning.reading_share))
     }
 
-    fn load(&self, now: Duration) -> f64 {
-        let drained = now.saturating_sub(self.load_at).as_secs_f64() * READING_SHARE;
+    fn load(&self, tuning: Tuning, now: Duration) -> f64 {
+        let drained = now.saturating_sub(self.load_at).as_secs_f64() * tuning.reading_share;
         (self.load - drained).max(0.0)
     }
 
@@ -156,9 +122,16 @@
     }
 
     /// Notes that a request is sent there.
-    pub fn place(&mut self, request: u64, prompt: &Prompt, unread: u32, pace: Pace, now: Duration) {
-        let seconds = pace.reading(prompt.tokens.saturating_sub(unread), unread);
-        self.load = self.load(now) + seconds;
+    pub fn place(
+        &mut self,
+        request: u64,
+        prompt: &Prompt,
+        unread: u32,
+        tuning: Tuning,
+        now: Duration,
+    ) {
+        let seconds = tuning.reading(prompt.tokens.saturating_sub(unread), unread);
+        self.load = self.load(tuning, now) + seconds;
         self.load_at = now;
         let tokens = u64::from(prompt.tokens) + u64::from(prompt.written_max);
         self.cache.read(&prompt.parts);
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -9,20 +9,13 @@
 use crate::names::UpstreamName;
 use crate::names::ZoneName;
 use crate::placement::engine::Engine;
-use crate::placement::engine::Pace;
+use crate::placement::tuning::Tuning;
 use crate::proxy::dialect::Listed;
 use crate::proxy::dialect::Prompt;
 use crate::proxy::table::EngineLimits;
 
-/// How much more than its time a token that must be read counts, since reading it keeps the engine
-/// from others.
-const READ_WEIGHT: f64 = 2.0;
-
-/// How much more than its time a copy between engines counts, since it is charged for.
-const COPY_WEIGHT: f64 = 2.0;
-
-/// Fewest tokens that are worth a copy: those that are read in the time of its setup, tenfold.
-const COPY_MIN: u32 = 2000;
+/// Fewest tokens that are worth a copy: twice those that are read in the time of its setup.
+const COPY_MIN: u32 = 400;
 
 /// Preference for an upstream in the own zone: bytes between zones are charged for.
 const ZONE_LEAD: Duration = Duration::from_millis(4);
@@ -124,15 +117,15 @@
 #[derive(Debug)]
 pub struct Fleet {
     zone: ZoneName,
-    pace: Pace,
+    tuning: Tuning,
     upstreams: BTreeMap<UpstreamName, Upstream>,
     by_service: FxHashMap<ServiceName, Vec<UpstreamName>>,
 }
 
 impl Fleet {
     /// Nothing is known yet.
-    pub fn new(zone: ZoneName, pace: Pace) -> Fleet {
-        Fleet { zone, pace, upstreams: BTreeMap::new(), by_service: FxHashMap::default() }
+    pub fn new(zone: ZoneName, tuning: Tuning) -> Fleet {
+        Fleet { zone, tuning, upstreams: BTreeMap::new(), by_service: FxHashMap::default() }
     }
 
     /// Takes over an upstream that is new or has changed. `limits` where it is an engine.
@@ -140,14 +133,14 @@
         if let Some(known) = self.upstreams.get_mut(&listed.name) {
             known.listed = listed;
             if known.engine.is_none() {
-                known.engine = limits.map(Engine::new);
+                known.engine = limits.map(|l| Engine::new(l, self.tuning));
             }
             return;
         }
         let of_service = self.by_service.entry(listed.service.clone()).or_default();
         of_service.push(listed.name.clone());
         let upstream = Upstream {
-            engine: limits.map(Engine::new),
+            engine: limits.map(|l| Engine::new(l, self.tuning)),
             outstanding: 0,
             answer_time: 0.0,
             failures: 0,
@@ -191,11 +184,11 @@
         let source = wanted.prompt.and_then(|prompt| source(&usable, prompt));
         let with_room = usable.iter().filter(|u| u.has_room(wanted.prompt));
         let best = with_room
-            .map(|u| (u, u.plan(wanted.prompt, source, self.pace, now)))
-            .map(|(u, plan)| (u.cost(plan.as_ref(), &self.zone), u, plan))
+            .map(|u| (u, u.plan(wanted.prompt, source, self.tuning, now)))
+            .map(|(u, plan)| (u.cost(plan.as_ref(), self.tuning, &self.zone), u, plan))
             .min_by(|a, b| a.0.total_cmp(&b.0));
         let Some((_, upstream, plan)) = best else { return Err(NoChoice::Full) };
-        Ok(upstream.choice(plan, self.pace))
+        Ok(upstream.choice(plan, self.tuning))
     }
 
     /// Notes a request that this box or another sends to an upstream.
@@ -207,9 +200,9 @@
         unread: u32,
         now: Duration,
     ) {
-        let pace = self.pace;
+        let tuning = self.tuning;
         if let Some(engine) = self.engine(name) {
-            engine.place(request, prompt, unread, pace, now);
+            engine.place(request, prompt, unread, tuning, now);
         }
     }
 
@@ -285,7 +278,7 @@
         &self,
         prompt: Option<&Prompt>,
         source: Option<Source>,
-        pace: Pace,
+        tuning: Tuning,
         now: Duration,
     ) -> Option<Plan> {
         let (engine, prompt) = self.engine.as_ref().zip(prompt)?;
@@ -294,9 +287,9 @@
         let copied = if gain < COPY_MIN { 0 } else { gain };
         let unread = prompt.tokens - kept - copied;
         Some(Plan {
-            wait: engine.wait(now),
+            wait: engine.wait(tuning, now),
             unread,
-            reading: pace.reading(kept + copied, unread),
+            reading: tuning.reading(kept + copied, unread),
             copied,
             copy_time: if copied == 0 { Duration::ZERO } else { engine.copy_time(copied) },
             copy_from: source.filter(|_| copied != 0).map(|s| s.addr),
@@ -304,19 +297,19 @@
     }
 
     /// What sending a request here costs, in seconds: less is better.
-    fn cost(&self, plan: Option<&Plan>, zone: &ZoneName) -> f64 {
+    fn cost(&self, plan: Option<&Plan>, tuning: Tuning, zone: &ZoneName) -> f64 {
         let lead = if self.listed.zone == *zone { ZONE_LEAD.as_secs_f64() } else { 0.0 };
         let Some(plan) = plan else {
             return self.answer_time * f64::from(1 + self.outstanding) - lead;
         };
         let reading = plan.reading;
         let copying = plan.copy_time.as_secs_f64();
-        plan.wait.as_secs_f64() + reading * READ_WEIGHT + copying * COPY_WEIGHT - lead
+        plan.wait.as_secs_f64() + reading * tuning.read_weight + copying * tuning.copy_weight - lead
     }
 
-    fn choice(&self, plan: Option<Plan>, pace: Pace) -> Choice {
+    fn choice(&self, plan: Option<Plan>, tuning: Tuning) -> Choice {
         let first_token = plan.as_ref().map_or(Duration::ZERO, |p| {
-            p.wait + p.copy_time + Duration::from_secs_f64(p.reading) + pace.first_step
+            p.wait + p.copy_time + Duration::from_secs_f64(p.reading) + tuning.first_step
         });
         Choice {
             upstream: self.listed.name.clone(),
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -5,3 +5,4 @@
 pub mod engine;
 pub mod fleet;
 pub mod share;
+pub mod tuning;
--- /dev/null
+++ b/src/placement/tuning.rs
@@ -0,0 +1,65 @@
+//! What the models and the choice among engines depend on.
+
+use std::time::Duration;
+
+/// Tokens of a prompt that are read in one step.
+const PIECE: f64 = 4096.0;
+
+/// How fast engines are, and how what a choice costs is weighed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tuning {
+    /// Prompt tokens read in a millisecond, while nothing else is done.
+    pub tokens_per_ms: f64,
+    /// Time for a million pairs of a token that is read and one that stands before it.
+    pub pairs: Duration,
+    /// Time for a step, of which each piece of a prompt takes one.
+    pub step: Duration,
+    /// Time from the end of reading to the first token, without any backlog.
+    pub first_step: Duration,
+    /// Part of its time that an engine may spend on reading prompts, over longer times. While it
+    /// reads a piece, those that run get one token in the time of a dozen; without a pause in which
+    /// they go on they would not end before their deadlines.
+    pub reading_share: f64,
+    /// Part of an engine's memory that is believed to be left to cached prompts. Running requests
+    /// take the rest.
+    pub cache_share: f64,
+    /// How much more than its time a token that must be read counts, since reading it keeps the
+    /// engine from others, and shared parts that are read again are charged for.
+    pub read_weight: f64,
+    /// How much more than its time a copy between engines counts, since it is charged for.
+    pub copy_weight: f64,
+    /// Part of a route's aim that a request may wait for an engine; the rest is for reading the
+    /// prompt and the first step.
+    pub wait_share: f64,
+    /// The same for a workspace that has had its fair share: it gets what the others leave.
+    pub wait_share_over: f64,
+}
+
+impl Tuning {
+    /// Seconds that it takes to read `unread` tokens behind `kept` ones.
+    pub fn reading(&self, kept: u32, unread: u32) -> f64 {
+        let unread = f64::from(unread);
+        let pairs = unread * (f64::from(kept) + unread / 2.0) / 1e6;
+        unread / self.tokens_per_ms / 1000.0
+            + pairs * self.pairs.as_secs_f64()
+            + (unread / PIECE).ceil() * self.step.as_secs_f64()
+    }
+}
+
+impl Default for Tuning {
+    /// The engines of the users' sheets; the weights were chosen by measurement (docs/DESIGN.md).
+    fn default() -> Tuning {
+        Tuning {
+            tokens_per_ms: 51.1,
+            pairs: Duration::from_micros(323),
+            step: Duration::from_millis(6),
+            first_step: Duration::from_millis(50),
+            reading_share: 0.8,
+            cache_share: 0.8,
+            read_weight: 2.0,
+            copy_weight: 16.0,
+            wait_share: 0.7,
+            wait_share_over: 0.15,
+        }
+    }
+}
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -21,6 +21,7 @@
 use crate::placement::fleet::NoChoice;
 use crate::placement::fleet::Wanted;
 use crate::placement::share::Shares;
+use crate::placement::tuning::Tuning;
 use crate::proxy::budget::Budget;
 use crate::proxy::dialect::Dialect;
 use crate::proxy::dialect::News;
@@ -51,6 +52,7 @@
     figures: Figures,
     log: Logger,
     in_flight: Arc<AtomicUsize>,
+    tuning: Tuning,
 }
 
 /// Counts a request while it is served.
@@ -78,7 +80,7 @@
         figures: Figures,
         log: Logger,
     ) -> Arc<Hub> {
-        let fleet = Fleet::new(cfg.identity.zone.clone(), cfg.pace);
+        let fleet = Fleet::new(cfg.identity.zone.clone(), cfg.tuning);
         let inner = Inner {
             view: View::new(fleet),
             budget: Budget::new(cfg.repeats),
@@ -93,6 +95,7 @@
             figures,
             log,
             in_flight: Arc::default(),
+            tuning: cfg.tuning,
         })
     }
 
@@ -127,6 +130,11 @@
         &self.figures
     }
 
+    /// How choices are weighed.
+    pub fn tuning(&self) -> Tuning {
+        self.tuning
+    }
+
     /// The log.
     pub fn log(&self) -> &Logger {
         &self.log
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -57,13 +57,6 @@
 /// When to come back at the earliest after an overload.
 const OVERLOAD_RETRY_MIN: Duration = Duration::from_millis(100);
 
-/// Part of a route's aim that a request may wait for an engine; the rest is for reading the prompt
-/// and the first step.
-const WAIT_SHARE: f64 = 0.7;
-
-/// The same for a workspace that has had its fair share: it gets what the others leave.
-const WAIT_SHARE_OVER: f64 = 0.15;
-
 /// Longest answer of a plain service that is held until it is whole.
 const WHOLE_MAX: usize = 4 << 20;
 
@@ -255,8 +248,9 @@
         // The wait is judged, not the time to the first token, so that long prompts are refused no
         // more often than short ones.
         let Some(prompt) = &self.head.prompt else { return Ok(choice) };
+        let tuning = self.hub.tuning();
         let used = self.hub.share_used(self.workspace.as_ref(), prompt);
-        let share = if used <= 1.0 { WAIT_SHARE } else { WAIT_SHARE_OVER };
+        let share = if used <= 1.0 { tuning.wait_share } else { tuning.wait_share_over };
         let wait_max = self.route.aim.mul_f64(share);
         let wait = choice.wait + self.arrived.elapsed();
         if wait_max < wait {
@@ -371,7 +365,9 @@
     fn place(&self, choice: &Choice) -> Placed {
         let name = format!("{}/{}", self.head.id, self.tried.len());
         info!(self.hub.log(), "placed"; "id" => &self.head.id, "route" => &self.route.name,
-            "upstream" => choice.upstream.as_str(), "unread" => choice.unread,
+            "upstream" => choice.upstream.as_str(), "prompt" => self.head.prompt.as_ref().map_or(0, |p| p.tokens),
+            "own" => self.head.prompt.as_ref().and_then(|p| p.parts.last()).map_or(0, |p| p.tokens),
+            "unread" => choice.unread,
             "copied" => choice.copied, "running" => choice.running,
             "running_tokens" => choice.running_tokens, "wait_ms" => choice.wait.as_millis() as u64,
             "expected_ms" => choice.first_token.as_millis() as u64,
--- a/src/proxy/settings.rs
+++ b/src/proxy/settings.rs
@@ -7,21 +7,9 @@
 use crate::config::settings;
 use crate::config::settings::Error;
 use crate::config::settings::Reader;
-use crate::placement::engine::Pace;
+use crate::placement::tuning::Tuning;
 use crate::proxy::budget::Bounds;
 
-/// Prompt tokens that an engine reads in a millisecond, by the users' sheets.
-const TOKENS_PER_MS: f64 = 51.1;
-
-/// Time for a million pairs of tokens, by the users' sites.
-const PAIRS_US: u64 = 323;
-
-/// Time for a step with some requests running: 5.09 ms and a little for each, by the users' sheets.
-const STEP_MS: u64 = 6;
-
-/// Time from the end of reading to the first token; the users' sheets say 47 ms.
-const FIRST_STEP_MS: u64 = 50;
-
 /// Settings of the proxy.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -47,8 +35,8 @@
     pub repeats: Bounds,
     /// `[shares] window-s`: over how long fair shares are counted.
     pub share_window: Duration,
-    /// `[engines]`: how fast engines read.
-    pub pace: Pace,
+    /// `[engines]`: how fast engines are, and how a choice among them is weighed.
+    pub tuning: Tuning,
     /// `[log]`.
     pub log: settings::Log,
 }
@@ -72,21 +60,31 @@
             window: Duration::from_secs_f64(rdr.optional("repeats", "window-s", 10.0)),
         },
         share_window: Duration::from_secs_f64(rdr.optional("shares", "window-s", 4.0)),
-        pace: Pace {
-            tokens_per_ms: rdr.optional("engines", "tokens-per-ms", TOKENS_PER_MS),
-            pairs: Duration::from_micros(rdr.optional("engines", "pairs-us", PAIRS_US)),
-            step: Duration::from_millis(rdr.optional("engines", "step-ms", STEP_MS)),
-            first_step: Duration::from_millis(rdr.optional(
-                "engines",
-                "first-step-ms",
-                FIRST_STEP_MS,
-            )),
-        },
+        tuning: tuning(&mut rdr),
         log: rdr.log(),
     };
     rdr.finish(settings)
 }
 
+fn tuning(rdr: &mut Reader) -> Tuning {
+    let usual = Tuning::default();
+    let mut number = |key, usual| rdr.optional("engines", key, usual);
+    let millis = |d: Duration| d.as_secs_f64() * 1e3;
+    let time = |ms: f64| Duration::from_secs_f64(ms.max(0.0) / 1e3);
+    Tuning {
+        tokens_per_ms: number("tokens-per-ms", usual.tokens_per_ms),
+        pairs: time(number("pairs-ms", millis(usual.pairs))),
+        step: time(number("step-ms", millis(usual.step))),
+        first_step: time(number("first-step-ms", millis(usual.first_step))),
+        reading_share: number("reading-share", usual.reading_share),
+        cache_share: number("cache-share", usual.cache_share),
+        read_weight: number("read-weight", usual.read_weight),
+        copy_weight: number("copy-weight", usual.copy_weight),
+        wait_share: number("wait-share", usual.wait_share),
+        wait_share_over: number("wait-share-over", usual.wait_share_over),
+    }
+}
+
 fn seeds(rdr: &mut Reader) -> Vec<SocketAddr> {
     let text: String = rdr.optional("peers", "seeds", String::new());
     let mut seeds = Vec::new();
--- a/tests/proxy_view.rs
+++ b/tests/proxy_view.rs
@@ -5,20 +5,13 @@
 use frostdyke::names::ServiceName;
 use frostdyke::names::UpstreamName;
 use frostdyke::names::ZoneName;
-use frostdyke::placement::engine::Pace;
 use frostdyke::placement::fleet::Fleet;
+use frostdyke::placement::tuning::Tuning;
 use frostdyke::proxy::dialect::Listed;
 use frostdyke::proxy::view::Change;
 use frostdyke::proxy::view::Snapshot;
 use frostdyke::proxy::view::View;
 
-const PACE: Pace = Pace {
-    tokens_per_ms: 50.0,
-    pairs: Duration::ZERO,
-    step: Duration::ZERO,
-    first_step: Duration::from_millis(50),
-};
-
 fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -36,7 +29,7 @@
 
 /// A view that sees the store, which lists `a` and `b`.
 fn view() -> View {
-    let mut view = View::new(Fleet::new(ZoneName::from("a"), PACE));
+    let mut view = View::new(Fleet::new(ZoneName::from("a"), Tuning::default()));
     view.store_regained(millis(0));
     view.list(vec![upstream("a"), upstream("b")], millis(0));
     view.take_changes();
