Send shared parts home by hash; look for upstreams before they get work again

Change: among engines that keep nothing of a prompt, the one first by rendezvous hashing of its last shared part has a lead of 40 ms; a failed connection is told to all boxes, which try one themselves before they send work there.

--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -13,6 +13,7 @@
 use crate::proxy::dialect::Listed;
 use crate::proxy::dialect::Prompt;
 use crate::proxy::table::EngineLimits;
+use crate::util;
 
 /// Fewest tokens that are worth a copy: twice those that are read in the time of its setup.
 const COPY_MIN: u32 = 400;
@@ -20,6 +21,10 @@
 /// Preference for an upstream in the own zone: bytes between zones are charged for.
 const ZONE_LEAD: Duration = Duration::from_millis(4);
 
+/// Preference for the engine to which a prompt's shared parts belong by their hash, so that boxes
+/// that know nothing yet, or not of each other's requests, send them to the same engine.
+const HOME_LEAD: Duration = Duration::from_millis(40);
+
 /// How long an upstream that failed is left alone at first; doubled with each failure in a row.
 const REST_FIRST: Duration = Duration::from_millis(400);
 
@@ -73,6 +78,8 @@
     copied: u32,
     copy_time: Duration,
     copy_from: Option<std::net::SocketAddr>,
+    /// Whether the prompt's shared parts belong here by their hash.
+    is_home: bool,
 }
 
 /// The engine that keeps the most of a prompt.
@@ -111,6 +118,8 @@
     answer_time: f64,
     failures: u32,
     rests_until: Duration,
+    /// Whether no connection to it could be made; it gets no work until one can.
+    unreachable: bool,
 }
 
 /// All upstreams that this box knows.
@@ -145,6 +154,7 @@
             answer_time: 0.0,
             failures: 0,
             rests_until: Duration::ZERO,
+            unreachable: false,
             listed,
         };
         self.upstreams.insert(upstream.listed.name.clone(), upstream);
@@ -182,9 +192,10 @@
             return Err(NoChoice::NoUpstream);
         }
         let source = wanted.prompt.and_then(|prompt| source(&usable, prompt));
+        let home = wanted.prompt.and_then(|prompt| home(&usable, prompt));
         let with_room = usable.iter().filter(|u| u.has_room(wanted.prompt));
         let best = with_room
-            .map(|u| (u, u.plan(wanted.prompt, source, self.tuning, now)))
+            .map(|u| (u, u.plan(wanted.prompt, source, home, self.tuning, now)))
             .map(|(u, plan)| (u.cost(plan.as_ref(), self.tuning, &self.zone), u, plan))
             .min_by(|a, b| a.0.total_cmp(&b.0));
         let Some((_, upstream, plan)) = best else { return Err(NoChoice::Full) };
@@ -243,6 +254,18 @@
         }
     }
 
+    /// Notes that no connection to an upstream can be made, or that one can again. True when this
+    /// is new.
+    pub fn set_unreachable(&mut self, name: &UpstreamName, unreachable: bool) -> bool {
+        let Some(upstream) = self.upstreams.get_mut(name) else { return false };
+        std::mem::replace(&mut upstream.unreachable, unreachable) != unreachable
+    }
+
+    /// Upstreams to which no connection can be made.
+    pub fn unreachable(&self) -> impl Iterator<Item = &Listed> {
+        self.upstreams.values().filter(|u| u.unreachable).map(|u| &u.listed)
+    }
+
     /// Forgets what is too old to be true.
     pub fn tick(&mut self, now: Duration) {
         self.upstreams.values_mut().filter_map(|u| u.engine.as_mut()).for_each(|e| e.tick(now));
@@ -260,7 +283,8 @@
             .filter_map(|n| self.upstreams.get(n))
             .filter(|u| !u.listed.leaving && !wanted.except.contains(&u.listed.name))
             .collect();
-        let awake: Vec<&Upstream> = open.iter().copied().filter(|u| u.rests_until <= now).collect();
+        let awake: Vec<&Upstream> =
+            open.iter().copied().filter(|u| u.rests_until <= now && !u.unreachable).collect();
         if awake.is_empty() { open } else { awake }
     }
 }
@@ -278,6 +302,7 @@
         &self,
         prompt: Option<&Prompt>,
         source: Option<Source>,
+        home: Option<&UpstreamName>,
         tuning: Tuning,
         now: Duration,
     ) -> Option<Plan> {
@@ -293,15 +318,19 @@
             copied,
             copy_time: if copied == 0 { Duration::ZERO } else { engine.copy_time(copied) },
             copy_from: source.filter(|_| copied != 0).map(|s| s.addr),
+            is_home: home.is_some_and(|home| *home == self.listed.name),
         })
     }
 
     /// What sending a request here costs, in seconds: less is better.
     fn cost(&self, plan: Option<&Plan>, tuning: Tuning, zone: &ZoneName) -> f64 {
-        let lead = if self.listed.zone == *zone { ZONE_LEAD.as_secs_f64() } else { 0.0 };
+        let mut lead = if self.listed.zone == *zone { ZONE_LEAD.as_secs_f64() } else { 0.0 };
         let Some(plan) = plan else {
             return self.answer_time * f64::from(1 + self.outstanding) - lead;
         };
+        if plan.is_home {
+            lead += HOME_LEAD.as_secs_f64();
+        }
         let reading = plan.reading;
         let copying = plan.copy_time.as_secs_f64();
         plan.wait.as_secs_f64() + reading * tuning.read_weight + copying * tuning.copy_weight - lead
@@ -349,3 +378,11 @@
     };
     upstreams.iter().filter_map(kept).max_by_key(|s| s.kept)
 }
+
+/// The engine to which the shared parts of a prompt belong, by rendezvous hashing of the last of
+/// them. The very last part is the request's own.
+fn home<'a>(upstreams: &[&'a Upstream], prompt: &Prompt) -> Option<&'a UpstreamName> {
+    let [.., shared, _] = &prompt.parts[..] else { return None };
+    let key = format!("{:x}", shared.id);
+    util::rendezvous(&key, upstreams.iter().map(|u| &u.listed.name))
+}
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -10,6 +10,7 @@
 use slog::Logger;
 use slog::info;
 use slog::warn;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::names::ServiceName;
@@ -24,6 +25,7 @@
 use crate::placement::tuning::Tuning;
 use crate::proxy::budget::Budget;
 use crate::proxy::dialect::Dialect;
+use crate::proxy::dialect::Listed;
 use crate::proxy::dialect::News;
 use crate::proxy::dialect::Prompt;
 use crate::proxy::figures::Figures;
@@ -39,6 +41,9 @@
 /// Connections to one upstream that every box may have, however many boxes there are.
 const CONNECTIONS_MIN: u32 = 4;
 
+/// Time between tries to connect to an upstream that can't be reached.
+const LOOK_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Part of an upstream's connections that all boxes use together.
 const CONNECTIONS_SHARE: f64 = 0.9;
 
@@ -53,6 +58,7 @@
     log: Logger,
     in_flight: Arc<AtomicUsize>,
     tuning: Tuning,
+    look: Notify,
 }
 
 /// Counts a request while it is served.
@@ -96,6 +102,7 @@
             log,
             in_flight: Arc::default(),
             tuning: cfg.tuning,
+            look: Notify::new(),
         })
     }
 
@@ -224,6 +231,10 @@
             Message::Ended { upstream, request } => {
                 self.fleet(|fleet| fleet.end(&upstream, request));
             }
+            Message::Unreachable { upstream } => {
+                self.fleet(|fleet| fleet.set_unreachable(&upstream, true));
+                self.look.notify_one();
+            }
             Message::Leaving { upstream } => {
                 self.change(|view, _| view.told_leaving(&upstream));
             }
@@ -307,6 +318,37 @@
         (part as u32).max(CONNECTIONS_MIN)
     }
 
+    /// Notes that no connection to an upstream can be made, here and at the other boxes.
+    pub fn unreachable(&self, upstream: &UpstreamName) {
+        if self.fleet(|fleet| fleet.set_unreachable(upstream, true)) {
+            info!(self.log, "upstream unreachable"; "name" => upstream.as_str());
+            self.peers.tell(&Message::Unreachable { upstream: upstream.clone() });
+            self.look.notify_one();
+        }
+    }
+
+    /// Tries to connect to upstreams that can't be reached, until the process ends.
+    pub async fn look_for_upstreams(&self) {
+        loop {
+            tokio::select! {
+                () = self.look.notified() => {}
+                () = tokio::time::sleep(LOOK_INTERVAL) => {}
+            }
+            let lost: Vec<Listed> = self.read(|v| v.fleet().unreachable().cloned().collect());
+            let looks = lost.into_iter().map(|listed| self.look_for(listed));
+            futures_util::future::join_all(looks).await;
+        }
+    }
+
+    async fn look_for(&self, listed: Listed) {
+        if self.links.warm(listed.addr).await.is_err() {
+            return;
+        }
+        if self.fleet(|fleet| fleet.set_unreachable(&listed.name, false)) {
+            info!(self.log, "upstream reachable"; "name" => listed.name.as_str());
+        }
+    }
+
     fn fleet<T>(&self, f: impl FnOnce(&mut Fleet) -> T) -> T {
         f(self.inner.lock().expect("no panic under lock").view.fleet_mut())
     }
--- a/src/proxy/link.rs
+++ b/src/proxy/link.rs
@@ -27,7 +27,7 @@
 
 /// How long sent bytes may stay unacknowledged, and a silent peer unanswering, before the
 /// connection counts as dead.
-const PEER_TIMEOUT: Duration = Duration::from_millis(1500);
+const PEER_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// Time between probes of a silent connection.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
@@ -172,6 +172,13 @@
         Ok((resp, lease))
     }
 
+    /// Makes a connection and keeps it for the next request.
+    pub async fn warm(self: &Arc<Links>, addr: SocketAddr) -> Result<(), Error> {
+        let conn = self.connect(addr, u32::MAX).await?;
+        drop(self.put(addr, conn));
+        Ok(())
+    }
+
     /// Closes what has rested for too long, and all to upstreams that are no more.
     pub fn tick(&self, is_known: impl Fn(&SocketAddr) -> bool) {
         let mut old = Vec::new();
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -123,6 +123,8 @@
     follow(&hub, &*around.directory);
     peers::start(&hub);
     tokio::spawn(tick(hub.clone()));
+    let looking = hub.clone();
+    tokio::spawn(async move { looking.look_for_upstreams().await });
     tokio::spawn(reload(hub.clone(), path));
     tokio::spawn(side::serve_ready(ready, hub.clone(), stopping.clone()));
     tokio::spawn(side::serve_peers(peer_port, hub.clone()));
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -84,6 +84,11 @@
         /// Names the send.
         request: u64,
     },
+    /// No connection to an upstream can be made; others should try before they send it work.
+    Unreachable {
+        /// The upstream.
+        upstream: UpstreamName,
+    },
     /// The store says that an upstream leaves or is gone.
     Leaving {
         /// The upstream.
--- a/src/proxy/pump.rs
+++ b/src/proxy/pump.rs
@@ -76,6 +76,9 @@
                 self.finish(end).await;
                 return;
             }
+            if end == End::Broken {
+                self.run.hub.unreachable(placed.upstream());
+            }
             placed.close((end == End::Broken).then_some(Health::Broken));
             close(lease);
             let next = if end == End::Broken { self.resume().await } else { None };
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -274,14 +274,17 @@
             Ok(answer) => answer,
             Err(e) if e.is_unsent() => {
                 // Our own limit says nothing about the upstream.
-                let health = (!matches!(e, link::Error::NoneFree)).then_some(Health::Broken);
-                placed.close(health);
+                if !matches!(e, link::Error::NoneFree) {
+                    self.hub.unreachable(&choice.upstream);
+                }
+                placed.close(None);
                 return Sent::Unsent(e);
             }
             Err(e) => {
                 self.sends += 1;
                 debug!(self.hub.log(), "no answer"; "id" => &self.head.id,
                     "upstream" => choice.upstream.as_str(), "error" => %e);
+                self.hub.unreachable(&choice.upstream);
                 placed.close(Some(Health::Broken));
                 return Sent::Unsure(None);
             }
