Learn at the start what engines keep, from another box or from the engines

Cause: a box that starts believes all engines empty, takes every prompt for unread, and refuses or spreads what would have been quick. Change: a new box takes over what a warm box believes; where none is warm, the first of those alive asks the engines once (a call that holds them up, so at starts only).

--- a/src/placement/cache.rs
+++ b/src/placement/cache.rs
@@ -45,6 +45,14 @@
         self.evict();
     }
 
+    /// All parts, those unused longest first.
+    pub fn parts(&self) -> Vec<Part> {
+        let mut by_age: Vec<(u64, Part)> =
+            self.parts.iter().map(|(id, e)| (e.used, Part { id: *id, tokens: e.tokens })).collect();
+        by_age.sort_unstable_by_key(|(used, _)| *used);
+        by_age.into_iter().map(|(_, part)| part).collect()
+    }
+
     /// Forgets everything.
     pub fn clear(&mut self) {
         self.parts.clear();
--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -8,6 +8,7 @@
 
 use crate::placement::cache::PrefixCache;
 use crate::placement::tuning::Tuning;
+use crate::proxy::dialect::Part;
 use crate::proxy::dialect::Prompt;
 use crate::proxy::table::EngineLimits;
 
@@ -142,6 +143,19 @@
         self.run_tokens += tokens;
     }
 
+    /// What it is believed to keep, for a box that knows nothing yet.
+    pub fn parts(&self) -> Vec<Part> {
+        self.cache.parts()
+    }
+
+    /// Takes over what it is said to keep, the parts unused longest first. What was read since is
+    /// newer.
+    pub fn keep(&mut self, parts: &[Part]) {
+        let newer = self.cache.parts();
+        self.cache.read(&reversed(parts));
+        self.cache.read(&reversed(&newer));
+    }
+
     /// Notes that a request has given its first token.
     pub fn first(&mut self, request: u64, now: Duration) {
         if let Some(at) = self.reading.iter().position(|r| r.request == request) {
@@ -169,3 +183,8 @@
         }
     }
 }
+
+/// The cache takes the parts of a prompt, which it marks from the last to the first.
+fn reversed(parts: &[Part]) -> Vec<Part> {
+    parts.iter().rev().copied().collect()
+}
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
@@ -11,6 +13,7 @@
 use crate::placement::engine::Engine;
 use crate::placement::tuning::Tuning;
 use crate::proxy::dialect::Listed;
+use crate::proxy::dialect::Part;
 use crate::proxy::dialect::Prompt;
 use crate::proxy::table::EngineLimits;
 use crate::util;
@@ -68,6 +71,15 @@
     pub running_tokens: u64,
 }
 
+/// What an engine is believed to keep.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Kept {
+    /// The engine.
+    pub upstream: UpstreamName,
+    /// Parts of prompts, those unused longest first.
+    pub parts: Vec<Part>,
+}
+
 /// How an engine would come by a prompt.
 #[derive(Clone, Copy, Debug)]
 struct Plan {
@@ -231,6 +243,26 @@
         }
     }
 
+    /// What each engine is believed to keep.
+    pub fn kept(&self) -> Vec<Kept> {
+        let kept = |u: &Upstream| {
+            Some(Kept { upstream: u.listed.name.clone(), parts: u.engine.as_ref()?.parts() })
+        };
+        self.upstreams.values().filter_map(kept).collect()
+    }
+
+    /// Takes over what an engine is said to keep.
+    pub fn keep(&mut self, kept: &Kept) {
+        if let Some(engine) = self.engine(&kept.upstream) {
+            engine.keep(&kept.parts);
+        }
+    }
+
+    /// Engines that are in use.
+    pub fn engines(&self) -> impl Iterator<Item = &Listed> {
+        self.upstreams.values().filter(|u| u.engine.is_some()).map(|u| &u.listed)
+    }
+
     /// Counts a request of this box in.
     pub fn sent(&mut self, name: &UpstreamName) {
         if let Some(upstream) = self.upstreams.get_mut(name) {
--- a/src/proxy/dialect.rs
+++ b/src/proxy/dialect.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::BoxFuture;
 use http::HeaderMap;
 use http::StatusCode;
 use http::request;
@@ -146,6 +147,17 @@
     Regained,
 }
 
+/// Why an engine can't be asked what it keeps.
+#[derive(Debug, thiserror::Error)]
+#[error("the engine was not asked: {0}")]
+pub struct NotAsked(pub String);
+
+/// Calls to engines beside requests.
+pub trait Engines: Send + Sync {
+    /// The parts of prompts that the engine at `addr` keeps, in no order.
+    fn kept(&self, addr: std::net::SocketAddr) -> BoxFuture<'static, Result<Vec<Part>, NotAsked>>;
+}
+
 /// The store that holds the configuration and the list of upstreams.
 pub trait Directory: Send + Sync {
     /// Follows both until the receiver is gone. Needs a runtime.
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -19,6 +19,7 @@
 use crate::placement::fleet::Choice;
 use crate::placement::fleet::Fleet;
 use crate::placement::fleet::Health;
+use crate::placement::fleet::Kept;
 use crate::placement::fleet::NoChoice;
 use crate::placement::fleet::Wanted;
 use crate::placement::share::Shares;
@@ -59,6 +60,7 @@
     in_flight: Arc<AtomicUsize>,
     tuning: Tuning,
     look: Notify,
+    warm: AtomicBool,
 }
 
 /// Counts a request while it is served.
@@ -103,6 +105,7 @@
             in_flight: Arc::default(),
             tuning: cfg.tuning,
             look: Notify::new(),
+            warm: AtomicBool::new(false),
         })
     }
 
@@ -162,6 +165,19 @@
         self.epoch.elapsed()
     }
 
+    /// Whether this box knows what engines keep.
+    pub fn is_warm(&self) -> bool {
+        self.warm.load(Ordering::Relaxed)
+    }
+
+    /// Takes over what engines are said to keep; the box is warm from then on.
+    pub fn warm_up(&self, kept: &[Kept]) {
+        self.fleet(|fleet| kept.iter().for_each(|k| fleet.keep(k)));
+        self.warm.store(true, Ordering::Relaxed);
+        let parts: usize = kept.iter().map(|k| k.parts.len()).sum();
+        info!(self.log, "warm"; "engines" => kept.len(), "parts" => parts);
+    }
+
     /// Looks at the view.
     pub fn read<T>(&self, f: impl FnOnce(&View) -> T) -> T {
         f(&self.inner.lock().expect("no panic under lock").view)
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -19,6 +19,7 @@
 pub mod stream;
 pub mod table;
 pub mod view;
+pub mod warm;
 
 use std::io;
 use std::net::SocketAddr;
@@ -43,6 +44,7 @@
 use crate::metrics::Metrics;
 use crate::proxy::dialect::Dialect;
 use crate::proxy::dialect::Directory;
+use crate::proxy::dialect::Engines;
 use crate::proxy::figures::Figures;
 use crate::proxy::hub::Hub;
 use crate::proxy::peers::Peers;
@@ -88,6 +90,8 @@
 pub struct Surroundings {
     /// The headers of callers and upstreams.
     pub dialect: Arc<dyn Dialect>,
+    /// Calls to engines beside requests.
+    pub engines: Arc<dyn Engines>,
     /// The store.
     pub directory: Arc<dyn Directory>,
 }
@@ -122,6 +126,7 @@
     let (stop, stopping) = watch::channel(Stop::No);
     follow(&hub, &*around.directory);
     peers::start(&hub);
+    tokio::spawn(warm::up(hub.clone(), around.engines));
     tokio::spawn(tick(hub.clone()));
     let looking = hub.clone();
     tokio::spawn(async move { looking.look_for_upstreams().await });
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -111,6 +111,8 @@
     pub version: u64,
     /// Whether it sees the store.
     pub sees_store: bool,
+    /// Whether it knows what engines keep.
+    pub is_warm: bool,
     /// Boxes that it has heard of lately.
     pub known: Vec<SocketAddr>,
 }
@@ -155,6 +157,7 @@
     heard: Option<Instant>,
     version: u64,
     sees_store: bool,
+    is_warm: bool,
 }
 
 impl Peer {
@@ -203,7 +206,7 @@
     }
 
     /// Tells all boxes that this one is alive.
-    fn beat(&self, version: u64, sees_store: bool) {
+    fn beat(&self, version: u64, sees_store: bool, is_warm: bool) {
         let mut known = self.known.lock().expect("no panic under lock");
         known.retain(|_, peer| !peer.is_forgotten());
         let live = known.iter().filter(|(_, p)| p.is_live()).map(|(addr, _)| *addr);
@@ -214,6 +217,7 @@
             incarnation: self.incarnation,
             version,
             sees_store,
+            is_warm,
             known: live.take(TOLD_MAX).collect(),
         });
         self.send(&message, known.keys().copied());
@@ -244,6 +248,7 @@
         peer.heard = Some(Instant::now());
         peer.version = beat.version;
         peer.sees_store = beat.sees_store;
+        peer.is_warm = beat.is_warm;
         !was_live
     }
 
@@ -254,6 +259,18 @@
         ahead.max_by_key(|(_, p)| (p.sees_store, p.version)).map(|(addr, _)| *addr)
     }
 
+    /// A box that knows what engines keep.
+    pub fn warm(&self) -> Option<SocketAddr> {
+        let known = self.known.lock().expect("no panic under lock");
+        known.iter().find(|(_, p)| p.is_live() && p.is_warm).map(|(addr, _)| *addr)
+    }
+
+    /// Whether this box comes first among those that are alive.
+    pub fn is_first(&self) -> bool {
+        let known = self.known.lock().expect("no panic under lock");
+        known.iter().filter(|(_, p)| p.is_live()).all(|(addr, _)| self.me < *addr)
+    }
+
     /// A box that sees the store.
     fn with_store(&self) -> Option<SocketAddr> {
         let known = self.known.lock().expect("no panic under lock");
@@ -263,7 +280,14 @@
 
 impl Peer {
     fn unheard() -> Peer {
-        Peer { is_seed: false, added: Instant::now(), heard: None, version: 0, sees_store: false }
+        Peer {
+            is_seed: false,
+            added: Instant::now(),
+            heard: None,
+            version: 0,
+            sees_store: false,
+            is_warm: false,
+        }
     }
 }
 
@@ -303,7 +327,7 @@
 async fn beat(hub: Arc<Hub>) {
     loop {
         let (version, sees_store) = hub.read(|view| (view.version(), view.reaches_store()));
-        hub.peers().beat(version, sees_store);
+        hub.peers().beat(version, sees_store, hub.is_warm());
         tokio::time::sleep(BEAT).await;
     }
 }
--- a/src/proxy/side.rs
+++ b/src/proxy/side.rs
@@ -1,6 +1,7 @@
 //! The ports beside the callers': whether this box serves, for the balancer; and for other boxes
 //! and the on-call engineer what it knows and its figures.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,10 +16,13 @@
 use http_body_util::Limited;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use crate::placement::fleet::Kept;
 use crate::proxy::Stop;
 use crate::proxy::hub::Hub;
 use crate::proxy::view::Snapshot;
@@ -29,6 +33,9 @@
 /// Where a box tells what it knows.
 const SNAPSHOT_PATH: &str = "/v1/snapshot";
 
+/// Where a box tells what it believes engines to keep.
+const KEPT_PATH: &str = "/v1/kept";
+
 /// Where the figures are.
 const METRICS_PATH: &str = "/metrics";
 
@@ -70,16 +77,25 @@
 }
 
 /// Asks another box what it knows.
-pub async fn ask(addr: std::net::SocketAddr) -> Result<Snapshot, AskError> {
-    tokio::time::timeout(ASK_TIMEOUT, fetch(addr)).await.map_err(|_| AskError::Timeout)?
+pub async fn ask(addr: SocketAddr) -> Result<Snapshot, AskError> {
+    ask_for(addr, SNAPSHOT_PATH).await
+}
+
+/// Asks another box what it believes engines to keep.
+pub async fn ask_kept(addr: SocketAddr) -> Result<Vec<Kept>, AskError> {
+    ask_for(addr, KEPT_PATH).await
 }
 
-async fn fetch(addr: std::net::SocketAddr) -> Result<Snapshot, AskError> {
+async fn ask_for<T: DeserializeOwned>(addr: SocketAddr, path: &'static str) -> Result<T, AskError> {
+    tokio::time::timeout(ASK_TIMEOUT, fetch(addr, path)).await.map_err(|_| AskError::Timeout)?
+}
+
+async fn fetch<T: DeserializeOwned>(addr: SocketAddr, path: &'static str) -> Result<T, AskError> {
     let stream = TcpStream::connect(addr).await?;
     let (mut tx, conn) = http1::handshake(TokioIo::new(stream)).await?;
     let conn = tokio::spawn(conn);
     let mut req = Request::new(Empty::<Bytes>::new());
-    *req.uri_mut() = http::Uri::from_static(SNAPSHOT_PATH);
+    *req.uri_mut() = http::Uri::from_static(path);
     if let Ok(host) = HeaderValue::from_str(&addr.to_string()) {
         req.headers_mut().insert(http::header::HOST, host);
     }
@@ -113,7 +129,8 @@
 impl Page for Known {
     fn refuse(&self, head: &http::request::Parts) -> Option<Response<Bytes>> {
         match head.uri.path() {
-            SNAPSHOT_PATH => Some(self.snapshot()),
+            SNAPSHOT_PATH => Some(json(&self.hub.read(View::snapshot))),
+            KEPT_PATH => Some(json(&self.hub.read(|view| view.fleet().kept()))),
             METRICS_PATH => Some(Response::new(Bytes::from(self.hub.metrics().page()))),
             _ => Some(empty(StatusCode::NOT_FOUND)),
         }
@@ -124,15 +141,13 @@
     }
 }
 
-impl Known {
-    fn snapshot(&self) -> Response<Bytes> {
-        let Ok(json) = serde_json::to_vec(&self.hub.read(View::snapshot)) else {
-            return empty(StatusCode::INTERNAL_SERVER_ERROR);
-        };
-        let mut resp = Response::new(Bytes::from(json));
-        resp.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        resp
-    }
+fn json<T: Serialize>(known: &T) -> Response<Bytes> {
+    let Ok(json) = serde_json::to_vec(known) else {
+        return empty(StatusCode::INTERNAL_SERVER_ERROR);
+    };
+    let mut resp = Response::new(Bytes::from(json));
+    resp.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    resp
 }
 
 fn empty(status: StatusCode) -> Response<Bytes> {
--- /dev/null
+++ b/src/proxy/warm.rs
@@ -0,0 +1,71 @@
+//! What engines keep of earlier prompts, for a box that has just started: told by another box, or
+//! where none knows, by the engines.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::debug;
+use tokio::time::Instant;
+
+use crate::names::UpstreamName;
+use crate::placement::fleet::Kept;
+use crate::proxy::dialect::Engines;
+use crate::proxy::hub::Hub;
+use crate::proxy::side;
+use crate::proxy::view::View;
+
+/// Time between looks at who could tell.
+const INTERVAL: Duration = Duration::from_millis(100);
+
+/// Other boxes that started before are heard of within this: a beat and a lost one.
+const OTHERS_HEARD: Duration = Duration::from_millis(600);
+
+/// After this the box learns from what it sends.
+const GIVE_UP: Duration = Duration::from_secs(5);
+
+/// Learns what engines keep, once.
+pub async fn up(hub: Arc<Hub>, engines: Arc<dyn Engines>) {
+    let began = Instant::now();
+    while began.elapsed() < GIVE_UP {
+        tokio::time::sleep(INTERVAL).await;
+        if !hub.read(View::is_ready) {
+            continue;
+        }
+        if let Some(kept) = from_others(&hub).await {
+            hub.warm_up(&kept);
+            return;
+        }
+        if OTHERS_HEARD < began.elapsed() && hub.peers().is_first() {
+            hub.warm_up(&from_engines(&hub, &*engines).await);
+            return;
+        }
+    }
+    hub.warm_up(&[]);
+}
+
+async fn from_others(hub: &Hub) -> Option<Vec<Kept>> {
+    let addr = hub.peers().warm()?;
+    side::ask_kept(addr)
+        .await
+        .inspect_err(|e| debug!(hub.log(), "box not asked"; "addr" => %addr, "error" => %e))
+        .ok()
+}
+
+async fn from_engines(hub: &Hub, engines: &dyn Engines) -> Vec<Kept> {
+    let known: Vec<(UpstreamName, _)> =
+        hub.read(|view| view.fleet().engines().map(|l| (l.name.clone(), l.addr)).collect());
+    let asked = known.into_iter().map(|(upstream, addr)| {
+        let answer = engines.kept(addr);
+        async move {
+            match answer.await {
+                Ok(parts) => Some(Kept { upstream, parts }),
+                Err(e) => {
+                    debug!(hub.log(), "engine not asked"; "upstream" => upstream.as_str(),
+                        "error" => %e);
+                    None
+                }
+            }
+        }
+    });
+    futures_util::future::join_all(asked).await.into_iter().flatten().collect()
+}
