Let boxes that start learn of each other within some round trips

Cause: after all boxes restarted, each placed for up to 0.4 s without hearing of the others: 233 requests with 1.37 million unread tokens in one second, against 0.43 million that the engines can read. Change: a sign of life from a box that was not known is answered at once, and so are the addresses that it tells.

--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -254,6 +254,7 @@
             Message::Leaving { upstream } => {
                 self.change(|view, _| view.told_leaving(&upstream));
             }
+            // Taken in by the peers.
             Message::Beat(_) => {}
         }
     }
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -117,6 +117,14 @@
     pub known: Vec<SocketAddr>,
 }
 
+/// What a box says of itself in a sign of life.
+#[derive(Clone, Copy, Debug)]
+struct State {
+    version: u64,
+    sees_store: bool,
+    is_warm: bool,
+}
+
 /// A prompt, as boxes tell it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ToldPrompt {
@@ -205,8 +213,9 @@
         self.send(message, live);
     }
 
-    /// Tells all boxes that this one is alive.
-    fn beat(&self, version: u64, sees_store: bool, is_warm: bool) {
+    /// Tells all boxes, or only those in `to`, that this one is alive.
+    fn beat(&self, state: State, to: Option<&[SocketAddr]>) {
+        let State { version, sees_store, is_warm } = state;
         let mut known = self.known.lock().expect("no panic under lock");
         known.retain(|_, peer| !peer.is_forgotten());
         let live = known.iter().filter(|(_, p)| p.is_live()).map(|(addr, _)| *addr);
@@ -220,7 +229,10 @@
             is_warm,
             known: live.take(TOLD_MAX).collect(),
         });
-        self.send(&message, known.keys().copied());
+        match to {
+            Some(to) => self.send(&message, to.iter().copied()),
+            None => self.send(&message, known.keys().copied()),
+        }
     }
 
     fn send(&self, message: &Message, to: impl Iterator<Item = SocketAddr>) {
@@ -234,14 +246,19 @@
         }
     }
 
-    /// Notes a sign of life; true when the box was not known to be alive.
-    fn hear(&self, beat: &Beat) -> bool {
+    /// Notes a sign of life. Gives the boxes that must hear of this one at once: those that were
+    /// not known before, and the sender if it was not known to be alive.
+    fn hear(&self, beat: &Beat) -> Vec<SocketAddr> {
+        let mut news = Vec::new();
         if beat.addr == self.me {
-            return false;
+            return news;
         }
         let mut known = self.known.lock().expect("no panic under lock");
         for addr in beat.known.iter().filter(|a| **a != self.me) {
-            known.entry(*addr).or_insert_with(Peer::unheard);
+            known.entry(*addr).or_insert_with(|| {
+                news.push(*addr);
+                Peer::unheard()
+            });
         }
         let peer = known.entry(beat.addr).or_insert_with(Peer::unheard);
         let was_live = peer.is_live();
@@ -249,7 +266,10 @@
         peer.version = beat.version;
         peer.sees_store = beat.sees_store;
         peer.is_warm = beat.is_warm;
-        !was_live
+        if !was_live {
+            news.push(beat.addr);
+        }
+        news
     }
 
     /// A box that has a newer configuration than `version`, preferably one that sees the store.
@@ -314,20 +334,35 @@
             debug!(hub.log(), "datagram refused"; "from" => %from);
             continue;
         };
-        if let Message::Beat(beat) = &message
-            && hub.peers().hear(beat)
-        {
-            info!(hub.log(), "box heard"; "name" => beat.name.as_str(),
-                "zone" => beat.zone.as_str(), "version" => beat.version);
+        match message {
+            Message::Beat(beat) => hear(&hub, &beat),
+            message => hub.receive(message),
         }
-        hub.receive(message);
     }
 }
 
+/// Takes in a sign of life. Boxes that start learn of each other within some round trips, since
+/// each answers at once.
+fn hear(hub: &Hub, beat: &Beat) {
+    let news = hub.peers().hear(beat);
+    if news.is_empty() {
+        return;
+    }
+    if news.contains(&beat.addr) {
+        info!(hub.log(), "box heard"; "name" => beat.name.as_str(),
+            "zone" => beat.zone.as_str(), "version" => beat.version);
+    }
+    hub.peers().beat(state(hub), Some(&news));
+}
+
+fn state(hub: &Hub) -> State {
+    let (version, sees_store) = hub.read(|view| (view.version(), view.reaches_store()));
+    State { version, sees_store, is_warm: hub.is_warm() }
+}
+
 async fn beat(hub: Arc<Hub>) {
     loop {
-        let (version, sees_store) = hub.read(|view| (view.version(), view.reaches_store()));
-        hub.peers().beat(version, sees_store, hub.is_warm());
+        hub.peers().beat(state(&hub), None);
         tokio::time::sleep(BEAT).await;
     }
 }
--- a/src/proxy/warm.rs
+++ b/src/proxy/warm.rs
@@ -15,10 +15,10 @@
 use crate::proxy::view::View;
 
 /// Time between looks at who could tell.
-const INTERVAL: Duration = Duration::from_millis(100);
+const INTERVAL: Duration = Duration::from_millis(20);
 
-/// Other boxes that started before are heard of within this: a beat and a lost one.
-const OTHERS_HEARD: Duration = Duration::from_millis(600);
+/// Boxes that are there answer the first sign of life; this is some round trips within a region.
+const OTHERS_HEARD: Duration = Duration::from_millis(120);
 
 /// After this the box learns from what it sends.
 const GIVE_UP: Duration = Duration::from_secs(5);
