--- /dev/null
+++ b/tests/proxy_placement.rs
@@ -0,0 +1,206 @@
+//! The choice among engines.
+
+use std::time::Duration;
+
+use frostdyke::names::ServiceName;
+use frostdyke::names::UpstreamName;
+use frostdyke::names::ZoneName;
+use frostdyke::placement::fleet::Choice;
+use frostdyke::placement::fleet::Fleet;
+use frostdyke::placement::fleet::Health;
+use frostdyke::placement::fleet::Kept;
+use frostdyke::placement::fleet::NoChoice;
+use frostdyke::placement::fleet::Wanted;
+use frostdyke::placement::tuning::Tuning;
+use frostdyke::proxy::dialect::Listed;
+use frostdyke::proxy::dialect::Part;
+use frostdyke::proxy::dialect::Prompt;
+use frostdyke::proxy::table::EngineLimits;
+
+const LIMITS: EngineLimits =
+    EngineLimits { slots: 64, memory_tokens: 500_000, copied_per_s: 400_000 };
+
+fn millis(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn listed(n: u8) -> Listed {
+    Listed {
+        name: UpstreamName::from(&*format!("e{n}")),
+        service: ServiceName::from("llm"),
+        addr: ([127, 0, 0, n], 80).into(),
+        zone: ZoneName::from(if n < 3 { "a" } else { "b" }),
+        slots: 64,
+        leaving: false,
+    }
+}
+
+fn fleet(engines: u8) -> Fleet {
+    let mut fleet = Fleet::new(ZoneName::from("a"), Tuning::default());
+    (1..=engines).for_each(|n| fleet.set(listed(n), Some(LIMITS)));
+    fleet
+}
+
+/// A prompt with a shared part of 13,000 tokens and an own one of 3,000.
+fn prompt(shared: u64, own: u64) -> Prompt {
+    let parts = vec![Part { id: shared, tokens: 13_000 }, Part { id: own, tokens: 3_000 }];
+    Prompt { tokens: 16_000, written_max: 100, parts }
+}
+
+fn choose(fleet: &Fleet, prompt: &Prompt, ms: u64) -> Result<Choice, NoChoice> {
+    fleet.choose(Wanted { service: "llm", prompt: Some(prompt), except: &[] }, millis(ms))
+}
+
+fn send(fleet: &mut Fleet, prompt: &Prompt, request: u64, ms: u64) -> Choice {
+    let choice = choose(fleet, prompt, ms).expect("there is an engine");
+    fleet.place(&choice.upstream, request, prompt, choice.unread, millis(ms));
+    choice
+}
+
+fn finish(fleet: &mut Fleet, choice: &Choice, request: u64, ms: u64) {
+    fleet.first(&choice.upstream, request, millis(ms));
+    fleet.end(&choice.upstream, request);
+}
+
+#[test]
+fn a_prompt_goes_where_its_parts_are_kept() {
+    let mut fleet = fleet(4);
+    let first = send(&mut fleet, &prompt(1, 100), 1, 0);
+    assert_eq!(first.unread, 16_000);
+    finish(&mut fleet, &first, 1, 400);
+    let second = send(&mut fleet, &prompt(1, 101), 2, 5_000);
+    assert_eq!(second.upstream, first.upstream);
+    assert_eq!((second.unread, second.copied), (3_000, 0));
+}
+
+#[test]
+fn a_busy_engine_gives_its_parts_to_another() {
+    let mut fleet = fleet(2);
+    let first = send(&mut fleet, &prompt(1, 100), 1, 0);
+    finish(&mut fleet, &first, 1, 400);
+    let mut copied = None;
+    for request in 2..30 {
+        let choice = send(&mut fleet, &prompt(1, 100 + request), request, 5_000);
+        if choice.upstream != first.upstream {
+            copied = Some(choice);
+            break;
+        }
+    }
+    let copied = copied.expect("the load moves on");
+    assert_eq!(copied.copied, 13_000);
+    assert_eq!(copied.unread, 3_000);
+    assert_eq!(copied.copy_from.map(|a| a.ip()), Some(first.addr.ip()));
+}
+
+#[test]
+fn boxes_that_know_nothing_choose_the_same_engine() {
+    for shared in 0..20 {
+        let prompts = (prompt(shared, 1), prompt(shared, 2));
+        let one = choose(&fleet(9), &prompts.0, 0).expect("there is an engine");
+        let other = choose(&fleet(9), &prompts.1, 0).expect("there is an engine");
+        assert_eq!(one.upstream, other.upstream);
+    }
+}
+
+#[test]
+fn what_is_to_be_read_passes_with_time() {
+    let mut fleet = fleet(1);
+    send(&mut fleet, &prompt(1, 100), 1, 0);
+    let at_once = choose(&fleet, &prompt(2, 101), 0).expect("there is an engine").wait;
+    let later = choose(&fleet, &prompt(2, 101), 200).expect("there is an engine").wait;
+    assert!(later < at_once);
+    let long_after = choose(&fleet, &prompt(2, 101), 450).expect("there is an engine").wait;
+    assert!(long_after < millis(100));
+}
+
+#[test]
+fn an_engine_that_is_late_is_expected_to_stay_late() {
+    let mut fleet = fleet(1);
+    send(&mut fleet, &prompt(1, 100), 1, 0);
+    let wait = choose(&fleet, &prompt(2, 101), 5_000).expect("there is an engine").wait;
+    assert!(millis(3_000) < wait);
+}
+
+#[test]
+fn engines_get_a_pause_between_prompts() {
+    let mut fleet = fleet(1);
+    // Each is done in time, one after the other, so that nothing is ever waited for.
+    for request in 0..100 {
+        let ms = request * 400;
+        let choice = send(&mut fleet, &prompt(request, 1_000 + request), request, ms);
+        finish(&mut fleet, &choice, request, ms + 390);
+    }
+    let wait = choose(&fleet, &prompt(500, 5_000), 40_000).expect("there is an engine").wait;
+    assert!(millis(1_000) < wait, "reading without a pause must look like load");
+}
+
+#[test]
+fn a_full_engine_gets_nothing() {
+    let mut fleet = fleet(1);
+    for request in 0..31 {
+        let choice = send(&mut fleet, &prompt(1, 100 + request), request, 0);
+        fleet.first(&choice.upstream, request, millis(1));
+    }
+    assert_eq!(choose(&fleet, &prompt(1, 900), 1), Err(NoChoice::Full));
+}
+
+#[test]
+fn an_upstream_that_leaves_or_is_gone_gets_nothing() {
+    let mut fleet = fleet(2);
+    fleet.leave(&UpstreamName::from("e1"));
+    assert_eq!(choose(&fleet, &prompt(1, 1), 0).expect("e2 is left").upstream.as_str(), "e2");
+    fleet.remove(&UpstreamName::from("e2"));
+    assert_eq!(choose(&fleet, &prompt(1, 1), 0), Err(NoChoice::NoUpstream));
+}
+
+#[test]
+fn an_upstream_that_cant_be_reached_gets_nothing_while_others_can() {
+    let mut fleet = fleet(2);
+    let name = choose(&fleet, &prompt(1, 1), 0).expect("there is an engine").upstream;
+    assert!(fleet.set_unreachable(&name, true));
+    assert!(!fleet.set_unreachable(&name, true));
+    assert_ne!(choose(&fleet, &prompt(1, 1), 0).expect("one is left").upstream, name);
+    fleet.set_unreachable(&name, false);
+    assert_eq!(choose(&fleet, &prompt(1, 1), 0).expect("there is an engine").upstream, name);
+}
+
+#[test]
+fn an_upstream_that_breaks_off_rests_longer_each_time() {
+    let mut fleet = fleet(2);
+    let name = choose(&fleet, &prompt(1, 1), 0).expect("there is an engine").upstream;
+    let rests = |fleet: &Fleet, ms| {
+        choose(fleet, &prompt(1, 1), ms).expect("one is left").upstream != name
+    };
+    fleet.note(&name, Health::Broken, millis(0));
+    assert!(rests(&fleet, 399));
+    assert!(!rests(&fleet, 400));
+    fleet.note(&name, Health::Broken, millis(400));
+    assert!(rests(&fleet, 1_199));
+    assert!(!rests(&fleet, 1_200));
+    fleet.note(&name, Health::Good(millis(1)), millis(1_200));
+    fleet.note(&name, Health::Broken, millis(2_000));
+    assert!(!rests(&fleet, 2_400));
+}
+
+#[test]
+fn a_new_box_takes_over_what_engines_keep() {
+    let mut old = fleet(4);
+    let choice = send(&mut old, &prompt(7, 100), 1, 0);
+    finish(&mut old, &choice, 1, 400);
+    let mut new = fleet(4);
+    let kept: Vec<Kept> = old.kept();
+    kept.iter().for_each(|k| new.keep(k));
+    let found = choose(&new, &prompt(7, 101), 0).expect("there is an engine");
+    assert_eq!((found.upstream, found.unread), (choice.upstream, 3_000));
+}
+
+#[test]
+fn a_lost_end_is_forgotten() {
+    let mut fleet = fleet(1);
+    for request in 0..31 {
+        send(&mut fleet, &prompt(1, 100 + request), request, 0);
+    }
+    assert_eq!(choose(&fleet, &prompt(1, 900), 1_000), Err(NoChoice::Full));
+    fleet.tick(millis(20_001));
+    assert!(choose(&fleet, &prompt(1, 900), 20_001).is_ok());
+}
