--- a/tests/proxy_placement.rs
+++ b/tests/proxy_placement.rs
@@ -168,9 +168,8 @@
 fn an_upstream_that_breaks_off_rests_longer_each_time() {
     let mut fleet = fleet(2);
     let name = choose(&fleet, &prompt(1, 1), 0).expect("there is an engine").upstream;
-    let rests = |fleet: &Fleet, ms| {
-        choose(fleet, &prompt(1, 1), ms).expect("one is left").upstream != name
-    };
+    let rests =
+        |fleet: &Fleet, ms| choose(fleet, &prompt(1, 1), ms).expect("one is left").upstream != name;
     fleet.note(&name, Health::Broken, millis(0));
     assert!(rests(&fleet, 399));
     assert!(!rests(&fleet, 400));
