--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -12,6 +12,7 @@
 use slog::debug;
 use slog::info;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::names::BoxName;
@@ -38,6 +39,19 @@
 /// Largest datagram, in bytes: fits an Ethernet frame.
 const DATAGRAM_MAX: usize = 1400;
 
+/// What is told waits for more for this long a box that hears it, so that the cost of telling grows
+/// with the number of boxes and not with that times the requests.
+const DELAY_PER_BOX: Duration = Duration::from_micros(500);
+
+/// Shorter delays are not worth a timer: up to a dozen boxes hear at once.
+const DELAY_MIN: Duration = Duration::from_millis(6);
+
+/// The longest delay: what is older than this would mislead.
+const DELAY_MAX: Duration = Duration::from_millis(40);
+
+/// Datagrams taken in before others get their turn.
+const DATAGRAMS_AT_ONCE: usize = 64;
+
 /// Addresses of other boxes told in a sign of life.
 const TOLD_MAX: usize = 48;
 
@@ -156,6 +170,9 @@
     port: u16,
     socket: Arc<UdpSocket>,
     known: Mutex<BTreeMap<SocketAddr, Peer>>,
+    /// Messages that wait to be sent, one behind the other.
+    pending: Mutex<Vec<u8>>,
+    told: Notify,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -189,6 +206,8 @@
             port: cfg.datagrams.port(),
             socket: Arc::new(socket),
             known: Mutex::default(),
+            pending: Mutex::default(),
+            told: Notify::new(),
         }
     }
 
@@ -206,11 +225,40 @@
         known.values().filter(|p| p.is_live()).count()
     }
 
-    /// Tells all boxes that are alive.
+    /// Tells all boxes that are alive: at once where there are few, else together with what else
+    /// is told within a moment, since each datagram costs each box a call.
     pub fn tell(&self, message: &Message) {
+        let Ok(mut buf) = postcard::to_stdvec(message) else { return };
+        let mut pending = self.pending.lock().expect("no panic under lock");
+        if DATAGRAM_MAX < pending.len() + buf.len() {
+            self.send_to_live(&std::mem::take(&mut *pending));
+        }
+        if pending.is_empty() {
+            self.told.notify_one();
+        }
+        pending.append(&mut buf);
+    }
+
+    /// Sends what is pending whenever there is something, until the process ends.
+    async fn flush(&self) {
+        loop {
+            self.told.notified().await;
+            let delay = DELAY_PER_BOX * self.live() as u32;
+            if DELAY_MIN <= delay {
+                tokio::time::sleep(delay.min(DELAY_MAX)).await;
+            }
+            let buf = std::mem::take(&mut *self.pending.lock().expect("no panic under lock"));
+            self.send_to_live(&buf);
+        }
+    }
+
+    fn send_to_live(&self, buf: &[u8]) {
+        if buf.is_empty() {
+            return;
+        }
         let known = self.known.lock().expect("no panic under lock");
         let live = known.iter().filter(|(_, p)| p.is_live()).map(|(addr, _)| *addr);
-        self.send(message, live);
+        self.send(buf, live);
     }
 
     /// Tells all boxes, or only those in `to`, that this one is alive.
@@ -229,20 +277,20 @@
             is_warm,
             known: live.take(TOLD_MAX).collect(),
         });
+        let Ok(buf) = postcard::to_stdvec(&message) else { return };
         match to {
-            Some(to) => self.send(&message, to.iter().copied()),
-            None => self.send(&message, known.keys().copied()),
+            Some(to) => self.send(&buf, to.iter().copied()),
+            None => self.send(&buf, known.keys().copied()),
         }
     }
 
-    fn send(&self, message: &Message, to: impl Iterator<Item = SocketAddr>) {
-        let Ok(buf) = postcard::to_stdvec(message) else { return };
+    fn send(&self, buf: &[u8], to: impl Iterator<Item = SocketAddr>) {
         if DATAGRAM_MAX < buf.len() {
             return;
         }
         for addr in to {
             // What can't be sent now is lost, as any datagram may be.
-            let _ = self.socket.try_send_to(&buf, SocketAddr::new(addr.ip(), self.port));
+            let _ = self.socket.try_send_to(buf, SocketAddr::new(addr.ip(), self.port));
         }
     }
 
@@ -315,6 +363,8 @@
 pub fn start(hub: &Arc<Hub>) {
     tokio::spawn(listen(hub.clone()));
     tokio::spawn(beat(hub.clone()));
+    let flushing = hub.clone();
+    tokio::spawn(async move { flushing.peers().flush().await });
     tokio::spawn(catch_up(hub.clone()));
 }
 
@@ -330,12 +380,26 @@
                 continue;
             }
         };
-        let Ok(message) = postcard::from_bytes::<Message>(&buf[..len]) else {
+        take_in(&hub, &buf[..len], from);
+        // What has come meanwhile is taken in without waiting for each.
+        for _ in 0..DATAGRAMS_AT_ONCE {
+            let Ok((len, from)) = socket.try_recv_from(&mut buf) else { break };
+            take_in(&hub, &buf[..len], from);
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Takes in the messages of a datagram.
+fn take_in(hub: &Hub, mut buf: &[u8], from: SocketAddr) {
+    while !buf.is_empty() {
+        let Ok((message, rest)) = postcard::take_from_bytes::<Message>(buf) else {
             debug!(hub.log(), "datagram refused"; "from" => %from);
-            continue;
+            return;
         };
+        buf = rest;
         match message {
-            Message::Beat(beat) => hear(&hub, &beat),
+            Message::Beat(beat) => hear(hub, &beat),
             message => hub.receive(message),
         }
     }
--- a/tests/util/fleet.rs
+++ b/tests/util/fleet.rs
@@ -239,7 +239,8 @@
         let log = std::fs::File::create(self.dir.join("operator.log")).expect("a log");
         let child = Command::new(env!("CARGO_BIN_EXE_frostdyke-operator"))
             .arg(&settings)
-            .stderr(Stdio::from(log))
+            .stdout(log.try_clone().expect("a log"))
+            .stderr(log)
             .spawn_alone()
             .expect("the operator process starts");
         self.operators.push(child);
@@ -268,7 +269,8 @@
         let log = std::fs::File::create(settings.with_extension("log")).expect("a log");
         Command::new(env!("CARGO_BIN_EXE_frostdyke-controller"))
             .arg(&settings)
-            .stderr(Stdio::from(log))
+            .stdout(log.try_clone().expect("a log"))
+            .stderr(log)
             .spawn_alone()
             .expect("the controller starts")
     }
@@ -301,7 +303,8 @@
         let log = std::fs::File::create(router.settings.with_extension("log")).expect("a log");
         let child = Command::new(env!("CARGO_BIN_EXE_frostdyke-router"))
             .arg(&router.settings)
-            .stderr(Stdio::from(log))
+            .stdout(log.try_clone().expect("a log"))
+            .stderr(log)
             .spawn_alone()
             .expect("the router starts");
         router.child = Some(child);
