--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -46,6 +46,10 @@
     pub prompt: Option<&'a Prompt>,
     /// Upstreams that are out of the question.
     pub except: &'a [UpstreamName],
+    /// How long it may wait for an engine.
+    pub wait_max: Duration,
+    /// Whether it may go to any engine for that, or only to the one that it costs least.
+    pub anywhere: bool,
 }
 
 /// The choice for a request.
@@ -108,6 +112,11 @@
     NoUpstream,
     /// All that are in use have no room.
     Full,
+    /// It would have to wait for too long at each engine that has room.
+    Busy {
+        /// The shortest wait.
+        wait: Duration,
+    },
 }
 
 /// How a request at an upstream went, as far as it tells about the upstream.
@@ -206,12 +215,21 @@
         let source = wanted.prompt.and_then(|prompt| source(&usable, prompt));
         let home = wanted.prompt.and_then(|prompt| home(&usable, prompt));
         let with_room = usable.iter().filter(|u| u.has_room(wanted.prompt));
-        let best = with_room
-            .map(|u| (u, u.plan(wanted.prompt, source, home, self.tuning, now)))
+        let planned: Vec<(&Upstream, Option<Plan>)> = with_room
+            .map(|u| (*u, u.plan(wanted.prompt, source, home, self.tuning, now)))
+            .collect();
+        let wait = |plan: &Option<Plan>| plan.as_ref().map_or(Duration::ZERO, |p| p.wait);
+        let best = planned
+            .iter()
+            .filter(|(_, plan)| !wanted.anywhere || wait(plan) <= wanted.wait_max)
             .map(|(u, plan)| (u.cost(plan.as_ref(), self.tuning, &self.zone), u, plan))
-            .min_by(|a, b| a.0.total_cmp(&b.0));
-        let Some((_, upstream, plan)) = best else { return Err(NoChoice::Full) };
-        Ok(upstream.choice(plan, self.tuning))
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .filter(|(_, _, plan)| wait(plan) <= wanted.wait_max);
+        if let Some((_, upstream, plan)) = best {
+            return Ok(upstream.choice(*plan, self.tuning));
+        }
+        let shortest = planned.iter().map(|(_, plan)| wait(plan)).min();
+        Err(shortest.map_or(NoChoice::Full, |wait| NoChoice::Busy { wait }))
     }
 
     /// Notes a request that this box or another sends to an upstream.
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -57,6 +57,11 @@
 /// When to come back at the earliest after an overload.
 const OVERLOAD_RETRY_MIN: Duration = Duration::from_millis(100);
 
+/// A workspace that has had less than this part of its share goes to any engine that is free. The
+/// others stay with the engines that keep their parts: to copy these or read them again takes from
+/// what all can be served.
+const SHARE_ANYWHERE: f64 = 0.6;
+
 /// Longest answer of a plain service that is held until it is whole.
 const WHOLE_MAX: usize = 4 << 20;
 
@@ -236,29 +241,39 @@
 
     /// Chooses an upstream, or says why the request can't be served in time.
     pub fn choose(&self) -> Result<Choice, Refusal> {
+        let prompt = self.head.prompt.as_ref();
+        let used = prompt.map_or(0.0, |p| self.hub.share_used(self.workspace.as_ref(), p));
+        let wait_max = prompt.map_or(Duration::MAX, |_| self.wait_max(used));
         let wanted = Wanted {
             service: &self.service,
-            prompt: self.head.prompt.as_ref(),
+            prompt,
             except: &self.tried,
+            wait_max,
+            anywhere: used <= SHARE_ANYWHERE,
+        };
+        let no_choice = match self.hub.choose(wanted) {
+            Ok(choice) => return Ok(choice),
+            Err(no_choice) => no_choice,
         };
-        let choice = self.hub.choose(wanted).map_err(|e| match e {
+        if let Some(prompt) = prompt {
+            self.hub.refuse(self.workspace.as_ref(), prompt);
+        }
+        Err(match no_choice {
             NoChoice::NoUpstream => Refusal::NoUpstream { retry_after: NO_UPSTREAM_RETRY },
             NoChoice::Full => Refusal::Overloaded { retry_after: NO_UPSTREAM_RETRY },
-        })?;
-        // The wait is judged, not the time to the first token, so that long prompts are refused no
-        // more often than short ones.
-        let Some(prompt) = &self.head.prompt else { return Ok(choice) };
+            NoChoice::Busy { wait } => {
+                let excess = wait.saturating_sub(wait_max);
+                Refusal::Overloaded { retry_after: excess.max(OVERLOAD_RETRY_MIN) }
+            }
+        })
+    }
+
+    /// How long the request may wait for an engine. The wait is judged, not the time to the first
+    /// token, so that long prompts are refused no more often than short ones.
+    fn wait_max(&self, used: f64) -> Duration {
         let tuning = self.hub.tuning();
-        let used = self.hub.share_used(self.workspace.as_ref(), prompt);
         let share = if used <= 1.0 { tuning.wait_share } else { tuning.wait_share_over };
-        let wait_max = self.route.aim.mul_f64(share);
-        let wait = choice.wait + self.arrived.elapsed();
-        if wait_max < wait {
-            self.hub.refuse(self.workspace.as_ref(), prompt);
-            let retry_after = (wait - wait_max).max(OVERLOAD_RETRY_MIN);
-            return Err(Refusal::Overloaded { retry_after });
-        }
-        Ok(choice)
+        self.route.aim.mul_f64(share).saturating_sub(self.arrived.elapsed())
     }
 
     /// Sends the request to an upstream, from the event after `resume_after` on if that is given.
--- a/tests/proxy_placement.rs
+++ b/tests/proxy_placement.rs
@@ -48,7 +48,18 @@
 }
 
 fn choose(fleet: &Fleet, prompt: &Prompt, ms: u64) -> Result<Choice, NoChoice> {
-    fleet.choose(Wanted { service: "llm", prompt: Some(prompt), except: &[] }, millis(ms))
+    choose_within(fleet, prompt, ms, Duration::MAX)
+}
+
+fn choose_within(
+    fleet: &Fleet,
+    prompt: &Prompt,
+    ms: u64,
+    wait_max: Duration,
+) -> Result<Choice, NoChoice> {
+    let (prompt, except) = (Some(prompt), &[][..]);
+    let wanted = Wanted { service: "llm", prompt, except, wait_max, anywhere: true };
+    fleet.choose(wanted, millis(ms))
 }
 
 fn send(fleet: &mut Fleet, prompt: &Prompt, request: u64, ms: u64) -> Choice {
@@ -92,6 +103,29 @@
     assert_eq!(copied.copy_from.map(|a| a.ip()), Some(first.addr.ip()));
 }
 
+/// Found on a played day (journal 7db18c42): requests stayed with the busy engine that kept their
+/// parts and were refused there, while other engines had no work.
+#[test]
+fn a_prompt_that_cant_wait_goes_to_an_engine_that_is_free() {
+    let mut fleet = fleet(2);
+    let first = send(&mut fleet, &prompt(1, 100), 1, 0);
+    finish(&mut fleet, &first, 1, 400);
+    send(&mut fleet, &prompt(1, 101), 2, 5_000);
+    send(&mut fleet, &prompt(1, 102), 3, 5_000);
+    let patient = choose(&fleet, &prompt(1, 103), 5_000).expect("there is an engine");
+    assert_eq!(patient.upstream, first.upstream);
+    let hasty = choose_within(&fleet, &prompt(1, 103), 5_000, millis(50));
+    assert_ne!(hasty.expect("the other is free").upstream, first.upstream);
+}
+
+#[test]
+fn who_would_wait_too_long_everywhere_is_told_for_how_long() {
+    let mut fleet = fleet(1);
+    send(&mut fleet, &prompt(1, 100), 1, 0);
+    let busy = choose_within(&fleet, &prompt(2, 101), 0, millis(50));
+    assert!(matches!(busy, Err(NoChoice::Busy { wait }) if millis(300) < wait), "{busy:?}");
+}
+
 #[test]
 fn boxes_that_know_nothing_choose_the_same_engine() {
     for shared in 0..20 {
