--- a/src/proxy/pump.rs
+++ b/src/proxy/pump.rs
@@ -104,12 +104,15 @@
 
     /// Passes pieces on until the stream ends.
     async fn pass_on(&mut self, mut body: Incoming, placed: &Placed) -> End {
-        let deadline = self.run.deadline;
+        // Made once: a stream has many pieces, and each would register them anew.
+        let timed_out = tokio::time::sleep_until(self.run.deadline);
+        tokio::pin!(timed_out);
         loop {
             let frame = tokio::select! {
-                () = self.tx.closed() => return End::CallerLeft,
-                () = tokio::time::sleep_until(deadline) => return End::TimedOut,
+                biased;
                 frame = body.frame() => frame,
+                () = self.tx.closed() => return End::CallerLeft,
+                () = &mut timed_out => return End::TimedOut,
             };
             let piece = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
@@ -142,6 +145,10 @@
     }
 
     async fn send(&self, piece: Bytes) -> bool {
+        let piece = match self.tx.try_send(piece) {
+            Ok(()) => return true,
+            Err(piece) => piece,
+        };
         tokio::select! {
             sent = self.tx.send(piece) => sent,
             () = tokio::time::sleep_until(self.run.deadline) => false,
--- a/src/proxy/stream.rs
+++ b/src/proxy/stream.rs
@@ -44,6 +44,14 @@
         self.tx.send(Ok(piece)).await.is_ok()
     }
 
+    /// Sends a piece if there is room for it now; gives it back if not.
+    pub fn try_send(&self, piece: Bytes) -> Result<(), Bytes> {
+        self.tx.try_send(Ok(piece)).map_err(|e| match e.into_inner() {
+            Ok(piece) => piece,
+            Err(_) => Bytes::new(),
+        })
+    }
+
     /// Cuts the body, so that it doesn't look whole.
     pub async fn cut(&self) {
         // A caller that is gone needs no cut.
