Say in the log why a request was not placed, broke off or was not taken

Cause: on call, a refusal told its cause but not what decided it, and failures of upstreams stood at debug level without what caused them. Change: lines 'not placed' (wait, limit, part of the share used), 'no answer', 'broke off', 'answered' (what an odd answer was taken for), each with the request's id, and errors with their causes.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -15,7 +15,7 @@
 pub struct Options {
     /// Check the settings and exit: 0 when they are right, 2 when not
     pub check: bool,
-    /// The settings file (INI); see docs/OPERATING.md
+    /// The settings file (INI); see docs/OPERATIONS.md
     #[bpaf(positional("SETTINGS"))]
     pub settings: PathBuf,
 }
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -58,7 +58,7 @@
     Apply(PathBuf),
 }
 
-/// Why a command failed. Exit codes are in docs/OPERATING.md.
+/// Why a command failed. Exit codes are in docs/OPERATIONS.md.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// A file can't be read.
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -119,6 +119,17 @@
     },
 }
 
+impl NoChoice {
+    /// The cause as a word for logs.
+    pub fn code(self) -> &'static str {
+        match self {
+            NoChoice::NoUpstream => "no-upstream",
+            NoChoice::Full => "full",
+            NoChoice::Busy { .. } => "busy",
+        }
+    }
+}
+
 /// How a request at an upstream went, as far as it tells about the upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Health {
--- a/src/proxy/link.rs
+++ b/src/proxy/link.rs
@@ -53,8 +53,8 @@
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// There is no connection, so nothing was sent.
-    #[error("connecting: {0}")]
-    Connect(std::io::Error),
+    #[error("connecting")]
+    Connect(#[source] std::io::Error),
     /// Connecting took too long, so nothing was sent.
     #[error("connecting took too long")]
     ConnectTimeout,
@@ -62,8 +62,8 @@
     #[error("no connection is free")]
     NoneFree,
     /// The connection failed after the request may have been sent.
-    #[error("no answer: {0}")]
-    Lost(hyper::Error),
+    #[error("no answer")]
+    Lost(#[source] hyper::Error),
 }
 
 impl Error {
--- a/src/proxy/pump.rs
+++ b/src/proxy/pump.rs
@@ -20,6 +20,7 @@
 use crate::proxy::stream::Events;
 use crate::proxy::stream::Sender;
 use crate::proxy::table::Repeat;
+use crate::util;
 
 /// Why a stream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -116,7 +117,12 @@
             };
             let piece = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-                Some(Err(_)) => return End::Broken,
+                Some(Err(e)) => {
+                    info!(self.run.hub.log(), "broke off"; "id" => &self.run.head.id,
+                        "upstream" => placed.upstream().as_str(), "error" => util::with_causes(&e),
+                        "begun" => self.begun, "last_event" => self.events.last_id());
+                    return End::Broken;
+                }
                 None => return self.pass_rest().await,
             };
             if piece.is_empty() {
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -14,7 +14,6 @@
 use http::request;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use slog::debug;
 use slog::info;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
@@ -42,6 +41,7 @@
 use crate::proxy::table::Repeat;
 use crate::proxy::table::Route;
 use crate::proxy::table::Table;
+use crate::util;
 use crate::web;
 use crate::web::BodyFault;
 
@@ -211,8 +211,8 @@
             match self.send(&choice, None).await {
                 Sent::Answer(reply) => return Ok(reply),
                 Sent::Unsent(e) => {
-                    debug!(self.hub.log(), "not sent"; "id" => &self.head.id,
-                        "upstream" => choice.upstream.as_str(), "error" => %e);
+                    info!(self.hub.log(), "not sent"; "id" => &self.head.id,
+                        "upstream" => choice.upstream.as_str(), "error" => util::with_causes(&e));
                     unsent += 1;
                     if UNSENT_MAX <= unsent {
                         return Err(Refusal::NoUpstream { retry_after: NO_UPSTREAM_RETRY });
@@ -258,6 +258,7 @@
         if let Some(prompt) = prompt {
             self.hub.refuse(self.workspace.as_ref(), prompt);
         }
+        self.log_no_choice(no_choice, used, wait_max);
         Err(match no_choice {
             NoChoice::NoUpstream => Refusal::NoUpstream { retry_after: NO_UPSTREAM_RETRY },
             NoChoice::Full => Refusal::Overloaded { retry_after: NO_UPSTREAM_RETRY },
@@ -268,6 +269,19 @@
         })
     }
 
+    fn log_no_choice(&self, no_choice: NoChoice, share_used: f64, wait_max: Duration) {
+        let wait = match no_choice {
+            NoChoice::Busy { wait } => Some(wait.as_millis() as u64),
+            NoChoice::NoUpstream | NoChoice::Full => None,
+        };
+        info!(self.hub.log(), "not placed"; "id" => &self.head.id, "route" => &self.route.name,
+            "service" => self.service.as_str(), "cause" => no_choice.code(),
+            "workspace" => self.workspace.as_ref().map(WorkspaceName::as_str),
+            "share_used" => (share_used * 100.0).round() / 100.0,
+            "wait_ms" => wait, "wait_max_ms" => wait_max.as_millis() as u64,
+            "tried" => self.tried.len(), "version" => self.hub.version());
+    }
+
     /// How long the request may wait for an engine. The wait is judged, not the time to the first
     /// token, so that long prompts are refused no more often than short ones.
     fn wait_max(&self, used: f64) -> Duration {
@@ -297,8 +311,8 @@
             }
             Err(e) => {
                 self.sends += 1;
-                debug!(self.hub.log(), "no answer"; "id" => &self.head.id,
-                    "upstream" => choice.upstream.as_str(), "error" => %e);
+                info!(self.hub.log(), "no answer"; "id" => &self.head.id,
+                    "upstream" => choice.upstream.as_str(), "error" => util::with_causes(&e));
                 self.hub.unreachable(&choice.upstream);
                 placed.close(Some(Health::Broken));
                 return Sent::Unsure(None);
@@ -318,10 +332,8 @@
         began: Instant,
     ) -> Sent {
         let status = resp.status();
-        debug!(self.hub.log(), "answered"; "id" => &self.head.id,
-            "upstream" => placed.upstream().as_str(), "status" => status.as_u16(),
-            "own" => verdict.own, "not_run" => verdict.not_run, "signed" => verdict.signed);
         if verdict.misdirected || verdict.not_run {
+            self.log_answer(&resp, &placed, verdict, "not-run");
             let gone = verdict.misdirected.then_some(Health::Broken);
             placed.close(Some(gone.unwrap_or(Health::Failed)));
             return Sent::NotRun;
@@ -330,16 +342,19 @@
             || (status.is_success() && !verdict.signed)
             || resp.headers().contains_key(CONTENT_ENCODING);
         if is_odd {
+            self.log_answer(&resp, &placed, verdict, "odd");
             placed.close(Some(Health::Failed));
             return Sent::Unsure(None);
         }
         if is_promise(status) {
+            self.log_answer(&resp, &placed, verdict, "unclear");
             // It says "not run" to whoever reads the status, but the upstream doesn't say so.
             placed.close(Some(Health::Failed));
             return Sent::Unsure(None);
         }
         let reply = Box::new(Reply { resp, lease, placed });
         if status.is_server_error() {
+            self.log_answer(&reply.resp, &reply.placed, verdict, "failed");
             reply.placed.note(Health::Failed);
             return Sent::Unsure(Some(reply));
         }
@@ -347,6 +362,20 @@
         Sent::Answer(reply)
     }
 
+    /// Logs an answer that isn't simply passed on.
+    fn log_answer(
+        &self,
+        resp: &Response<Incoming>,
+        placed: &Placed,
+        verdict: Verdict,
+        taken_for: &'static str,
+    ) {
+        info!(self.hub.log(), "answered"; "id" => &self.head.id,
+            "upstream" => placed.upstream().as_str(), "status" => resp.status().as_u16(),
+            "taken_for" => taken_for, "own" => verdict.own, "signed" => verdict.signed,
+            "try" => self.tried.len());
+    }
+
     /// Sends the rest of a broken stream's request to another upstream.
     pub async fn resume(&mut self, after: Option<u64>) -> Option<Box<Reply>> {
         let repeatable =
@@ -415,7 +444,9 @@
                 let headers = self.hub.dialect().incoming(&head.headers);
                 respond(head.status, headers, stream::whole(bytes))
             }
-            Err(_) => {
+            Err(fault) => {
+                info!(self.hub.log(), "broke off"; "id" => &self.head.id,
+                    "upstream" => placed.upstream().as_str(), "error" => %fault);
                 placed.close(Some(Health::Broken));
                 refuse(&self.hub, &self.head.id, Refusal::Broken)
             }
--- a/src/util.rs
+++ b/src/util.rs
@@ -1,5 +1,6 @@
 //! Small helpers that several modules share.
 
+use std::error::Error;
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -45,3 +46,15 @@
 ) -> Option<&'a T> {
     candidates.max_by_key(|c| (xxh3_64(format!("{key}/{}", c.as_ref()).as_bytes()), *c))
 }
+
+/// An error with what caused it, and what caused that.
+pub fn with_causes(e: &dyn Error) -> String {
+    let mut text = e.to_string();
+    let mut cause = e.source();
+    while let Some(e) = cause {
+        text.push_str(": ");
+        text.push_str(&e.to_string());
+        cause = e.source();
+    }
+    text
+}
