Let nobody hover below its share while others go beyond theirs

Between 0.6 and 1 of its share a workspace was held to the engines that keep its parts, and these were full; beyond its share one got what idle engines left, without a limit. Change: any engine up to 0.85 of the share; beyond the share the allowed wait falls to nothing at 1.5.

--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -57,10 +57,13 @@
 /// When to come back at the earliest after an overload.
 const OVERLOAD_RETRY_MIN: Duration = Duration::from_millis(100);
 
+/// A workspace that is over its share by this part of it gets only what needs no wait at all.
+const SHARE_EXCESS: f64 = 0.5;
+
 /// A workspace that has had less than this part of its share goes to any engine that is free. The
 /// others stay with the engines that keep their parts: to copy these or read them again takes from
 /// what all can be served.
-const SHARE_ANYWHERE: f64 = 0.6;
+const SHARE_ANYWHERE: f64 = 0.85;
 
 /// Longest answer of a plain service that is held until it is whole.
 const WHOLE_MAX: usize = 4 << 20;
@@ -286,7 +289,12 @@
     /// token, so that long prompts are refused no more often than short ones.
     fn wait_max(&self, used: f64) -> Duration {
         let tuning = self.hub.tuning();
-        let share = if used <= 1.0 { tuning.wait_share } else { tuning.wait_share_over };
+        let share = if used <= 1.0 {
+            tuning.wait_share
+        } else {
+            let left = 1.0 - (used - 1.0) / SHARE_EXCESS;
+            tuning.wait_share_over * left.max(0.0)
+        };
         self.route.aim.mul_f64(share).saturating_sub(self.arrived.elapsed())
     }
 
