--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -10,6 +10,9 @@
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
 use crate::names::ZoneName;
+use crate::placement::choice::Choice;
+use crate::placement::choice::NoChoice;
+use crate::placement::choice::Wanted;
 use crate::placement::engine::Engine;
 use crate::placement::tuning::Tuning;
 use crate::proxy::dialect::Listed;
@@ -37,44 +40,6 @@
 /// Weight of the newest answer time of a plain service in its average.
 const ANSWER_TIME_WEIGHT: f64 = 0.2;
 
-/// What a choice needs to know of a request.
-#[derive(Clone, Copy, Debug)]
-pub struct Wanted<'a> {
-    /// The service.
-    pub service: &'a str,
-    /// What is to be read, where it is a model.
-    pub prompt: Option<&'a Prompt>,
-    /// Upstreams that are out of the question.
-    pub except: &'a [UpstreamName],
-    /// How long it may wait for an engine.
-    pub wait_max: Duration,
-    /// Whether it may go to any engine for that, or only to the one that it costs least.
-    pub anywhere: bool,
-}
-
-/// The choice for a request.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Choice {
-    /// The upstream.
-    pub upstream: UpstreamName,
-    /// Where it listens.
-    pub addr: std::net::SocketAddr,
-    /// Expected time to the first token; zero for plain services.
-    pub first_token: Duration,
-    /// Expected wait until it begins to read the prompt.
-    pub wait: Duration,
-    /// Tokens of the prompt that it has to read.
-    pub unread: u32,
-    /// Tokens of the prompt that it copies from another engine.
-    pub copied: u32,
-    /// That engine.
-    pub copy_from: Option<std::net::SocketAddr>,
-    /// Requests that run or wait at the engine already.
-    pub running: usize,
-    /// Tokens of memory that these take.
-    pub running_tokens: u64,
-}
-
 /// What an engine is believed to keep.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Kept {
@@ -105,31 +70,6 @@
     kept: u32,
 }
 
-/// Why there is no choice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NoChoice {
-    /// No upstream of the service is known and in use.
-    NoUpstream,
-    /// All that are in use have no room.
-    Full,
-    /// It would have to wait for too long at each engine that has room.
-    Busy {
-        /// The shortest wait.
-        wait: Duration,
-    },
-}
-
-impl NoChoice {
-    /// The cause as a word for logs.
-    pub fn code(self) -> &'static str {
-        match self {
-            NoChoice::NoUpstream => "no-upstream",
-            NoChoice::Full => "full",
-            NoChoice::Busy { .. } => "busy",
-        }
-    }
-}
-
 /// How a request at an upstream went, as far as it tells about the upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Health {
--- /dev/null
+++ b/src/proxy/admission.rs
@@ -0,0 +1,75 @@
+//! What a request asks for, by its head, and whether it may.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::request;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::names::WorkspaceName;
+use crate::proxy::answer::Refusal;
+use crate::proxy::dialect::Head;
+use crate::proxy::hub::Hub;
+use crate::proxy::request::Run;
+use crate::proxy::table::Route;
+use crate::proxy::table::Table;
+use crate::web;
+use crate::web::BodyFault;
+
+/// Finds out what a request asks for, by its head.
+pub fn admit(
+    hub: &Arc<Hub>,
+    parts: request::Parts,
+    arrived: Instant,
+) -> Result<Run, (Refusal, String)> {
+    let head = hub.dialect().read(&parts).map_err(|_| (Refusal::BadHead, String::new()))?;
+    let fail = |cause| (cause, head.id.clone());
+    let table = hub.table().ok_or_else(|| fail(Refusal::NotConfigured))?;
+    let path = parts.uri.path();
+    let route = table.route(&head.host, path).ok_or_else(|| fail(Refusal::NoRoute))?.clone();
+    let workspace = workspace(&table, &route, &head).map_err(fail)?;
+    let draw = xxh3_64(head.id.as_bytes());
+    let service = route.target(draw).ok_or_else(|| fail(Refusal::NoRoute))?.clone();
+    let connections_max = table.service(&service).map_or(u32::MAX, |s| s.max_connections);
+    let patience = head.patience.map_or(route.timeout, |p| p.min(route.timeout));
+    hub.count_request(&service);
+    Ok(Run {
+        connections_max: hub.share_of(connections_max),
+        hub: hub.clone(),
+        head,
+        parts,
+        route,
+        service,
+        workspace,
+        body: Bytes::new(),
+        arrived,
+        deadline: arrived + patience,
+        tried: Vec::new(),
+        sends: 0,
+        in_flight: hub.enter(),
+    })
+}
+
+fn workspace(table: &Table, route: &Route, head: &Head) -> Result<Option<WorkspaceName>, Refusal> {
+    if !table.has_keys() {
+        return Ok(None);
+    }
+    let known = head.key.as_deref().and_then(|key| table.workspace(key));
+    match known {
+        Some(workspace) => Ok(Some(workspace.name.clone())),
+        None if route.anonymous => Ok(None),
+        None => Err(Refusal::UnknownKey),
+    }
+}
+
+/// Reads a request's body; a caller has until the request's deadline to send it.
+pub async fn read_body(hub: &Hub, body: Incoming, deadline: Instant) -> Result<Bytes, Refusal> {
+    let max = hub.table().map_or(0, |t| t.limits.body_bytes);
+    let left = deadline.saturating_duration_since(Instant::now());
+    web::read_body(body, max, left).await.map_err(|fault| match fault {
+        BodyFault::TooLong => Refusal::BodyTooLong,
+        BodyFault::Cut => Refusal::BodyCut,
+    })
+}
--- a/src/proxy/figures.rs
+++ b/src/proxy/figures.rs
@@ -7,7 +7,7 @@
 use opentelemetry::metrics::Histogram;
 
 use crate::metrics::Metrics;
-use crate::proxy::hub::Placed;
+use crate::proxy::placed::Placed;
 
 /// Bounds of the histograms of times, in seconds; denser around the usual aims.
 const TIME_BOUNDS: [f64; 12] = [0.01, 0.03, 0.06, 0.1, 0.15, 0.25, 0.4, 0.6, 0.8, 1.2, 3.0, 10.0];
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -16,12 +16,11 @@
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
 use crate::names::WorkspaceName;
-use crate::placement::fleet::Choice;
+use crate::placement::choice::Choice;
+use crate::placement::choice::NoChoice;
+use crate::placement::choice::Wanted;
 use crate::placement::fleet::Fleet;
-use crate::placement::fleet::Health;
 use crate::placement::fleet::Kept;
-use crate::placement::fleet::NoChoice;
-use crate::placement::fleet::Wanted;
 use crate::placement::share::Shares;
 use crate::placement::tuning::Tuning;
 use crate::proxy::budget::Budget;
@@ -31,8 +30,10 @@
 use crate::proxy::dialect::Prompt;
 use crate::proxy::figures::Figures;
 use crate::proxy::link::Links;
-use crate::proxy::peers::Message;
+use crate::proxy::message::Message;
 use crate::proxy::peers::Peers;
+use crate::proxy::placed::InFlight;
+use crate::proxy::placed::Placed;
 use crate::proxy::settings::Settings;
 use crate::proxy::table::Table;
 use crate::proxy::view::Change;
@@ -64,16 +65,6 @@
     overloaded: AtomicBool,
 }
 
-/// Counts a request while it is served.
-#[derive(Debug)]
-pub struct InFlight(Arc<AtomicUsize>);
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 struct Inner {
     view: View,
     budget: Budget,
@@ -118,8 +109,7 @@
 
     /// Counts a request until the guard is dropped.
     pub fn enter(&self) -> InFlight {
-        self.in_flight.fetch_add(1, Ordering::Relaxed);
-        InFlight(self.in_flight.clone())
+        InFlight::new(self.in_flight.clone())
     }
 
     /// Requests that are served now.
@@ -300,15 +290,7 @@
                 self.shares(|shares| shares.begin(workspace, prompt.charge(), now));
             }
         }
-        Placed {
-            hub: self.clone(),
-            upstream: choice.upstream.clone(),
-            request,
-            expected: choice.first_token,
-            is_model: prompt.is_some(),
-            begun: AtomicBool::new(false),
-            health: None,
-        }
+        Placed::new(self, choice, request, prompt.is_some())
     }
 
     /// How much of its fair share a workspace would have used with this request.
@@ -378,7 +360,8 @@
         }
     }
 
-    fn fleet<T>(&self, f: impl FnOnce(&mut Fleet) -> T) -> T {
+    /// Changes what is known of the upstreams.
+    pub fn fleet<T>(&self, f: impl FnOnce(&mut Fleet) -> T) -> T {
         f(self.inner.lock().expect("no panic under lock").view.fleet_mut())
     }
 
@@ -407,62 +390,3 @@
         }
     }
 }
-
-/// A request's entry in the models, from before it is sent until it has ended.
-pub struct Placed {
-    hub: Arc<Hub>,
-    upstream: UpstreamName,
-    request: u64,
-    expected: Duration,
-    is_model: bool,
-    begun: AtomicBool,
-    health: Option<Health>,
-}
-
-impl Placed {
-    /// The upstream.
-    pub fn upstream(&self) -> &UpstreamName {
-        &self.upstream
-    }
-
-    /// The expected time to the first token.
-    pub fn expected(&self) -> Duration {
-        self.expected
-    }
-
-    /// Notes the first token, here and at the other boxes.
-    pub fn first(&self) {
-        if self.begun.swap(true, Ordering::Relaxed) || !self.is_model {
-            return;
-        }
-        let now = self.hub.now();
-        self.hub.fleet(|fleet| fleet.first(&self.upstream, self.request, now));
-        let (upstream, request) = (self.upstream.clone(), self.request);
-        self.hub.peers.tell(&Message::First { upstream, request });
-    }
-
-    /// Notes how the request went, before it has ended.
-    pub fn note(&self, health: Health) {
-        let now = self.hub.now();
-        self.hub.fleet(|fleet| fleet.note(&self.upstream, health, now));
-    }
-
-    /// Ends the entry.
-    pub fn close(mut self, health: Option<Health>) {
-        self.health = health;
-    }
-}
-
-impl Drop for Placed {
-    fn drop(&mut self) {
-        let now = self.hub.now();
-        self.hub.fleet(|fleet| {
-            fleet.ended(&self.upstream, self.health, now);
-            fleet.end(&self.upstream, self.request);
-        });
-        if self.is_model {
-            let (upstream, request) = (self.upstream.clone(), self.request);
-            self.hub.peers.tell(&Message::Ended { upstream, request });
-        }
-    }
-}
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -4,6 +4,7 @@
 //! and upstreams through a [`dialect::Dialect`], and tells the other boxes by datagrams what it
 //! sends where. Everything runs on one thread.
 
+pub mod admission;
 pub mod answer;
 pub mod budget;
 pub mod dialect;
@@ -12,7 +13,9 @@
 pub mod hub;
 pub mod lag;
 pub mod link;
+pub mod message;
 pub mod peers;
+pub mod placed;
 pub mod pump;
 pub mod request;
 pub mod settings;
--- /dev/null
+++ b/src/proxy/placed.rs
@@ -0,0 +1,103 @@
+//! Requests while they are under way: their entries in the models and in the count.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use crate::names::UpstreamName;
+use crate::placement::choice::Choice;
+use crate::placement::fleet::Health;
+use crate::proxy::hub::Hub;
+use crate::proxy::message::Message;
+
+/// Counts a request while it is served.
+#[derive(Debug)]
+pub struct InFlight(Arc<AtomicUsize>);
+
+impl InFlight {
+    /// Counts one more in `count`.
+    pub fn new(count: Arc<AtomicUsize>) -> InFlight {
+        count.fetch_add(1, Ordering::Relaxed);
+        InFlight(count)
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// A request's entry in the models, from before it is sent until it has ended.
+pub struct Placed {
+    hub: Arc<Hub>,
+    upstream: UpstreamName,
+    request: u64,
+    expected: Duration,
+    is_model: bool,
+    begun: AtomicBool,
+    health: Option<Health>,
+}
+
+impl Placed {
+    /// The entry of a request that `choice` was made for.
+    pub fn new(hub: &Arc<Hub>, choice: &Choice, request: u64, is_model: bool) -> Placed {
+        Placed {
+            hub: hub.clone(),
+            upstream: choice.upstream.clone(),
+            request,
+            expected: choice.first_token,
+            is_model,
+            begun: AtomicBool::new(false),
+            health: None,
+        }
+    }
+
+    /// The upstream.
+    pub fn upstream(&self) -> &UpstreamName {
+        &self.upstream
+    }
+
+    /// The expected time to the first token.
+    pub fn expected(&self) -> Duration {
+        self.expected
+    }
+
+    /// Notes the first token, here and at the other boxes.
+    pub fn first(&self) {
+        if self.begun.swap(true, Ordering::Relaxed) || !self.is_model {
+            return;
+        }
+        let now = self.hub.now();
+        self.hub.fleet(|fleet| fleet.first(&self.upstream, self.request, now));
+        let (upstream, request) = (self.upstream.clone(), self.request);
+        self.hub.peers().tell(&Message::First { upstream, request });
+    }
+
+    /// Notes how the request went, before it has ended.
+    pub fn note(&self, health: Health) {
+        let now = self.hub.now();
+        self.hub.fleet(|fleet| fleet.note(&self.upstream, health, now));
+    }
+
+    /// Ends the entry.
+    pub fn close(mut self, health: Option<Health>) {
+        self.health = health;
+    }
+}
+
+impl Drop for Placed {
+    fn drop(&mut self) {
+        let now = self.hub.now();
+        self.hub.fleet(|fleet| {
+            fleet.ended(&self.upstream, self.health, now);
+            fleet.end(&self.upstream, self.request);
+        });
+        if self.is_model {
+            let (upstream, request) = (self.upstream.clone(), self.request);
+            self.hub.peers().tell(&Message::Ended { upstream, request });
+        }
+    }
+}
--- a/src/proxy/pump.rs
+++ b/src/proxy/pump.rs
@@ -9,9 +9,9 @@
 use slog::info;
 
 use crate::placement::fleet::Health;
-use crate::proxy::hub::Placed;
 use crate::proxy::link;
 use crate::proxy::link::Lease;
+use crate::proxy::placed::Placed;
 use crate::proxy::request;
 use crate::proxy::request::Reply;
 use crate::proxy::request::Run;
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -21,29 +21,28 @@
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
 use crate::names::WorkspaceName;
-use crate::placement::fleet::Choice;
+use crate::placement::choice::Choice;
+use crate::placement::choice::NoChoice;
+use crate::placement::choice::Wanted;
 use crate::placement::fleet::Health;
-use crate::placement::fleet::NoChoice;
-use crate::placement::fleet::Wanted;
+use crate::proxy::admission;
 use crate::proxy::answer;
 use crate::proxy::answer::Refusal;
 use crate::proxy::dialect::Head;
 use crate::proxy::dialect::Outgoing;
 use crate::proxy::dialect::Verdict;
 use crate::proxy::hub::Hub;
-use crate::proxy::hub::InFlight;
-use crate::proxy::hub::Placed;
 use crate::proxy::link;
 use crate::proxy::link::Lease;
+use crate::proxy::placed::InFlight;
+use crate::proxy::placed::Placed;
 use crate::proxy::pump;
 use crate::proxy::stream;
 use crate::proxy::stream::Body;
 use crate::proxy::table::Repeat;
 use crate::proxy::table::Route;
-use crate::proxy::table::Table;
 use crate::util;
 use crate::web;
-use crate::web::BodyFault;
 
 /// Tries that reached no upstream, after which a request is refused.
 const UNSENT_MAX: u32 = 4;
@@ -124,11 +123,11 @@
 pub async fn serve(hub: Arc<Hub>, req: Request<Incoming>) -> Response<Body> {
     let arrived = Instant::now();
     let (parts, body) = req.into_parts();
-    let mut run = match admit(&hub, parts, arrived) {
+    let mut run = match admission::admit(&hub, parts, arrived) {
         Ok(run) => run,
         Err((cause, id)) => return refuse(&hub, &id, cause),
     };
-    match read_body(&hub, body, run.deadline).await {
+    match admission::read_body(&hub, body, run.deadline).await {
         Ok(body) => run.body = body,
         Err(cause) => return refuse(&hub, &run.head.id, cause),
     }
@@ -141,61 +140,6 @@
     answer::refusal(cause)
 }
 
-/// Finds out what a request asks for, by its head.
-fn admit(
-    hub: &Arc<Hub>,
-    parts: request::Parts,
-    arrived: Instant,
-) -> Result<Run, (Refusal, String)> {
-    let head = hub.dialect().read(&parts).map_err(|_| (Refusal::BadHead, String::new()))?;
-    let fail = |cause| (cause, head.id.clone());
-    let table = hub.table().ok_or_else(|| fail(Refusal::NotConfigured))?;
-    let path = parts.uri.path();
-    let route = table.route(&head.host, path).ok_or_else(|| fail(Refusal::NoRoute))?.clone();
-    let workspace = workspace(&table, &route, &head).map_err(fail)?;
-    let draw = xxh3_64(head.id.as_bytes());
-    let service = route.target(draw).ok_or_else(|| fail(Refusal::NoRoute))?.clone();
-    let connections_max = table.service(&service).map_or(u32::MAX, |s| s.max_connections);
-    let patience = head.patience.map_or(route.timeout, |p| p.min(route.timeout));
-    hub.count_request(&service);
-    Ok(Run {
-        connections_max: hub.share_of(connections_max),
-        hub: hub.clone(),
-        head,
-        parts,
-        route,
-        service,
-        workspace,
-        body: Bytes::new(),
-        arrived,
-        deadline: arrived + patience,
-        tried: Vec::new(),
-        sends: 0,
-        in_flight: hub.enter(),
-    })
-}
-
-fn workspace(table: &Table, route: &Route, head: &Head) -> Result<Option<WorkspaceName>, Refusal> {
-    if !table.has_keys() {
-        return Ok(None);
-    }
-    let known = head.key.as_deref().and_then(|key| table.workspace(key));
-    match known {
-        Some(workspace) => Ok(Some(workspace.name.clone())),
-        None if route.anonymous => Ok(None),
-        None => Err(Refusal::UnknownKey),
-    }
-}
-
-async fn read_body(hub: &Hub, body: Incoming, deadline: Instant) -> Result<Bytes, Refusal> {
-    let max = hub.table().map_or(0, |t| t.limits.body_bytes);
-    let left = deadline.saturating_duration_since(Instant::now());
-    web::read_body(body, max, left).await.map_err(|fault| match fault {
-        BodyFault::TooLong => Refusal::BodyTooLong,
-        BodyFault::Cut => Refusal::BodyCut,
-    })
-}
-
 impl Run {
     async fn go(mut self) -> Response<Body> {
         let deadline = self.deadline;
