--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -18,6 +18,11 @@
 /// Time to begin a copy from another engine; the users' sheets say 3.3 ms.
 const COPY_SETUP: Duration = Duration::from_millis(4);
 
+/// A request that was sent this long before one that has been read is read, too. Engines read in
+/// turn, but a short prompt may overtake the pieces of a long one; this is longer than any wait
+/// that is accepted.
+const IN_TURN_SLACK: Duration = Duration::from_secs(1);
+
 /// How long past its predicted time an engine's next first token may be before the delay counts
 /// against the engine: a few steps with a full piece of a prompt.
 const OVERDUE_SLACK: Duration = Duration::from_millis(250);
@@ -158,10 +163,13 @@
 
     /// Notes that a request has given its first token.
     pub fn first(&mut self, request: u64, now: Duration) {
-        if let Some(at) = self.reading.iter().position(|r| r.request == request) {
-            self.reading.remove(at);
-            self.advanced = now;
-        }
+        let Some(at) = self.reading.iter().position(|r| r.request == request) else { return };
+        let placed = self.reading[at].placed;
+        self.reading.remove(at);
+        // Engines read in turn: what was sent well before is read, too, or was given up by a box
+        // that could not tell any more.
+        self.reading.retain(|r| placed < r.placed + IN_TURN_SLACK);
+        self.advanced = now;
     }
 
     /// Notes that a request has ended, for whatever reason.
--- a/tests/proxy_placement.rs
+++ b/tests/proxy_placement.rs
@@ -155,6 +155,21 @@
     assert!(millis(3_000) < wait);
 }
 
+/// Found by an incident (hk-frostdyke e393): what a box that was killed had sent stayed in the models
+/// of the others for 20 s.
+#[test]
+fn what_a_dead_box_sent_is_forgotten_when_later_requests_are_read() {
+    let mut fleet = fleet(1);
+    for request in 0..10 {
+        send(&mut fleet, &prompt(request, 1_000 + request), request, 0);
+    }
+    // None of these is heard of again; the engine has dropped them and reads the next.
+    let next = send(&mut fleet, &prompt(50, 2_000), 50, 1_100);
+    fleet.first(&next.upstream, 50, millis(1_500));
+    let load = choose(&fleet, &prompt(51, 2_001), 8_000).expect("there is an engine").wait;
+    assert_eq!(load, millis(0));
+}
+
 #[test]
 fn engines_get_a_pause_between_prompts() {
     let mut fleet = fleet(1);
