Never call "not run" what an earlier send may have run

Cause: found by reading the change: a repeatable request whose first send broke off and for which no other upstream was free was refused with 503, which says that it did not run. Change: such a request ends with the last answer that an upstream gave, or with 502.

--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -250,8 +250,10 @@
                 self.fleet(|fleet| fleet.end(&upstream, request));
             }
             Message::Unreachable { upstream } => {
-                self.fleet(|fleet| fleet.set_unreachable(&upstream, true));
-                self.look.notify_one();
+                if self.fleet(|fleet| fleet.set_unreachable(&upstream, true)) {
+                    info!(self.log, "upstream said to be unreachable"; "name" => upstream.as_str());
+                    self.look.notify_one();
+                }
             }
             Message::Leaving { upstream } => {
                 self.change(|view, _| view.told_leaving(&upstream));
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -109,6 +109,26 @@
     Unsure(Option<Box<Reply>>),
 }
 
+/// What came of earlier sends of a request.
+#[derive(Default)]
+struct Earlier {
+    may_have_run: bool,
+    /// The last answer, which is passed on if no better one comes.
+    reply: Option<Box<Reply>>,
+}
+
+impl Earlier {
+    /// How the request ends that is not sent any more, for `cause`: whoever may have run it, it is
+    /// not called "not run".
+    fn give_up(self, cause: Refusal) -> Result<Box<Reply>, Refusal> {
+        match self.reply {
+            Some(reply) => Ok(reply),
+            None if self.may_have_run => Err(Refusal::Broken),
+            None => Err(cause),
+        }
+    }
+}
+
 /// An upstream's answer whose body is still to come.
 pub struct Reply {
     /// The answer.
@@ -153,8 +173,12 @@
     /// Sends the request until there is an answer to pass on.
     async fn attempt(&mut self) -> Result<Box<Reply>, Refusal> {
         let mut unsent = 0;
+        let mut earlier = Earlier::default();
         loop {
-            let choice = self.choose()?;
+            let choice = match self.choose() {
+                Ok(choice) => choice,
+                Err(cause) => return earlier.give_up(cause),
+            };
             match self.send(&choice, None).await {
                 Sent::Answer(reply) => return Ok(reply),
                 Sent::Unsent(e) => {
@@ -162,19 +186,23 @@
                         "upstream" => choice.upstream.as_str(), "error" => util::with_causes(&e));
                     unsent += 1;
                     if UNSENT_MAX <= unsent {
-                        return Err(Refusal::NoUpstream { retry_after: NO_UPSTREAM_RETRY });
+                        let cause = Refusal::NoUpstream { retry_after: NO_UPSTREAM_RETRY };
+                        return earlier.give_up(cause);
                     }
                 }
                 Sent::NotRun => {
                     if !self.may_repeat() {
-                        return Err(Refusal::Overloaded { retry_after: OVERLOAD_RETRY_MIN });
+                        let cause = Refusal::Overloaded { retry_after: OVERLOAD_RETRY_MIN };
+                        return earlier.give_up(cause);
                     }
                 }
                 Sent::Unsure(reply) => {
                     let repeatable =
                         self.route.repeat != Repeat::Never && self.sends < self.route.max_upstreams;
+                    earlier.may_have_run = true;
+                    earlier.reply = reply.or(earlier.reply);
                     if !repeatable || !self.may_repeat() {
-                        return reply.ok_or(Refusal::Broken);
+                        return earlier.give_up(Refusal::Broken);
                     }
                 }
             }
