Tidy the proxy: look upstreams up by name, one order of parts by age, no dead code

Ruled out: one error type for the programs' starts, since each layer has its own. Change: Fleet::get, a set of addresses a tick, PrefixCache::parts in evict, one place that tells. Behaviour, bounds and tests are as they were. Conclusion: the JSON client over hyper still stands twice (platform/src/store.rs, src/proxy/side.rs).

--- a/src/placement/cache.rs
+++ b/src/placement/cache.rs
@@ -34,8 +34,8 @@
 
     /// Notes that a prompt is read.
     pub fn read(&mut self, parts: &[Part]) {
-        // The last part is the most used of a prompt's, so that it gives way after the others never
-        // helps; the first is used by more prompts and so is marked last.
+        // From the last to the first: a part without those before it is of no use, so it gives way
+        // before them.
         for part in parts.iter().rev() {
             self.uses += 1;
             let entry = Entry { tokens: part.tokens, used: self.uses };
@@ -53,27 +53,18 @@
         by_age.into_iter().map(|(_, part)| part).collect()
     }
 
-    /// Forgets everything.
-    pub fn clear(&mut self) {
-        self.parts.clear();
-        self.held = 0;
-    }
-
     fn evict(&mut self) {
         if self.held <= self.capacity {
             return;
         }
         // In bulk, since finding the oldest costs a sort: down to nine tenths.
         let target = self.capacity / 10 * 9;
-        let mut by_age: Vec<(u64, u64)> = self.parts.iter().map(|(id, e)| (e.used, *id)).collect();
-        by_age.sort_unstable();
-        for (_, id) in by_age {
+        for part in self.parts() {
             if self.held <= target {
                 return;
             }
-            if let Some(entry) = self.parts.remove(&id) {
-                self.held -= u64::from(entry.tokens);
-            }
+            self.parts.remove(&part.id);
+            self.held -= u64::from(part.tokens);
         }
     }
 }
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -152,9 +152,14 @@
         self.upstreams.values().map(|u| &u.listed)
     }
 
+    /// An upstream, as listed.
+    pub fn get(&self, name: &UpstreamName) -> Option<&Listed> {
+        self.upstreams.get(name).map(|u| &u.listed)
+    }
+
     /// Whether an upstream is known and not leaving.
     pub fn is_open(&self, name: &UpstreamName) -> bool {
-        self.upstreams.get(name).is_some_and(|u| !u.listed.leaving)
+        self.get(name).is_some_and(|l| !l.leaving)
     }
 
     /// Chooses the upstream with the least expected time, weighing what it must read.
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -376,19 +376,16 @@
             }
             Change::Leaving(name) => {
                 info!(self.log, "upstream leaving"; "name" => name.as_str());
-                if sees_store {
-                    self.peers.tell(&Message::Leaving { upstream: name.clone() });
-                }
-            }
-            Change::Gone(name) => {
-                info!(self.log, "upstream gone"; "name" => name.as_str());
-                if sees_store {
-                    self.peers.tell(&Message::Leaving { upstream: name.clone() });
-                }
             }
+            Change::Gone(name) => info!(self.log, "upstream gone"; "name" => name.as_str()),
             Change::Missing(name) => {
                 info!(self.log, "upstream's entry missing"; "name" => name.as_str());
             }
         }
+        if let Change::Leaving(name) | Change::Gone(name) = change
+            && sees_store
+        {
+            self.peers.tell(&Message::Leaving { upstream: name.clone() });
+        }
     }
 }
--- a/src/proxy/link.rs
+++ b/src/proxy/link.rs
@@ -2,6 +2,7 @@
 //! per upstream, closed as soon as anything about them is odd.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -77,8 +78,6 @@
 #[derive(Debug, Default)]
 pub struct Links {
     by_addr: Mutex<HashMap<SocketAddr, PerUpstream>>,
-    /// New connections so far.
-    opened: std::sync::atomic::AtomicU64,
 }
 
 #[derive(Debug, Default)]
@@ -148,11 +147,6 @@
 }
 
 impl Links {
-    /// New connections so far.
-    pub fn opened(&self) -> u64 {
-        self.opened.load(std::sync::atomic::Ordering::Relaxed)
-    }
-
     /// Sends a request. `max` bounds the connections to this upstream; `once` asks for a
     /// connection that is sure to be alive.
     pub async fn send(
@@ -180,11 +174,11 @@
     }
 
     /// Closes what has rested for too long, and all to upstreams that are no more.
-    pub fn tick(&self, is_known: impl Fn(&SocketAddr) -> bool) {
+    pub fn tick(&self, known: &HashSet<SocketAddr>) {
         let mut old = Vec::new();
         let mut by_addr = self.by_addr.lock().expect("no panic under lock");
         for (addr, upstream) in by_addr.iter_mut() {
-            let keep = is_known(addr);
+            let keep = known.contains(addr);
             let (stay, go) = std::mem::take(&mut upstream.idle)
                 .into_iter()
                 .partition(|c| keep && !c.tx.is_closed() && c.rested_since.elapsed() < c.keep);
@@ -243,7 +237,6 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| Error::Connect(std::io::Error::other(e)))?;
-        self.opened.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let task = tokio::spawn(async move {
             // Whoever waits on the connection hears of its failure.
             let _ = conn.await;
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -25,6 +25,7 @@
 pub mod view;
 pub mod warm;
 
+use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -175,9 +176,9 @@
                 "lag_ms" => lag.average().as_millis() as u64, "in_flight" => hub.in_flight());
         }
         hub.change(view::View::tick);
-        hub.read(|view| {
-            hub.links().tick(|addr| view.fleet().listed().any(|l| l.addr == *addr));
-        });
+        let known: HashSet<SocketAddr> =
+            hub.read(|view| view.fleet().listed().map(|l| l.addr).collect());
+        hub.links().tick(&known);
     }
 }
 
--- a/src/proxy/view.rs
+++ b/src/proxy/view.rs
@@ -143,7 +143,7 @@
     /// Takes over one upstream.
     pub fn set(&mut self, listed: Listed) {
         self.missing.remove(&listed.name);
-        let known = self.fleet.listed().find(|l| l.name == listed.name);
+        let known = self.fleet.get(&listed.name);
         if known == Some(&listed) {
             return;
         }
@@ -189,7 +189,7 @@
         }
         let is_useful = !snapshot.upstreams.is_empty();
         for listed in snapshot.upstreams {
-            let known = self.fleet.listed().find(|l| l.name == listed.name);
+            let known = self.fleet.get(&listed.name);
             // An upstream never returns from leaving.
             if known.is_none_or(|k| !k.leaving) {
                 self.set(listed);
