Let a claim whose answer is late stay with the router that asked

Cause: a router that waits 0.7 s for a shard's usual writer in vain claims the key itself, under a second attempt. If the writer had written the first attempt after all, and only its answer was late, the router took its own record for another's: 409 "unknown", and so did every other router. Nobody ran the request.

Ruled out: a lost write (the record is there), two writers (the update is conditional).

Change: a record of the first attempt passes to the second of the same router, which sends nothing under the first any more. A release of the first that comes late no longer matches, so it frees nothing.

--- a/src/claims/book.rs
+++ b/src/claims/book.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::claims::Claim;
+use crate::claims::FALLBACK;
 use crate::claims::Op;
 use crate::claims::SKEW;
 use crate::claims::Verdict;
@@ -52,8 +53,14 @@
         if self.minute < claim.minute() {
             *self = Book { minute: claim.minute(), records: BTreeMap::new() };
         }
-        match self.records.get(&claim.key) {
+        match self.records.get_mut(&claim.key) {
             Some(record) if record.1 == claim.attempt => return Verdict::Taken,
+            // The router gave up its first attempt before it heard that it had been written. It
+            // sends nothing under that one any more, so the record can pass to the second.
+            Some(record) if record.1 | FALLBACK == claim.attempt && !record.2 => {
+                record.1 = claim.attempt;
+                return Verdict::Taken;
+            }
             Some(record) if record.2 => return Verdict::Ran,
             Some(_) => return Verdict::Elsewhere,
             None => {}
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -102,6 +102,44 @@
     fn send(&self, _: &BoxName, _: Claim) {}
 }
 
+/// Another box writes every shard, and what it answers comes too late or not at all.
+struct Unanswered {
+    store: Arc<Store>,
+}
+
+impl Courier for Unanswered {
+    fn writer_of(&self, _: u64) -> Option<BoxName> {
+        Some(BoxName::from("writer"))
+    }
+
+    fn send(&self, _: &BoxName, claim: Claim) {
+        let name = Place::of(&claim).expect("it names a key").object();
+        let object = self.store.get(&name).expect("the store is well");
+        let mut book = object
+            .as_ref()
+            .map_or_else(Book::default, |o| serde_json::from_slice(&o.value).expect("a book"));
+        book.apply(&claim, claim.made);
+        let value = serde_json::to_vec(&book).expect("it serializes");
+        let version = object.map_or(0, |o| o.version);
+        // Once others write, too, a conflict is as good as a lost message.
+        let _ = self.store.put(&name, &value, version);
+    }
+}
+
+struct LosesReleases(Unanswered);
+
+impl Courier for LosesReleases {
+    fn writer_of(&self, shard: u64) -> Option<BoxName> {
+        self.0.writer_of(shard)
+    }
+
+    fn send(&self, to: &BoxName, claim: Claim) {
+        if claim.op != Op::Release {
+            self.0.send(to, claim);
+        }
+    }
+}
+
 fn claims(store: &Arc<Store>) -> Arc<Claims> {
     Claims::new(store.clone(), Box::new(Alone))
 }
@@ -137,6 +175,35 @@
     assert_eq!(taken, vec![1; keys.len()]);
 }
 
+/// The box that usually writes a shard has written a claim, but its answer is late. Whoever asked
+/// then claims by itself, and must not take its own record for another's: nobody would ever run the
+/// request.
+#[tokio::test(start_paused = true)]
+async fn a_claim_whose_answer_is_late_still_belongs_to_who_asked() {
+    let store = Arc::new(Store::default());
+    // The release that is sent after the wait is lost, as the answer is.
+    let courier = LosesReleases(Unanswered { store: store.clone() });
+    let asks = Claims::new(store.clone(), Box::new(courier));
+    let others = claims(&store);
+    let key = key(&new_key());
+    let taken = asks.take(key, 7).await;
+    assert!(taken.is_ok_and(|attempt| attempt != 7), "{taken:?}");
+    assert_eq!(others.take(key, 8).await, Err(Verdict::Elsewhere));
+}
+
+/// The release of the attempt that was given up must not free the key that its successor has.
+#[tokio::test(start_paused = true)]
+async fn a_late_release_frees_nothing_that_was_claimed_again() {
+    let store = Arc::new(Store::default());
+    let courier = LosesReleases(Unanswered { store: store.clone() });
+    let asks = Claims::new(store.clone(), Box::new(courier));
+    let key = key(&new_key());
+    assert!(asks.take(key, 7).await.is_ok());
+    let late = Claims::new(store.clone(), Box::new(Unanswered { store: store.clone() }));
+    late.settle(key, 7, false);
+    assert_eq!(claims(&store).take(key, 8).await, Err(Verdict::Elsewhere));
+}
+
 /// Nobody waits for a store that is known to be out of reach, though a probe hangs in it.
 #[tokio::test]
 async fn while_the_store_hangs_keys_are_refused_at_once() {
