Pass streams on from the caller's connection itself, without a task or a channel

Of a request's time about half is its events: each woke three tasks, the upstream's connection, the one that passes on, and the caller's.

Ruled out: messages to other boxes (0.06 ms), the choice (0.1 ms), logs.

Change: the body of a caller's answer asks the upstream's body for its next piece, which drives its connection. A connection at rest is watched by a task of its own, and may be used 6 ms after its last answer, as before, by the clock instead of a timer each.

--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -8,9 +8,8 @@
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
 use http::header::RETRY_AFTER;
-use http_body_util::BodyExt;
-use http_body_util::Full;
 
+use crate::proxy::stream;
 use crate::proxy::stream::Body;
 
 /// Why a request gets an answer of our own. Those that say "not run" are sent only if no upstream
@@ -113,8 +112,7 @@
 /// The answer for a refusal.
 pub fn refusal(cause: Refusal) -> Response<Body> {
     let text = Bytes::from(format!("{cause}\n"));
-    let body = Full::new(text).map_err(|e| match e {}).boxed();
-    let mut resp = Response::new(body);
+    let mut resp = Response::new(stream::whole(text));
     *resp.status_mut() = cause.status();
     let headers = resp.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
--- a/src/proxy/link.rs
+++ b/src/proxy/link.rs
@@ -4,8 +4,11 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +16,8 @@
 use http::Request;
 use http::Response;
 use http_body_util::Full;
+use hyper::body::Body;
+use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
@@ -83,16 +88,35 @@
 #[derive(Debug, Default)]
 struct PerUpstream {
     open: u32,
-    idle: Vec<Conn>,
+    /// Those that have rested longest come first.
+    idle: Vec<Resting>,
 }
 
+/// The part of a connection that moves bytes; it must be polled for anything to happen.
+type Driver = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+
+/// A connection that a request is on. Whoever waits for the answer drives it, so that a piece of a
+/// stream wakes one task and not three. Dropping it closes the connection, so that the upstream
+/// stops working on what nobody waits for.
 #[derive(Debug)]
 struct Conn {
     tx: SendRequest<Full<Bytes>>,
-    task: AbortHandle,
-    rested_since: Instant,
+    /// Nothing once the connection has ended.
+    driver: Option<Driver>,
+    keep: Duration,
+    count: Count,
+}
+
+/// A connection that no request is on. A task watches it, to see that the upstream closes it or
+/// sends what nobody asked for.
+#[derive(Debug)]
+struct Resting {
+    tx: SendRequest<Full<Bytes>>,
+    driver: Arc<Mutex<Option<Driver>>>,
+    watch: AbortHandle,
+    since: Instant,
     keep: Duration,
-    _count: Count,
+    count: Count,
 }
 
 /// Counts a connection while it is open.
@@ -111,38 +135,85 @@
     }
 }
 
-impl Drop for Conn {
-    fn drop(&mut self) {
-        self.task.abort();
+impl Conn {
+    fn drive(&mut self, cx: &mut Context<'_>) {
+        drive(&mut self.driver, cx);
+    }
+
+    fn rest(self, since: Instant) -> Option<Resting> {
+        let Conn { tx, driver, keep, count } = self;
+        let driver = Arc::new(Mutex::new(Some(driver?)));
+        let watched = driver.clone();
+        let watch = tokio::spawn(std::future::poll_fn(move |cx| {
+            let mut driver = watched.lock().expect("no panic under lock");
+            drive(&mut driver, cx);
+            if driver.is_some() { Poll::Pending } else { Poll::Ready(()) }
+        }));
+        Some(Resting { tx, driver, watch: watch.abort_handle(), since, keep, count })
     }
 }
 
-/// A connection that a request is on. Dropping it closes the connection, so that the upstream
-/// stops working on what nobody waits for.
+/// Moves bytes, until the connection has ended. Whoever waits for an answer hears of its failure.
+fn drive(driver: &mut Option<Driver>, cx: &mut Context<'_>) {
+    if let Some(running) = driver
+        && Pin::new(running).poll(cx).is_ready()
+    {
+        *driver = None;
+    }
+}
+
+impl Resting {
+    fn is_usable(&self) -> bool {
+        !self.tx.is_closed() && self.tx.is_ready()
+    }
+
+    /// Nothing when the connection has ended.
+    fn wake(self) -> Option<Conn> {
+        let is_usable = self.is_usable();
+        let Resting { tx, driver, watch, keep, count, .. } = self;
+        watch.abort();
+        let driver = driver.lock().expect("no panic under lock").take();
+        is_usable.then_some(Conn { tx, driver, keep, count })
+    }
+
+    fn close(self) {
+        drop(self.wake());
+    }
+}
+
+/// The body of an upstream's answer, with the connection that it comes on. Dropping it closes the
+/// connection.
 #[derive(Debug)]
-pub struct Lease {
-    conn: Option<Conn>,
-    addr: SocketAddr,
-    links: Arc<Links>,
+pub struct AnswerBody {
+    incoming: Incoming,
+    conn: Conn,
 }
 
-impl Lease {
-    /// The answer has ended as it should: keeps the connection for others.
-    pub fn keep(mut self, keep: Option<Duration>) {
-        let Some(mut conn) = self.conn.take() else { return };
-        if let Some(keep) = keep {
+impl AnswerBody {
+    /// The answer has ended as it should: keeps the connection for others, for as long as the
+    /// upstream says in `headers`.
+    pub fn keep(self, headers: &HeaderMap) {
+        let mut conn = self.conn;
+        if let Some(keep) = keep_alive(headers) {
             conn.keep = keep.mul_f64(KEEP_SHARE);
         }
-        let (links, addr) = (self.links.clone(), self.addr);
-        tokio::spawn(async move {
-            tokio::time::sleep(SETTLE).await;
-            conn.rested_since = Instant::now();
-            if conn.tx.is_closed() {
-                return;
-            }
-            let rejected = links.put(addr, conn);
-            drop(rejected);
-        });
+        let (links, addr) = (conn.count.links.clone(), conn.count.addr);
+        if let Some(resting) = conn.rest(Instant::now()) {
+            links.put(addr, resting);
+        }
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        self.conn.drive(cx);
+        Pin::new(&mut self.incoming).poll_frame(cx)
     }
 }
 
@@ -155,21 +226,28 @@
         max: u32,
         once: bool,
         req: Request<Full<Bytes>>,
-    ) -> Result<(Response<Incoming>, Lease), Error> {
-        let conn = match self.take(addr, once) {
+    ) -> Result<Response<AnswerBody>, Error> {
+        let mut conn = match self.take(addr, once) {
             Some(conn) => conn,
             None => self.connect(addr, max).await?,
         };
-        let mut lease = Lease { conn: Some(conn), addr, links: self.clone() };
-        let Some(conn) = lease.conn.as_mut() else { return Err(Error::NoneFree) };
-        let resp = conn.tx.send_request(req).await.map_err(Error::Lost)?;
-        Ok((resp, lease))
+        let answer = conn.tx.send_request(req);
+        tokio::pin!(answer);
+        let driver = &mut conn.driver;
+        let resp = std::future::poll_fn(|cx| {
+            drive(driver, cx);
+            answer.as_mut().poll(cx)
+        });
+        let resp = resp.await.map_err(Error::Lost)?;
+        Ok(resp.map(|incoming| AnswerBody { incoming, conn }))
     }
 
     /// Makes a connection and keeps it for the next request.
     pub async fn warm(self: &Arc<Links>, addr: SocketAddr) -> Result<(), Error> {
         let conn = self.connect(addr, u32::MAX).await?;
-        drop(self.put(addr, conn));
+        if let Some(resting) = conn.rest(Instant::now()) {
+            self.put(addr, resting);
+        }
         Ok(())
     }
 
@@ -179,51 +257,44 @@
         let mut by_addr = self.by_addr.lock().expect("no panic under lock");
         for (addr, upstream) in by_addr.iter_mut() {
             let keep = known.contains(addr);
-            let (stay, go) = std::mem::take(&mut upstream.idle)
-                .into_iter()
-                .partition(|c| keep && !c.tx.is_closed() && c.rested_since.elapsed() < c.keep);
-            upstream.idle = stay;
-            let go: Vec<Conn> = go;
-            old.extend(go);
+            let is_old = |c: &mut Resting| !keep || c.tx.is_closed() || c.keep <= c.since.elapsed();
+            old.extend(upstream.idle.extract_if(.., is_old));
         }
         by_addr.retain(|_, u| u.open != 0 || !u.idle.is_empty());
         // The counts take the lock.
         drop(by_addr);
-        drop(old);
+        old.into_iter().for_each(Resting::close);
     }
 
+    /// The connection that rested least of those that have settled: it is the surest to be alive.
     fn take(&self, addr: SocketAddr, once: bool) -> Option<Conn> {
-        let mut closed = Vec::new();
-        let mut by_addr = self.by_addr.lock().expect("no panic under lock");
-        let idle = &mut by_addr.get_mut(&addr)?.idle;
-        let mut found = None;
-        // The one that rested least is the surest to be alive.
-        while let Some(conn) = idle.pop() {
-            let keep = if once { conn.keep.min(KEEP_SURE) } else { conn.keep };
-            if conn.tx.is_closed() || !conn.tx.is_ready() {
-                closed.push(conn);
-            } else if conn.rested_since.elapsed() < keep {
-                found = Some(conn);
-                break;
-            } else {
-                // The others rested longer still; they may do for requests that can be repeated.
-                idle.push(conn);
-                break;
+        loop {
+            let mut by_addr = self.by_addr.lock().expect("no panic under lock");
+            let idle = &mut by_addr.get_mut(&addr)?.idle;
+            let at = idle.iter().rposition(|c| SETTLE <= c.since.elapsed())?;
+            let keep = if once { idle[at].keep.min(KEEP_SURE) } else { idle[at].keep };
+            // The others rested longer still; they may do for requests that can be repeated.
+            if idle[at].is_usable() && keep <= idle[at].since.elapsed() {
+                return None;
+            }
+            let resting = idle.remove(at);
+            // The counts take the lock.
+            drop(by_addr);
+            if let Some(conn) = resting.wake() {
+                return Some(conn);
             }
         }
-        drop(by_addr);
-        drop(closed);
-        found
     }
 
-    fn put(&self, addr: SocketAddr, conn: Conn) -> Option<Conn> {
+    fn put(&self, addr: SocketAddr, resting: Resting) {
         let mut by_addr = self.by_addr.lock().expect("no panic under lock");
         let idle = &mut by_addr.entry(addr).or_default().idle;
-        if IDLE_MAX <= idle.len() {
-            return Some(conn);
+        if idle.len() < IDLE_MAX {
+            idle.push(resting);
+            return;
         }
-        idle.push(conn);
-        None
+        drop(by_addr);
+        resting.close();
     }
 
     async fn connect(self: &Arc<Links>, addr: SocketAddr, max: u32) -> Result<Conn, Error> {
@@ -233,21 +304,11 @@
             .map_err(|_| Error::ConnectTimeout)?
             .map_err(Error::Connect)?;
         guard(&stream).map_err(Error::Connect)?;
-        let (tx, conn) = http1::Builder::new()
+        let (tx, driver) = http1::Builder::new()
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| Error::Connect(std::io::Error::other(e)))?;
-        let task = tokio::spawn(async move {
-            // Whoever waits on the connection hears of its failure.
-            let _ = conn.await;
-        });
-        Ok(Conn {
-            tx,
-            task: task.abort_handle(),
-            rested_since: Instant::now(),
-            keep: KEEP_DEFAULT,
-            _count: count,
-        })
+        Ok(Conn { tx, driver: Some(driver), keep: KEEP_DEFAULT, count })
     }
 
     fn count(self: &Arc<Links>, addr: SocketAddr, max: u32) -> Option<Count> {
@@ -271,7 +332,7 @@
 }
 
 /// How long an upstream says that it keeps idle connections.
-pub fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
     let seconds = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
     seconds.parse().ok().map(Duration::from_secs)
--- a/src/proxy/pump.rs
+++ b/src/proxy/pump.rs
@@ -1,24 +1,31 @@
 //! Streams: each piece is passed on as it comes; one that breaks off is gone on with at another
 //! upstream where the route allows it, and else cut where the caller sees it.
 
+use std::io;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
 use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::Frame;
 use slog::info;
+use tokio::time::Instant;
+use tokio::time::Sleep;
 
 use crate::placement::fleet::Health;
-use crate::proxy::link;
-use crate::proxy::link::Lease;
+use crate::proxy::link::AnswerBody;
 use crate::proxy::placed::Placed;
 use crate::proxy::request;
 use crate::proxy::request::Reply;
 use crate::proxy::request::Run;
-use crate::proxy::stream;
 use crate::proxy::stream::Body;
 use crate::proxy::stream::Events;
-use crate::proxy::stream::Sender;
 use crate::proxy::table::Repeat;
 use crate::util;
 
@@ -46,127 +53,180 @@
     }
 }
 
+/// What an upstream still has to send.
+struct Source {
+    body: AnswerBody,
+    headers: HeaderMap,
+    placed: Placed,
+}
+
+/// Where the next piece comes from.
+enum State {
+    /// An upstream's answer.
+    Passing(Box<Source>),
+    /// Another upstream, which goes on with the stream if there is one.
+    Resuming(BoxFuture<'static, (Box<Run>, Option<Box<Reply>>)>),
+    /// Nowhere: the answer is cut, once all that came before has been written.
+    Cutting,
+    /// Nowhere: the answer has ended.
+    Ended,
+}
+
+/// The body of a caller's answer. Nothing runs beside it: the caller's connection asks it for the
+/// next piece, and it asks the upstream's. It is dropped when the caller leaves.
 struct Pump {
-    run: Run,
-    tx: Sender,
+    /// The request; a resumption has it meanwhile.
+    run: Option<Box<Run>>,
+    state: State,
     events: Events,
     /// Whether the request's first piece has come.
     begun: bool,
+    timed_out: Pin<Box<Sleep>>,
 }
 
 /// Answers with the stream that begins with `reply`.
-pub async fn start(run: Run, reply: Reply) -> Response<Body> {
+pub fn start(run: Run, reply: Reply) -> Response<Body> {
     let status = reply.resp.status();
     let headers = run.hub.dialect().incoming(reply.resp.headers());
-    let (tx, body) = stream::piped();
-    let pump = Pump { run, tx, events: Events::default(), begun: false };
-    tokio::spawn(pump.go(reply));
-    request::respond(status, headers, body)
+    let pump = Pump {
+        timed_out: Box::pin(tokio::time::sleep_until(run.deadline)),
+        run: Some(Box::new(run)),
+        state: passing(reply),
+        events: Events::default(),
+        begun: false,
+    };
+    request::respond(status, headers, pump.boxed_unsync())
 }
 
-impl Pump {
-    async fn go(mut self, reply: Reply) {
-        let mut reply = reply;
-        loop {
-            let Reply { resp, lease, placed } = reply;
-            let keep = link::keep_alive(resp.headers());
-            let end = self.pass_on(resp.into_body(), &placed).await;
-            if end == End::Whole {
-                lease.keep(keep);
-                placed.close(None);
-                self.finish(end).await;
-                return;
-            }
-            if end == End::Broken {
-                self.run.hub.unreachable(placed.upstream());
-            }
-            placed.close((end == End::Broken).then_some(Health::Broken));
-            close(lease);
-            let next = if end == End::Broken { self.resume().await } else { None };
-            let Some(next) = next else {
-                self.tx.cut().await;
-                self.finish(end).await;
-                return;
-            };
-            reply = next;
-        }
-    }
+fn passing(reply: Reply) -> State {
+    let Reply { resp, placed } = reply;
+    let (head, body) = resp.into_parts();
+    State::Passing(Box::new(Source { body, headers: head.headers, placed }))
+}
 
-    async fn resume(&mut self) -> Option<Reply> {
-        // The part of an event that came is sent again by the next upstream.
-        let _ = self.events.take_part();
-        let after = self.events.last_id();
-        let next = tokio::time::timeout_at(self.run.deadline, self.run.resume(after)).await;
-        let next = *next.ok()??;
-        info!(self.run.hub.log(), "resumed"; "id" => &self.run.head.id, "after" => after,
-            "upstream" => next.placed.upstream().as_str());
-        Some(next)
-    }
+impl hyper::body::Body for Pump {
+    type Data = Bytes;
+    type Error = io::Error;
 
-    /// Passes pieces on until the stream ends.
-    async fn pass_on(&mut self, mut body: Incoming, placed: &Placed) -> End {
-        // Made once: a stream has many pieces, and each would register them anew.
-        let timed_out = tokio::time::sleep_until(self.run.deadline);
-        tokio::pin!(timed_out);
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         loop {
-            let frame = tokio::select! {
-                biased;
-                frame = body.frame() => frame,
-                () = self.tx.closed() => return End::CallerLeft,
-                () = &mut timed_out => return End::TimedOut,
-            };
-            let piece = match frame {
-                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-                Some(Err(e)) => {
-                    info!(self.run.hub.log(), "broke off"; "id" => &self.run.head.id,
-                        "upstream" => placed.upstream().as_str(), "error" => util::with_causes(&e),
-                        "begun" => self.begun, "last_event" => self.events.last_id());
-                    return End::Broken;
+            match &mut self.state {
+                State::Passing(source) => {
+                    let Poll::Ready(frame) = Pin::new(&mut source.body).poll_frame(cx) else {
+                        ready!(self.timed_out.as_mut().poll(cx));
+                        self.cut(End::TimedOut, cx);
+                        return Poll::Pending;
+                    };
+                    let next = match frame {
+                        Some(Ok(frame)) => self.piece(frame.into_data().unwrap_or_default()),
+                        Some(Err(e)) => {
+                            self.broke_off(&e);
+                            continue;
+                        }
+                        None => Some(self.finish()).filter(|rest| !rest.is_empty()),
+                    };
+                    if let Some(piece) = next {
+                        return Poll::Ready(Some(Ok(Frame::data(piece))));
+                    }
                 }
-                None => return self.pass_rest().await,
-            };
-            if piece.is_empty() {
-                continue;
-            }
-            if !self.begun {
-                self.begun = true;
-                self.run.hub.metrics().first_token(placed, self.run.arrived.elapsed());
-            }
-            placed.first();
-            let piece = self.whole_events(piece);
-            if !piece.is_empty() && !self.send(piece).await {
-                return End::CallerLeft;
+                State::Resuming(resuming) => {
+                    let (run, reply) = ready!(resuming.as_mut().poll(cx));
+                    self.run = Some(run);
+                    match reply {
+                        Some(reply) => self.state = passing(*reply),
+                        None => {
+                            self.cut(End::Broken, cx);
+                            return Poll::Pending;
+                        }
+                    }
+                }
+                State::Cutting => {
+                    self.state = State::Ended;
+                    let cut = io::Error::from(io::ErrorKind::ConnectionAborted);
+                    return Poll::Ready(Some(Err(cut)));
+                }
+                State::Ended => return Poll::Ready(None),
             }
         }
     }
+}
 
-    /// What may be passed on now: whole events where the stream may have to be gone on with.
-    fn whole_events(&mut self, piece: Bytes) -> Bytes {
-        if self.run.route.repeat == Repeat::AfterEvent { self.events.push(&piece) } else { piece }
+impl Pump {
+    /// Takes in a piece; gives what may be passed on now: whole events where the stream may have to
+    /// be gone on with.
+    fn piece(&mut self, piece: Bytes) -> Option<Bytes> {
+        let (Some(run), State::Passing(source)) = (&self.run, &self.state) else { return None };
+        if piece.is_empty() {
+            return None;
+        }
+        if !self.begun {
+            self.begun = true;
+            run.hub.metrics().first_token(&source.placed, run.arrived.elapsed());
+        }
+        source.placed.first();
+        if run.route.repeat != Repeat::AfterEvent {
+            return Some(piece);
+        }
+        Some(self.events.push(&piece)).filter(|events| !events.is_empty())
     }
 
-    async fn pass_rest(&mut self) -> End {
-        let rest = self.events.take_part();
-        if rest.is_empty() || self.send(rest).await { End::Whole } else { End::CallerLeft }
+    /// Ends a stream that came whole; gives what has not been passed on yet.
+    fn finish(&mut self) -> Bytes {
+        if let State::Passing(source) = std::mem::replace(&mut self.state, State::Ended) {
+            let Source { body, headers, placed } = *source;
+            body.keep(&headers);
+            placed.close(None);
+        }
+        self.log_end(End::Whole);
+        self.events.take_part()
     }
 
-    async fn send(&self, piece: Bytes) -> bool {
-        let piece = match self.tx.try_send(piece) {
-            Ok(()) => return true,
-            Err(piece) => piece,
-        };
-        tokio::select! {
-            sent = self.tx.send(piece) => sent,
-            () = tokio::time::sleep_until(self.run.deadline) => false,
+    /// Goes on with the stream elsewhere, or cuts it.
+    fn broke_off(&mut self, e: &hyper::Error) {
+        let Some(mut run) = self.run.take() else { return };
+        if let State::Passing(source) = std::mem::replace(&mut self.state, State::Ended) {
+            info!(run.hub.log(), "broke off"; "id" => &run.head.id,
+                "upstream" => source.placed.upstream().as_str(), "error" => util::with_causes(e),
+                "begun" => self.begun, "last_event" => self.events.last_id());
+            run.hub.unreachable(source.placed.upstream());
+            source.placed.close(Some(Health::Broken));
         }
+        // The part of an event that came is sent again by the next upstream.
+        let _ = self.events.take_part();
+        let after = self.events.last_id();
+        self.state = State::Resuming(Box::pin(async move {
+            let reply = tokio::time::timeout_at(run.deadline, run.resume(after)).await;
+            let reply = reply.ok().flatten();
+            if let Some(reply) = &reply {
+                info!(run.hub.log(), "resumed"; "id" => &run.head.id, "after" => after,
+                    "upstream" => reply.placed.upstream().as_str());
+            }
+            (run, reply)
+        }));
     }
 
-    async fn finish(self, end: End) {
-        self.run.log_end(StatusCode::OK, end.code());
+    /// Cuts the answer so that it doesn't look whole, when it is asked for the next piece; what is
+    /// before the cut is written first.
+    fn cut(&mut self, end: End, cx: &mut Context<'_>) {
+        self.state = State::Cutting;
+        self.log_end(end);
+        cx.waker().wake_by_ref();
+    }
+
+    fn log_end(&mut self, end: End) {
+        // Only once: the request isn't counted any more.
+        if let Some(run) = self.run.take() {
+            run.log_end(StatusCode::OK, end.code());
+        }
     }
 }
 
-/// Closes a connection, so that its upstream stops working on the request.
-fn close(lease: Lease) {
-    drop(lease);
+impl Drop for Pump {
+    fn drop(&mut self) {
+        let late = self.run.as_ref().is_some_and(|run| run.deadline <= Instant::now());
+        self.log_end(if late { End::TimedOut } else { End::CallerLeft });
+    }
 }
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -33,7 +33,7 @@
 use crate::proxy::dialect::Verdict;
 use crate::proxy::hub::Hub;
 use crate::proxy::link;
-use crate::proxy::link::Lease;
+use crate::proxy::link::AnswerBody;
 use crate::proxy::placed::InFlight;
 use crate::proxy::placed::Placed;
 use crate::proxy::pump;
@@ -131,10 +131,8 @@
 
 /// An upstream's answer whose body is still to come.
 pub struct Reply {
-    /// The answer.
-    pub resp: Response<Incoming>,
-    /// Its connection.
-    pub lease: Lease,
+    /// The answer; its body closes the connection when it is dropped.
+    pub resp: Response<AnswerBody>,
     /// The request's entry in the models.
     pub placed: Placed,
 }
@@ -279,8 +277,8 @@
         let once = self.route.repeat == Repeat::Never;
         let links = self.hub.links().clone();
         let answer = links.send(choice.addr, self.connections_max, once, req).await;
-        let (resp, lease) = match answer {
-            Ok(answer) => answer,
+        let resp = match answer {
+            Ok(resp) => resp,
             Err(e) if e.is_unsent() => {
                 // Our own limit says nothing about the upstream.
                 if !matches!(e, link::Error::NoneFree) {
@@ -300,13 +298,12 @@
         };
         self.sends += 1;
         let verdict = self.hub.dialect().judge(&self.head.id, resp.status(), resp.headers());
-        self.judge(resp, lease, placed, verdict, began)
+        self.judge(resp, placed, verdict, began)
     }
 
     fn judge(
         &self,
-        resp: Response<Incoming>,
-        lease: Lease,
+        resp: Response<AnswerBody>,
         placed: Placed,
         verdict: Verdict,
         began: Instant,
@@ -332,7 +329,7 @@
             placed.close(Some(Health::Failed));
             return Sent::Unsure(None);
         }
-        let reply = Box::new(Reply { resp, lease, placed });
+        let reply = Box::new(Reply { resp, placed });
         if status.is_server_error() {
             self.log_answer(&reply.resp, &reply.placed, verdict, "failed");
             reply.placed.note(Health::Failed);
@@ -345,7 +342,7 @@
     /// Logs an answer that isn't simply passed on.
     fn log_answer(
         &self,
-        resp: &Response<Incoming>,
+        resp: &Response<AnswerBody>,
         placed: &Placed,
         verdict: Verdict,
         taken_for: &'static str,
@@ -406,19 +403,19 @@
     /// Passes an answer on.
     async fn answer(self, reply: Box<Reply>) -> Response<Body> {
         if self.route.streaming && reply.resp.status().is_success() {
-            return pump::start(self, *reply).await;
+            return pump::start(self, *reply);
         }
         self.answer_whole(*reply).await
     }
 
     /// Passes an answer on once it has come whole, so that one that breaks off is never begun.
     async fn answer_whole(self, reply: Reply) -> Response<Body> {
-        let Reply { resp, lease, placed } = reply;
-        let (head, body) = resp.into_parts();
+        let Reply { resp, placed } = reply;
+        let (head, mut body) = resp.into_parts();
         let left = self.deadline.saturating_duration_since(Instant::now());
-        match web::read_body(body, WHOLE_MAX, left).await {
+        match web::read_body(&mut body, WHOLE_MAX, left).await {
             Ok(bytes) => {
-                lease.keep(link::keep_alive(&head.headers));
+                body.keep(&head.headers);
                 placed.close(None);
                 self.log_end(head.status, "whole");
                 let headers = self.hub.dialect().incoming(&head.headers);
--- a/src/web.rs
+++ b/src/web.rs
@@ -2,6 +2,7 @@
 //! answers for the metrics page and the intent API.
 
 use std::convert::Infallible;
+use std::error::Error;
 use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
@@ -120,7 +121,11 @@
 }
 
 /// Reads a body of at most `max` bytes. One that says it is longer is refused unread.
-pub async fn read_body(body: Incoming, max: usize, timeout: Duration) -> Result<Bytes, BodyFault> {
+pub async fn read_body<B>(body: B, max: usize, timeout: Duration) -> Result<Bytes, BodyFault>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
     if (max as u64) < body.size_hint().lower() {
         return Err(BodyFault::TooLong);
     }
