Tell other boxes of an upstream only after a failed connection; look engines up once a choice

Change: the box that doubts an upstream connects first, and tells only if that fails, once; looks grow rarer with each failure, and none waits for another's.

--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -3,11 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use rustc_hash::FxHashMap;
 use serde::Deserialize;
 use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
 
-use crate::names::ServiceName;
 use crate::names::UpstreamName;
 use crate::names::ZoneName;
 use crate::placement::choice::Choice;
@@ -19,7 +18,6 @@
 use crate::proxy::dialect::Part;
 use crate::proxy::dialect::Prompt;
 use crate::proxy::table::EngineLimits;
-use crate::util;
 
 /// Fewest tokens that are worth a copy: twice those that are read in the time of its setup.
 const COPY_MIN: u32 = 400;
@@ -37,6 +35,11 @@
 /// Longest time that an upstream is left alone before it is tried again.
 const REST_MAX: Duration = Duration::from_secs(5);
 
+/// Time between tries to connect to an upstream that may not be reachable, at first and at most;
+/// doubled with each failure, since each box tries by itself.
+const LOOK_FIRST: Duration = Duration::from_millis(300);
+const LOOK_MAX: Duration = Duration::from_millis(2400);
+
 /// Weight of the newest answer time of a plain service in its average.
 const ANSWER_TIME_WEIGHT: f64 = 0.2;
 
@@ -90,8 +93,36 @@
     answer_time: f64,
     failures: u32,
     rests_until: Duration,
-    /// Whether no connection to it could be made; it gets no work until one can.
-    unreachable: bool,
+    /// Set while it may not be reachable; it gets no work until a connection can be made.
+    doubt: Option<Doubt>,
+    /// Of its name.
+    hash: u64,
+}
+
+/// An upstream that a request may go to.
+struct Candidate<'a> {
+    upstream: &'a Upstream,
+    /// Nothing for plain services.
+    plan: Option<Plan>,
+    /// What sending the request there costs, in seconds.
+    cost: f64,
+}
+
+impl Candidate<'_> {
+    fn wait(&self) -> Duration {
+        self.plan.as_ref().map_or(Duration::ZERO, |p| p.wait)
+    }
+}
+
+/// Why an upstream gets no work: it may not be reachable.
+#[derive(Clone, Copy, Debug)]
+struct Doubt {
+    /// Whether this box came upon it, or was told.
+    is_own: bool,
+    /// Tries to connect that failed since.
+    failures: u32,
+    /// When to try next.
+    look_at: Duration,
 }
 
 /// All upstreams that this box knows.
@@ -100,13 +131,12 @@
     zone: ZoneName,
     tuning: Tuning,
     upstreams: BTreeMap<UpstreamName, Upstream>,
-    by_service: FxHashMap<ServiceName, Vec<UpstreamName>>,
 }
 
 impl Fleet {
     /// Nothing is known yet.
     pub fn new(zone: ZoneName, tuning: Tuning) -> Fleet {
-        Fleet { zone, tuning, upstreams: BTreeMap::new(), by_service: FxHashMap::default() }
+        Fleet { zone, tuning, upstreams: BTreeMap::new() }
     }
 
     /// Takes over an upstream that is new or has changed. `limits` where it is an engine.
@@ -118,15 +148,14 @@
             }
             return;
         }
-        let of_service = self.by_service.entry(listed.service.clone()).or_default();
-        of_service.push(listed.name.clone());
         let upstream = Upstream {
             engine: limits.map(|l| Engine::new(l, self.tuning)),
             outstanding: 0,
             answer_time: 0.0,
             failures: 0,
             rests_until: Duration::ZERO,
-            unreachable: false,
+            doubt: None,
+            hash: xxh3_64(listed.name.as_bytes()),
             listed,
         };
         self.upstreams.insert(upstream.listed.name.clone(), upstream);
@@ -134,10 +163,7 @@
 
     /// Forgets an upstream.
     pub fn remove(&mut self, name: &UpstreamName) {
-        let Some(upstream) = self.upstreams.remove(name) else { return };
-        if let Some(names) = self.by_service.get_mut(&upstream.listed.service) {
-            names.retain(|n| n != name);
-        }
+        self.upstreams.remove(name);
     }
 
     /// Marks an upstream as leaving.
@@ -168,26 +194,55 @@
         if usable.is_empty() {
             return Err(NoChoice::NoUpstream);
         }
-        let source = wanted.prompt.and_then(|prompt| source(&usable, prompt));
-        let home = wanted.prompt.and_then(|prompt| home(&usable, prompt));
-        let with_room = usable.iter().filter(|u| u.has_room(wanted.prompt));
-        let planned: Vec<(&Upstream, Option<Plan>)> = with_room
-            .map(|u| (*u, u.plan(wanted.prompt, source, home, self.tuning, now)))
-            .collect();
-        let wait = |plan: &Option<Plan>| plan.as_ref().map_or(Duration::ZERO, |p| p.wait);
-        let best = planned
+        let candidates = self.candidates(&usable, wanted, now);
+        let best = candidates
             .iter()
-            .filter(|(_, plan)| !wanted.anywhere || wait(plan) <= wanted.wait_max)
-            .map(|(u, plan)| (u.cost(plan.as_ref(), self.tuning, &self.zone), u, plan))
-            .min_by(|a, b| a.0.total_cmp(&b.0))
-            .filter(|(_, _, plan)| wait(plan) <= wanted.wait_max);
-        if let Some((_, upstream, plan)) = best {
-            return Ok(upstream.choice(*plan, self.tuning));
+            .filter(|c| !wanted.anywhere || c.wait() <= wanted.wait_max)
+            .min_by(|a, b| a.cost.total_cmp(&b.cost))
+            .filter(|c| c.wait() <= wanted.wait_max);
+        if let Some(best) = best {
+            return Ok(best.upstream.choice(best.plan, self.tuning));
         }
-        let shortest = planned.iter().map(|(_, plan)| wait(plan)).min();
+        let shortest = candidates.iter().map(Candidate::wait).min();
         Err(shortest.map_or(NoChoice::Full, |wait| NoChoice::Busy { wait }))
     }
 
+    /// The upstreams with room, and what sending the request to each would cost.
+    fn candidates<'a>(
+        &self,
+        usable: &[&'a Upstream],
+        wanted: Wanted<'_>,
+        now: Duration,
+    ) -> Vec<Candidate<'a>> {
+        let Some(prompt) = wanted.prompt else {
+            let cost = |u: &Upstream| u.cost(None, self.tuning, &self.zone);
+            return usable
+                .iter()
+                .map(|u| Candidate { upstream: u, plan: None, cost: cost(u) })
+                .collect();
+        };
+        // Looked up once: what engines keep is spread over memory, and many engines are asked.
+        let kept: Vec<u32> =
+            usable.iter().map(|u| u.engine.as_ref().map_or(0, |e| e.kept(prompt))).collect();
+        let source = usable
+            .iter()
+            .zip(&kept)
+            .filter(|(u, _)| u.engine.is_some())
+            .map(|(u, kept)| Source { addr: u.listed.addr, kept: *kept })
+            .max_by_key(|s| s.kept);
+        let home = home(usable, prompt);
+        let candidate = |(u, kept): (&&'a Upstream, &u32)| {
+            if !u.has_room(prompt) {
+                return None;
+            }
+            let is_home = home.is_some_and(|home| std::ptr::eq(home, *u));
+            let plan = u.plan(prompt, *kept, source, is_home, self.tuning, now);
+            let cost = u.cost(plan.as_ref(), self.tuning, &self.zone);
+            Some(Candidate { upstream: u, plan, cost })
+        };
+        usable.iter().zip(&kept).filter_map(candidate).collect()
+    }
+
     /// Notes a request that this box or another sends to an upstream.
     pub fn place(
         &mut self,
@@ -260,16 +315,45 @@
         }
     }
 
-    /// Notes that no connection to an upstream can be made, or that one can again. True when this
-    /// is new.
-    pub fn set_unreachable(&mut self, name: &UpstreamName, unreachable: bool) -> bool {
+    /// Notes that an upstream may not be reachable, by what this box saw itself or was told. True
+    /// when this is new.
+    pub fn doubt(&mut self, name: &UpstreamName, is_own: bool, now: Duration) -> bool {
         let Some(upstream) = self.upstreams.get_mut(name) else { return false };
-        std::mem::replace(&mut upstream.unreachable, unreachable) != unreachable
+        if upstream.doubt.is_some() {
+            return false;
+        }
+        upstream.doubt = Some(Doubt { is_own, failures: 0, look_at: now });
+        true
     }
 
-    /// Upstreams to which no connection can be made.
-    pub fn unreachable(&self) -> impl Iterator<Item = &Listed> {
-        self.upstreams.values().filter(|u| u.unreachable).map(|u| &u.listed)
+    /// Notes that a connection to an upstream could be made. True when that was in doubt.
+    pub fn reached(&mut self, name: &UpstreamName) -> bool {
+        let Some(upstream) = self.upstreams.get_mut(name) else { return false };
+        upstream.doubt.take().is_some()
+    }
+
+    /// Notes that no connection to an upstream could be made. True when the other boxes should
+    /// hear of it: at the first failure, and only from who came upon it.
+    pub fn not_reached(&mut self, name: &UpstreamName, now: Duration) -> bool {
+        let doubt = self.upstreams.get_mut(name).and_then(|u| u.doubt.as_mut());
+        let Some(doubt) = doubt else { return false };
+        doubt.failures += 1;
+        let pause = LOOK_FIRST * 2u32.saturating_pow(doubt.failures.min(8) - 1);
+        doubt.look_at = now + pause.min(LOOK_MAX);
+        doubt.is_own && doubt.failures == 1
+    }
+
+    /// Upstreams that it is time to connect to, to see whether they can be reached. Each is given
+    /// once until [`Fleet::not_reached`] is called for it, or for the longest pause.
+    pub fn take_doubted(&mut self, now: Duration) -> Vec<Listed> {
+        let mut due = Vec::new();
+        for upstream in self.upstreams.values_mut() {
+            if let Some(doubt) = upstream.doubt.as_mut().filter(|d| d.look_at <= now) {
+                doubt.look_at = now + LOOK_MAX;
+                due.push(upstream.listed.clone());
+            }
+        }
+        due
     }
 
     /// Forgets what is too old to be true.
@@ -283,37 +367,35 @@
 
     /// Upstreams of a service that may get work; those that rest only if there are no others.
     fn usable(&self, wanted: Wanted<'_>, now: Duration) -> Vec<&Upstream> {
-        let names = self.by_service.get(wanted.service).map_or(&[][..], Vec::as_slice);
-        let open: Vec<&Upstream> = names
-            .iter()
-            .filter_map(|n| self.upstreams.get(n))
-            .filter(|u| !u.listed.leaving && !wanted.except.contains(&u.listed.name))
+        let open: Vec<&Upstream> = self
+            .upstreams
+            .values()
+            .filter(|u| &*u.listed.service == wanted.service && !u.listed.leaving)
+            .filter(|u| !wanted.except.contains(&u.listed.name))
             .collect();
         let awake: Vec<&Upstream> =
-            open.iter().copied().filter(|u| u.rests_until <= now && !u.unreachable).collect();
+            open.iter().copied().filter(|u| u.rests_until <= now && u.doubt.is_none()).collect();
         if awake.is_empty() { open } else { awake }
     }
 }
 
 impl Upstream {
-    fn has_room(&self, prompt: Option<&Prompt>) -> bool {
-        match (&self.engine, prompt) {
-            (Some(engine), Some(prompt)) => engine.has_room(prompt),
-            _ => true,
-        }
+    fn has_room(&self, prompt: &Prompt) -> bool {
+        self.engine.as_ref().is_none_or(|engine| engine.has_room(prompt))
     }
 
-    /// How this engine would come by a prompt; nothing for plain services.
+    /// How this engine, which keeps `kept` tokens of a prompt, would come by it; nothing for plain
+    /// services.
     fn plan(
         &self,
-        prompt: Option<&Prompt>,
+        prompt: &Prompt,
+        kept: u32,
         source: Option<Source>,
-        home: Option<&UpstreamName>,
+        is_home: bool,
         tuning: Tuning,
         now: Duration,
     ) -> Option<Plan> {
-        let (engine, prompt) = self.engine.as_ref().zip(prompt)?;
-        let kept = engine.kept(prompt);
+        let engine = self.engine.as_ref()?;
         let gain = source.map_or(0, |s| s.kept.saturating_sub(kept));
         let copied = if gain < COPY_MIN { 0 } else { gain };
         let unread = prompt.tokens - kept - copied;
@@ -324,7 +406,7 @@
             copied,
             copy_time: if copied == 0 { Duration::ZERO } else { engine.copy_time(copied) },
             copy_from: source.filter(|_| copied != 0).map(|s| s.addr),
-            is_home: home.is_some_and(|home| *home == self.listed.name),
+            is_home,
         })
     }
 
@@ -376,19 +458,16 @@
     }
 }
 
-/// The engine that keeps the most of a prompt.
-fn source(upstreams: &[&Upstream], prompt: &Prompt) -> Option<Source> {
-    let kept = |u: &&Upstream| {
-        let kept = u.engine.as_ref()?.kept(prompt);
-        Some(Source { addr: u.listed.addr, kept })
-    };
-    upstreams.iter().filter_map(kept).max_by_key(|s| s.kept)
-}
-
 /// The engine to which the shared parts of a prompt belong, by rendezvous hashing of the last of
 /// them. The very last part is the request's own.
-fn home<'a>(upstreams: &[&'a Upstream], prompt: &Prompt) -> Option<&'a UpstreamName> {
+fn home<'a>(upstreams: &[&'a Upstream], prompt: &Prompt) -> Option<&'a Upstream> {
     let [.., shared, _] = &prompt.parts[..] else { return None };
-    let key = format!("{:x}", shared.id);
-    util::rendezvous(&key, upstreams.iter().map(|u| &u.listed.name))
+    upstreams.iter().copied().max_by_key(|u| (mix(u.hash ^ shared.id), u.hash))
+}
+
+/// Spreads a number over all its bits: the finish of `splitmix64` (Steele et al., 2014).
+fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
 }
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -40,11 +40,12 @@
 use crate::proxy::view::Snapshot;
 use crate::proxy::view::View;
 
+use crate::util;
 /// Connections to one upstream that every box may have, however many boxes there are.
 const CONNECTIONS_MIN: u32 = 4;
 
-/// Time between tries to connect to an upstream that can't be reached.
-const LOOK_INTERVAL: Duration = Duration::from_millis(300);
+/// Time between looks for upstreams that it is time to connect to.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Part of an upstream's connections that all boxes use together.
 const CONNECTIONS_SHARE: f64 = 0.9;
@@ -250,7 +251,7 @@
                 self.fleet(|fleet| fleet.end(&upstream, request));
             }
             Message::Unreachable { upstream } => {
-                if self.fleet(|fleet| fleet.set_unreachable(&upstream, true)) {
+                if self.fleet(|fleet| fleet.doubt(&upstream, false, now)) {
                     info!(self.log, "upstream said to be unreachable"; "name" => upstream.as_str());
                     self.look.notify_one();
                 }
@@ -331,34 +332,44 @@
         (part as u32).max(CONNECTIONS_MIN)
     }
 
-    /// Notes that no connection to an upstream can be made, here and at the other boxes.
+    /// Notes that an upstream may not be reachable. The other boxes hear of it only when a
+    /// connection fails: an answer that is lost says little of the upstream, and each box would
+    /// connect to it.
     pub fn unreachable(&self, upstream: &UpstreamName) {
-        if self.fleet(|fleet| fleet.set_unreachable(upstream, true)) {
-            info!(self.log, "upstream unreachable"; "name" => upstream.as_str());
-            self.peers.tell(&Message::Unreachable { upstream: upstream.clone() });
+        let now = self.now();
+        if self.fleet(|fleet| fleet.doubt(upstream, true, now)) {
+            info!(self.log, "upstream in doubt"; "name" => upstream.as_str());
             self.look.notify_one();
         }
     }
 
-    /// Tries to connect to upstreams that can't be reached, until the process ends.
-    pub async fn look_for_upstreams(&self) {
+    /// Tries to connect to upstreams that may not be reachable, until the process ends.
+    pub async fn look_for_upstreams(self: Arc<Hub>) {
         loop {
             tokio::select! {
                 () = self.look.notified() => {}
                 () = tokio::time::sleep(LOOK_INTERVAL) => {}
             }
-            let lost: Vec<Listed> = self.read(|v| v.fleet().unreachable().cloned().collect());
-            let looks = lost.into_iter().map(|listed| self.look_for(listed));
-            futures_util::future::join_all(looks).await;
+            let now = self.now();
+            for listed in self.fleet(|fleet| fleet.take_doubted(now)) {
+                tokio::spawn(self.clone().look_for(listed));
+            }
         }
     }
 
-    async fn look_for(&self, listed: Listed) {
-        if self.links.warm(listed.addr).await.is_err() {
+    async fn look_for(self: Arc<Hub>, listed: Listed) {
+        let Listed { name, addr, .. } = listed;
+        if let Err(e) = self.links.warm(addr).await {
+            let now = self.now();
+            if self.fleet(|fleet| fleet.not_reached(&name, now)) {
+                info!(self.log, "upstream unreachable"; "name" => name.as_str(),
+                    "error" => util::with_causes(&e));
+                self.peers.tell(&Message::Unreachable { upstream: name });
+            }
             return;
         }
-        if self.fleet(|fleet| fleet.set_unreachable(&listed.name, false)) {
-            info!(self.log, "upstream reachable"; "name" => listed.name.as_str());
+        if self.fleet(|fleet| fleet.reached(&name)) {
+            info!(self.log, "upstream reachable"; "name" => name.as_str());
         }
     }
 
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -134,8 +134,7 @@
     peers::start(&hub);
     tokio::spawn(warm::up(hub.clone(), around.engines));
     tokio::spawn(tick(hub.clone()));
-    let looking = hub.clone();
-    tokio::spawn(async move { looking.look_for_upstreams().await });
+    tokio::spawn(hub.clone().look_for_upstreams());
     tokio::spawn(reload(hub.clone(), path));
     tokio::spawn(side::serve_ready(ready, hub.clone(), stopping.clone()));
     tokio::spawn(side::serve_peers(peer_port, hub.clone()));
--- a/tests/proxy_placement.rs
+++ b/tests/proxy_placement.rs
@@ -206,13 +206,34 @@
 fn an_upstream_that_cant_be_reached_gets_nothing_while_others_can() {
     let mut fleet = fleet(2);
     let name = choose(&fleet, &prompt(1, 1), 0).expect("there is an engine").upstream;
-    assert!(fleet.set_unreachable(&name, true));
-    assert!(!fleet.set_unreachable(&name, true));
+    assert!(fleet.doubt(&name, true, millis(0)));
+    assert!(!fleet.doubt(&name, true, millis(0)));
     assert_ne!(choose(&fleet, &prompt(1, 1), 0).expect("one is left").upstream, name);
-    fleet.set_unreachable(&name, false);
+    assert!(fleet.reached(&name));
+    assert!(!fleet.reached(&name));
     assert_eq!(choose(&fleet, &prompt(1, 1), 0).expect("there is an engine").upstream, name);
 }
 
+/// Where each box that is told connects and tells again, one lost answer costs the fleet as many
+/// connections as it has boxes, and an upstream that is gone many more.
+#[test]
+fn others_hear_of_an_upstream_only_once_and_only_when_it_cant_be_reached() {
+    let mut fleet = fleet(2);
+    let name = choose(&fleet, &prompt(1, 1), 0).expect("there is an engine").upstream;
+    let due = |fleet: &mut Fleet, ms| fleet.take_doubted(millis(ms)).len();
+    assert!(!fleet.not_reached(&name, millis(0)), "nobody doubts it");
+    fleet.doubt(&name, true, millis(0));
+    assert_eq!((due(&mut fleet, 0), due(&mut fleet, 1)), (1, 0), "one look at a time");
+    assert!(fleet.not_reached(&name, millis(10)), "the others should know");
+    assert_eq!((due(&mut fleet, 309), due(&mut fleet, 310)), (0, 1));
+    assert!(!fleet.not_reached(&name, millis(310)), "they know");
+    assert_eq!((due(&mut fleet, 909), due(&mut fleet, 910)), (0, 1), "less and less often");
+    fleet.reached(&name);
+    fleet.doubt(&name, false, millis(1_000));
+    assert_eq!(due(&mut fleet, 1_000), 1);
+    assert!(!fleet.not_reached(&name, millis(1_000)), "who told it knows");
+}
+
 #[test]
 fn an_upstream_that_breaks_off_rests_longer_each_time() {
     let mut fleet = fleet(2);
