--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -305,6 +305,7 @@
     /// Counts a request that is refused for want of time at the engines, here and at the others.
     pub fn refuse(&self, workspace: Option<&WorkspaceName>, prompt: &Prompt) {
         let Some(workspace) = workspace.cloned() else { return };
+            Message::Gone { upstream } => self.change(|view, _| view.told_gone(&upstream)),
         let (now, tokens) = (self.now(), prompt.charge());
         self.shares(|shares| shares.refuse(&workspace, tokens, now));
         self.peers.tell(&Message::Refused { workspace, tokens });
@@ -393,10 +394,16 @@
                 info!(self.log, "upstream's entry missing"; "name" => name.as_str());
             }
         }
-        if let Change::Leaving(name) | Change::Gone(name) = change
-            && sees_store
-        {
-            self.peers.tell(&Message::Leaving { upstream: name.clone() });
+        let message = match change {
+            Change::Leaving(name) => Message::Leaving { upstream: name.clone() },
+            Change::Gone(name) => Message::Gone { upstream: name.clone() },
+            _ => return,
+        };
+        if sees_store {
+            self.peers.tell(&message);
         }
     }
 }
+            Change::Told(name) => {
+                info!(self.log, "upstream said to be leaving"; "name" => name.as_str());
+            }
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -56,11 +56,16 @@
         /// The upstream.
         upstream: UpstreamName,
     },
-    /// The store says that an upstream leaves or is gone.
+    /// The store says that an upstream leaves.
     Leaving {
         /// The upstream.
         upstream: UpstreamName,
     },
+    /// The store says that an upstream is gone.
+    Gone {
+        /// The upstream.
+        upstream: UpstreamName,
+    },
 }
 
 /// A sign of life.
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use slog::debug;
@@ -12,6 +14,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::names::BoxName;
 use crate::names::ZoneName;
@@ -51,6 +54,10 @@
 /// Addresses of other boxes told in a sign of life.
 const TOLD_MAX: usize = 48;
 
+/// One sign of life in so many tells addresses, beside those to boxes that are new: a list costs ten
+/// times the rest, and only mends what was lost at the start.
+const LIST_EVERY: u64 = 10;
+
 /// The store tells each box of a new configuration at about the same time; another box is asked
 /// for it only if the store has not told after this.
 const ASK_AFTER: Duration = Duration::from_millis(300);
@@ -76,6 +83,8 @@
     /// Messages that wait to be sent, one behind the other.
     pending: Mutex<Vec<u8>>,
     told: Notify,
+    /// Signs of life given.
+    beats: AtomicU64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -122,6 +131,7 @@
             known: Mutex::default(),
             pending: Mutex::default(),
             told: Notify::new(),
+            beats: AtomicU64::new(0),
         }
     }
 
@@ -177,6 +187,8 @@
 
     /// Tells all boxes, or only those in `to`, that this one is alive.
     fn beat(&self, state: State, to: Option<&[SocketAddr]>) {
+        let number = self.beats.fetch_add(1, Ordering::Relaxed);
+        let tells_others = to.is_some() || number.is_multiple_of(LIST_EVERY);
         let State { version, sees_store, is_warm } = state;
         let mut known = self.known.lock().expect("no panic under lock");
         known.retain(|_, peer| !peer.is_forgotten());
@@ -189,7 +201,7 @@
             version,
             sees_store,
             is_warm,
-            known: live.take(TOLD_MAX).collect(),
+            known: live.take(if tells_others { TOLD_MAX } else { 0 }).collect(),
         });
         let Ok(buf) = postcard::to_stdvec(&message) else { return };
         match to {
@@ -236,15 +248,31 @@
 
     /// A box that has a newer configuration than `version`, preferably one that sees the store.
     fn ahead_of(&self, version: u64) -> Option<SocketAddr> {
-        let known = self.known.lock().expect("no panic under lock");
-        let ahead = known.iter().filter(|(_, p)| p.is_live() && version < p.version);
-        ahead.max_by_key(|(_, p)| (p.sees_store, p.version)).map(|(addr, _)| *addr)
+        self.pick(|p| (version < p.version).then_some((p.sees_store, p.version)))
     }
 
     /// A box that knows what engines keep.
     pub fn warm(&self) -> Option<SocketAddr> {
+        self.pick(|p| p.is_warm.then_some(()))
+    }
+
+    /// A box that sees the store.
+    fn with_store(&self) -> Option<SocketAddr> {
+        self.pick(|p| p.sees_store.then_some(()))
+    }
+
+    /// Of the boxes that are alive and have a rank, one with the highest. Boxes with the same rank
+    /// are asked by different ones: when many start at once, one alone could not answer them all.
+    fn pick<R: Ord>(&self, rank: impl Fn(&Peer) -> Option<R>) -> Option<SocketAddr> {
         let known = self.known.lock().expect("no panic under lock");
-        known.iter().find(|(_, p)| p.is_live() && p.is_warm).map(|(addr, _)| *addr)
+        let live = known.iter().filter(|(_, p)| p.is_live());
+        let ranked = live.filter_map(|(addr, p)| Some((rank(p)?, self.draw(addr), *addr)));
+        ranked.max().map(|(_, _, addr)| addr)
+    }
+
+    /// A number for another box that differs from box to box.
+    fn draw(&self, addr: &SocketAddr) -> u64 {
+        xxh3_64(format!("{}/{addr}", self.me).as_bytes())
     }
 
     /// Whether this box comes first among those that are alive.
@@ -252,12 +280,6 @@
         let known = self.known.lock().expect("no panic under lock");
         known.iter().filter(|(_, p)| p.is_live()).all(|(addr, _)| self.me < *addr)
     }
-
-    /// A box that sees the store.
-    fn with_store(&self) -> Option<SocketAddr> {
-        let known = self.known.lock().expect("no panic under lock");
-        known.iter().find(|(_, p)| p.is_live() && p.sees_store).map(|(addr, _)| *addr)
-    }
 }
 
 /// Begins to tell, to listen and to ask.
--- a/src/proxy/settings.rs
+++ b/src/proxy/settings.rs
@@ -10,6 +10,11 @@
 use crate::placement::tuning::Tuning;
 use crate::proxy::budget::Bounds;
 
+/// Seconds that a watch of the store waits. Each costs a call, so longer is cheaper; probes notice
+/// what it can't: a store that has fallen silent. A silence between two probes that loses a watch is
+/// noticed after this time only, or when another box tells what came meanwhile.
+const WATCH_S: f64 = 12.0;
+
 /// Settings of the proxy.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -29,6 +34,8 @@
     pub store: SocketAddr,
     /// `[peers] seeds`: addresses of other boxes' `[listen] peers`, separated by commas.
     pub seeds: Vec<SocketAddr>,
+    /// `[store] watch-s`: how long a watch waits for a change.
+    pub store_watch: Duration,
     /// `[stop] within-s`: time from the signal to stop until the process must have ended.
     pub stop_within: Duration,
     /// `[repeats]`: what the fleet may send again.
@@ -55,6 +62,7 @@
         seeds: seeds(&mut rdr),
         stop_within: Duration::from_secs_f64(rdr.optional("stop", "within-s", 8.0)),
         repeats: Bounds {
+        store_watch: Duration::from_secs_f64(rdr.optional("store", "watch-s", WATCH_S)),
             ratio: rdr.optional("repeats", "ratio", 0.1),
             slack: rdr.optional("repeats", "slack", 0.0),
             window: Duration::from_secs_f64(rdr.optional("repeats", "window-s", 10.0)),
--- a/src/proxy/side.rs
+++ b/src/proxy/side.rs
@@ -17,7 +17,6 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -60,6 +59,9 @@
     /// Its answer can't be read.
     #[error("the answer: {0}")]
     Json(#[from] serde_json::Error),
+    /// Its answer can't be read.
+    #[error("the answer: {0}")]
+    Postcard(#[from] postcard::Error),
     /// It takes too long.
     #[error("no answer in time")]
     Timeout,
@@ -78,19 +80,19 @@
 
 /// Asks another box what it knows.
 pub async fn ask(addr: SocketAddr) -> Result<Snapshot, AskError> {
-    ask_for(addr, SNAPSHOT_PATH).await
+    Ok(serde_json::from_slice(&ask_for(addr, SNAPSHOT_PATH).await?)?)
 }
 
 /// Asks another box what it believes engines to keep.
 pub async fn ask_kept(addr: SocketAddr) -> Result<Vec<Kept>, AskError> {
-    ask_for(addr, KEPT_PATH).await
+    Ok(postcard::from_bytes(&ask_for(addr, KEPT_PATH).await?)?)
 }
 
-async fn ask_for<T: DeserializeOwned>(addr: SocketAddr, path: &'static str) -> Result<T, AskError> {
+async fn ask_for(addr: SocketAddr, path: &'static str) -> Result<Bytes, AskError> {
     tokio::time::timeout(ASK_TIMEOUT, fetch(addr, path)).await.map_err(|_| AskError::Timeout)?
 }
 
-async fn fetch<T: DeserializeOwned>(addr: SocketAddr, path: &'static str) -> Result<T, AskError> {
+async fn fetch(addr: SocketAddr, path: &'static str) -> Result<Bytes, AskError> {
     let stream = TcpStream::connect(addr).await?;
     let (mut tx, conn) = http1::handshake(TokioIo::new(stream)).await?;
     let conn = tokio::spawn(conn);
@@ -102,7 +104,7 @@
     let body = tx.send_request(req).await?.into_body();
     let body = Limited::new(body, SNAPSHOT_MAX).collect().await.map_err(AskError::Body)?;
     conn.abort();
-    Ok(serde_json::from_slice(&body.to_bytes())?)
+    Ok(body.to_bytes())
 }
 
 struct Ready {
@@ -132,7 +134,7 @@
     fn refuse(&self, head: &http::request::Parts) -> Option<Response<Bytes>> {
         match head.uri.path() {
             SNAPSHOT_PATH => Some(json(&self.hub.read(View::snapshot))),
-            KEPT_PATH => Some(json(&self.hub.read(|view| view.fleet().kept()))),
+            KEPT_PATH => Some(packed(&self.hub.read(|view| view.fleet().kept()))),
             METRICS_PATH => Some(Response::new(Bytes::from(self.hub.metrics().page()))),
             _ => Some(empty(StatusCode::NOT_FOUND)),
         }
@@ -152,6 +154,14 @@
     resp
 }
 
+/// For programs only: some thousand parts an engine, which would be four times as long as text.
+fn packed<T: Serialize>(known: &T) -> Response<Bytes> {
+    match postcard::to_stdvec(known) {
+        Ok(buf) => Response::new(Bytes::from(buf)),
+        Err(_) => empty(StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
+
 fn empty(status: StatusCode) -> Response<Bytes> {
     let mut resp = Response::new(Bytes::new());
     *resp.status_mut() = status;
--- a/src/proxy/view.rs
+++ b/src/proxy/view.rs
@@ -35,6 +35,8 @@
     Upstream(Listed),
     /// An upstream leaves: it gets no new work.
     Leaving(UpstreamName),
+    /// Another box says that an upstream leaves or is gone.
+    Told(UpstreamName),
     /// An upstream is gone.
     Gone(UpstreamName),
     /// An upstream's entry is missing; it is kept until it is sure to be gone.
@@ -170,12 +172,20 @@
         self.drop_upstream(name);
     }
 
-    /// Another box, which sees the store, says that an upstream leaves. Believed only while this
-    /// box doesn't see the store itself.
+    /// Another box, which sees the store, says that an upstream leaves. None ever comes back from
+    /// that, so it is believed at once.
     pub fn told_leaving(&mut self, name: &UpstreamName) {
-        if !self.reached && self.fleet.is_open(name) {
+        if self.fleet.is_open(name) {
             self.fleet.leave(name);
-            self.changes.push(Change::Leaving(name.clone()));
+            self.changes.push(Change::Told(name.clone()));
+        }
+    }
+
+    /// Another box, which sees the store, says that an upstream's entry is gone. It may only have
+    /// lapsed, so that is believed only while this box doesn't see the store itself.
+    pub fn told_gone(&mut self, name: &UpstreamName) {
+        if !self.reached {
+            self.told_leaving(name);
         }
     }
 
--- a/tests/proxy_view.rs
+++ b/tests/proxy_view.rs
@@ -94,12 +94,12 @@
 }
 
 #[test]
-fn other_boxes_are_believed_only_while_the_store_is_away() {
+fn that_an_upstream_is_gone_is_believed_of_others_only_while_the_store_is_away() {
     let mut view = view();
-    view.told_leaving(&UpstreamName::from("a"));
+    view.told_gone(&UpstreamName::from("a"));
     assert!(is_open(&view, "a"));
     view.store_lost();
-    view.told_leaving(&UpstreamName::from("a"));
+    view.told_gone(&UpstreamName::from("a"));
     assert!(!is_open(&view, "a"));
     // An upstream that leaves stays so, whatever another box still believes.
     let upstreams = vec![upstream("a"), upstream("b"), upstream("c")];
@@ -107,3 +107,18 @@
     assert!(!is_open(&view, "a"));
     assert!(is_open(&view, "c"));
 }
+
+/// A watch may hang for seconds before its box knows that the store doesn't serve it any more. An
+/// entry may lapse, but one that leaves never comes back.
+#[test]
+fn that_an_upstream_leaves_is_believed_of_others_at_once() {
+    let mut view = view();
+    assert!(view.reaches_store());
+    view.take_changes();
+    view.told_leaving(&UpstreamName::from("a"));
+    assert!(!is_open(&view, "a"));
+    let told = vec![Change::Told(UpstreamName::from("a"))];
+    assert_eq!(view.take_changes(), told, "it is not told again by each box that hears it");
+    view.told_leaving(&UpstreamName::from("a"));
+    assert_eq!(view.take_changes(), []);
+}
