Limit the streams of a box by how far it is behind, and send callers elsewhere when it is full

Cause: the balancer leads all of a caller's connections to one box.

Change: a limit on streams by additive increase and multiplicative decrease on the delay of a timer, begun from the box's part of a core; more are refused as not run, at once, with a time to come back and a connection that closes. A box that reaches its limit says that it isn't ready until there is room. The limit on connections comes from the box's descriptors.

A box with a part of a core is late by 25 ms on average when it is merely busy.

--- a/src/proxy/admission.rs
+++ b/src/proxy/admission.rs
@@ -49,6 +49,7 @@
         tried: Vec::new(),
         sends: 0,
         in_flight: hub.enter(),
+        stream: None,
     })
 }
 
--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -6,6 +6,7 @@
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
+use http::header::CONNECTION;
 use http::header::CONTENT_TYPE;
 use http::header::RETRY_AFTER;
 
@@ -37,6 +38,9 @@
     /// This box is about to stop. Not run.
     #[error("this box stops; not run")]
     Stopping,
+    /// This box passes on as many streams as it can. Not run.
+    #[error("this box is busy; not run")]
+    BoxBusy,
     /// No upstream can be had. Not run.
     #[error("no upstream; not run")]
     NoUpstream {
@@ -68,6 +72,7 @@
             Refusal::BodyCut => "body-cut",
             Refusal::NotConfigured => "not-configured",
             Refusal::Stopping => "stopping",
+            Refusal::BoxBusy => "box-busy",
             Refusal::NoUpstream { .. } => "no-upstream",
             Refusal::Overloaded { .. } => "overloaded",
             Refusal::Broken => "broken",
@@ -84,6 +89,7 @@
             Refusal::BodyCut => StatusCode::REQUEST_TIMEOUT,
             Refusal::NotConfigured
             | Refusal::Stopping
+            | Refusal::BoxBusy
             | Refusal::NoUpstream { .. }
             | Refusal::Overloaded { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::Broken => StatusCode::BAD_GATEWAY,
@@ -94,7 +100,7 @@
     fn retry_after(&self) -> Option<Duration> {
         match self {
             Refusal::NotConfigured => Some(NOT_CONFIGURED_RETRY),
-            Refusal::Stopping => Some(STOPPING_RETRY),
+            Refusal::Stopping | Refusal::BoxBusy => Some(ELSEWHERE_RETRY),
             Refusal::NoUpstream { retry_after } | Refusal::Overloaded { retry_after } => {
                 Some(*retry_after)
             }
@@ -107,7 +113,7 @@
 const NOT_CONFIGURED_RETRY: Duration = Duration::from_millis(300);
 
 /// Another box serves at once; the caller's next connection is likely to lead there.
-const STOPPING_RETRY: Duration = Duration::from_millis(50);
+const ELSEWHERE_RETRY: Duration = Duration::from_millis(50);
 
 /// The answer for a refusal.
 pub fn refusal(cause: Refusal) -> Response<Body> {
@@ -116,6 +122,10 @@
     *resp.status_mut() = cause.status();
     let headers = resp.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    if cause == Refusal::BoxBusy {
+        // Callers who come back do so on a new connection; this one would only be kept for later.
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     if let Some(after) = cause.retry_after() {
         let seconds = format!("{:.3}", after.as_secs_f64());
         // Digits and a dot are always a valid value.
--- a/src/proxy/capacity.rs
+++ b/src/proxy/capacity.rs
@@ -1,37 +1,102 @@
-//! How far this process is behind: a box that gets more than it can carry says so to the balancer
-//! and sends its callers elsewhere, until it has caught up.
+//! How many streams this box can pass on at a time. What a stream costs is known only roughly, so the
+//! limit is found by additive increase and multiplicative decrease: it falls while the box is behind
+//! with its work, and rises while it isn't.
 
 use std::time::Duration;
 
-/// Average delay of a timer from which on the box counts as overloaded. In calm it is below 2 ms;
-/// this is well over what one long request costs, and well under the shortest aim.
-const OVERLOADED_FROM: Duration = Duration::from_millis(40);
+/// Average delay of a timer from which on the box counts as behind. A box that may use a part of a
+/// core only stands still for up to a tenth of a second at a time, some 25 ms on average where it is
+/// busy but well; beyond twice that its work piles up.
+const BEHIND_FROM: Duration = Duration::from_millis(60);
 
-/// Average delay below which it has caught up.
-const CAUGHT_UP_BELOW: Duration = Duration::from_millis(8);
+/// Weight of the newest delay in the average: half of it is from the last two ticks.
+const WEIGHT: f64 = 0.3;
 
-/// Weight of the newest delay in the average: half of it is from the last four ticks.
-const WEIGHT: f64 = 0.16;
+/// By how much the limit falls with each tick that the box is behind. Streams last some twenty
+/// ticks, so those that run end in about the time in which this halves the limit.
+const DECREASE: f64 = 0.96;
 
-/// How far this process is behind.
-#[derive(Debug, Default)]
-pub struct Lag {
+/// By how much the limit rises with each tick in which it is reached and the box isn't behind: by
+/// this, or by this part of it.
+const INCREASE: f64 = 1.5;
+const INCREASE_SHARE: f64 = 0.015;
+
+/// Part of the limit from which on it counts as reached.
+const REACHED: f64 = 0.9;
+
+/// A box that has reached its limit is full until fewer than this part of it run.
+const ROOM_AGAIN: f64 = 0.6;
+
+/// The limit never falls below this part of what it began with: there the box is well, and what
+/// delays it is something else.
+const LIMIT_MIN_SHARE: f64 = 0.5;
+
+/// Fewest streams to begin with: one caller's.
+const STREAMS_MIN: f64 = 16.0;
+
+/// Streams that a whole core passes on at a time, to begin with: on the users' grown wallet fleet
+/// boxes of 0.12 cores fell behind at some 400 and were well at 200.
+const STREAMS_PER_CORE: f64 = 2500.0;
+
+/// Part of the descriptors that callers' connections may take; upstreams and other boxes take less.
+const CONNECTIONS_SHARE: f64 = 0.65;
+
+/// Streams that a box takes at a time, to begin with.
+pub fn streams(cores: f64) -> usize {
+    (cores * STREAMS_PER_CORE).max(STREAMS_MIN) as usize
+}
+
+/// Callers' connections that may be open at once.
+pub fn connections(descriptors: usize) -> usize {
+    ((descriptors as f64 * CONNECTIONS_SHARE) as usize).max(1)
+}
+
+/// How many streams this box can pass on at a time.
+#[derive(Debug)]
+pub struct Capacity {
     /// Average delay of a timer, in seconds.
-    average: f64,
-    overloaded: bool,
+    delay: f64,
+    limit: f64,
+    limit_min: f64,
+    is_full: bool,
 }
 
-impl Lag {
-    /// Notes by how much a timer was late; gives whether the box is overloaded.
-    pub fn note(&mut self, late: Duration) -> bool {
-        self.average += (late.as_secs_f64() - self.average) * WEIGHT;
-        let bound = if self.overloaded { CAUGHT_UP_BELOW } else { OVERLOADED_FROM };
-        self.overloaded = bound.as_secs_f64() <= self.average;
-        self.overloaded
+impl Capacity {
+    /// Starts with a limit that is roughly right.
+    pub fn new(limit: usize) -> Capacity {
+        let limit = limit as f64;
+        Capacity { delay: 0.0, limit, limit_min: limit * LIMIT_MIN_SHARE, is_full: false }
+    }
+
+    /// Notes by how much a timer was late while so many streams were running; gives the limit.
+    pub fn note(&mut self, late: Duration, streams: usize) -> usize {
+        self.delay += (late.as_secs_f64() - self.delay) * WEIGHT;
+        let streams = streams as f64;
+        let is_reached = self.limit * REACHED <= streams;
+        self.is_full = is_reached || (self.is_full && self.limit * ROOM_AGAIN <= streams);
+        // Where fewer run, it is not their number that delays the box.
+        if is_reached {
+            self.limit = match self.is_behind() {
+                true => (self.limit * DECREASE).max(self.limit_min),
+                false => self.limit + INCREASE.max(self.limit * INCREASE_SHARE),
+            };
+        }
+        self.limit as usize
+    }
+
+    /// Whether the box is behind with its work.
+    pub fn is_behind(&self) -> bool {
+        BEHIND_FROM.as_secs_f64() <= self.delay
+    }
+
+    /// Whether the box has as many streams as it can pass on, or had a moment ago; its callers do
+    /// better elsewhere.
+    pub fn is_full(&self) -> bool {
+        self.is_full
     }
 
     /// The average delay.
-    pub fn average(&self) -> Duration {
-        Duration::from_secs_f64(self.average)
+    pub fn delay(&self) -> Duration {
+        Duration::from_secs_f64(self.delay)
     }
 }
--- a/src/proxy/front.rs
+++ b/src/proxy/front.rs
@@ -38,13 +38,8 @@
 const IDLE_SLACK: Duration = Duration::from_secs(1);
 
 /// Serves callers until the process ends.
-pub async fn serve(
-    listener: TcpListener,
-    hub: Arc<Hub>,
-    stopping: watch::Receiver<Stop>,
-    connections_max: usize,
-) {
-    let connections = Arc::new(Semaphore::new(connections_max));
+pub async fn serve(listener: TcpListener, hub: Arc<Hub>, stopping: watch::Receiver<Stop>) {
+    let connections = Arc::new(Semaphore::new(hub.connections_max()));
     loop {
         let Ok(permit) = connections.clone().acquire_owned().await else { return };
         let stream = match listener.accept().await {
@@ -58,8 +53,9 @@
         };
         let (hub, stopping) = (hub.clone(), stopping.clone());
         tokio::spawn(async move {
+            let connected = hub.connected();
             serve_connection(stream, hub, stopping).await;
-            drop(permit);
+            drop((connected, permit));
         });
     }
 }
@@ -115,7 +111,7 @@
         Stop::No | Stop::Begun => request::serve(hub.clone(), req).await,
     };
     // The caller's next connection leads to another box.
-    if *stopping.borrow() != Stop::No || hub.is_overloaded() {
+    if *stopping.borrow() != Stop::No || hub.sends_away() {
         resp.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(resp)
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -24,6 +24,7 @@
 use crate::placement::share::Shares;
 use crate::placement::tuning::Tuning;
 use crate::proxy::budget::Budget;
+use crate::proxy::capacity;
 use crate::proxy::dialect::Dialect;
 use crate::proxy::dialect::Listed;
 use crate::proxy::dialect::News;
@@ -39,8 +40,8 @@
 use crate::proxy::view::Change;
 use crate::proxy::view::Snapshot;
 use crate::proxy::view::View;
-
 use crate::util;
+
 /// Connections to one upstream that every box may have, however many boxes there are.
 const CONNECTIONS_MIN: u32 = 4;
 
@@ -63,7 +64,11 @@
     tuning: Tuning,
     look: Notify,
     warm: AtomicBool,
-    overloaded: AtomicBool,
+    streams: Arc<AtomicUsize>,
+    streams_max: AtomicUsize,
+    full: AtomicBool,
+    connections: Arc<AtomicUsize>,
+    connections_max: usize,
 }
 
 struct Inner {
@@ -99,7 +104,11 @@
             tuning: cfg.tuning,
             look: Notify::new(),
             warm: AtomicBool::new(false),
-            overloaded: AtomicBool::new(false),
+            streams: Arc::default(),
+            streams_max: AtomicUsize::new(capacity::streams(cfg.cores)),
+            full: AtomicBool::new(false),
+            connections: Arc::default(),
+            connections_max: capacity::connections(cfg.descriptors),
         })
     }
 
@@ -158,14 +167,51 @@
         self.epoch.elapsed()
     }
 
-    /// Whether this box has more to do than it can.
-    pub fn is_overloaded(&self) -> bool {
-        self.overloaded.load(Ordering::Relaxed)
+    /// Counts a stream until the guard is dropped, unless there are as many as this box can pass
+    /// on.
+    pub fn enter_stream(&self) -> Option<InFlight> {
+        (self.streams() < self.streams_max()).then(|| InFlight::new(self.streams.clone()))
+    }
+
+    /// Whether this box has as many streams as it can pass on.
+    pub fn is_full(&self) -> bool {
+        self.full.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether this box has as many streams as it can pass on.
+    pub fn set_full(&self, full: bool) {
+        self.full.store(full, Ordering::Relaxed);
+    }
+
+    /// Counts a caller's connection until the guard is dropped.
+    pub fn connected(&self) -> InFlight {
+        InFlight::new(self.connections.clone())
+    }
+
+    /// Callers' connections that may be open at once.
+    pub fn connections_max(&self) -> usize {
+        self.connections_max
+    }
+
+    /// Whether callers should come back on new connections, which the balancer may lead elsewhere:
+    /// this box is full, or more of their connections are open than it needs.
+    pub fn sends_away(&self) -> bool {
+        self.is_full() || self.connections_max / 2 < self.connections.load(Ordering::Relaxed)
     }
 
-    /// Notes whether this box has more to do than it can.
-    pub fn set_overloaded(&self, overloaded: bool) {
-        self.overloaded.store(overloaded, Ordering::Relaxed);
+    /// Streams that are served now.
+    pub fn streams(&self) -> usize {
+        self.streams.load(Ordering::Relaxed)
+    }
+
+    /// How many streams this box takes at a time.
+    pub fn streams_max(&self) -> usize {
+        self.streams_max.load(Ordering::Relaxed)
+    }
+
+    /// Changes how many streams this box takes at a time.
+    pub fn set_streams_max(&self, max: usize) {
+        self.streams_max.store(max, Ordering::Relaxed);
     }
 
     /// Whether this box knows what engines keep.
@@ -259,6 +305,7 @@
             Message::Leaving { upstream } => {
                 self.change(|view, _| view.told_leaving(&upstream));
             }
+            Message::Gone { upstream } => self.change(|view, _| view.told_gone(&upstream)),
             // Taken in by the peers.
             Message::Beat(_) => {}
         }
@@ -305,7 +352,6 @@
     /// Counts a request that is refused for want of time at the engines, here and at the others.
     pub fn refuse(&self, workspace: Option<&WorkspaceName>, prompt: &Prompt) {
         let Some(workspace) = workspace.cloned() else { return };
-            Message::Gone { upstream } => self.change(|view, _| view.told_gone(&upstream)),
         let (now, tokens) = (self.now(), prompt.charge());
         self.shares(|shares| shares.refuse(&workspace, tokens, now));
         self.peers.tell(&Message::Refused { workspace, tokens });
@@ -389,6 +435,9 @@
             Change::Leaving(name) => {
                 info!(self.log, "upstream leaving"; "name" => name.as_str());
             }
+            Change::Told(name) => {
+                info!(self.log, "upstream said to be leaving"; "name" => name.as_str());
+            }
             Change::Gone(name) => info!(self.log, "upstream gone"; "name" => name.as_str()),
             Change::Missing(name) => {
                 info!(self.log, "upstream's entry missing"; "name" => name.as_str());
@@ -404,6 +453,3 @@
         }
     }
 }
-            Change::Told(name) => {
-                info!(self.log, "upstream said to be leaving"; "name" => name.as_str());
-            }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -7,11 +7,11 @@
 pub mod admission;
 pub mod answer;
 pub mod budget;
+pub mod capacity;
 pub mod dialect;
 pub mod figures;
 pub mod front;
 pub mod hub;
-pub mod lag;
 pub mod link;
 pub mod message;
 pub mod peers;
@@ -47,12 +47,12 @@
 use crate::log;
 use crate::metrics;
 use crate::metrics::Metrics;
+use crate::proxy::capacity::Capacity;
 use crate::proxy::dialect::Dialect;
 use crate::proxy::dialect::Directory;
 use crate::proxy::dialect::Engines;
 use crate::proxy::figures::Figures;
 use crate::proxy::hub::Hub;
-use crate::proxy::lag::Lag;
 use crate::proxy::peers::Peers;
 use crate::proxy::settings::Settings;
 use crate::stop::Signals;
@@ -138,7 +138,7 @@
     tokio::spawn(reload(hub.clone(), path));
     tokio::spawn(side::serve_ready(ready, hub.clone(), stopping.clone()));
     tokio::spawn(side::serve_peers(peer_port, hub.clone()));
-    tokio::spawn(front::serve(callers, hub.clone(), stopping, cfg.connections_max));
+    tokio::spawn(front::serve(callers, hub.clone(), stopping));
 
     signals.next().await;
     info!(log, "stopping"; "in_flight" => hub.in_flight());
@@ -163,16 +163,18 @@
 }
 
 async fn tick(hub: Arc<Hub>) {
-    let mut lag = Lag::default();
+    let mut capacity = Capacity::new(hub.streams_max());
     loop {
         let due = Instant::now() + TICK;
         tokio::time::sleep_until(due).await;
-        let was_overloaded = hub.is_overloaded();
-        let is_overloaded = lag.note(due.elapsed());
-        if is_overloaded != was_overloaded {
-            hub.set_overloaded(is_overloaded);
-            info!(hub.log(), "load"; "overloaded" => is_overloaded,
-                "lag_ms" => lag.average().as_millis() as u64, "in_flight" => hub.in_flight());
+        let before = (capacity.is_behind(), capacity.is_full());
+        hub.set_streams_max(capacity.note(due.elapsed(), hub.streams()));
+        let after = (capacity.is_behind(), capacity.is_full());
+        if after != before {
+            hub.set_full(capacity.is_full());
+            info!(hub.log(), "load"; "behind" => after.0, "full" => after.1,
+                "delay_ms" => capacity.delay().as_millis() as u64, "streams" => hub.streams(),
+                "streams_max" => hub.streams_max(), "in_flight" => hub.in_flight());
         }
         hub.change(view::View::tick);
         let known: HashSet<SocketAddr> =
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -95,6 +95,8 @@
     pub sends: u32,
     /// Counts it until all of its answer has been passed on.
     pub in_flight: InFlight,
+    /// The same among the streams, if it is one.
+    pub stream: Option<InFlight>,
 }
 
 /// What became of one send.
@@ -149,6 +151,12 @@
         Ok(body) => run.body = body,
         Err(cause) => return refuse(&hub, &run.head.id, cause),
     }
+    if run.route.streaming {
+        run.stream = hub.enter_stream();
+        if run.stream.is_none() {
+            return refuse(&hub, &run.head.id, Refusal::BoxBusy);
+        }
+    }
     run.go().await
 }
 
--- a/src/proxy/settings.rs
+++ b/src/proxy/settings.rs
@@ -28,14 +28,16 @@
     pub peers: SocketAddr,
     /// `[listen] datagrams`: where other boxes tell; the same port on every box.
     pub datagrams: SocketAddr,
-    /// `[listen] connections-max`: callers' connections at once.
-    pub connections_max: usize,
+    /// `[box] cores`: what the process may use of a core.
+    pub cores: f64,
+    /// `[box] descriptors`: sockets and files that the process may have open.
+    pub descriptors: usize,
     /// `[store] address`: where the platform's store is.
     pub store: SocketAddr,
-    /// `[peers] seeds`: addresses of other boxes' `[listen] peers`, separated by commas.
-    pub seeds: Vec<SocketAddr>,
     /// `[store] watch-s`: how long a watch waits for a change.
     pub store_watch: Duration,
+    /// `[peers] seeds`: addresses of other boxes' `[listen] peers`, separated by commas.
+    pub seeds: Vec<SocketAddr>,
     /// `[stop] within-s`: time from the signal to stop until the process must have ended.
     pub stop_within: Duration,
     /// `[repeats]`: what the fleet may send again.
@@ -57,12 +59,13 @@
         ready: rdr.address("listen", "ready"),
         peers: rdr.address("listen", "peers"),
         datagrams: rdr.address("listen", "datagrams"),
-        connections_max: rdr.optional("listen", "connections-max", 2000),
+        cores: rdr.optional("box", "cores", 1.0),
+        descriptors: rdr.optional("box", "descriptors", 4096),
         store: rdr.address("store", "address"),
+        store_watch: Duration::from_secs_f64(rdr.optional("store", "watch-s", WATCH_S)),
         seeds: seeds(&mut rdr),
         stop_within: Duration::from_secs_f64(rdr.optional("stop", "within-s", 8.0)),
         repeats: Bounds {
-        store_watch: Duration::from_secs_f64(rdr.optional("store", "watch-s", WATCH_S)),
             ratio: rdr.optional("repeats", "ratio", 0.1),
             slack: rdr.optional("repeats", "slack", 0.0),
             window: Duration::from_secs_f64(rdr.optional("repeats", "window-s", 10.0)),
--- a/src/proxy/side.rs
+++ b/src/proxy/side.rs
@@ -115,7 +115,7 @@
 impl Page for Ready {
     fn refuse(&self, _: &http::request::Parts) -> Option<Response<Bytes>> {
         let ready = self.hub.read(View::is_ready)
-            && !self.hub.is_overloaded()
+            && !self.hub.is_full()
             && *self.stopping.borrow() == Stop::No;
         let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         Some(empty(status))
--- a/tests/proxy_capacity.rs
+++ b/tests/proxy_capacity.rs
@@ -1,22 +1,70 @@
-//! When a box counts as overloaded.
+//! How many streams a box passes on at a time.
 
 use std::time::Duration;
 
-use frostdyke::proxy::lag::Lag;
+use frostdyke::proxy::capacity::Capacity;
+
+/// What a box begins with.
+const FIRST: usize = 300;
+const LATE: Duration = Duration::from_millis(120);
+const ON_TIME: Duration = Duration::from_millis(1);
+
+#[test]
+fn late_timers_limit_nothing_where_few_streams_run() {
+    let mut capacity = Capacity::new(FIRST);
+    let limits: Vec<usize> = (0..50).map(|_| capacity.note(LATE, 10)).collect();
+    assert!(capacity.is_behind() && !capacity.is_full());
+    assert_eq!(limits, [FIRST; 50]);
+}
+
+#[test]
+fn a_box_that_is_behind_takes_fewer_streams_than_it_has() {
+    let mut capacity = Capacity::new(FIRST);
+    let limits: Vec<usize> = (0..10).map(|_| capacity.note(LATE, 300)).collect();
+    assert!(capacity.is_behind() && capacity.is_full());
+    assert!(limits[9] < 250, "{limits:?}");
+    assert!(limits[4..].is_sorted_by(|a, b| b < a), "{limits:?}");
+    let low = (0..100).map(|_| capacity.note(LATE, 300)).last();
+    assert_eq!(low, Some(150), "half of the first limit is always taken");
+}
+
+#[test]
+fn it_takes_more_only_when_there_is_more_to_take() {
+    let mut capacity = Capacity::new(FIRST);
+    let calm: Vec<usize> = (0..20).map(|_| capacity.note(ON_TIME, 200)).collect();
+    assert_eq!(calm, [FIRST; 20]);
+    let busy = (0..20).map(|_| capacity.note(ON_TIME, 290)).last();
+    assert!(busy.is_some_and(|limit| FIRST + 10 < limit), "{busy:?}");
+}
 
 #[test]
-fn one_late_timer_is_no_overload() {
-    let mut lag = Lag::default();
-    assert!(!lag.note(Duration::from_millis(200)));
-    assert!((0..50).all(|_| !lag.note(Duration::from_millis(2))));
+fn a_box_that_is_full_is_so_until_there_is_room() {
+    let mut capacity = Capacity::new(FIRST);
+    let mut full = |streams| {
+        capacity.note(ON_TIME, streams);
+        capacity.is_full()
+    };
+    assert!(!full(200));
+    assert!(full(280));
+    assert!(full(200));
+    assert!(!full(150));
+    assert!(!full(200));
 }
 
+/// A box that can pass on 200 streams is asked for twice as many. Each tick a twentieth of what
+/// runs ends.
 #[test]
-fn a_box_that_stays_behind_is_overloaded_until_it_has_caught_up() {
-    let mut lag = Lag::default();
-    let ticks = (0..20).take_while(|_| !lag.note(Duration::from_millis(100))).count();
-    assert!((1..6).contains(&ticks), "{ticks}");
-    assert!(lag.note(Duration::from_millis(20)));
-    let ticks = (0..50).take_while(|_| lag.note(Duration::from_millis(1))).count();
-    assert!((3..25).contains(&ticks), "{ticks}");
+fn the_limit_settles_near_what_the_box_can_carry() {
+    let mut capacity = Capacity::new(FIRST);
+    let (mut running, mut limit) = (0.0, FIRST);
+    let mut seen = Vec::new();
+    for _ in 0..600 {
+        running -= running / 20.0;
+        running += f64::min(20.0, (limit as f64 - running).max(0.0));
+        let late = if running < 200.0 { ON_TIME } else { LATE };
+        limit = capacity.note(late, running as usize);
+        seen.push(running);
+    }
+    let mean = seen[200..].iter().sum::<f64>() / 400.0;
+    assert!((160.0..220.0).contains(&mean), "{mean}");
 }
