Copy prompts from engines that leave; show what a box holds and believes as figures

One that leaves serves on for its time to drain. an_engine_that_leaves_gives_its_parts_away fails without it. Its effect is not measured by itself yet.

The page of figures lacked all that isn't a count of requests: streams and their limit, connections, boxes, upstreams by state, the configuration's version, the store, repeats by the budget's word.

--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -224,12 +224,7 @@
         // Looked up once: what engines keep is spread over memory, and many engines are asked.
         let kept: Vec<u32> =
             usable.iter().map(|u| u.engine.as_ref().map_or(0, |e| e.kept(prompt))).collect();
-        let source = usable
-            .iter()
-            .zip(&kept)
-            .filter(|(u, _)| u.engine.is_some())
-            .map(|(u, kept)| Source { addr: u.listed.addr, kept: *kept })
-            .max_by_key(|s| s.kept);
+        let source = self.source(usable, &kept, wanted.service, prompt);
         let home = home(usable, prompt);
         let candidate = |(u, kept): (&&'a Upstream, &u32)| {
             if !u.has_room(prompt) {
@@ -243,6 +238,25 @@
         usable.iter().zip(&kept).filter_map(candidate).collect()
     }
 
+    /// The engine that keeps the most of a prompt. One that leaves gets no work, but can be copied
+    /// from for as long as it is there.
+    fn source(
+        &self,
+        usable: &[&Upstream],
+        kept: &[u32],
+        service: &str,
+        prompt: &Prompt,
+    ) -> Option<Source> {
+        let source = |u: &Upstream, kept| Source { addr: u.listed.addr, kept };
+        let staying = usable.iter().zip(kept).map(|(u, kept)| source(u, *kept));
+        let leaving = self
+            .upstreams
+            .values()
+            .filter(|u| u.listed.leaving && u.doubt.is_none() && &*u.listed.service == service)
+            .filter_map(|u| Some(source(u, u.engine.as_ref()?.kept(prompt))));
+        staying.chain(leaving).max_by_key(|s| s.kept)
+    }
+
     /// Notes a request that this box or another sends to an upstream.
     pub fn place(
         &mut self,
@@ -343,6 +357,11 @@
         doubt.is_own && doubt.failures == 1
     }
 
+    /// How many upstreams get no work since they may not be reachable.
+    pub fn in_doubt(&self) -> usize {
+        self.upstreams.values().filter(|u| u.doubt.is_some()).count()
+    }
+
     /// Upstreams that it is time to connect to, to see whether they can be reached. Each is given
     /// once until [`Fleet::not_reached`] is called for it, or for the longest pause.
     pub fn take_doubted(&mut self, now: Duration) -> Vec<Listed> {
--- a/src/proxy/figures.rs
+++ b/src/proxy/figures.rs
@@ -1,5 +1,7 @@
 //! The proxy's counters and histograms.
 
+use std::sync::Arc;
+use std::sync::Weak;
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
@@ -7,7 +9,9 @@
 use opentelemetry::metrics::Histogram;
 
 use crate::metrics::Metrics;
+use crate::proxy::hub::Hub;
 use crate::proxy::placed::Placed;
+use crate::proxy::view::View;
 
 /// Bounds of the histograms of times, in seconds; denser around the usual aims.
 const TIME_BOUNDS: [f64; 12] = [0.01, 0.03, 0.06, 0.1, 0.15, 0.25, 0.4, 0.6, 0.8, 1.2, 3.0, 10.0];
@@ -21,6 +25,8 @@
     times: Histogram<f64>,
     first_expected: Histogram<f64>,
     first_real: Histogram<f64>,
+    repeats: Counter<u64>,
+    store_lost: Counter<u64>,
 }
 
 impl Figures {
@@ -36,6 +42,8 @@
             times: histogram("frostdyke_proxy_seconds"),
             first_expected: histogram("frostdyke_first_token_expected_seconds"),
             first_real: histogram("frostdyke_first_token_seconds"),
+            repeats: meter.u64_counter("frostdyke_proxy_repeats").build(),
+            store_lost: meter.u64_counter("frostdyke_store_lost").build(),
             metrics,
         }
     }
@@ -45,6 +53,44 @@
         self.metrics.page()
     }
 
+    /// Shows what the process holds and believes whenever the page is asked for.
+    pub fn show(&self, hub: &Arc<Hub>) {
+        let gauge = |name: &'static str, read: fn(&Hub) -> u64| {
+            let hub: Weak<Hub> = Arc::downgrade(hub);
+            let gauge = self.metrics.meter().u64_observable_gauge(name);
+            // The meter keeps what it is told to ask.
+            let _ = gauge
+                .with_callback(move |observer| {
+                    if let Some(hub) = hub.upgrade() {
+                        observer.observe(read(&hub), &[]);
+                    }
+                })
+                .build();
+        };
+        gauge("frostdyke_proxy_in_flight", |hub| hub.in_flight() as u64);
+        gauge("frostdyke_proxy_streams", |hub| hub.streams() as u64);
+        gauge("frostdyke_proxy_streams_max", |hub| hub.streams_max() as u64);
+        gauge("frostdyke_proxy_connections", |hub| hub.connections() as u64);
+        gauge("frostdyke_boxes_alive", |hub| hub.peers().live() as u64 + 1);
+        gauge("frostdyke_configuration_version", Hub::version);
+        gauge("frostdyke_store_reached", |hub| u64::from(hub.read(View::reaches_store)));
+        gauge("frostdyke_upstreams", |hub| hub.read(|v| v.fleet().listed().count() as u64));
+        gauge("frostdyke_upstreams_leaving", |hub| {
+            hub.read(|v| v.fleet().listed().filter(|l| l.leaving).count() as u64)
+        });
+        gauge("frostdyke_upstreams_in_doubt", |hub| hub.read(|v| v.fleet().in_doubt() as u64));
+    }
+
+    /// Counts a request that could be repeated, by whether the budget allowed it.
+    pub fn repeat(&self, allowed: bool) {
+        self.repeats.add(1, &[KeyValue::new("allowed", allowed)]);
+    }
+
+    /// Counts a loss of the store.
+    pub fn store_lost(&self) {
+        self.store_lost.add(1, &[]);
+    }
+
     /// Counts a refusal by its cause.
     pub fn refused(&self, cause: &'static str) {
         self.refused.add(1, &[KeyValue::new("cause", cause)]);
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -92,7 +92,7 @@
             budget: Budget::new(cfg.repeats),
             shares: Shares::new(cfg.share_window),
         };
-        Arc::new(Hub {
+        let hub = Arc::new(Hub {
             inner: Mutex::new(inner),
             epoch: Instant::now(),
             dialect,
@@ -109,7 +109,9 @@
             full: AtomicBool::new(false),
             connections: Arc::default(),
             connections_max: capacity::connections(cfg.descriptors),
-        })
+        });
+        hub.figures.show(&hub);
+        hub
     }
 
     /// How callers and upstreams speak.
@@ -188,6 +190,11 @@
         InFlight::new(self.connections.clone())
     }
 
+    /// Callers' connections that are open.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+
     /// Callers' connections that may be open at once.
     pub fn connections_max(&self) -> usize {
         self.connections_max
@@ -196,7 +203,7 @@
     /// Whether callers should come back on new connections, which the balancer may lead elsewhere:
     /// this box is full, or more of their connections are open than it needs.
     pub fn sends_away(&self) -> bool {
-        self.is_full() || self.connections_max / 2 < self.connections.load(Ordering::Relaxed)
+        self.is_full() || self.connections_max / 2 < self.connections()
     }
 
     /// Streams that are served now.
@@ -259,6 +266,7 @@
             News::Lost(cause) => {
                 if self.read(View::reaches_store) {
                     warn!(self.log, "store lost"; "cause" => cause);
+                    self.figures.store_lost();
                 }
                 self.change(|view, _| view.store_lost());
             }
@@ -370,7 +378,11 @@
     /// Takes a repeat out of the budget; false when it is used up.
     pub fn may_repeat(&self, service: &ServiceName) -> bool {
         let (now, boxes) = (self.now(), self.peers.live() + 1);
-        self.inner.lock().expect("no panic under lock").budget.repeat(service, boxes, now)
+        let mut inner = self.inner.lock().expect("no panic under lock");
+        let allowed = inner.budget.repeat(service, boxes, now);
+        drop(inner);
+        self.figures.repeat(allowed);
+        allowed
     }
 
     /// This box's part of the connections that an upstream takes.
--- a/tests/proxy_placement.rs
+++ b/tests/proxy_placement.rs
@@ -103,6 +103,21 @@
     assert_eq!(copied.copy_from.map(|a| a.ip()), Some(first.addr.ip()));
 }
 
+/// Engines are replaced one after the other; what they keep would have to be read again.
+#[test]
+fn an_engine_that_leaves_gives_its_parts_away() {
+    let mut fleet = fleet(2);
+    let first = send(&mut fleet, &prompt(1, 100), 1, 0);
+    finish(&mut fleet, &first, 1, 400);
+    fleet.leave(&first.upstream);
+    let next = choose(&fleet, &prompt(1, 101), 5_000).expect("the other stays");
+    assert_ne!(next.upstream, first.upstream);
+    assert_eq!((next.copied, next.copy_from), (13_000, Some(first.addr)));
+    fleet.doubt(&first.upstream, true, millis(5_000));
+    let next = choose(&fleet, &prompt(1, 101), 5_000).expect("the other stays");
+    assert_eq!((next.copied, next.copy_from), (0, None), "it may be gone");
+}
+
 /// Found on a played day (journal 7db18c42): requests stayed with the busy engine that kept their
 /// parts and were refused there, while other engines had no work.
 #[test]
