Ask the store, other boxes and engines by one client; split the fleet's upstreams from the choice

No change of behaviour, but: connecting to another box is bounded by itself, and its status is looked at.

--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -7,3 +7,4 @@
 pub mod fleet;
 pub mod share;
 pub mod tuning;
+pub mod upstream;
--- /dev/null
+++ b/src/placement/upstream.rs
@@ -0,0 +1,240 @@
+//! One upstream as a box knows it: what it would cost to send a request there, how requests there
+//! went, and whether it may be reached.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::names::ZoneName;
+use crate::placement::choice::Choice;
+use crate::placement::engine::Engine;
+use crate::placement::tuning::Tuning;
+use crate::proxy::dialect::Listed;
+use crate::proxy::dialect::Prompt;
+
+/// Fewest tokens that are worth a copy: twice those that are read in the time of its setup.
+const COPY_MIN: u32 = 400;
+
+/// Preference for an upstream in the own zone: bytes between zones are charged for.
+const ZONE_LEAD: Duration = Duration::from_millis(4);
+
+/// How long an upstream that failed is left alone at first; doubled with each failure in a row.
+const REST_FIRST: Duration = Duration::from_millis(400);
+
+/// Longest time that an upstream is left alone before it is tried again.
+const REST_MAX: Duration = Duration::from_secs(5);
+
+/// Time between tries to connect to an upstream that may not be reachable, at first and at most;
+/// doubled with each failure, since each box tries by itself.
+const LOOK_FIRST: Duration = Duration::from_millis(300);
+const LOOK_MAX: Duration = Duration::from_millis(2400);
+
+/// Weight of the newest answer time of a plain service in its average.
+const ANSWER_TIME_WEIGHT: f64 = 0.2;
+
+/// How an engine would come by a prompt.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Plan {
+    pub(super) wait: Duration,
+    unread: u32,
+    /// Seconds to read these.
+    reading: f64,
+    copied: u32,
+    copy_time: Duration,
+    copy_from: Option<SocketAddr>,
+    /// Preference where the prompt's shared parts belong here by their hash.
+    home_lead: Duration,
+}
+
+/// The engine that keeps the most of a prompt.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Source {
+    pub(super) addr: SocketAddr,
+    pub(super) kept: u32,
+}
+
+/// How a request at an upstream went, as far as it tells about the upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Health {
+    /// It answered as it should, after this time.
+    Good(Duration),
+    /// It refused or failed, though it can be reached.
+    Failed,
+    /// It can't be reached, or broke off.
+    Broken,
+}
+
+/// One upstream.
+#[derive(Clone, Debug)]
+pub(super) struct Upstream {
+    pub(super) listed: Listed,
+    pub(super) engine: Option<Engine>,
+    /// Requests of this box there.
+    outstanding: u32,
+    answer_time: f64,
+    failures: u32,
+    rests_until: Duration,
+    /// Set while it may not be reachable; it gets no work until a connection can be made.
+    doubt: Option<Doubt>,
+    /// Of its name.
+    pub(super) hash: u64,
+}
+
+/// Why an upstream gets no work: it may not be reachable.
+#[derive(Clone, Copy, Debug)]
+struct Doubt {
+    /// Whether this box came upon it, or was told.
+    is_own: bool,
+    /// Tries to connect that failed since.
+    failures: u32,
+    /// When to try next.
+    look_at: Duration,
+}
+
+impl Upstream {
+    /// An upstream that is believed to be well and, if it is an engine, idle and empty.
+    pub(super) fn new(listed: Listed, engine: Option<Engine>) -> Upstream {
+        Upstream {
+            engine,
+            outstanding: 0,
+            answer_time: 0.0,
+            failures: 0,
+            rests_until: Duration::ZERO,
+            doubt: None,
+            hash: xxh3_64(listed.name.as_bytes()),
+            listed,
+        }
+    }
+
+    /// Whether it may get work without being the last resort.
+    pub(super) fn is_awake(&self, now: Duration) -> bool {
+        self.rests_until <= now && self.doubt.is_none()
+    }
+
+    /// Whether it may not be reachable.
+    pub(super) fn is_doubted(&self) -> bool {
+        self.doubt.is_some()
+    }
+
+    /// Counts a request of this box in.
+    pub(super) fn sent(&mut self) {
+        self.outstanding += 1;
+    }
+
+    /// Counts a request of this box out.
+    pub(super) fn ended(&mut self) {
+        self.outstanding = self.outstanding.saturating_sub(1);
+    }
+
+    /// Notes that it may not be reachable, by what this box saw itself or was told. True when this
+    /// is new.
+    pub(super) fn doubt(&mut self, is_own: bool, now: Duration) -> bool {
+        if self.doubt.is_some() {
+            return false;
+        }
+        self.doubt = Some(Doubt { is_own, failures: 0, look_at: now });
+        true
+    }
+
+    /// Notes that a connection to it could be made. True when that was in doubt.
+    pub(super) fn reached(&mut self) -> bool {
+        self.doubt.take().is_some()
+    }
+
+    /// Notes that no connection could be made. True when the other boxes should hear of it: at the
+    /// first failure, and only from who came upon it.
+    pub(super) fn not_reached(&mut self, now: Duration) -> bool {
+        let Some(doubt) = &mut self.doubt else { return false };
+        doubt.failures += 1;
+        let pause = LOOK_FIRST * 2u32.saturating_pow(doubt.failures.min(8) - 1);
+        doubt.look_at = now + pause.min(LOOK_MAX);
+        doubt.is_own && doubt.failures == 1
+    }
+
+    /// Whether it is time to connect, to see whether it can be reached. True once until
+    /// [`Upstream::not_reached`], or for the longest pause.
+    pub(super) fn take_look(&mut self, now: Duration) -> bool {
+        let Some(doubt) = self.doubt.as_mut().filter(|d| d.look_at <= now) else { return false };
+        doubt.look_at = now + LOOK_MAX;
+        true
+    }
+
+    /// Whether it has a slot and memory for a prompt.
+    pub(super) fn has_room(&self, prompt: &Prompt) -> bool {
+        self.engine.as_ref().is_none_or(|engine| engine.has_room(prompt))
+    }
+
+    /// How this engine, which keeps `kept` tokens of a prompt, would come by it; nothing for plain
+    /// services.
+    pub(super) fn plan(
+        &self,
+        prompt: &Prompt,
+        kept: u32,
+        source: Option<Source>,
+        home_lead: Duration,
+        tuning: Tuning,
+        now: Duration,
+    ) -> Option<Plan> {
+        let engine = self.engine.as_ref()?;
+        let gain = source.map_or(0, |s| s.kept.saturating_sub(kept));
+        let copied = if gain < COPY_MIN { 0 } else { gain };
+        let unread = prompt.tokens - kept - copied;
+        Some(Plan {
+            wait: engine.wait(tuning, now),
+            unread,
+            reading: tuning.reading(kept + copied, unread),
+            copied,
+            copy_time: if copied == 0 { Duration::ZERO } else { engine.copy_time(copied) },
+            copy_from: source.filter(|_| copied != 0).map(|s| s.addr),
+            home_lead,
+        })
+    }
+
+    /// What sending a request here costs, in seconds: less is better.
+    pub(super) fn cost(&self, plan: Option<&Plan>, tuning: Tuning, zone: &ZoneName) -> f64 {
+        let mut lead = if self.listed.zone == *zone { ZONE_LEAD.as_secs_f64() } else { 0.0 };
+        let Some(plan) = plan else {
+            return self.answer_time * f64::from(1 + self.outstanding) - lead;
+        };
+        lead += plan.home_lead.as_secs_f64();
+        let reading = plan.reading;
+        let copying = plan.copy_time.as_secs_f64();
+        plan.wait.as_secs_f64() + reading * tuning.read_weight + copying * tuning.copy_weight - lead
+    }
+
+    /// The choice of this upstream.
+    pub(super) fn choice(&self, plan: Option<Plan>, tuning: Tuning) -> Choice {
+        let first_token = plan.as_ref().map_or(Duration::ZERO, |p| {
+            p.wait + p.copy_time + Duration::from_secs_f64(p.reading) + tuning.first_step
+        });
+        Choice {
+            upstream: self.listed.name.clone(),
+            addr: self.listed.addr,
+            first_token,
+            wait: plan.as_ref().map_or(Duration::ZERO, |p| p.wait),
+            unread: plan.as_ref().map_or(0, |p| p.unread),
+            copied: plan.as_ref().map_or(0, |p| p.copied),
+            copy_from: plan.and_then(|p| p.copy_from),
+            running: self.engine.as_ref().map_or(0, Engine::running),
+            running_tokens: self.engine.as_ref().map_or(0, Engine::running_tokens),
+        }
+    }
+
+    /// Notes how a request of this box went.
+    pub(super) fn note(&mut self, health: Health, now: Duration) {
+        match health {
+            Health::Good(time) => {
+                self.failures = 0;
+                self.rests_until = Duration::ZERO;
+                self.answer_time += (time.as_secs_f64() - self.answer_time) * ANSWER_TIME_WEIGHT;
+            }
+            Health::Failed => self.answer_time += ANSWER_TIME_WEIGHT * REST_FIRST.as_secs_f64(),
+            Health::Broken => {
+                let rest = REST_FIRST * 2u32.saturating_pow(self.failures.min(8));
+                self.failures += 1;
+                self.rests_until = now + rest.min(REST_MAX);
+            }
+        }
+    }
+}
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod answer;
+pub mod ask;
 pub mod budget;
 pub mod capacity;
 pub mod dialect;
--- a/src/proxy/placed.rs
+++ b/src/proxy/placed.rs
@@ -8,7 +8,7 @@
 
 use crate::names::UpstreamName;
 use crate::placement::choice::Choice;
-use crate::placement::fleet::Health;
+use crate::placement::upstream::Health;
 use crate::proxy::hub::Hub;
 use crate::proxy::message::Message;
 
--- a/src/proxy/pump.rs
+++ b/src/proxy/pump.rs
@@ -18,7 +18,7 @@
 use tokio::time::Instant;
 use tokio::time::Sleep;
 
-use crate::placement::fleet::Health;
+use crate::placement::upstream::Health;
 use crate::proxy::link::AnswerBody;
 use crate::proxy::placed::Placed;
 use crate::proxy::request;
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -24,7 +24,7 @@
 use crate::placement::choice::Choice;
 use crate::placement::choice::NoChoice;
 use crate::placement::choice::Wanted;
-use crate::placement::fleet::Health;
+use crate::placement::upstream::Health;
 use crate::proxy::admission;
 use crate::proxy::answer;
 use crate::proxy::answer::Refusal;
--- a/src/proxy/side.rs
+++ b/src/proxy/side.rs
@@ -11,18 +11,14 @@
 use http::Response;
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
-use http_body_util::BodyExt;
-use http_body_util::Empty;
-use http_body_util::Limited;
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::sync::watch;
 
 use crate::placement::fleet::Kept;
 use crate::proxy::Stop;
+use crate::proxy::ask;
+use crate::proxy::ask::Asker;
 use crate::proxy::hub::Hub;
 use crate::proxy::view::Snapshot;
 use crate::proxy::view::View;
@@ -41,30 +37,21 @@
 /// How long asking another box may take.
 const ASK_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Largest snapshot that is read, in bytes.
-const SNAPSHOT_MAX: usize = 8 << 20;
-
 /// Why another box can't be asked.
 #[derive(Debug, thiserror::Error)]
 pub enum AskError {
-    /// It can't be reached or breaks off.
-    #[error("{0}")]
-    Io(#[from] std::io::Error),
-    /// It doesn't speak as it should.
-    #[error("{0}")]
-    Http(#[from] hyper::Error),
-    /// Its answer is too long or breaks off.
-    #[error("the answer: {0}")]
-    Body(Box<dyn std::error::Error + Send + Sync>),
+    /// It gives no whole answer in time.
+    #[error(transparent)]
+    NoAnswer(#[from] ask::Error),
+    /// It doesn't tell.
+    #[error("status {0}")]
+    Status(StatusCode),
     /// Its answer can't be read.
     #[error("the answer: {0}")]
     Json(#[from] serde_json::Error),
     /// Its answer can't be read.
     #[error("the answer: {0}")]
     Postcard(#[from] postcard::Error),
-    /// It takes too long.
-    #[error("no answer in time")]
-    Timeout,
 }
 
 /// Tells the balancer whether this box serves, until the process ends.
@@ -89,22 +76,11 @@
 }
 
 async fn ask_for(addr: SocketAddr, path: &'static str) -> Result<Bytes, AskError> {
-    tokio::time::timeout(ASK_TIMEOUT, fetch(addr, path)).await.map_err(|_| AskError::Timeout)?
-}
-
-async fn fetch(addr: SocketAddr, path: &'static str) -> Result<Bytes, AskError> {
-    let stream = TcpStream::connect(addr).await?;
-    let (mut tx, conn) = http1::handshake(TokioIo::new(stream)).await?;
-    let conn = tokio::spawn(conn);
-    let mut req = Request::new(Empty::<Bytes>::new());
-    *req.uri_mut() = http::Uri::from_static(path);
-    if let Ok(host) = HeaderValue::from_str(&addr.to_string()) {
-        req.headers_mut().insert(http::header::HOST, host);
+    let (status, body) = Asker::new(addr).get(path, ASK_TIMEOUT).await?;
+    if status != StatusCode::OK {
+        return Err(AskError::Status(status));
     }
-    let body = tx.send_request(req).await?.into_body();
-    let body = Limited::new(body, SNAPSHOT_MAX).collect().await.map_err(AskError::Body)?;
-    conn.abort();
-    Ok(body.to_bytes())
+    Ok(body)
 }
 
 struct Ready {
