--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -9,12 +9,10 @@
 
 use slog::Logger;
 use slog::info;
-use slog::warn;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::names::ServiceName;
-use crate::names::UpstreamName;
 use crate::names::WorkspaceName;
 use crate::placement::choice::Choice;
 use crate::placement::choice::NoChoice;
@@ -26,8 +24,6 @@
 use crate::proxy::budget::Budget;
 use crate::proxy::capacity;
 use crate::proxy::dialect::Dialect;
-use crate::proxy::dialect::Listed;
-use crate::proxy::dialect::News;
 use crate::proxy::dialect::Prompt;
 use crate::proxy::figures::Figures;
 use crate::proxy::link::Links;
@@ -40,14 +36,10 @@
 use crate::proxy::view::Change;
 use crate::proxy::view::Snapshot;
 use crate::proxy::view::View;
-use crate::util;
 
 /// Connections to one upstream that every box may have, however many boxes there are.
 const CONNECTIONS_MIN: u32 = 4;
 
-/// Time between looks for upstreams that it is time to connect to.
-const LOOK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Part of an upstream's connections that all boxes use together.
 const CONNECTIONS_SHARE: f64 = 0.9;
 
@@ -252,73 +244,11 @@
         result
     }
 
-    /// Takes in what the store tells.
-    pub fn take_in(&self, news: News) {
-        match news {
-            News::Configured(table) => self.change(|view, _| view.configure(table)),
-            News::BadConfiguration(fault) => {
-                warn!(self.log, "configuration refused"; "fault" => fault);
-            }
-            News::Listed(all) => self.change(|view, now| view.list(all, now)),
-            News::Changed(listed) => self.change(|view, _| view.set(listed)),
-            News::Gone(name) => self.change(|view, now| view.gone(&name, now)),
-            News::BadEntry(fault) => warn!(self.log, "entry refused"; "fault" => fault),
-            News::Lost(cause) => {
-                if self.read(View::reaches_store) {
-                    warn!(self.log, "store lost"; "cause" => cause);
-                    self.figures.store_lost();
-                }
-                self.change(|view, _| view.store_lost());
-            }
-            News::Regained => {
-                if !self.read(View::reaches_store) {
-                    info!(self.log, "store reached");
-                }
-                self.change(View::store_regained);
-            }
-        }
-    }
-
     /// Takes over what another box knows.
     pub fn take_over(&self, snapshot: Snapshot) {
         self.change(|view, _| view.take_over(snapshot));
     }
 
-    /// Takes in a message of another box.
-    pub fn receive(&self, message: Message) {
-        let now = self.now();
-        match message {
-            Message::Placed { upstream, request, prompt, unread, workspace } => {
-                let prompt = Prompt::from(prompt);
-                self.fleet(|fleet| fleet.place(&upstream, request, &prompt, unread, now));
-                if let Some(workspace) = workspace {
-                    self.shares(|shares| shares.begin(&workspace, prompt.charge(), now));
-                }
-            }
-            Message::Refused { workspace, tokens } => {
-                self.shares(|shares| shares.refuse(&workspace, tokens, now));
-            }
-            Message::First { upstream, request } => {
-                self.fleet(|fleet| fleet.first(&upstream, request, now));
-            }
-            Message::Ended { upstream, request } => {
-                self.fleet(|fleet| fleet.end(&upstream, request));
-            }
-            Message::Unreachable { upstream } => {
-                if self.fleet(|fleet| fleet.doubt(&upstream, false, now)) {
-                    info!(self.log, "upstream said to be unreachable"; "name" => upstream.as_str());
-                    self.look.notify_one();
-                }
-            }
-            Message::Leaving { upstream } => {
-                self.change(|view, _| view.told_leaving(&upstream));
-            }
-            Message::Gone { upstream } => self.change(|view, _| view.told_gone(&upstream)),
-            // Taken in by the peers.
-            Message::Beat(_) => {}
-        }
-    }
-
     /// Chooses an upstream.
     pub fn choose(&self, wanted: Wanted<'_>) -> Result<Choice, NoChoice> {
         let now = self.now();
@@ -365,7 +295,8 @@
         self.peers.tell(&Message::Refused { workspace, tokens });
     }
 
-    fn shares<T>(&self, f: impl FnOnce(&mut Shares) -> T) -> T {
+    /// Changes what is known of the shares of workspaces.
+    pub fn shares<T>(&self, f: impl FnOnce(&mut Shares) -> T) -> T {
         f(&mut self.inner.lock().expect("no panic under lock").shares)
     }
 
@@ -391,45 +322,14 @@
         (part as u32).max(CONNECTIONS_MIN)
     }
 
-    /// Notes that an upstream may not be reachable. The other boxes hear of it only when a
-    /// connection fails: an answer that is lost says little of the upstream, and each box would
-    /// connect to it.
-    pub fn unreachable(&self, upstream: &UpstreamName) {
-        let now = self.now();
-        if self.fleet(|fleet| fleet.doubt(upstream, true, now)) {
-            info!(self.log, "upstream in doubt"; "name" => upstream.as_str());
-            self.look.notify_one();
-        }
+    /// Notes that it is time to connect to an upstream.
+    pub fn look(&self) {
+        self.look.notify_one();
     }
 
-    /// Tries to connect to upstreams that may not be reachable, until the process ends.
-    pub async fn look_for_upstreams(self: Arc<Hub>) {
-        loop {
-            tokio::select! {
-                () = self.look.notified() => {}
-                () = tokio::time::sleep(LOOK_INTERVAL) => {}
-            }
-            let now = self.now();
-            for listed in self.fleet(|fleet| fleet.take_doubted(now)) {
-                tokio::spawn(self.clone().look_for(listed));
-            }
-        }
-    }
-
-    async fn look_for(self: Arc<Hub>, listed: Listed) {
-        let Listed { name, addr, .. } = listed;
-        if let Err(e) = self.links.warm(addr).await {
-            let now = self.now();
-            if self.fleet(|fleet| fleet.not_reached(&name, now)) {
-                info!(self.log, "upstream unreachable"; "name" => name.as_str(),
-                    "error" => util::with_causes(&e));
-                self.peers.tell(&Message::Unreachable { upstream: name });
-            }
-            return;
-        }
-        if self.fleet(|fleet| fleet.reached(&name)) {
-            info!(self.log, "upstream reachable"; "name" => name.as_str());
-        }
+    /// Waits until it is time to connect to an upstream.
+    pub async fn looking(&self) {
+        self.look.notified().await;
     }
 
     /// Changes what is known of the upstreams.
--- /dev/null
+++ b/src/proxy/look.rs
@@ -0,0 +1,56 @@
+//! Upstreams that may not be reachable: they get no work until a connection to them can be made.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::info;
+
+use crate::names::UpstreamName;
+use crate::proxy::dialect::Listed;
+use crate::proxy::hub::Hub;
+use crate::proxy::message::Message;
+use crate::util;
+
+/// Time between looks for upstreams that it is time to connect to.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Notes that an upstream may not be reachable. The other boxes hear of it only when a
+/// connection fails: an answer that is lost says little of the upstream, and each box would
+/// connect to it.
+pub fn unreachable(hub: &Hub, upstream: &UpstreamName) {
+    let now = hub.now();
+    if hub.fleet(|fleet| fleet.doubt(upstream, true, now)) {
+        info!(hub.log(), "upstream in doubt"; "name" => upstream.as_str());
+        hub.look();
+    }
+}
+
+/// Tries to connect to upstreams that may not be reachable, until the process ends.
+pub async fn run(hub: Arc<Hub>) {
+    loop {
+        tokio::select! {
+            () = hub.looking() => {}
+            () = tokio::time::sleep(LOOK_INTERVAL) => {}
+        }
+        let now = hub.now();
+        for listed in hub.fleet(|fleet| fleet.take_doubted(now)) {
+            tokio::spawn(look_for(hub.clone(), listed));
+        }
+    }
+}
+
+async fn look_for(hub: Arc<Hub>, listed: Listed) {
+    let Listed { name, addr, .. } = listed;
+    if let Err(e) = hub.links().warm(addr).await {
+        let now = hub.now();
+        if hub.fleet(|fleet| fleet.not_reached(&name, now)) {
+            info!(hub.log(), "upstream unreachable"; "name" => name.as_str(),
+                "error" => util::with_causes(&e));
+            hub.peers().tell(&Message::Unreachable { upstream: name });
+        }
+        return;
+    }
+    if hub.fleet(|fleet| fleet.reached(&name)) {
+        info!(hub.log(), "upstream reachable"; "name" => name.as_str());
+    }
+}
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -13,7 +13,9 @@
 pub mod figures;
 pub mod front;
 pub mod hub;
+pub mod intake;
 pub mod link;
+pub mod look;
 pub mod message;
 pub mod peers;
 pub mod placed;
@@ -135,7 +137,7 @@
     peers::start(&hub);
     tokio::spawn(warm::up(hub.clone(), around.engines));
     tokio::spawn(tick(hub.clone()));
-    tokio::spawn(hub.clone().look_for_upstreams());
+    tokio::spawn(look::run(hub.clone()));
     tokio::spawn(reload(hub.clone(), path));
     tokio::spawn(side::serve_ready(ready, hub.clone(), stopping.clone()));
     tokio::spawn(side::serve_peers(peer_port, hub.clone()));
@@ -158,7 +160,7 @@
     let hub = hub.clone();
     tokio::spawn(async move {
         while let Some(news) = rx.recv().await {
-            hub.take_in(news);
+            intake::news(&hub, news);
         }
     });
 }
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -19,6 +19,7 @@
 use crate::names::BoxName;
 use crate::names::ZoneName;
 use crate::proxy::hub::Hub;
+use crate::proxy::intake;
 use crate::proxy::message::Beat;
 use crate::proxy::message::Message;
 use crate::proxy::settings::Settings;
@@ -323,7 +324,7 @@
         buf = rest;
         match message {
             Message::Beat(beat) => hear(hub, &beat),
-            message => hub.receive(message),
+            message => intake::message(hub, message),
         }
     }
 }
--- a/src/proxy/pump.rs
+++ b/src/proxy/pump.rs
@@ -20,6 +20,7 @@
 
 use crate::placement::upstream::Health;
 use crate::proxy::link::AnswerBody;
+use crate::proxy::look;
 use crate::proxy::placed::Placed;
 use crate::proxy::request;
 use crate::proxy::request::Reply;
@@ -191,7 +192,7 @@
             info!(run.hub.log(), "broke off"; "id" => &run.head.id,
                 "upstream" => source.placed.upstream().as_str(), "error" => util::with_causes(e),
                 "begun" => self.begun, "last_event" => self.events.last_id());
-            run.hub.unreachable(source.placed.upstream());
+            look::unreachable(&run.hub, source.placed.upstream());
             source.placed.close(Some(Health::Broken));
         }
         // The part of an event that came is sent again by the next upstream.
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -34,6 +34,7 @@
 use crate::proxy::hub::Hub;
 use crate::proxy::link;
 use crate::proxy::link::AnswerBody;
+use crate::proxy::look;
 use crate::proxy::placed::InFlight;
 use crate::proxy::placed::Placed;
 use crate::proxy::pump;
@@ -290,7 +291,7 @@
             Err(e) if e.is_unsent() => {
                 // Our own limit says nothing about the upstream.
                 if !matches!(e, link::Error::NoneFree) {
-                    self.hub.unreachable(&choice.upstream);
+                    look::unreachable(&self.hub, &choice.upstream);
                 }
                 placed.close(None);
                 return Sent::Unsent(e);
@@ -299,7 +300,7 @@
                 self.sends += 1;
                 info!(self.hub.log(), "no answer"; "id" => &self.head.id,
                     "upstream" => choice.upstream.as_str(), "error" => util::with_causes(&e));
-                self.hub.unreachable(&choice.upstream);
+                look::unreachable(&self.hub, &choice.upstream);
                 placed.close(Some(Health::Broken));
                 return Sent::Unsure(None);
             }
