--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -68,6 +68,13 @@
     },
 }
 
+impl Message {
+    /// Whether the next choices of other boxes hardly depend on it.
+    pub fn can_wait(&self) -> bool {
+        matches!(self, Message::First { .. } | Message::Ended { .. } | Message::Refused { .. })
+    }
+}
+
 /// A sign of life.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beat {
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -49,6 +49,11 @@
 /// The longest delay: what is older than this would mislead.
 const DELAY_MAX: Duration = Duration::from_millis(40);
 
+/// What can wait, waits for what can't for this long a box that hears it, and at most for the second:
+/// models are told of first tokens and ends for the sake of exactness, not of the next choice.
+const LATER_PER_BOX: Duration = Duration::from_millis(2);
+const LATER_MAX: Duration = Duration::from_millis(100);
+
 /// Datagrams taken in before others get their turn.
 const DATAGRAMS_AT_ONCE: usize = 64;
 
@@ -81,13 +86,22 @@
     port: u16,
     socket: Arc<UdpSocket>,
     known: Mutex<BTreeMap<SocketAddr, Peer>>,
-    /// Messages that wait to be sent, one behind the other.
-    pending: Mutex<Vec<u8>>,
+    pending: Mutex<Pending>,
     told: Notify,
+    told_later: Notify,
     /// Signs of life given.
     beats: AtomicU64,
 }
 
+/// What waits to be told.
+#[derive(Debug, Default)]
+struct Pending {
+    /// Messages, one behind the other.
+    buf: Vec<u8>,
+    /// Whether one of them can't wait.
+    is_urgent: bool,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Peer {
     is_seed: bool,
@@ -132,6 +146,7 @@
             known: Mutex::default(),
             pending: Mutex::default(),
             told: Notify::new(),
+            told_later: Notify::new(),
             beats: AtomicU64::new(0),
         }
     }
@@ -155,25 +170,37 @@
     pub fn tell(&self, message: &Message) {
         let Ok(mut buf) = postcard::to_stdvec(message) else { return };
         let mut pending = self.pending.lock().expect("no panic under lock");
-        if DATAGRAM_MAX < pending.len() + buf.len() {
-            self.send_to_live(&std::mem::take(&mut *pending));
+        if DATAGRAM_MAX < pending.buf.len() + buf.len() {
+            self.send_to_live(&std::mem::take(&mut pending.buf));
         }
-        if pending.is_empty() {
+        if message.can_wait() {
+            if pending.buf.is_empty() {
+                self.told_later.notify_one();
+            }
+        } else if !pending.is_urgent {
+            pending.is_urgent = true;
             self.told.notify_one();
         }
-        pending.append(&mut buf);
+        pending.buf.append(&mut buf);
     }
 
     /// Sends what is pending whenever there is something, until the process ends.
     async fn flush(&self) {
         loop {
-            self.told.notified().await;
+            tokio::select! {
+                () = self.told.notified() => {}
+                () = self.told_later.notified() => {
+                    let most = (LATER_PER_BOX * self.live() as u32).min(LATER_MAX);
+                    // Whichever comes first.
+                    let _ = tokio::time::timeout(most, self.told.notified()).await;
+                }
+            }
             let delay = DELAY_PER_BOX * self.live() as u32;
             if DELAY_MIN <= delay {
                 tokio::time::sleep(delay.min(DELAY_MAX)).await;
             }
-            let buf = std::mem::take(&mut *self.pending.lock().expect("no panic under lock"));
-            self.send_to_live(&buf);
+            let pending = std::mem::take(&mut *self.pending.lock().expect("no panic under lock"));
+            self.send_to_live(&pending.buf);
         }
     }
 
