Forget what a box had sent when it restarts or falls silent

With 16 slots an engine, as on the grown wallet fleet, a herd of killed boxes made engines look full that had dropped the requests with their connections.

Change: each request in a model names the box that sent it; a sign of life of another start, or silence for 2.4 s, forgets them. "box restarted" and "box silent" are logged: a lost dependency had no line.

what_a_box_that_is_gone_had_sent_makes_room_at_once fails without it.

--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -2,6 +2,7 @@
 //! and when it will give the first token of another request.
 
 use std::collections::VecDeque;
+use std::net::IpAddr;
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
@@ -31,6 +32,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Run {
     placed: Duration,
+    /// The box that sent it; nothing for this one.
+    sender: Option<IpAddr>,
     /// Tokens that take memory while it runs.
     tokens: u64,
 }
@@ -134,6 +137,7 @@
         prompt: &Prompt,
         unread: u32,
         tuning: Tuning,
+        sender: Option<IpAddr>,
         now: Duration,
     ) {
         let seconds = tuning.reading(prompt.tokens.saturating_sub(unread), unread);
@@ -142,7 +146,7 @@
         let tokens = u64::from(prompt.tokens) + u64::from(prompt.written_max);
         self.cache.read(&prompt.parts);
         self.reading.push_back(Reading { request, placed: now, seconds });
-        if let Some(before) = self.runs.insert(request, Run { placed: now, tokens }) {
+        if let Some(before) = self.runs.insert(request, Run { placed: now, sender, tokens }) {
             self.run_tokens -= before.tokens;
         }
         self.run_tokens += tokens;
@@ -180,6 +184,15 @@
         }
     }
 
+    /// Forgets the requests of a box that is gone, and will never tell of their ends. The engine
+    /// has dropped them with their connections.
+    pub fn forget_sender(&mut self, sender: IpAddr) {
+        let its = |run: &Run| run.sender == Some(sender);
+        let lost: Vec<u64> =
+            self.runs.iter().filter(|(_, run)| its(run)).map(|(id, _)| *id).collect();
+        lost.into_iter().for_each(|id| self.end(id));
+    }
+
     /// Forgets requests whose ends were never heard of.
     pub fn tick(&mut self, now: Duration) {
         let old = |placed: Duration| placed + FORGOTTEN_AFTER < now;
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -1,6 +1,7 @@
 //! All upstreams that this box knows, and the choice of one for a request.
 
 use std::collections::BTreeMap;
+use std::net::IpAddr;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -181,18 +182,19 @@
         staying.chain(leaving).max_by_key(|s| s.kept)
     }
 
-    /// Notes a request that this box or another sends to an upstream.
+    /// Notes a request that another box sends to an upstream, or this one if no `sender` is given.
     pub fn place(
         &mut self,
         name: &UpstreamName,
         request: u64,
         prompt: &Prompt,
         unread: u32,
+        sender: Option<IpAddr>,
         now: Duration,
     ) {
         let tuning = self.tuning;
         if let Some(engine) = self.engine(name) {
-            engine.place(request, prompt, unread, tuning, now);
+            engine.place(request, prompt, unread, tuning, sender, now);
         }
     }
 
@@ -210,6 +212,12 @@
         }
     }
 
+    /// Forgets the requests of a box that is gone.
+    pub fn forget_sender(&mut self, sender: IpAddr) {
+        let engines = self.upstreams.values_mut().filter_map(|u| u.engine.as_mut());
+        engines.for_each(|engine| engine.forget_sender(sender));
+    }
+
     /// What each engine is believed to keep.
     pub fn kept(&self) -> Vec<Kept> {
         let kept = |u: &Upstream| {
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -266,7 +266,7 @@
         let now = self.now();
         self.fleet(|fleet| fleet.sent(&choice.upstream));
         if let Some(prompt) = prompt {
-            self.fleet(|f| f.place(&choice.upstream, request, prompt, choice.unread, now));
+            self.fleet(|f| f.place(&choice.upstream, request, prompt, choice.unread, None, now));
             self.peers.tell(&Message::Placed {
                 upstream: choice.upstream.clone(),
                 request,
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -1,5 +1,7 @@
 //! What the store and the other boxes tell, taken into what this box believes.
 
+use std::net::IpAddr;
+
 use slog::info;
 use slog::warn;
 
@@ -36,13 +38,14 @@
     }
 }
 
-/// Takes in a message of another box.
-pub fn message(hub: &Hub, message: Message) {
+/// Takes in a message of the box at `sender`.
+pub fn message(hub: &Hub, message: Message, sender: IpAddr) {
     let now = hub.now();
     match message {
         Message::Placed { upstream, request, prompt, unread, workspace } => {
             let prompt = Prompt::from(prompt);
-            hub.fleet(|fleet| fleet.place(&upstream, request, &prompt, unread, now));
+            let sender = Some(sender);
+            hub.fleet(|fleet| fleet.place(&upstream, request, &prompt, unread, sender, now));
             if let Some(workspace) = workspace {
                 hub.shares(|shares| shares.begin(&workspace, prompt.charge(), now));
             }
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -93,6 +93,15 @@
     beats: AtomicU64,
 }
 
+/// What a sign of life tells beside what it says.
+struct Heard {
+    /// The boxes that must hear of this one at once: those that were not known before, and the
+    /// sender if it was not known to be alive.
+    news: Vec<SocketAddr>,
+    /// Whether the sender has ended and started since it was last heard.
+    has_restarted: bool,
+}
+
 /// What waits to be told.
 #[derive(Debug, Default)]
 struct Pending {
@@ -107,6 +116,9 @@
     is_seed: bool,
     added: Instant,
     heard: Option<Instant>,
+    /// Whether it has been alive without a word since that it isn't any more.
+    counts_as_live: bool,
+    incarnation: u64,
     version: u64,
     sees_store: bool,
     is_warm: bool,
@@ -118,6 +130,8 @@
             is_seed: false,
             added: Instant::now(),
             heard: None,
+            counts_as_live: false,
+            incarnation: 0,
             version: 0,
             sees_store: false,
             is_warm: false,
@@ -248,12 +262,11 @@
         }
     }
 
-    /// Notes a sign of life. Gives the boxes that must hear of this one at once: those that were
-    /// not known before, and the sender if it was not known to be alive.
-    fn hear(&self, beat: &Beat) -> Vec<SocketAddr> {
+    /// Notes a sign of life.
+    fn hear(&self, beat: &Beat) -> Heard {
         let mut news = Vec::new();
         if beat.addr == self.me {
-            return news;
+            return Heard { news, has_restarted: false };
         }
         let mut known = self.known.lock().expect("no panic under lock");
         for addr in beat.known.iter().filter(|a| **a != self.me) {
@@ -264,14 +277,29 @@
         }
         let peer = known.entry(beat.addr).or_insert_with(Peer::unheard);
         let was_live = peer.is_live();
+        let has_restarted = peer.heard.is_some() && peer.incarnation != beat.incarnation;
         peer.heard = Some(Instant::now());
+        peer.counts_as_live = true;
+        peer.incarnation = beat.incarnation;
         peer.version = beat.version;
         peer.sees_store = beat.sees_store;
         peer.is_warm = beat.is_warm;
         if !was_live {
             news.push(beat.addr);
         }
-        news
+        Heard { news, has_restarted }
+    }
+
+    /// The boxes that have fallen silent since the last call.
+    fn take_silent(&self) -> Vec<SocketAddr> {
+        let mut known = self.known.lock().expect("no panic under lock");
+        let silent = known.iter_mut().filter(|(_, p)| p.counts_as_live && !p.is_live());
+        silent
+            .map(|(addr, peer)| {
+                peer.counts_as_live = false;
+                *addr
+            })
+            .collect()
     }
 
     /// A box that has a newer configuration than `version`, preferably one that sees the store.
@@ -351,7 +379,7 @@
         buf = rest;
         match message {
             Message::Beat(beat) => hear(hub, &beat),
-            message => intake::message(hub, message),
+            message => intake::message(hub, message, from.ip()),
         }
     }
 }
@@ -359,7 +387,11 @@
 /// Takes in a sign of life. Boxes that start learn of each other within some round trips, since
 /// each answers at once.
 fn hear(hub: &Hub, beat: &Beat) {
-    let news = hub.peers().hear(beat);
+    let Heard { news, has_restarted } = hub.peers().hear(beat);
+    if has_restarted {
+        info!(hub.log(), "box restarted"; "name" => beat.name.as_str());
+        hub.fleet(|fleet| fleet.forget_sender(beat.addr.ip()));
+    }
     if news.is_empty() {
         return;
     }
@@ -377,6 +409,10 @@
 
 async fn beat(hub: Arc<Hub>) {
     loop {
+        for addr in hub.peers().take_silent() {
+            info!(hub.log(), "box silent"; "addr" => %addr);
+            hub.fleet(|fleet| fleet.forget_sender(addr.ip()));
+        }
         hub.peers().beat(state(&hub), None);
         tokio::time::sleep(BEAT).await;
     }
--- a/tests/proxy_placement.rs
+++ b/tests/proxy_placement.rs
@@ -64,7 +64,7 @@
 
 fn send(fleet: &mut Fleet, prompt: &Prompt, request: u64, ms: u64) -> Choice {
     let choice = choose(fleet, prompt, ms).expect("there is an engine");
-    fleet.place(&choice.upstream, request, prompt, choice.unread, millis(ms));
+    fleet.place(&choice.upstream, request, prompt, choice.unread, None, millis(ms));
     choice
 }
 
@@ -103,6 +103,23 @@
     assert_eq!(copied.copy_from.map(|a| a.ip()), Some(first.addr.ip()));
 }
 
+/// Where many boxes die at once, what they had sent filled the models of the engines, though the
+/// engines had dropped it, and the others refused requests for want of room (found on inc-e393).
+#[test]
+fn what_a_box_that_is_gone_had_sent_makes_room_at_once() {
+    let mut fleet = fleet(1);
+    let (gone, alive) = (Some([10, 0, 0, 1].into()), Some([10, 0, 0, 2].into()));
+    for request in 0..64 {
+        let sender = if request < 40 { gone } else { alive };
+        let small = Prompt { tokens: 10, written_max: 1, parts: Vec::new() };
+        fleet.place(&UpstreamName::from("e1"), request, &small, 10, sender, millis(0));
+    }
+    assert_eq!(choose(&fleet, &prompt(1, 100), 0), Err(NoChoice::Full));
+    fleet.forget_sender([10, 0, 0, 1].into());
+    let choice = choose(&fleet, &prompt(1, 100), 0).expect("there is room");
+    assert_eq!(choice.running, 24);
+}
+
 /// Engines are replaced one after the other; what they keep would have to be read again.
 #[test]
 fn an_engine_that_leaves_gives_its_parts_away() {
