--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -187,21 +187,20 @@
     /// Forgets the requests of a box that is gone, and will never tell of their ends. The engine
     /// has dropped them with their connections.
     pub fn forget_sender(&mut self, sender: IpAddr) {
-        let its = |run: &Run| run.sender == Some(sender);
-        let lost: Vec<u64> =
-            self.runs.iter().filter(|(_, run)| its(run)).map(|(id, _)| *id).collect();
-        lost.into_iter().for_each(|id| self.end(id));
+        self.end_all(|run| run.sender == Some(sender));
     }
 
     /// Forgets requests whose ends were never heard of.
     pub fn tick(&mut self, now: Duration) {
         let old = |placed: Duration| placed + FORGOTTEN_AFTER < now;
         self.reading.retain(|r| !old(r.placed));
-        let lost: Vec<u64> =
-            self.runs.iter().filter(|(_, run)| old(run.placed)).map(|(id, _)| *id).collect();
-        for id in lost {
-            self.end(id);
-        }
+        self.end_all(|run| old(run.placed));
+    }
+
+    fn end_all(&mut self, is_over: impl Fn(&Run) -> bool) {
+        let over: Vec<u64> =
+            self.runs.iter().filter(|(_, run)| is_over(run)).map(|(id, _)| *id).collect();
+        over.into_iter().for_each(|id| self.end(id));
     }
 }
 
--- a/src/proxy/link.rs
+++ b/src/proxy/link.rs
@@ -136,20 +136,20 @@
 }
 
 impl Conn {
-    fn drive(&mut self, cx: &mut Context<'_>) {
-        drive(&mut self.driver, cx);
-    }
-
-    fn rest(self, since: Instant) -> Option<Resting> {
+    /// Keeps the connection for the next request, unless it has ended.
+    fn rest(self) {
         let Conn { tx, driver, keep, count } = self;
-        let driver = Arc::new(Mutex::new(Some(driver?)));
+        let Some(driver) = driver else { return };
+        let driver = Arc::new(Mutex::new(Some(driver)));
         let watched = driver.clone();
         let watch = tokio::spawn(std::future::poll_fn(move |cx| {
             let mut driver = watched.lock().expect("no panic under lock");
             drive(&mut driver, cx);
             if driver.is_some() { Poll::Pending } else { Poll::Ready(()) }
         }));
-        Some(Resting { tx, driver, watch: watch.abort_handle(), since, keep, count })
+        let (links, addr) = (count.links.clone(), count.addr);
+        let (watch, since) = (watch.abort_handle(), Instant::now());
+        links.put(addr, Resting { tx, driver, watch, since, keep, count });
     }
 }
 
@@ -197,10 +197,7 @@
         if let Some(keep) = keep_alive(headers) {
             conn.keep = keep.mul_f64(KEEP_SHARE);
         }
-        let (links, addr) = (conn.count.links.clone(), conn.count.addr);
-        if let Some(resting) = conn.rest(Instant::now()) {
-            links.put(addr, resting);
-        }
+        conn.rest();
     }
 }
 
@@ -212,7 +209,7 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        self.conn.drive(cx);
+        drive(&mut self.conn.driver, cx);
         Pin::new(&mut self.incoming).poll_frame(cx)
     }
 }
@@ -244,10 +241,7 @@
 
     /// Makes a connection and keeps it for the next request.
     pub async fn warm(self: &Arc<Links>, addr: SocketAddr) -> Result<(), Error> {
-        let conn = self.connect(addr, u32::MAX).await?;
-        if let Some(resting) = conn.rest(Instant::now()) {
-            self.put(addr, resting);
-        }
+        self.connect(addr, u32::MAX).await?.rest();
         Ok(())
     }
 
