Learn how fast engines read from their first tokens, and tell boxes that start

Cause: the models carried one sheet's engine (51.1 tokens a ms). Ruled out: a figure in the settings (engines differ, and the next customer's are unknown). Change: time per token, pair and prompt and the fixed time are estimated by service with recursive least squares over the work before each first token, own and told; outliers are clipped, estimates drift, each engine has a factor of its own. The settings are the prior only. Boxes that start are told the estimates. Tests: speeds 10 to 400 tokens a ms from settings a half to double, drifts, late answers, silence. What fails now is streams that reach their deadline: the pace of running streams binds.

--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -8,6 +8,9 @@
 use rustc_hash::FxHashMap;
 
 use crate::placement::cache::PrefixCache;
+use crate::placement::speed::Factor;
+use crate::placement::speed::Speed;
+use crate::placement::speed::Work;
 use crate::placement::tuning::Tuning;
 use crate::proxy::dialect::Part;
 use crate::proxy::dialect::Prompt;
@@ -42,8 +45,14 @@
 struct Reading {
     request: u64,
     placed: Duration,
-    /// Time to read it.
-    seconds: f64,
+    /// What it takes to read it.
+    work: Work,
+    /// The same, with all that was before it when it was placed.
+    ahead: Work,
+    /// Time for the copy that comes before reading.
+    copying: Duration,
+    /// Whether it could begin as soon as what was before it had been read.
+    had_slot: bool,
 }
 
 /// The model of one engine.
@@ -60,6 +69,22 @@
     /// since, and as of when.
     load: f64,
     load_at: Duration,
+    factor: Factor,
+}
+
+/// What is known of a request when it is sent to an engine.
+#[derive(Clone, Copy, Debug)]
+pub struct Placement<'a> {
+    /// Names the send.
+    pub request: u64,
+    /// What is to be read.
+    pub prompt: &'a Prompt,
+    /// Tokens of it that must be read.
+    pub unread: u32,
+    /// Tokens of it that are copied from another engine.
+    pub copied: u32,
+    /// The box that sends it; nothing for this one.
+    pub sender: Option<IpAddr>,
 }
 
 impl Engine {
@@ -75,9 +100,15 @@
             advanced: Duration::ZERO,
             load: 0.0,
             load_at: Duration::ZERO,
+            factor: Factor::default(),
         }
     }
 
+    /// Seconds that it takes to read this.
+    pub fn reading(&self, work: Work, speed: &Speed) -> f64 {
+        speed.reading(work) * self.factor.get()
+    }
+
     /// Tokens at the head of a prompt that it keeps.
     pub fn kept(&self, prompt: &Prompt) -> u32 {
         self.cache.kept(&prompt.parts).min(prompt.tokens)
@@ -91,8 +122,8 @@
 
     /// How long a request has to wait here: for what is still to be read, and for the pause
     /// between prompts that running requests need to go on.
-    pub fn wait(&self, tuning: Tuning, now: Duration) -> Duration {
-        self.backlog(now)
+    pub fn wait(&self, speed: &Speed, tuning: Tuning, now: Duration) -> Duration {
+        self.backlog(speed, now)
             .max(Duration::from_secs_f64(self.load(tuning, now) / tuning.reading_share))
     }
 
@@ -119,9 +150,9 @@
     }
 
     /// How long it will read what it has been sent already.
-    pub fn backlog(&self, now: Duration) -> Duration {
+    pub fn backlog(&self, speed: &Speed, now: Duration) -> Duration {
         let Some(head) = self.reading.front() else { return Duration::ZERO };
-        let total = Duration::from_secs_f64(self.reading.iter().map(|r| r.seconds).sum());
+        let total = Duration::from_secs_f64(self.reading(self.unread(), speed));
         let elapsed = now.saturating_sub(head.placed.max(self.advanced));
         if elapsed <= total {
             return total - elapsed;
@@ -130,22 +161,39 @@
         (elapsed - total).saturating_sub(OVERDUE_SLACK)
     }
 
+    /// All that it has been sent and not read yet.
+    fn unread(&self) -> Work {
+        self.reading.iter().fold(Work::default(), |sum, r| sum.and(r.work))
+    }
+
+    /// What of that is still to be read, by the time that has passed.
+    fn left(&self, speed: &Speed, now: Duration) -> Work {
+        let all = self.unread();
+        let total = self.reading(all, speed);
+        if total <= 0.0 {
+            return Work::default();
+        }
+        all.times((self.backlog(speed, now).as_secs_f64() / total).min(1.0))
+    }
+
     /// Notes that a request is sent there.
     pub fn place(
         &mut self,
-        request: u64,
-        prompt: &Prompt,
-        unread: u32,
+        placement: Placement<'_>,
+        speed: &Speed,
         tuning: Tuning,
-        sender: Option<IpAddr>,
         now: Duration,
     ) {
-        let seconds = tuning.reading(prompt.tokens.saturating_sub(unread), unread);
-        self.load = self.load(tuning, now) + seconds;
+        let Placement { request, prompt, unread, copied, sender } = placement;
+        let work = Work::reading(prompt.tokens.saturating_sub(unread), unread);
+        let ahead = self.left(speed, now).and(work);
+        self.load = self.load(tuning, now) + self.reading(work, speed);
         self.load_at = now;
         let tokens = u64::from(prompt.tokens) + u64::from(prompt.written_max);
         self.cache.read(&prompt.parts);
-        self.reading.push_back(Reading { request, placed: now, seconds });
+        let copying = if copied == 0 { Duration::ZERO } else { self.copy_time(copied) };
+        let had_slot = self.runs.len() < self.limits.slots as usize;
+        self.reading.push_back(Reading { request, placed: now, work, ahead, copying, had_slot });
         if let Some(before) = self.runs.insert(request, Run { placed: now, sender, tokens }) {
             self.run_tokens -= before.tokens;
         }
@@ -165,17 +213,36 @@
         self.cache.read(&reversed(&newer));
     }
 
-    /// Notes that a request has given its first token.
-    pub fn first(&mut self, request: u64, now: Duration) {
+    /// Notes that a request has given its first token, `took` after it was sent; learns from that
+    /// how fast this engine and its service are.
+    pub fn first(
+        &mut self,
+        request: u64,
+        took: Option<Duration>,
+        speed: &mut Speed,
+        now: Duration,
+    ) {
         let Some(at) = self.reading.iter().position(|r| r.request == request) else { return };
-        let placed = self.reading[at].placed;
-        self.reading.remove(at);
+        let Some(read) = self.reading.remove(at) else { return };
+        let placed = read.placed;
+        self.learn(&read, took.unwrap_or(now.saturating_sub(placed)), speed, now);
         // Engines read in turn: what was sent well before is read, too, or was given up by a box
         // that could not tell any more.
         self.reading.retain(|r| placed < r.placed + IN_TURN_SLACK);
         self.advanced = now;
     }
 
+    fn learn(&mut self, read: &Reading, took: Duration, speed: &mut Speed, now: Duration) {
+        if !read.had_slot {
+            return;
+        }
+        let took = took.saturating_sub(read.copying).as_secs_f64();
+        let expected = speed.reading(read.ahead);
+        let factor = self.factor.get();
+        self.factor.learn(expected, took - speed.fixed(), now);
+        speed.learn(read.ahead.times(factor), took, now);
+    }
+
     /// Notes that a request has ended, for whatever reason.
     pub fn end(&mut self, request: u64) {
         self.reading.retain(|r| r.request != request);
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -7,13 +7,18 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::names::ServiceName;
 use crate::names::UpstreamName;
 use crate::names::ZoneName;
 use crate::placement::choice::Choice;
 use crate::placement::choice::NoChoice;
 use crate::placement::choice::Wanted;
 use crate::placement::engine::Engine;
+use crate::placement::engine::Placement;
+use crate::placement::speed::Speed;
+use crate::placement::speed::Work;
 use crate::placement::tuning::Tuning;
+use crate::placement::upstream::Context;
 use crate::placement::upstream::Health;
 use crate::placement::upstream::Plan;
 use crate::placement::upstream::Source;
@@ -30,6 +35,15 @@
 const HOME_LEADS: [Duration; 3] =
     [Duration::from_millis(200), Duration::from_millis(160), Duration::from_millis(160)];
 
+/// What a box has learned of engines, for one that has just started.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Learned {
+    /// What engines keep.
+    pub kept: Vec<Kept>,
+    /// How fast those of a service read.
+    pub speeds: Vec<(ServiceName, Speed)>,
+}
+
 /// What an engine is believed to keep.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Kept {
@@ -59,13 +73,23 @@
 pub struct Fleet {
     zone: ZoneName,
     tuning: Tuning,
+    /// How fast engines read, where some have told.
+    speeds: BTreeMap<ServiceName, Speed>,
+    /// The same where none has.
+    speed_unknown: Speed,
     upstreams: BTreeMap<UpstreamName, Upstream>,
 }
 
 impl Fleet {
     /// Nothing is known yet.
     pub fn new(zone: ZoneName, tuning: Tuning) -> Fleet {
-        Fleet { zone, tuning, upstreams: BTreeMap::new() }
+        Fleet {
+            zone,
+            tuning,
+            speeds: BTreeMap::new(),
+            speed_unknown: Speed::new(&tuning),
+            upstreams: BTreeMap::new(),
+        }
     }
 
     /// Takes over an upstream that is new or has changed. `limits` where it is an engine.
@@ -122,7 +146,7 @@
             .min_by(|a, b| a.cost.total_cmp(&b.cost))
             .filter(|c| c.wait() <= wanted.wait_max);
         if let Some(best) = best {
-            return Ok(best.upstream.choice(best.plan, self.tuning));
+            return Ok(best.upstream.choice(best.plan));
         }
         let shortest = candidates.iter().map(Candidate::wait).min();
         Err(shortest.map_or(NoChoice::Full, |wait| NoChoice::Busy { wait }))
@@ -135,11 +159,12 @@
         wanted: Wanted<'_>,
         now: Duration,
     ) -> Vec<Candidate<'a>> {
+        let speed = self.speed(wanted.service);
+        let cx = Context { speed, tuning: self.tuning, zone: &self.zone, now };
         let Some(prompt) = wanted.prompt else {
-            let cost = |u: &Upstream| u.cost(None, self.tuning, &self.zone);
             return usable
                 .iter()
-                .map(|u| Candidate { upstream: u, plan: None, cost: cost(u) })
+                .map(|u| Candidate { upstream: u, plan: None, cost: u.cost(None, cx) })
                 .collect();
         };
         // Looked up once: what engines keep is spread over memory, and many engines are asked.
@@ -149,15 +174,15 @@
         let homes = homes(usable, prompt);
         let own = prompt.parts.last().map_or(0, |own| own.tokens);
         let shared = prompt.tokens.saturating_sub(own);
-        let lead_max = Duration::from_secs_f64(self.tuning.reading(0, shared));
+        let lead_max = Duration::from_secs_f64(speed.reading(Work::reading(0, shared)));
         let candidate = |(u, kept): (&&'a Upstream, &u32)| {
             if !u.has_room(prompt) {
                 return None;
             }
             let rank = homes.iter().position(|home| home.is_some_and(|h| std::ptr::eq(h, *u)));
             let home_lead = rank.map_or(Duration::ZERO, |n| HOME_LEADS[n].min(lead_max));
-            let plan = u.plan(prompt, *kept, source, home_lead, self.tuning, now);
-            let cost = u.cost(plan.as_ref(), self.tuning, &self.zone);
+            let plan = u.plan(prompt, *kept, source, home_lead, cx);
+            let cost = u.cost(plan.as_ref(), cx);
             Some(Candidate { upstream: u, plan, cost })
         };
         usable.iter().zip(&kept).filter_map(candidate).collect()
@@ -183,26 +208,34 @@
     }
 
     /// Notes a request that another box sends to an upstream, or this one if no `sender` is given.
-    pub fn place(
+    pub fn place(&mut self, name: &UpstreamName, placement: Placement<'_>, now: Duration) {
+        let Some(upstream) = self.upstreams.get_mut(name) else { return };
+        let Some(engine) = &mut upstream.engine else { return };
+        let speed = self.speeds.get(&upstream.listed.service).unwrap_or(&self.speed_unknown);
+        engine.place(placement, speed, self.tuning, now);
+    }
+
+    /// Notes the first token of a request, which came `took` after it was sent: nothing where that
+    /// was when it was noted.
+    pub fn first(
         &mut self,
         name: &UpstreamName,
         request: u64,
-        prompt: &Prompt,
-        unread: u32,
-        sender: Option<IpAddr>,
+        took: Option<Duration>,
         now: Duration,
     ) {
-        let tuning = self.tuning;
-        if let Some(engine) = self.engine(name) {
-            engine.place(request, prompt, unread, tuning, sender, now);
+        let Some(upstream) = self.upstreams.get_mut(name) else { return };
+        let Some(engine) = &mut upstream.engine else { return };
+        if !self.speeds.contains_key(&upstream.listed.service) {
+            self.speeds.insert(upstream.listed.service.clone(), self.speed_unknown.clone());
         }
+        let Some(speed) = self.speeds.get_mut(&upstream.listed.service) else { return };
+        engine.first(request, took, speed, now);
     }
 
-    /// Notes the first token of a request.
-    pub fn first(&mut self, name: &UpstreamName, request: u64, now: Duration) {
-        if let Some(engine) = self.engine(name) {
-            engine.first(request, now);
-        }
+    /// How fast the engines of a service read.
+    pub fn speed(&self, service: &str) -> &Speed {
+        self.speeds.get(service).unwrap_or(&self.speed_unknown)
     }
 
     /// Notes the end of a request.
@@ -218,18 +251,29 @@
         engines.for_each(|engine| engine.forget_sender(sender));
     }
 
-    /// What each engine is believed to keep.
-    pub fn kept(&self) -> Vec<Kept> {
+    /// What has been learned of the engines.
+    pub fn learned(&self) -> Learned {
         let kept = |u: &Upstream| {
             Some(Kept { upstream: u.listed.name.clone(), parts: u.engine.as_ref()?.parts() })
         };
-        self.upstreams.values().filter_map(kept).collect()
+        let speeds = self.speeds.iter().map(|(service, s)| (service.clone(), s.clone()));
+        Learned {
+            kept: self.upstreams.values().filter_map(kept).collect(),
+            speeds: speeds.collect(),
+        }
     }
 
-    /// Takes over what an engine is said to keep.
-    pub fn keep(&mut self, kept: &Kept) {
-        if let Some(engine) = self.engine(&kept.upstream) {
-            engine.keep(&kept.parts);
+    /// Takes over what another box has learned of the engines.
+    pub fn take_over(&mut self, learned: &Learned) {
+        for kept in &learned.kept {
+            if let Some(engine) = self.engine(&kept.upstream) {
+                engine.keep(&kept.parts);
+            }
+        }
+        for (service, speed) in &learned.speeds {
+            let unknown = &self.speed_unknown;
+            let known = self.speeds.entry(service.clone()).or_insert_with(|| unknown.clone());
+            known.adopt(speed);
         }
     }
 
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -6,5 +6,6 @@
 pub mod engine;
 pub mod fleet;
 pub mod share;
+pub mod speed;
 pub mod tuning;
 pub mod upstream;
--- a/src/placement/tuning.rs
+++ b/src/placement/tuning.rs
@@ -2,19 +2,16 @@
 
 use std::time::Duration;
 
-/// Tokens of a prompt that are read in one step.
-const PIECE: f64 = 4096.0;
-
-/// How fast engines are, and how what a choice costs is weighed.
+/// How fast engines are believed to be at first, and how what a choice costs is weighed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Tuning {
-    /// Prompt tokens read in a millisecond, while nothing else is done.
+    /// Prompt tokens read in a millisecond, until engines' first tokens have told.
     pub tokens_per_ms: f64,
-    /// Time for a million pairs of a token that is read and one that stands before it.
+    /// The same for a million pairs of a token that is read and one that stands before it.
     pub pairs: Duration,
-    /// Time for a step, of which each piece of a prompt takes one.
+    /// The same for a prompt, whatever its length.
     pub step: Duration,
-    /// Time from the end of reading to the first token, without any backlog.
+    /// The same for the time from the end of reading to the first token, without any backlog.
     pub first_step: Duration,
     /// Part of its time that an engine may spend on reading prompts, over longer times. While it
     /// reads a piece, those that run get one token in the time of a dozen; without a pause in which
@@ -35,17 +32,6 @@
     pub wait_share_over: f64,
 }
 
-impl Tuning {
-    /// Seconds that it takes to read `unread` tokens behind `kept` ones.
-    pub fn reading(&self, kept: u32, unread: u32) -> f64 {
-        let unread = f64::from(unread);
-        let pairs = unread * (f64::from(kept) + unread / 2.0) / 1e6;
-        unread / self.tokens_per_ms / 1000.0
-            + pairs * self.pairs.as_secs_f64()
-            + (unread / PIECE).ceil() * self.step.as_secs_f64()
-    }
-}
-
 impl Default for Tuning {
     /// The engines of the users' sheets; the weights were chosen by measurement (docs/DESIGN.md).
     fn default() -> Tuning {
--- a/src/placement/upstream.rs
+++ b/src/placement/upstream.rs
@@ -9,6 +9,8 @@
 use crate::names::ZoneName;
 use crate::placement::choice::Choice;
 use crate::placement::engine::Engine;
+use crate::placement::speed::Speed;
+use crate::placement::speed::Work;
 use crate::placement::tuning::Tuning;
 use crate::proxy::dialect::Listed;
 use crate::proxy::dialect::Prompt;
@@ -38,8 +40,9 @@
 pub(super) struct Plan {
     pub(super) wait: Duration,
     unread: u32,
-    /// Seconds to read these.
+    /// Seconds to read these, and from then to the first token.
     reading: f64,
+    first_step: f64,
     copied: u32,
     copy_time: Duration,
     copy_from: Option<SocketAddr>,
@@ -47,6 +50,17 @@
     home_lead: Duration,
 }
 
+/// What a choice depends on beside the request and the upstreams.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Context<'a> {
+    /// How fast the service's engines read.
+    pub(super) speed: &'a Speed,
+    pub(super) tuning: Tuning,
+    /// The availability zone of this box.
+    pub(super) zone: &'a ZoneName,
+    pub(super) now: Duration,
+}
+
 /// The engine that keeps the most of a prompt.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Source {
@@ -173,17 +187,18 @@
         kept: u32,
         source: Option<Source>,
         home_lead: Duration,
-        tuning: Tuning,
-        now: Duration,
+        cx: Context<'_>,
     ) -> Option<Plan> {
+        let Context { speed, tuning, now, .. } = cx;
         let engine = self.engine.as_ref()?;
         let gain = source.map_or(0, |s| s.kept.saturating_sub(kept));
         let copied = if gain < COPY_MIN { 0 } else { gain };
         let unread = prompt.tokens - kept - copied;
         Some(Plan {
-            wait: engine.wait(tuning, now),
+            wait: engine.wait(speed, tuning, now),
             unread,
-            reading: tuning.reading(kept + copied, unread),
+            reading: engine.reading(Work::reading(kept + copied, unread), speed),
+            first_step: speed.fixed(),
             copied,
             copy_time: if copied == 0 { Duration::ZERO } else { engine.copy_time(copied) },
             copy_from: source.filter(|_| copied != 0).map(|s| s.addr),
@@ -192,8 +207,9 @@
     }
 
     /// What sending a request here costs, in seconds: less is better.
-    pub(super) fn cost(&self, plan: Option<&Plan>, tuning: Tuning, zone: &ZoneName) -> f64 {
-        let mut lead = if self.listed.zone == *zone { ZONE_LEAD.as_secs_f64() } else { 0.0 };
+    pub(super) fn cost(&self, plan: Option<&Plan>, cx: Context<'_>) -> f64 {
+        let tuning = cx.tuning;
+        let mut lead = if self.listed.zone == *cx.zone { ZONE_LEAD.as_secs_f64() } else { 0.0 };
         let Some(plan) = plan else {
             return self.answer_time * f64::from(1 + self.outstanding) - lead;
         };
@@ -204,9 +220,9 @@
     }
 
     /// The choice of this upstream.
-    pub(super) fn choice(&self, plan: Option<Plan>, tuning: Tuning) -> Choice {
+    pub(super) fn choice(&self, plan: Option<Plan>) -> Choice {
         let first_token = plan.as_ref().map_or(Duration::ZERO, |p| {
-            p.wait + p.copy_time + Duration::from_secs_f64(p.reading) + tuning.first_step
+            p.wait + p.copy_time + Duration::from_secs_f64(p.reading + p.first_step)
         });
         Choice {
             upstream: self.listed.name.clone(),
--- a/src/proxy/admission.rs
+++ b/src/proxy/admission.rs
@@ -50,6 +50,7 @@
         sends: 0,
         in_flight: hub.enter(),
         stream: None,
+        first_token: None,
     })
 }
 
--- a/src/proxy/figures.rs
+++ b/src/proxy/figures.rs
@@ -10,12 +10,15 @@
 
 use crate::metrics::Metrics;
 use crate::proxy::hub::Hub;
-use crate::proxy::placed::Placed;
+use crate::proxy::placed::FirstToken;
 use crate::proxy::view::View;
 
 /// Bounds of the histograms of times, in seconds; denser around the usual aims.
 const TIME_BOUNDS: [f64; 12] = [0.01, 0.03, 0.06, 0.1, 0.15, 0.25, 0.4, 0.6, 0.8, 1.2, 3.0, 10.0];
 
+/// Bounds of the histogram of real by expected times: 15 and 40 % off, and beyond.
+const RATIO_BOUNDS: [f64; 8] = [0.25, 0.6, 0.85, 1.0, 1.15, 1.4, 2.0, 4.0];
+
 /// The proxy's counters and histograms.
 #[derive(Clone)]
 pub struct Figures {
@@ -25,6 +28,7 @@
     times: Histogram<f64>,
     first_expected: Histogram<f64>,
     first_real: Histogram<f64>,
+    first_ratio: Histogram<f64>,
     repeats: Counter<u64>,
     store_lost: Counter<u64>,
 }
@@ -42,6 +46,10 @@
             times: histogram("frostdyke_proxy_seconds"),
             first_expected: histogram("frostdyke_first_token_expected_seconds"),
             first_real: histogram("frostdyke_first_token_seconds"),
+            first_ratio: meter
+                .f64_histogram("frostdyke_first_token_ratio")
+                .with_boundaries(RATIO_BOUNDS.to_vec())
+                .build(),
             repeats: meter.u64_counter("frostdyke_proxy_repeats").build(),
             store_lost: meter.u64_counter("frostdyke_store_lost").build(),
             metrics,
@@ -104,8 +112,10 @@
     }
 
     /// Notes the expected and the real time to a request's first token.
-    pub fn first_token(&self, placed: &Placed, real: Duration) {
-        self.first_expected.record(placed.expected().as_secs_f64(), &[]);
-        self.first_real.record(real.as_secs_f64(), &[]);
+    pub fn first_token(&self, first: FirstToken) {
+        let (expected, took) = (first.expected.as_secs_f64(), first.took.as_secs_f64());
+        self.first_expected.record(expected, &[]);
+        self.first_real.record(took, &[]);
+        self.first_ratio.record(took / expected.max(f64::MIN_POSITIVE), &[]);
     }
 }
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -17,8 +17,9 @@
 use crate::placement::choice::Choice;
 use crate::placement::choice::NoChoice;
 use crate::placement::choice::Wanted;
+use crate::placement::engine::Placement;
 use crate::placement::fleet::Fleet;
-use crate::placement::fleet::Kept;
+use crate::placement::fleet::Learned;
 use crate::placement::share::Shares;
 use crate::placement::tuning::Tuning;
 use crate::proxy::budget::Budget;
@@ -218,12 +219,14 @@
         self.warm.load(Ordering::Relaxed)
     }
 
-    /// Takes over what engines are said to keep; the box is warm from then on.
-    pub fn warm_up(&self, kept: &[Kept]) {
-        self.fleet(|fleet| kept.iter().for_each(|k| fleet.keep(k)));
+    /// Takes over what is said of the engines; the box is warm from then on.
+    pub fn warm_up(&self, learned: &Learned) {
+        self.fleet(|fleet| fleet.take_over(learned));
         self.warm.store(true, Ordering::Relaxed);
-        let parts: usize = kept.iter().map(|k| k.parts.len()).sum();
-        info!(self.log, "warm"; "engines" => kept.len(), "parts" => parts);
+        let parts: usize = learned.kept.iter().map(|k| k.parts.len()).sum();
+        let samples: u64 = learned.speeds.iter().map(|(_, speed)| speed.samples()).sum();
+        info!(self.log, "warm"; "engines" => learned.kept.len(), "parts" => parts,
+            "first_tokens" => samples);
     }
 
     /// Looks at the view.
@@ -266,12 +269,15 @@
         let now = self.now();
         self.fleet(|fleet| fleet.sent(&choice.upstream));
         if let Some(prompt) = prompt {
-            self.fleet(|f| f.place(&choice.upstream, request, prompt, choice.unread, None, now));
+            let Choice { unread, copied, .. } = *choice;
+            let placement = Placement { request, prompt, unread, copied, sender: None };
+            self.fleet(|f| f.place(&choice.upstream, placement, now));
             self.peers.tell(&Message::Placed {
                 upstream: choice.upstream.clone(),
                 request,
                 prompt: prompt.into(),
-                unread: choice.unread,
+                unread,
+                copied,
                 workspace: workspace.cloned(),
             });
             if let Some(workspace) = workspace {
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -1,10 +1,12 @@
 //! What the store and the other boxes tell, taken into what this box believes.
 
 use std::net::IpAddr;
+use std::time::Duration;
 
 use slog::info;
 use slog::warn;
 
+use crate::placement::engine::Placement;
 use crate::proxy::dialect::News;
 use crate::proxy::dialect::Prompt;
 use crate::proxy::hub::Hub;
@@ -42,10 +44,11 @@
 pub fn message(hub: &Hub, message: Message, sender: IpAddr) {
     let now = hub.now();
     match message {
-        Message::Placed { upstream, request, prompt, unread, workspace } => {
+        Message::Placed { upstream, request, prompt, unread, copied, workspace } => {
             let prompt = Prompt::from(prompt);
             let sender = Some(sender);
-            hub.fleet(|fleet| fleet.place(&upstream, request, &prompt, unread, sender, now));
+            let placement = Placement { request, prompt: &prompt, unread, copied, sender };
+            hub.fleet(|fleet| fleet.place(&upstream, placement, now));
             if let Some(workspace) = workspace {
                 hub.shares(|shares| shares.begin(&workspace, prompt.charge(), now));
             }
@@ -53,8 +56,9 @@
         Message::Refused { workspace, tokens } => {
             hub.shares(|shares| shares.refuse(&workspace, tokens, now));
         }
-        Message::First { upstream, request } => {
-            hub.fleet(|fleet| fleet.first(&upstream, request, now));
+        Message::First { upstream, request, took_ms } => {
+            let took = Duration::from_millis(took_ms.into());
+            hub.fleet(|fleet| fleet.first(&upstream, request, Some(took), now));
         }
         Message::Ended { upstream, request } => {
             hub.fleet(|fleet| fleet.end(&upstream, request));
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -27,6 +27,8 @@
         prompt: ToldPrompt,
         /// Tokens of it that the sender believes must be read.
         unread: u32,
+        /// Tokens of it that are copied from another engine.
+        copied: u32,
         /// Whom it is charged to.
         workspace: Option<WorkspaceName>,
     },
@@ -43,6 +45,8 @@
         upstream: UpstreamName,
         /// Names the send.
         request: u64,
+        /// Time since the send, in milliseconds.
+        took_ms: u32,
     },
     /// A request has ended.
     Ended {
--- a/src/proxy/placed.rs
+++ b/src/proxy/placed.rs
@@ -30,11 +30,22 @@
     }
 }
 
+/// Time from a send to the first token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FirstToken {
+    /// As the models had it.
+    pub expected: Duration,
+    /// As it was.
+    pub took: Duration,
+}
+
 /// A request's entry in the models, from before it is sent until it has ended.
 pub struct Placed {
     hub: Arc<Hub>,
     upstream: UpstreamName,
     request: u64,
+    /// When it was sent.
+    sent: Duration,
     expected: Duration,
     is_model: bool,
     begun: AtomicBool,
@@ -48,6 +59,7 @@
             hub: hub.clone(),
             upstream: choice.upstream.clone(),
             request,
+            sent: hub.now(),
             expected: choice.first_token,
             is_model,
             begun: AtomicBool::new(false),
@@ -60,20 +72,20 @@
         &self.upstream
     }
 
-    /// The expected time to the first token.
-    pub fn expected(&self) -> Duration {
-        self.expected
-    }
-
-    /// Notes the first token, here and at the other boxes.
-    pub fn first(&self) {
+    /// Notes the first token, here and at the other boxes; nothing if this isn't the first.
+    pub fn first(&self) -> Option<FirstToken> {
         if self.begun.swap(true, Ordering::Relaxed) || !self.is_model {
-            return;
+            return None;
         }
         let now = self.hub.now();
-        self.hub.fleet(|fleet| fleet.first(&self.upstream, self.request, now));
+        let took = now.saturating_sub(self.sent);
+        self.hub.fleet(|fleet| fleet.first(&self.upstream, self.request, Some(took), now));
         let (upstream, request) = (self.upstream.clone(), self.request);
-        self.hub.peers().tell(&Message::First { upstream, request });
+        let took_ms = u32::try_from(took.as_millis()).unwrap_or(u32::MAX);
+        self.hub.peers().tell(&Message::First { upstream, request, took_ms });
+        let first = FirstToken { expected: self.expected, took };
+        self.hub.metrics().first_token(first);
+        Some(first)
     }
 
     /// Notes how the request went, before it has ended.
--- a/src/proxy/pump.rs
+++ b/src/proxy/pump.rs
@@ -159,15 +159,16 @@
     /// Takes in a piece; gives what may be passed on now: whole events where the stream may have to
     /// be gone on with.
     fn piece(&mut self, piece: Bytes) -> Option<Bytes> {
-        let (Some(run), State::Passing(source)) = (&self.run, &self.state) else { return None };
+        let (Some(run), State::Passing(source)) = (&mut self.run, &self.state) else {
+            return None;
+        };
         if piece.is_empty() {
             return None;
         }
-        if !self.begun {
-            self.begun = true;
-            run.hub.metrics().first_token(&source.placed, run.arrived.elapsed());
+        self.begun = true;
+        if let Some(first) = source.placed.first() {
+            run.first_token.get_or_insert(first);
         }
-        source.placed.first();
         if run.route.repeat != Repeat::AfterEvent {
             return Some(piece);
         }
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -35,6 +35,7 @@
 use crate::proxy::link;
 use crate::proxy::link::AnswerBody;
 use crate::proxy::look;
+use crate::proxy::placed::FirstToken;
 use crate::proxy::placed::InFlight;
 use crate::proxy::placed::Placed;
 use crate::proxy::pump;
@@ -94,6 +95,8 @@
     pub tried: Vec<UpstreamName>,
     /// Sends so far.
     pub sends: u32,
+    /// When the first token came, once it has.
+    pub first_token: Option<FirstToken>,
     /// Counts it until all of its answer has been passed on.
     pub in_flight: InFlight,
     /// The same among the streams, if it is one.
@@ -398,6 +401,7 @@
     fn place(&self, choice: &Choice) -> Placed {
         let name = format!("{}/{}", self.head.id, self.tried.len());
         info!(self.hub.log(), "placed"; "id" => &self.head.id, "route" => &self.route.name,
+            "workspace" => self.workspace.as_ref().map(WorkspaceName::as_str),
             "upstream" => choice.upstream.as_str(), "prompt" => self.head.prompt.as_ref().map_or(0, |p| p.tokens),
             "own" => self.head.prompt.as_ref().and_then(|p| p.parts.last()).map_or(0, |p| p.tokens),
             "unread" => choice.unread,
@@ -443,7 +447,9 @@
     pub fn log_end(&self, status: StatusCode, outcome: &'static str) {
         let took = self.arrived.elapsed();
         info!(self.hub.log(), "ended"; "id" => &self.head.id, "status" => status.as_u16(),
-            "outcome" => outcome, "ms" => took.as_millis() as u64, "sends" => self.sends);
+            "outcome" => outcome, "ms" => took.as_millis() as u64, "sends" => self.sends,
+            "first_ms" => self.first_token.map(|f| f.took.as_millis() as u64),
+            "first_expected_ms" => self.first_token.map(|f| f.expected.as_millis() as u64));
         self.hub.metrics().ended(&self.route.name, outcome, took);
     }
 }
--- a/src/proxy/side.rs
+++ b/src/proxy/side.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use crate::placement::fleet::Kept;
+use crate::placement::fleet::Learned;
 use crate::proxy::Stop;
 use crate::proxy::ask;
 use crate::proxy::ask::Asker;
@@ -28,8 +28,8 @@
 /// Where a box tells what it knows.
 const SNAPSHOT_PATH: &str = "/v1/snapshot";
 
-/// Where a box tells what it believes engines to keep.
-const KEPT_PATH: &str = "/v1/kept";
+/// Where a box tells what it has learned of engines.
+const LEARNED_PATH: &str = "/v1/learned";
 
 /// Where the figures are.
 const METRICS_PATH: &str = "/metrics";
@@ -70,9 +70,9 @@
     Ok(serde_json::from_slice(&ask_for(addr, SNAPSHOT_PATH).await?)?)
 }
 
-/// Asks another box what it believes engines to keep.
-pub async fn ask_kept(addr: SocketAddr) -> Result<Vec<Kept>, AskError> {
-    Ok(postcard::from_bytes(&ask_for(addr, KEPT_PATH).await?)?)
+/// Asks another box what it has learned of engines.
+pub async fn ask_learned(addr: SocketAddr) -> Result<Learned, AskError> {
+    Ok(postcard::from_bytes(&ask_for(addr, LEARNED_PATH).await?)?)
 }
 
 async fn ask_for(addr: SocketAddr, path: &'static str) -> Result<Bytes, AskError> {
@@ -110,7 +110,7 @@
     fn refuse(&self, head: &http::request::Parts) -> Option<Response<Bytes>> {
         match head.uri.path() {
             SNAPSHOT_PATH => Some(json(&self.hub.read(View::snapshot))),
-            KEPT_PATH => Some(packed(&self.hub.read(|view| view.fleet().kept()))),
+            LEARNED_PATH => Some(packed(&self.hub.read(|view| view.fleet().learned()))),
             METRICS_PATH => Some(Response::new(Bytes::from(self.hub.metrics().page()))),
             _ => Some(empty(StatusCode::NOT_FOUND)),
         }
--- a/src/proxy/warm.rs
+++ b/src/proxy/warm.rs
@@ -1,5 +1,5 @@
-//! What engines keep of earlier prompts, for a box that has just started: told by another box, or
-//! where none knows, by the engines.
+//! What is known of engines, for a box that has just started: told by another box, or where none
+//! knows, what they keep by the engines themselves.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,6 +9,7 @@
 
 use crate::names::UpstreamName;
 use crate::placement::fleet::Kept;
+use crate::placement::fleet::Learned;
 use crate::proxy::dialect::Engines;
 use crate::proxy::hub::Hub;
 use crate::proxy::side;
@@ -23,7 +24,7 @@
 /// After this the box learns from what it sends.
 const GIVE_UP: Duration = Duration::from_secs(5);
 
-/// Learns what engines keep, once.
+/// Learns of the engines, once.
 pub async fn up(hub: Arc<Hub>, engines: Arc<dyn Engines>) {
     let began = Instant::now();
     while began.elapsed() < GIVE_UP {
@@ -31,21 +32,22 @@
         if !hub.read(View::is_ready) {
             continue;
         }
-        if let Some(kept) = from_others(&hub).await {
-            hub.warm_up(&kept);
+        if let Some(learned) = from_others(&hub).await {
+            hub.warm_up(&learned);
             return;
         }
         if OTHERS_HEARD < began.elapsed() && hub.peers().is_first() {
-            hub.warm_up(&from_engines(&hub, &*engines).await);
+            let kept = from_engines(&hub, &*engines).await;
+            hub.warm_up(&Learned { kept, ..Learned::default() });
             return;
         }
     }
-    hub.warm_up(&[]);
+    hub.warm_up(&Learned::default());
 }
 
-async fn from_others(hub: &Hub) -> Option<Vec<Kept>> {
+async fn from_others(hub: &Hub) -> Option<Learned> {
     let addr = hub.peers().warm()?;
-    side::ask_kept(addr)
+    side::ask_learned(addr)
         .await
         .inspect_err(|e| debug!(hub.log(), "box not asked"; "addr" => %addr, "error" => %e))
         .ok()
--- a/tests/proxy_placement.rs
+++ b/tests/proxy_placement.rs
@@ -8,8 +8,8 @@
 use frostdyke::placement::choice::Choice;
 use frostdyke::placement::choice::NoChoice;
 use frostdyke::placement::choice::Wanted;
+use frostdyke::placement::engine::Placement;
 use frostdyke::placement::fleet::Fleet;
-use frostdyke::placement::fleet::Kept;
 use frostdyke::placement::tuning::Tuning;
 use frostdyke::placement::upstream::Health;
 use frostdyke::proxy::dialect::Listed;
@@ -64,12 +64,14 @@
 
 fn send(fleet: &mut Fleet, prompt: &Prompt, request: u64, ms: u64) -> Choice {
     let choice = choose(fleet, prompt, ms).expect("there is an engine");
-    fleet.place(&choice.upstream, request, prompt, choice.unread, None, millis(ms));
+    let Choice { unread, copied, .. } = choice;
+    let placement = Placement { request, prompt, unread, copied, sender: None };
+    fleet.place(&choice.upstream, placement, millis(ms));
     choice
 }
 
 fn finish(fleet: &mut Fleet, choice: &Choice, request: u64, ms: u64) {
-    fleet.first(&choice.upstream, request, millis(ms));
+    fleet.first(&choice.upstream, request, None, millis(ms));
     fleet.end(&choice.upstream, request);
 }
 
@@ -112,7 +114,8 @@
     for request in 0..64 {
         let sender = if request < 40 { gone } else { alive };
         let small = Prompt { tokens: 10, written_max: 1, parts: Vec::new() };
-        fleet.place(&UpstreamName::from("e1"), request, &small, 10, sender, millis(0));
+        let placement = Placement { request, prompt: &small, unread: 10, copied: 0, sender };
+        fleet.place(&UpstreamName::from("e1"), placement, millis(0));
     }
     assert_eq!(choose(&fleet, &prompt(1, 100), 0), Err(NoChoice::Full));
     fleet.forget_sender([10, 0, 0, 1].into());
@@ -197,7 +200,7 @@
     }
     // None of these is heard of again; the engine has dropped them and reads the next.
     let next = send(&mut fleet, &prompt(50, 2_000), 50, 1_100);
-    fleet.first(&next.upstream, 50, millis(1_500));
+    fleet.first(&next.upstream, 50, None, millis(1_500));
     let load = choose(&fleet, &prompt(51, 2_001), 8_000).expect("there is an engine").wait;
     assert_eq!(load, millis(0));
 }
@@ -220,7 +223,7 @@
     let mut fleet = fleet(1);
     for request in 0..31 {
         let choice = send(&mut fleet, &prompt(1, 100 + request), request, 0);
-        fleet.first(&choice.upstream, request, millis(1));
+        fleet.first(&choice.upstream, request, None, millis(1));
     }
     assert_eq!(choose(&fleet, &prompt(1, 900), 1), Err(NoChoice::Full));
 }
@@ -289,8 +292,7 @@
     let choice = send(&mut old, &prompt(7, 100), 1, 0);
     finish(&mut old, &choice, 1, 400);
     let mut new = fleet(4);
-    let kept: Vec<Kept> = old.kept();
-    kept.iter().for_each(|k| new.keep(k));
+    new.take_over(&old.learned());
     let found = choose(&new, &prompt(7, 101), 0).expect("there is an engine");
     assert_eq!((found.upstream, found.unread), (choice.upstream, 3_000));
 }
