Follow an engine's prompts one by one: what is ahead of a first token, and when it is read

Cause: speeds came out a fifth too high where engines were busy. The model took a prompt to be begun when the first token before it was heard of, which is the fixed time too late, and let idle time count as reading; what was ahead was overstated, and the estimate made up for it. The expected first token also held the pause between prompts, which is not the engine's. Change: each prompt's begin and end are worked out from the end of the last one that was read; a first token that is late moves the rest. Choices tell the time to the first token without the pause. Tried and reverted: a controller of the reading share by the pace of running streams against what the longest tenth of a route needs.

--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -55,6 +55,14 @@
     had_slot: bool,
 }
 
+/// The time in which a prompt is read, in seconds.
+#[derive(Clone, Copy, Debug)]
+struct Turn {
+    begin: f64,
+    end: f64,
+    work: Work,
+}
+
 /// The model of one engine.
 #[derive(Clone, Debug)]
 pub struct Engine {
@@ -63,8 +71,8 @@
     reading: VecDeque<Reading>,
     runs: FxHashMap<u64, Run>,
     run_tokens: u64,
-    /// When it last gave the first token of a request.
-    advanced: Duration,
+    /// When it last came to the end of a prompt, in seconds.
+    advanced: f64,
     /// Seconds of reading that were placed here lately, less what the engine may do in the time
     /// since, and as of when.
     load: f64,
@@ -97,7 +105,7 @@
             reading: VecDeque::new(),
             runs: FxHashMap::default(),
             run_tokens: 0,
-            advanced: Duration::ZERO,
+            advanced: 0.0,
             load: 0.0,
             load_at: Duration::ZERO,
             factor: Factor::default(),
@@ -151,29 +159,37 @@
 
     /// How long it will read what it has been sent already.
     pub fn backlog(&self, speed: &Speed, now: Duration) -> Duration {
-        let Some(head) = self.reading.front() else { return Duration::ZERO };
-        let total = Duration::from_secs_f64(self.reading(self.unread(), speed));
-        let elapsed = now.saturating_sub(head.placed.max(self.advanced));
-        if elapsed <= total {
-            return total - elapsed;
-        }
-        // It is late: expect the delay to go on for as long again.
-        (elapsed - total).saturating_sub(OVERDUE_SLACK)
+        let now = now.as_secs_f64();
+        let Some(end) = self.turns(speed, now).last().map(|turn| turn.end) else {
+            return Duration::ZERO;
+        };
+        // Where the next first token is late, the delay is expected to go on for as long again.
+        let due = self.turns(speed, f64::MIN).next().map_or(now, |turn| turn.end + speed.fixed());
+        let late = now - due - OVERDUE_SLACK.as_secs_f64();
+        Duration::from_secs_f64((end - now).max(late).max(0.0))
     }
 
-    /// All that it has been sent and not read yet.
-    fn unread(&self) -> Work {
-        self.reading.iter().fold(Work::default(), |sum, r| sum.and(r.work))
+    /// What it has been sent already and not read yet.
+    fn left(&self, speed: &Speed, now: Duration) -> Work {
+        let now = now.as_secs_f64();
+        let left = self.turns(speed, now).map(|Turn { begin, end, work }| {
+            let seconds = (end - begin).max(f64::MIN_POSITIVE);
+            work.times(((end - now) / seconds).clamp(0.0, 1.0))
+        });
+        left.fold(Work::default(), Work::and)
     }
 
-    /// What of that is still to be read, by the time that has passed.
-    fn left(&self, speed: &Speed, now: Duration) -> Work {
-        let all = self.unread();
-        let total = self.reading(all, speed);
-        if total <= 0.0 {
-            return Work::default();
-        }
-        all.times((self.backlog(speed, now).as_secs_f64() / total).min(1.0))
+    /// When it reads each of the prompts whose first tokens haven't come: one after the other, from
+    /// the end of the last one whose token came.
+    fn turns(&self, speed: &Speed, now: f64) -> impl Iterator<Item = Turn> {
+        // What gave no token by now was read at the earliest so long ago.
+        let earliest = now - speed.fixed() - OVERDUE_SLACK.as_secs_f64();
+        let mut end = self.advanced;
+        self.reading.iter().map(move |r| {
+            let begin = end.max((r.placed + r.copying).as_secs_f64());
+            end = (begin + self.reading(r.work, speed)).max(earliest);
+            Turn { begin, end, work: r.work }
+        })
     }
 
     /// Notes that a request is sent there.
@@ -229,7 +245,7 @@
         // Engines read in turn: what was sent well before is read, too, or was given up by a box
         // that could not tell any more.
         self.reading.retain(|r| placed < r.placed + IN_TURN_SLACK);
-        self.advanced = now;
+        self.advanced = self.advanced.max(now.as_secs_f64() - speed.fixed());
     }
 
     fn learn(&mut self, read: &Reading, took: Duration, speed: &mut Speed, now: Duration) {
--- a/src/placement/upstream.rs
+++ b/src/placement/upstream.rs
@@ -38,7 +38,10 @@
 /// How an engine would come by a prompt.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Plan {
+    /// Until it is due: engines need pauses between prompts.
     pub(super) wait: Duration,
+    /// Until the engine has read what it was sent before.
+    backlog: Duration,
     unread: u32,
     /// Seconds to read these, and from then to the first token.
     reading: f64,
@@ -196,6 +199,7 @@
         let unread = prompt.tokens - kept - copied;
         Some(Plan {
             wait: engine.wait(speed, tuning, now),
+            backlog: engine.backlog(speed, now),
             unread,
             reading: engine.reading(Work::reading(kept + copied, unread), speed),
             first_step: speed.fixed(),
@@ -222,7 +226,7 @@
     /// The choice of this upstream.
     pub(super) fn choice(&self, plan: Option<Plan>) -> Choice {
         let first_token = plan.as_ref().map_or(Duration::ZERO, |p| {
-            p.wait + p.copy_time + Duration::from_secs_f64(p.reading + p.first_step)
+            p.backlog + p.copy_time + Duration::from_secs_f64(p.reading + p.first_step)
         });
         Choice {
             upstream: self.listed.name.clone(),
--- a/tests/proxy_speed.rs
+++ b/tests/proxy_speed.rs
@@ -135,8 +135,8 @@
 
     fn assert_right(&self, what: &str) {
         let (half, nine) = self.errors();
-        assert!(half < 0.2, "{what}: half of the errors reach {half}");
-        assert!(nine < 0.5, "{what}: one error in ten is over {nine}");
+        assert!(half < 0.15, "{what}: half of the errors reach {half}");
+        assert!(nine < 0.4, "{what}: one error in ten is over {nine}");
     }
 }
 
@@ -184,7 +184,7 @@
         scene.play(truth, 150, 30);
         scene.play(truth, 300, 30);
         let (half, _) = scene.errors();
-        assert!(half < 0.2, "seed {seed}: half of the errors reach {half}");
+        assert!(half < 0.15, "seed {seed}: half of the errors reach {half}");
     }
 }
 
