Let prompts have the whole memory of an engine in the models, and 0.7 of its time

Cause: the models left a fifth of each engine's memory out and took parts for gone that were there; and with true speeds 0.8 of the time for reading made streams miss their deadlines. Change: the cache share goes; the reading share is 0.7.

--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -97,11 +97,11 @@
 
 impl Engine {
     /// An engine that is believed to be idle and empty.
-    pub fn new(limits: EngineLimits, tuning: Tuning) -> Engine {
-        let capacity = (limits.memory_tokens as f64 * tuning.cache_share) as u64;
+    pub fn new(limits: EngineLimits) -> Engine {
         Engine {
             limits,
-            cache: PrefixCache::new(capacity),
+            // Running requests take memory for what they write only, which is little beside prompts.
+            cache: PrefixCache::new(limits.memory_tokens),
             reading: VecDeque::new(),
             runs: FxHashMap::default(),
             run_tokens: 0,
--- a/src/placement/tuning.rs
+++ b/src/placement/tuning.rs
@@ -17,9 +17,6 @@
     /// reads a piece, those that run get one token in the time of a dozen; without a pause in which
     /// they go on they would not end before their deadlines.
     pub reading_share: f64,
-    /// Part of an engine's memory that is believed to be left to cached prompts. Running requests
-    /// take the rest.
-    pub cache_share: f64,
     /// How much more than its time a token that must be read counts, since reading it keeps the
     /// engine from others, and shared parts that are read again are charged for.
     pub read_weight: f64,
@@ -40,8 +37,7 @@
             pairs: Duration::from_micros(323),
             step: Duration::from_millis(6),
             first_step: Duration::from_millis(50),
-            reading_share: 0.8,
-            cache_share: 0.8,
+            reading_share: 0.7,
             read_weight: 2.0,
             copy_weight: 16.0,
             wait_share: 0.7,
--- a/src/proxy/settings.rs
+++ b/src/proxy/settings.rs
@@ -88,7 +88,6 @@
         step: time(number("step-ms", millis(usual.step))),
         first_step: time(number("first-step-ms", millis(usual.first_step))),
         reading_share: number("reading-share", usual.reading_share),
-        cache_share: number("cache-share", usual.cache_share),
         read_weight: number("read-weight", usual.read_weight),
         copy_weight: number("copy-weight", usual.copy_weight),
         wait_share: number("wait-share", usual.wait_share),
