--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -97,11 +97,11 @@
         if let Some(known) = self.upstreams.get_mut(&listed.name) {
             known.listed = listed;
             if known.engine.is_none() {
-                known.engine = limits.map(|l| Engine::new(l));
+                known.engine = limits.map(Engine::new);
             }
             return;
         }
-        let engine = limits.map(|l| Engine::new(l));
+        let engine = limits.map(Engine::new);
         let upstream = Upstream::new(listed, engine);
         self.upstreams.insert(upstream.listed.name.clone(), upstream);
     }
