--- a/src/placement/speed.rs
+++ b/src/placement/speed.rs
@@ -155,10 +155,15 @@
         self.samples += 1;
     }
 
-    /// Takes over what another box has learned, unless this one has learned more.
+    /// Takes over what another box has learned, unless this one has learned more or that can't be
+    /// so.
     pub fn adopt(&mut self, other: &Speed) {
-        if self.samples < other.samples {
-            *self = Speed { at: self.at, settings: self.settings, ..other.clone() };
+        let settings = self.settings;
+        let is_bounded = |n: usize, x: f64| settings[n] / BOUND <= x && x <= settings[n] * BOUND;
+        let is_sane = other.seconds.iter().enumerate().all(|(n, seconds)| is_bounded(n, *seconds))
+            && other.covariance.iter().flatten().all(|c| c.is_finite());
+        if is_sane && self.samples < other.samples {
+            *self = Speed { at: self.at, settings, ..other.clone() };
         }
     }
 
