--- a/src/placement/speed.rs
+++ b/src/placement/speed.rs
@@ -17,11 +17,11 @@
 /// The place of the time that is spent whatever the work.
 const FIXED: usize = 3;
 
-/// How far off the settings may be: the first answers move an estimate by up to this part of it.
+/// How far off the settings are expected to be, as a part of them: the spread of the first estimate.
 const PRIOR_SPREAD: f64 = 1.0;
 
-/// By what part of itself an estimate may drift in a second. Steps grow longer within seconds as
-/// more requests run beside a prompt; with a fifth, half of the weight is on the last seconds.
+/// By what part of itself an estimate may drift in a second: reading grows slower within seconds as
+/// more requests run beside it.
 const DRIFT: f64 = 0.05;
 
 /// Scatter of the times to first tokens: seconds, and part of the expected time. A step under way
