--- /dev/null
+++ b/src/fleet/members.rs
@@ -0,0 +1,253 @@
+//! Which boxes are alive, as one box sees it.
+//!
+//! Each box gives a sign of life every [`BEAT`]. In a small fleet it goes to all others. In a larger
+//! one it goes to a few, drawn anew each time, and tells how long ago the sender knew of signs of life
+//! of others; so what a box sends and gets doesn't grow with the fleet. Ages only ever fall by a sign of
+//! life itself, so nothing that is told keeps a dead box alive.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::seq::IteratorRandom;
+use rand::seq::SliceRandom;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::names::BoxName;
+use crate::names::ZoneName;
+
+/// Time between signs of life.
+pub const BEAT: Duration = Duration::from_millis(400);
+
+/// A box that has not been heard of for this long doesn't count as alive: six beats where each is
+/// heard, and in a large fleet the two or three rounds that a sign of life takes beside them.
+pub const SILENT_AFTER: Duration = Duration::from_millis(3200);
+
+/// A box that has not been heard of for this long is forgotten, unless it is a seed.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
+
+/// Up to so many others are told each sign of life directly. Above it costs less processor time to
+/// be told by a few: 16 datagrams of 0.02 ms each in a beat are 0.1 % of a core.
+const DIRECT_MAX: usize = 16;
+
+/// Boxes told directly at each beat of a larger fleet.
+const FANOUT: usize = 3;
+
+/// Ages told at a time. With [`FANOUT`], four in five of 300 boxes are heard of in each beat; an age
+/// takes six bytes, so this is some 5 KB/s.
+const AGES_MAX: usize = 128;
+
+/// Boxes that are alive, but whose own word hasn't come, asked for it at a time.
+const ASKED_MAX: usize = 16;
+
+/// The unit in which ages are told.
+const AGE_UNIT: Duration = Duration::from_millis(100);
+
+/// What a box says of itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// The box.
+    pub name: BoxName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where it answers other boxes.
+    pub addr: SocketAddr,
+    /// Which start of it this is.
+    pub incarnation: u64,
+    /// What it may use of a core.
+    pub cores: f64,
+    /// The version of its configuration; zero for none.
+    pub version: u64,
+    /// Whether it sees the store.
+    pub sees_store: bool,
+    /// Whether it knows what engines keep.
+    pub is_warm: bool,
+}
+
+/// How long ago a box was known to be alive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Age {
+    /// The box.
+    pub ip: IpAddr,
+    /// Tenths of a second.
+    pub tenths: u8,
+}
+
+/// A sign of life.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Beat {
+    /// What the box says of itself.
+    pub record: Record,
+    /// Whether it asks for a sign of life, since it doesn't know the other one yet.
+    pub asks: bool,
+    /// What it knows of others.
+    pub ages: Vec<Age>,
+}
+
+/// Another box.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// What it said of itself last; nothing while only others have told of it.
+    pub record: Option<Record>,
+    /// When it was alive last, as far as known.
+    alive_at: Option<Duration>,
+    /// When it was first known of.
+    known_at: Duration,
+    /// When its own word came last.
+    said_at: Duration,
+    is_seed: bool,
+    /// Whether its silence has not been told yet.
+    counts_as_live: bool,
+}
+
+impl Member {
+    fn unheard(now: Duration) -> Member {
+        Member {
+            record: None,
+            alive_at: None,
+            known_at: now,
+            said_at: Duration::ZERO,
+            is_seed: false,
+            counts_as_live: false,
+        }
+    }
+
+    fn is_live(&self, now: Duration) -> bool {
+        self.alive_at.is_some_and(|at| now < at + SILENT_AFTER)
+    }
+
+    fn is_forgotten(&self, now: Duration) -> bool {
+        !self.is_seed && self.alive_at.unwrap_or(self.known_at) + FORGOTTEN_AFTER < now
+    }
+
+    /// Time since its own word came last.
+    pub fn silent_for(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.said_at)
+    }
+}
+
+/// What came of a sign of life.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Heard {
+    /// The boxes that should get a sign of life at once: those never heard of before, and the sender
+    /// if it asks or wasn't known to be alive.
+    pub greet: BTreeSet<IpAddr>,
+    /// Whether the sender wasn't known to be alive.
+    pub is_new: bool,
+    /// Whether the sender has ended and started since it was last heard.
+    pub has_restarted: bool,
+}
+
+/// The other boxes.
+#[derive(Debug)]
+pub struct Members {
+    me: IpAddr,
+    known: BTreeMap<IpAddr, Member>,
+}
+
+impl Members {
+    /// Nobody is known yet to the box at `me`.
+    pub fn new(me: IpAddr) -> Members {
+        Members { me, known: BTreeMap::new() }
+    }
+
+    /// Adds a box that may be there.
+    pub fn add_seed(&mut self, ip: IpAddr, now: Duration) {
+        if ip != self.me {
+            self.known.entry(ip).or_insert_with(|| Member::unheard(now)).is_seed = true;
+        }
+    }
+
+    /// The others that are alive.
+    pub fn live(&self, now: Duration) -> impl Iterator<Item = (IpAddr, &Member)> {
+        self.known.iter().filter(move |(_, m)| m.is_live(now)).map(|(ip, m)| (*ip, m))
+    }
+
+    /// Another box's last word.
+    pub fn record(&self, ip: IpAddr) -> Option<&Record> {
+        self.known.get(&ip)?.record.as_ref()
+    }
+
+    /// Takes in a sign of life.
+    pub fn hear(&mut self, beat: &Beat, now: Duration) -> Heard {
+        let mut heard = Heard::default();
+        let sender = beat.record.addr.ip();
+        if sender == self.me {
+            return heard;
+        }
+        for age in beat.ages.iter().filter(|a| a.ip != self.me && a.ip != sender) {
+            let member = self.known.entry(age.ip).or_insert_with(|| Member::unheard(now));
+            let Some(at) = now.checked_sub(AGE_UNIT * u32::from(age.tenths)) else { continue };
+            if member.record.is_none() && member.alive_at.is_none() {
+                heard.greet.insert(age.ip);
+            }
+            // The age is rounded up when it is told, so what was heard later is never put back.
+            member.alive_at = member.alive_at.max(Some(at));
+            member.counts_as_live |= member.is_live(now);
+        }
+        let member = self.known.entry(sender).or_insert_with(|| Member::unheard(now));
+        heard.is_new = !member.is_live(now) || member.record.is_none();
+        let known = member.record.as_ref();
+        heard.has_restarted = known.is_some_and(|r| r.incarnation != beat.record.incarnation);
+        member.record = Some(beat.record.clone());
+        member.alive_at = Some(now);
+        member.said_at = now;
+        member.counts_as_live = true;
+        if heard.is_new || beat.asks {
+            heard.greet.insert(sender);
+        }
+        heard
+    }
+
+    /// The boxes that have fallen silent since the last call.
+    pub fn take_silent(&mut self, now: Duration) -> Vec<IpAddr> {
+        let mut silent = Vec::new();
+        for (ip, member) in &mut self.known {
+            if member.counts_as_live && !member.is_live(now) {
+                member.counts_as_live = false;
+                silent.push(*ip);
+            }
+        }
+        silent
+    }
+
+    /// Whom to give the next sign of life, and whether it asks for one: all in a small fleet, else a
+    /// few that are alive, one that isn't, and those whose own word is missing.
+    pub fn targets(&mut self, now: Duration, rng: &mut impl Rng) -> Vec<(IpAddr, bool)> {
+        self.known.retain(|_, member| !member.is_forgotten(now));
+        if self.known.len() <= DIRECT_MAX {
+            return self.known.iter().map(|(ip, m)| (*ip, m.record.is_none())).collect();
+        }
+        let (live, away): (Vec<_>, Vec<_>) = self.known.iter().partition(|(_, m)| m.is_live(now));
+        let (said, unsaid): (Vec<_>, Vec<_>) =
+            live.into_iter().partition(|(_, m)| m.record.is_some());
+        let few = said.into_iter().choose_multiple(rng, FANOUT);
+        let asked = unsaid.into_iter().choose_multiple(rng, ASKED_MAX);
+        let away = away.into_iter().choose(rng);
+        let ips = |(ip, m): (&IpAddr, &Member)| (*ip, m.record.is_none() || !m.is_live(now));
+        few.into_iter().chain(asked).chain(away).map(ips).collect()
+    }
+
+    /// How long ago others were alive, for a sign of life.
+    pub fn ages(&self, now: Duration, rng: &mut impl Rng) -> Vec<Age> {
+        let mut ages: Vec<Age> = self
+            .known
+            .iter()
+            .filter_map(|(ip, member)| {
+                let age = now.saturating_sub(member.alive_at?);
+                let tenths = age.as_millis().div_ceil(AGE_UNIT.as_millis());
+                let is_fresh = age < SILENT_AFTER;
+                is_fresh.then(|| Age { ip: *ip, tenths: u8::try_from(tenths).unwrap_or(u8::MAX) })
+            })
+            .collect();
+        if AGES_MAX < ages.len() {
+            ages.partial_shuffle(rng, AGES_MAX);
+            ages.truncate(AGES_MAX);
+        }
+        ages
+    }
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,5 @@
+//! What the boxes of a fleet know of each other: who is alive, and who owns the model of which
+//! engines. Nothing here does input or output; time is a parameter.
+
+pub mod members;
+pub mod owners;
--- /dev/null
+++ b/src/fleet/owners.rs
@@ -0,0 +1,173 @@
+//! Who owns the model of which engines.
+//!
+//! Engines fall into groups by the first bits of a hash of their names. Each group has one box, its
+//! owner, that keeps the models of all its engines and decides what goes there; a standby hears of all
+//! that the owner decides. Both are found by rendezvous hashing among the boxes that are alive, so all
+//! boxes that believe the same fleet alive agree without asking anybody.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::net::IpAddr;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::names::ZoneName;
+
+/// Engines of a group: enough that one is free when others aren't, few enough that what its owner
+/// hears is a small part of what all are sent.
+const ENGINES_PER_GROUP: f64 = 10.0;
+
+/// Most groups, as a power of two.
+const BITS_MAX: u32 = 10;
+
+/// Only boxes that may use at least this part of what the largest may own groups, since a box that
+/// has used up its part of a core stands still for up to a tenth of a second.
+const CORES_SHARE_MIN: f64 = 0.5;
+
+/// Fleets of up to so many boxes tell all of them everything: each decides by itself then, and
+/// nobody waits for an answer.
+pub const TELL_ALL_MAX: usize = 16;
+
+/// Engines whose hashes begin with the same bits.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Group {
+    bits: u32,
+    prefix: u64,
+}
+
+impl Group {
+    /// The group of a hash among `1 << bits` groups.
+    pub fn of(hash: u64, bits: u32) -> Group {
+        Group { bits, prefix: hash.checked_shr(u64::BITS - bits).unwrap_or(0) }
+    }
+
+    /// Whether a hash belongs to it.
+    pub fn has(self, hash: u64) -> bool {
+        Group::of(hash, self.bits) == self
+    }
+
+    fn key(self, ip: IpAddr) -> u64 {
+        xxh3_64(format!("{}/{}/{ip}", self.bits, self.prefix).as_bytes())
+    }
+}
+
+impl fmt::Display for Group {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.bits, self.prefix)
+    }
+}
+
+impl FromStr for Group {
+    type Err = ParseIntError;
+
+    fn from_str(s: &str) -> Result<Group, ParseIntError> {
+        let (bits, prefix) = s.split_once('-').unwrap_or((s, ""));
+        Ok(Group { bits: bits.parse()?, prefix: prefix.parse()? })
+    }
+}
+
+/// A box that may own groups.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// The box.
+    pub ip: IpAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// What it may use of a core.
+    pub cores: f64,
+}
+
+/// The boxes that keep a group's models.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Owned {
+    /// Who decides.
+    pub owner: IpAddr,
+    /// Who takes over.
+    pub standby: Option<IpAddr>,
+}
+
+impl Owned {
+    /// The owner, then the standby.
+    pub fn keepers(self) -> impl Iterator<Item = IpAddr> {
+        std::iter::once(self.owner).chain(self.standby)
+    }
+}
+
+/// Who owns which group, as one box sees it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Owners {
+    bits: u32,
+    /// By the groups' prefixes; empty where all boxes are told everything.
+    groups: Vec<Owned>,
+}
+
+impl Owners {
+    /// Owners among `boxes`, this one included, of so many engines.
+    pub fn new(boxes: &[Candidate], engines: usize) -> Owners {
+        if boxes.len() <= TELL_ALL_MAX {
+            return Owners::default();
+        }
+        let most = boxes.iter().map(|b| b.cores).fold(0.0, f64::max);
+        let able: Vec<&Candidate> =
+            boxes.iter().filter(|b| most * CORES_SHARE_MIN <= b.cores).collect();
+        let bits = bits(engines);
+        let group = |prefix| owned(Group { bits, prefix }, &able);
+        Owners { bits, groups: (0..1 << bits).filter_map(group).collect() }
+    }
+
+    /// Whether all boxes are told everything, and nothing is owned.
+    pub fn is_none(&self) -> bool {
+        self.groups.is_empty()
+    }
+
+    /// The group of an upstream by the hash of its name.
+    pub fn group(&self, hash: u64) -> Group {
+        Group::of(hash, self.bits)
+    }
+
+    /// Who keeps the models of a group.
+    pub fn of(&self, group: Group) -> Option<Owned> {
+        self.groups.get(usize::try_from(group.prefix).ok()?).copied()
+    }
+
+    /// The groups whose models `me` keeps, and with whom.
+    pub fn kept_by(&self, me: IpAddr) -> impl Iterator<Item = (Group, Owned)> {
+        let bits = self.bits;
+        let groups = self.groups.iter().enumerate();
+        let groups = groups.map(move |(n, owned)| (Group { bits, prefix: n as u64 }, *owned));
+        groups.filter(move |(_, owned)| owned.keepers().any(|ip| ip == me))
+    }
+
+    /// Who keeps the model of an upstream, by the hash of its name.
+    pub fn of_hash(&self, hash: u64) -> Option<Owned> {
+        self.of(self.group(hash))
+    }
+
+    /// All boxes that keep models.
+    pub fn keepers(&self) -> BTreeSet<IpAddr> {
+        self.groups.iter().flat_map(|owned| owned.keepers()).collect()
+    }
+}
+
+/// The power of two of groups that comes nearest to [`ENGINES_PER_GROUP`].
+fn bits(engines: usize) -> u32 {
+    let groups = (engines as f64 / ENGINES_PER_GROUP).max(1.0);
+    (groups.log2().round() as u32).min(BITS_MAX)
+}
+
+/// The owner comes first by rendezvous hashing. The standby is the next one of another zone, which a
+/// cut doesn't take away with it.
+fn owned(group: Group, able: &[&Candidate]) -> Option<Owned> {
+    let mut ranked: Vec<(u64, &Candidate)> = able.iter().map(|b| (group.key(b.ip), *b)).collect();
+    ranked.sort_unstable_by_key(|(key, b)| (*key, b.ip));
+    let (_, owner) = ranked.pop()?;
+    let abroad = ranked.iter().rev().find(|(_, b)| b.zone != owner.zone);
+    let standby = abroad.or(ranked.last()).map(|(_, b)| b.ip);
+    Some(Owned { owner: owner.ip, standby })
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod controller;
 pub mod ctl;
 pub mod dispatch;
+pub mod fleet;
 pub mod load;
 pub mod log;
 pub mod metrics;
--- /dev/null
+++ b/src/placement/admit.rs
@@ -0,0 +1,127 @@
+//! Whether a request is placed, and where: by its workspace's share, how long it may wait, and the
+//! choice among the engines. Whoever keeps the models of the engines in question decides.
+
+use std::net::IpAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::fleet::owners::Group;
+use crate::names::UpstreamName;
+use crate::names::WorkspaceName;
+use crate::names::ZoneName;
+use crate::placement::choice::Choice;
+use crate::placement::choice::NoChoice;
+use crate::placement::choice::Source;
+use crate::placement::choice::Wanted;
+use crate::placement::engine::Placement;
+use crate::placement::fleet::Fleet;
+use crate::placement::share::Shares;
+use crate::placement::tuning::Tuning;
+use crate::proxy::dialect::Prompt;
+
+/// A workspace that is over its share by this part of it gets only what needs no wait at all.
+const SHARE_EXCESS: f64 = 0.5;
+
+/// A workspace that has had less than this part of its share goes to any engine that is free. The
+/// others stay with the engines that keep their parts: to copy these or read them again takes from
+/// what all can be served.
+const SHARE_ANYWHERE: f64 = 0.85;
+
+/// A request for an engine, as whoever decides sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish<'a> {
+    /// Names the send.
+    pub request: u64,
+    /// The service.
+    pub service: &'a str,
+    /// What is to be read.
+    pub prompt: &'a Prompt,
+    /// Whom it is charged to.
+    pub workspace: Option<&'a WorkspaceName>,
+    /// Engines that are out of the question.
+    pub except: &'a [UpstreamName],
+    /// The route's aim for the first token.
+    pub aim: Duration,
+    /// How much of that has passed.
+    pub waited: Duration,
+    /// The engines that it may go to; all of the service if nothing is given.
+    pub group: Option<Group>,
+    /// The availability zone of the box that sends it; this box's if nothing is given.
+    pub zone: Option<&'a ZoneName>,
+    /// The box that sends it; nothing for this one.
+    pub sender: Option<IpAddr>,
+    /// An engine that may not be chosen and keeps some of the prompt.
+    pub source: Option<Source>,
+    /// Whether no other group of engines will be asked.
+    pub is_last: bool,
+}
+
+/// Why a request isn't placed.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Denial {
+    /// The cause.
+    pub cause: NoChoice,
+    /// How much of its share the workspace would have used with it.
+    pub share_used: f64,
+    /// How long it could have waited.
+    pub wait_max: Duration,
+    /// An engine that keeps some of the prompt.
+    pub source: Option<Source>,
+    /// Whether other groups of engines may be asked. Then it isn't counted as refused yet.
+    pub may_go_on: bool,
+}
+
+/// Places a request and counts it, or counts it as refused.
+pub fn admit(
+    fleet: &mut Fleet,
+    shares: &mut Shares,
+    wish: Wish<'_>,
+    now: Duration,
+) -> Result<Choice, Denial> {
+    let Wish { request, prompt, sender, .. } = wish;
+    let charge = prompt.charge();
+    let share_used = wish.workspace.map_or(0.0, |w| shares.used(w, charge, now));
+    let left = wait_max(fleet.tuning(), wish.aim, share_used).saturating_sub(wish.waited);
+    let wanted = Wanted {
+        service: wish.service,
+        prompt: Some(prompt),
+        except: wish.except,
+        wait_max: left,
+        anywhere: share_used <= SHARE_ANYWHERE,
+        group: wish.group,
+        zone: wish.zone,
+        source: wish.source,
+    };
+    let cause = match fleet.choose(wanted, now) {
+        Ok(choice) => {
+            let Choice { unread, copied, .. } = choice;
+            let placement = Placement { request, prompt, unread, copied, sender };
+            fleet.place(&choice.upstream, placement, now);
+            if let Some(workspace) = wish.workspace {
+                shares.begin(workspace, charge, now);
+            }
+            return Ok(choice);
+        }
+        Err(cause) => cause,
+    };
+    let may_go_on = !wish.is_last && share_used <= 1.0;
+    if let Some(workspace) = wish.workspace
+        && !may_go_on
+    {
+        shares.refuse(workspace, charge, now);
+    }
+    let source = if may_go_on { fleet.keeper(wanted, now) } else { None };
+    Err(Denial { cause, share_used, wait_max: left, source, may_go_on })
+}
+
+/// How long a request may wait for an engine. The wait is judged, not the time to the first token, so
+/// that long prompts are refused no more often than short ones.
+fn wait_max(tuning: Tuning, aim: Duration, share_used: f64) -> Duration {
+    if share_used <= 1.0 {
+        return aim.mul_f64(tuning.wait_share);
+    }
+    let left = 1.0 - (share_used - 1.0) / SHARE_EXCESS;
+    aim.mul_f64(tuning.wait_share_over * left.max(0.0))
+}
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -1,10 +1,25 @@
 //! What a choice of an upstream needs to know, and what it gives.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::fleet::owners::Group;
 use crate::names::UpstreamName;
+use crate::names::ZoneName;
 use crate::proxy::dialect::Prompt;
 
+/// An engine that keeps some of a prompt, from which another may copy it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Source {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Tokens at the head of the prompt that it keeps.
+    pub kept: u32,
+}
+
 /// What a choice needs to know of a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Wanted<'a> {
@@ -18,15 +33,21 @@
     pub wait_max: Duration,
     /// Whether it may go to any engine for that, or only to the one that it costs least.
     pub anywhere: bool,
+    /// The engines that it may go to; all of the service if nothing is given.
+    pub group: Option<Group>,
+    /// The availability zone of the box that sends it; this box's if nothing is given.
+    pub zone: Option<&'a ZoneName>,
+    /// An engine that may not be chosen and keeps some of the prompt.
+    pub source: Option<Source>,
 }
 
 /// The choice for a request.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Choice {
     /// The upstream.
     pub upstream: UpstreamName,
     /// Where it listens.
-    pub addr: std::net::SocketAddr,
+    pub addr: SocketAddr,
     /// Expected time to the first token; zero for plain services.
     pub first_token: Duration,
     /// Expected wait until it begins to read the prompt.
@@ -36,7 +57,7 @@
     /// Tokens of the prompt that it copies from another engine.
     pub copied: u32,
     /// That engine.
-    pub copy_from: Option<std::net::SocketAddr>,
+    pub copy_from: Option<SocketAddr>,
     /// Requests that run or wait at the engine already.
     pub running: usize,
     /// Tokens of memory that these take.
@@ -44,7 +65,7 @@
 }
 
 /// Why there is no choice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum NoChoice {
     /// No upstream of the service is known and in use.
     NoUpstream,
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -7,11 +7,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::fleet::owners::Group;
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
 use crate::names::ZoneName;
 use crate::placement::choice::Choice;
 use crate::placement::choice::NoChoice;
+use crate::placement::choice::Source;
 use crate::placement::choice::Wanted;
 use crate::placement::engine::Engine;
 use crate::placement::engine::Placement;
@@ -21,7 +23,6 @@
 use crate::placement::upstream::Context;
 use crate::placement::upstream::Health;
 use crate::placement::upstream::Plan;
-use crate::placement::upstream::Source;
 use crate::placement::upstream::Upstream;
 use crate::proxy::dialect::Listed;
 use crate::proxy::dialect::Part;
@@ -128,6 +129,11 @@
         self.upstreams.get(name).map(|u| &u.listed)
     }
 
+    /// Whether an upstream is a model's engine.
+    pub fn is_engine(&self, name: &UpstreamName) -> bool {
+        self.upstreams.get(name).is_some_and(|u| u.engine.is_some())
+    }
+
     /// Whether an upstream is known and not leaving.
     pub fn is_open(&self, name: &UpstreamName) -> bool {
         self.get(name).is_some_and(|l| !l.leaving)
@@ -160,7 +166,8 @@
         now: Duration,
     ) -> Vec<Candidate<'a>> {
         let speed = self.speed(wanted.service);
-        let cx = Context { speed, tuning: self.tuning, zone: &self.zone, now };
+        let zone = wanted.zone.unwrap_or(&self.zone);
+        let cx = Context { speed, tuning: self.tuning, zone, now };
         let Some(prompt) = wanted.prompt else {
             return usable
                 .iter()
@@ -170,7 +177,7 @@
         // Looked up once: what engines keep is spread over memory, and many engines are asked.
         let kept: Vec<u32> =
             usable.iter().map(|u| u.engine.as_ref().map_or(0, |e| e.kept(prompt))).collect();
-        let source = self.source(usable, &kept, wanted.service, prompt);
+        let source = self.source(usable, &kept, wanted, prompt);
         let homes = homes(usable, prompt);
         let own = prompt.parts.last().map_or(0, |own| own.tokens);
         let shared = prompt.tokens.saturating_sub(own);
@@ -194,7 +201,7 @@
         &self,
         usable: &[&Upstream],
         kept: &[u32],
-        service: &str,
+        wanted: Wanted<'_>,
         prompt: &Prompt,
     ) -> Option<Source> {
         let source = |u: &Upstream, kept| Source { addr: u.listed.addr, kept };
@@ -202,9 +209,34 @@
         let leaving = self
             .upstreams
             .values()
-            .filter(|u| u.listed.leaving && !u.is_doubted() && &*u.listed.service == service)
+            .filter(|u| u.listed.leaving && !u.is_doubted() && &*u.listed.service == wanted.service)
             .filter_map(|u| Some(source(u, u.engine.as_ref()?.kept(prompt))));
-        staying.chain(leaving).max_by_key(|s| s.kept)
+        staying.chain(leaving).chain(wanted.source).max_by_key(|s| s.kept)
+    }
+
+    /// The hash of the engine to which a prompt belongs, of those that aren't in `avoided`; all boxes
+    /// that list the same engines come to the same.
+    pub fn home(&self, service: &str, prompt: &Prompt, avoided: Option<Group>) -> Option<u64> {
+        let part = match &prompt.parts[..] {
+            [.., shared, _] => shared.id,
+            [own] => own.id,
+            [] => u64::from(prompt.tokens),
+        };
+        self.upstreams
+            .values()
+            .filter(|u| u.engine.is_some() && !u.listed.leaving && &*u.listed.service == service)
+            .filter(|u| avoided.is_none_or(|group| !group.has(u.hash)))
+            .map(|u| u.hash)
+            .max_by_key(|hash| mix(hash ^ part))
+    }
+
+    /// The engine that keeps the most of a prompt.
+    pub fn keeper(&self, wanted: Wanted<'_>, now: Duration) -> Option<Source> {
+        let prompt = wanted.prompt?;
+        let usable = self.usable(wanted, now);
+        let kept: Vec<u32> =
+            usable.iter().map(|u| u.engine.as_ref().map_or(0, |e| e.kept(prompt))).collect();
+        self.source(&usable, &kept, wanted, prompt).filter(|s| s.kept != 0)
     }
 
     /// Notes a request that another box sends to an upstream, or this one if no `sender` is given.
@@ -233,6 +265,11 @@
         engine.first(request, took, speed, now);
     }
 
+    /// How choices are weighed.
+    pub fn tuning(&self) -> Tuning {
+        self.tuning
+    }
+
     /// How fast the engines of a service read.
     pub fn speed(&self, service: &str) -> &Speed {
         self.speeds.get(service).unwrap_or(&self.speed_unknown)
@@ -251,14 +288,15 @@
         engines.for_each(|engine| engine.forget_sender(sender));
     }
 
-    /// What has been learned of the engines.
-    pub fn learned(&self) -> Learned {
+    /// What has been learned of the engines, or of those of one group.
+    pub fn learned(&self, group: Option<Group>) -> Learned {
         let kept = |u: &Upstream| {
             Some(Kept { upstream: u.listed.name.clone(), parts: u.engine.as_ref()?.parts() })
         };
         let speeds = self.speeds.iter().map(|(service, s)| (service.clone(), s.clone()));
+        let of_group = |u: &&Upstream| group.is_none_or(|group| group.has(u.hash));
         Learned {
-            kept: self.upstreams.values().filter_map(kept).collect(),
+            kept: self.upstreams.values().filter(of_group).filter_map(kept).collect(),
             speeds: speeds.collect(),
         }
     }
@@ -277,11 +315,17 @@
         }
     }
 
-    /// Engines that are in use.
+    /// All engines.
     pub fn engines(&self) -> impl Iterator<Item = &Listed> {
         self.upstreams.values().filter(|u| u.engine.is_some()).map(|u| &u.listed)
     }
 
+    /// The engines of a group.
+    pub fn engines_of(&self, group: Group) -> impl Iterator<Item = &Listed> {
+        let engines = self.upstreams.values().filter(|u| u.engine.is_some());
+        engines.filter(move |u| group.has(u.hash)).map(|u| &u.listed)
+    }
+
     /// Counts a request of this box in.
     pub fn sent(&mut self, name: &UpstreamName) {
         if let Some(upstream) = self.upstreams.get_mut(name) {
@@ -349,6 +393,7 @@
             .upstreams
             .values()
             .filter(|u| &*u.listed.service == wanted.service && !u.listed.leaving)
+            .filter(|u| wanted.group.is_none_or(|group| group.has(u.hash)))
             .filter(|u| !wanted.except.contains(&u.listed.name))
             .collect();
         let awake: Vec<&Upstream> = open.iter().copied().filter(|u| u.is_awake(now)).collect();
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -1,6 +1,7 @@
 //! Where a request goes: models of the upstreams, fed by what this box and the others send there,
 //! and the choice among them. Nothing here does input or output; time is a parameter.
 
+pub mod admit;
 pub mod cache;
 pub mod choice;
 pub mod engine;
--- a/src/placement/share.rs
+++ b/src/placement/share.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::names::WorkspaceName;
 
@@ -20,6 +22,17 @@
     steps: VecDeque<Step>,
     asked: FxHashMap<WorkspaceName, u64>,
     begun: FxHashMap<WorkspaceName, u64>,
+    /// What this box has admitted and refused since [`Shares::take_own`].
+    own: FxHashMap<WorkspaceName, Tokens>,
+}
+
+/// What a workspace asked for and got.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tokens {
+    /// What it asked for.
+    pub asked: u64,
+    /// What was begun of that.
+    pub begun: u64,
 }
 
 #[derive(Debug, Default)]
@@ -37,21 +50,40 @@
             steps: VecDeque::new(),
             asked: FxHashMap::default(),
             begun: FxHashMap::default(),
+            own: FxHashMap::default(),
         }
     }
 
     /// Counts a request that begins.
     pub fn begin(&mut self, workspace: &WorkspaceName, tokens: u64, now: Duration) {
-        self.ask(workspace, tokens, now);
-        *self.begun.entry(workspace.clone()).or_default() += tokens;
-        if let Some(step) = self.steps.back_mut() {
-            *step.begun.entry(workspace.clone()).or_default() += tokens;
-        }
+        self.count(workspace, Tokens { asked: tokens, begun: tokens }, now);
     }
 
     /// Counts a request that is refused.
     pub fn refuse(&mut self, workspace: &WorkspaceName, tokens: u64, now: Duration) {
-        self.ask(workspace, tokens, now);
+        self.count(workspace, Tokens { asked: tokens, begun: 0 }, now);
+    }
+
+    /// Adds what another box has counted.
+    pub fn add(&mut self, workspace: &WorkspaceName, tokens: Tokens, now: Duration) {
+        self.expire(now);
+        let number = self.number(now);
+        if self.steps.back().is_none_or(|s| s.number != number) {
+            self.steps.push_back(Step { number, ..Step::default() });
+        }
+        let Some(step) = self.steps.back_mut() else { return };
+        let sums = [(&mut self.asked, &mut step.asked), (&mut self.begun, &mut step.begun)];
+        for ((sum, part), tokens) in sums.into_iter().zip([tokens.asked, tokens.begun]) {
+            if tokens != 0 {
+                *sum.entry(workspace.clone()).or_default() += tokens;
+                *part.entry(workspace.clone()).or_default() += tokens;
+            }
+        }
+    }
+
+    /// What this box has admitted and refused since the last call, to be added elsewhere.
+    pub fn take_own(&mut self) -> FxHashMap<WorkspaceName, Tokens> {
+        std::mem::take(&mut self.own)
     }
 
     /// How much of its share a workspace would have used with a request of this size: over one is
@@ -82,16 +114,11 @@
         u64::MAX
     }
 
-    fn ask(&mut self, workspace: &WorkspaceName, tokens: u64, now: Duration) {
-        self.expire(now);
-        let number = self.number(now);
-        if self.steps.back().is_none_or(|s| s.number != number) {
-            self.steps.push_back(Step { number, ..Step::default() });
-        }
-        *self.asked.entry(workspace.clone()).or_default() += tokens;
-        if let Some(step) = self.steps.back_mut() {
-            *step.asked.entry(workspace.clone()).or_default() += tokens;
-        }
+    fn count(&mut self, workspace: &WorkspaceName, tokens: Tokens, now: Duration) {
+        self.add(workspace, tokens, now);
+        let own = self.own.entry(workspace.clone()).or_default();
+        own.asked += tokens.asked;
+        own.begun += tokens.begun;
     }
 
     fn number(&self, now: Duration) -> u64 {
--- a/src/placement/upstream.rs
+++ b/src/placement/upstream.rs
@@ -6,8 +6,10 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::names::UpstreamName;
 use crate::names::ZoneName;
 use crate::placement::choice::Choice;
+use crate::placement::choice::Source;
 use crate::placement::engine::Engine;
 use crate::placement::speed::Speed;
 use crate::placement::speed::Work;
@@ -59,18 +61,11 @@
     /// How fast the service's engines read.
     pub(super) speed: &'a Speed,
     pub(super) tuning: Tuning,
-    /// The availability zone of this box.
+    /// The availability zone of the box that sends the request.
     pub(super) zone: &'a ZoneName,
     pub(super) now: Duration,
 }
 
-/// The engine that keeps the most of a prompt.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Source {
-    pub(super) addr: SocketAddr,
-    pub(super) kept: u32,
-}
-
 /// How a request at an upstream went, as far as it tells about the upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Health {
@@ -94,7 +89,7 @@
     rests_until: Duration,
     /// Set while it may not be reachable; it gets no work until a connection can be made.
     doubt: Option<Doubt>,
-    /// Of its name.
+    /// Of its name; see [`hash`].
     pub(super) hash: u64,
 }
 
@@ -109,6 +104,11 @@
     look_at: Duration,
 }
 
+/// The hash of an upstream's name, by which parts of prompts and owners are found for it.
+pub fn hash(name: &UpstreamName) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
 impl Upstream {
     /// An upstream that is believed to be well and, if it is an engine, idle and empty.
     pub(super) fn new(listed: Listed, engine: Option<Engine>) -> Upstream {
@@ -119,7 +119,7 @@
             failures: 0,
             rests_until: Duration::ZERO,
             doubt: None,
-            hash: xxh3_64(listed.name.as_bytes()),
+            hash: hash(&listed.name),
             listed,
         }
     }
--- /dev/null
+++ b/src/proxy/asking.rs
@@ -0,0 +1,289 @@
+//! Requests for engines, placed by whoever keeps the models of the engines in question: this box, or
+//! the owner of a group of engines, which is asked by a datagram.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use rustc_hash::FxHashMap;
+use slog::debug;
+use slog::info;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::fleet::owners::Group;
+use crate::fleet::owners::Owned;
+use crate::names::ServiceName;
+use crate::names::UpstreamName;
+use crate::placement::admit::Denial;
+use crate::placement::admit::Wish;
+use crate::placement::choice::Choice;
+use crate::placement::upstream;
+use crate::proxy::dialect::Prompt;
+use crate::proxy::hub::Hub;
+use crate::proxy::message::Answer;
+use crate::proxy::message::Ask;
+use crate::proxy::message::Message;
+use crate::proxy::message::Used;
+
+/// How long an owner's answer is waited for: some round trips within a region, and the pauses of a
+/// box that is busy but well.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(40);
+
+/// A timer that is late by more than this says that this box stood still; the answer may be there.
+const STOOD_STILL: Duration = Duration::from_millis(10);
+
+/// A box that gave no answer isn't asked again for this long: as long as the others need to notice
+/// that it is gone, a request in so many is what finding out costs.
+const SUSPECT_FOR: Duration = Duration::from_millis(1000);
+
+/// Groups of engines asked for one request: with its own and another one, twenty engines.
+const GROUPS_MAX: usize = 2;
+
+/// Time between what owners tell each other of shares: a sixteenth of the usual window.
+const USED_EVERY: Duration = Duration::from_millis(250);
+
+/// Sums of workspaces told at a time, so that they fit a datagram.
+const USED_MAX: usize = 24;
+
+type Placed = Result<Choice, Denial>;
+
+/// What this box has asked others.
+#[derive(Debug, Default)]
+pub struct Asking {
+    waiting: Mutex<FxHashMap<u64, oneshot::Sender<Placed>>>,
+    /// Boxes that gave no answer, and until when they aren't asked.
+    suspects: Mutex<FxHashMap<IpAddr, Duration>>,
+}
+
+impl Asking {
+    fn expect(&self, request: u64) -> oneshot::Receiver<Placed> {
+        let (tx, rx) = oneshot::channel();
+        self.waiting.lock().expect("no panic under lock").insert(request, tx);
+        rx
+    }
+
+    fn take(&self, request: u64) -> Option<oneshot::Sender<Placed>> {
+        self.waiting.lock().expect("no panic under lock").remove(&request)
+    }
+
+    fn suspect(&self, ip: IpAddr, now: Duration) {
+        let mut suspects = self.suspects.lock().expect("no panic under lock");
+        suspects.retain(|_, until| now < *until);
+        suspects.insert(ip, now + SUSPECT_FOR);
+    }
+
+    fn is_suspect(&self, ip: IpAddr, now: Duration) -> bool {
+        let suspects = self.suspects.lock().expect("no panic under lock");
+        suspects.get(&ip).is_some_and(|until| now < *until)
+    }
+}
+
+/// Forgets a question when whoever asked it is gone.
+struct Pending<'a> {
+    asking: &'a Asking,
+    request: u64,
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        self.asking.take(self.request);
+    }
+}
+
+/// Places a request, or says why it isn't placed.
+pub async fn place(hub: &Arc<Hub>, wish: Wish<'_>) -> Placed {
+    let owners = hub.peers().owners();
+    if owners.is_none() {
+        return place_for_all(hub, wish);
+    }
+    let mut wish = wish;
+    let mut denial = None;
+    for n in 1..=GROUPS_MAX {
+        let home = hub.read(|v| v.fleet().home(wish.service, wish.prompt, wish.group));
+        let Some(group) = home.map(|hash| owners.group(hash)) else { break };
+        wish.group = Some(group);
+        wish.is_last = n == GROUPS_MAX;
+        let Some(owned) = owners.of(group) else { break };
+        let Some(placed) = place_in(hub, wish, group, owned).await else { break };
+        match placed {
+            Err(denied) if denied.may_go_on => {
+                wish.source = denied.source;
+                denial = Some(denied);
+            }
+            placed => return placed,
+        }
+    }
+    match denial {
+        Some(denial) => Err(denial),
+        None => place_alone(hub, Wish { group: None, ..wish }),
+    }
+}
+
+/// Places a request by what this box believes, and tells all others.
+fn place_for_all(hub: &Hub, wish: Wish<'_>) -> Placed {
+    let placed = hub.admit(Wish { is_last: true, ..wish });
+    match &placed {
+        Ok(choice) => hub.peers().tell(&told(&wish, choice)),
+        Err(_) => {
+            if let Some(workspace) = wish.workspace.cloned() {
+                let tokens = wish.prompt.charge();
+                hub.peers().tell(&Message::Refused { workspace, tokens });
+            }
+        }
+    }
+    placed
+}
+
+/// Places a request though nobody who keeps the models answers: by what little this box knows.
+fn place_alone(hub: &Hub, wish: Wish<'_>) -> Placed {
+    let placed = hub.admit(Wish { is_last: true, ..wish });
+    if let Ok(choice) = &placed {
+        debug!(hub.log(), "placed alone"; "upstream" => choice.upstream.as_str());
+        tell_keepers(hub, &choice.upstream, &told(&wish, choice));
+    }
+    placed
+}
+
+/// Has a request placed in a group of engines; nothing if nobody who keeps its models answers.
+async fn place_in(hub: &Arc<Hub>, wish: Wish<'_>, group: Group, owned: Owned) -> Option<Placed> {
+    for ip in owned.keepers() {
+        if ip == hub.peers().me() {
+            let placed = hub.admit(wish);
+            if let Ok(choice) = &placed {
+                tell_other_keeper(hub, &wish, choice, owned);
+            }
+            return Some(placed);
+        }
+        if hub.asking().is_suspect(ip, hub.now()) {
+            continue;
+        }
+        if let Some(placed) = ask(hub, ip, &wish, group).await {
+            return Some(placed);
+        }
+        info!(hub.log(), "no answer of an owner"; "ip" => %ip, "group" => %group);
+        hub.asking().suspect(ip, hub.now());
+    }
+    None
+}
+
+async fn ask(hub: &Hub, ip: IpAddr, wish: &Wish<'_>, group: Group) -> Option<Placed> {
+    let millis = |d: Duration| u32::try_from(d.as_millis()).unwrap_or(u32::MAX);
+    let asking = hub.asking();
+    let request = wish.request;
+    let mut answer = asking.expect(request);
+    let _pending = Pending { asking, request };
+    hub.peers().tell_now(
+        ip,
+        &Message::Ask(Ask {
+            request,
+            group,
+            service: ServiceName::from(wish.service),
+            prompt: wish.prompt.into(),
+            workspace: wish.workspace.cloned(),
+            zone: hub.peers().zone().clone(),
+            except: wish.except.to_vec(),
+            aim_ms: millis(wish.aim),
+            waited_ms: millis(wish.waited),
+            source: wish.source,
+            is_last: wish.is_last,
+        }),
+    );
+    let due = Instant::now() + ANSWER_TIMEOUT;
+    if let Ok(answer) = tokio::time::timeout_at(due, &mut answer).await {
+        return answer.ok();
+    }
+    if due.elapsed() < STOOD_STILL {
+        return None;
+    }
+    tokio::time::timeout(ANSWER_TIMEOUT, answer).await.ok()?.ok()
+}
+
+/// Places a request that another box asks for.
+pub fn answer(hub: &Hub, ask: &Ask, from: IpAddr) {
+    let prompt = Prompt::from(&ask.prompt);
+    let wish = Wish {
+        request: ask.request,
+        service: &ask.service,
+        prompt: &prompt,
+        workspace: ask.workspace.as_ref(),
+        except: &ask.except,
+        aim: Duration::from_millis(ask.aim_ms.into()),
+        waited: Duration::from_millis(ask.waited_ms.into()),
+        group: Some(ask.group),
+        zone: Some(&ask.zone),
+        sender: Some(from),
+        source: ask.source,
+        is_last: ask.is_last,
+    };
+    let result = hub.admit(wish);
+    let request = ask.request;
+    if let Ok(choice) = &result
+        && let Some(owned) = hub.peers().owners().of(ask.group)
+    {
+        tell_other_keeper(hub, &wish, choice, owned);
+    }
+    hub.peers().tell_now(from, &Message::Answer(Answer { request, result }));
+}
+
+/// Takes in an owner's answer. Where nobody waits for it any more, the request isn't sent.
+pub fn answered(hub: &Hub, answer: Answer, from: IpAddr) {
+    let Answer { request, result } = answer;
+    let upstream = result.as_ref().ok().map(|choice| choice.upstream.clone());
+    let waiting = hub.asking().take(request);
+    let is_heard = waiting.is_some_and(|tx| tx.send(result).is_ok());
+    if let Some(upstream) = upstream.filter(|_| !is_heard) {
+        hub.peers().tell_some([from].into_iter(), &Message::Ended { upstream, request });
+    }
+}
+
+/// The other one of a group's owner and standby hears of what is placed, without the workspace: sums
+/// of these are told by the way of shares.
+fn tell_other_keeper(hub: &Hub, wish: &Wish<'_>, choice: &Choice, owned: Owned) {
+    let message = told(&Wish { workspace: None, ..*wish }, choice);
+    hub.peers().tell_some(owned.keepers(), &message);
+}
+
+fn told(wish: &Wish<'_>, choice: &Choice) -> Message {
+    let Choice { unread, copied, .. } = *choice;
+    Message::Placed {
+        upstream: choice.upstream.clone(),
+        request: wish.request,
+        prompt: wish.prompt.into(),
+        unread,
+        copied,
+        workspace: wish.workspace.cloned(),
+        sender: wish.sender,
+    }
+}
+
+/// Tells the other owners what workspaces use at this one, until the process ends: shares are judged
+/// by what the whole fleet serves.
+pub async fn tell_shares(hub: Arc<Hub>) {
+    loop {
+        tokio::time::sleep(USED_EVERY).await;
+        let own = hub.shares(|shares| shares.take_own());
+        let owners = hub.peers().owners();
+        if owners.is_none() || own.is_empty() {
+            continue;
+        }
+        let used: Vec<Used> =
+            own.into_iter().map(|(workspace, tokens)| Used { workspace, tokens }).collect();
+        for used in used.chunks(USED_MAX) {
+            hub.peers().tell_some(owners.keepers().iter().copied(), &Message::Used(used.to_vec()));
+        }
+    }
+}
+
+/// Tells those who keep the model of an engine; all boxes in a small fleet.
+pub fn tell_keepers(hub: &Hub, name: &UpstreamName, message: &Message) {
+    let owners = hub.peers().owners();
+    if owners.is_none() {
+        hub.peers().tell(message);
+        return;
+    }
+    if let Some(owned) = owners.of_hash(upstream::hash(name)) {
+        hub.peers().tell_some(owned.keepers(), message);
+    }
+}
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -13,25 +13,24 @@
 use tokio::time::Instant;
 
 use crate::names::ServiceName;
-use crate::names::WorkspaceName;
+use crate::placement::admit;
+use crate::placement::admit::Denial;
+use crate::placement::admit::Wish;
 use crate::placement::choice::Choice;
 use crate::placement::choice::NoChoice;
 use crate::placement::choice::Wanted;
-use crate::placement::engine::Placement;
 use crate::placement::fleet::Fleet;
 use crate::placement::fleet::Learned;
 use crate::placement::share::Shares;
-use crate::placement::tuning::Tuning;
+use crate::proxy::asking::Asking;
 use crate::proxy::budget::Budget;
 use crate::proxy::capacity;
 use crate::proxy::dialect::Dialect;
-use crate::proxy::dialect::Prompt;
 use crate::proxy::figures::Figures;
 use crate::proxy::link::Links;
 use crate::proxy::message::Message;
 use crate::proxy::peers::Peers;
 use crate::proxy::placed::InFlight;
-use crate::proxy::placed::Placed;
 use crate::proxy::settings::Settings;
 use crate::proxy::table::Table;
 use crate::proxy::view::Change;
@@ -54,7 +53,7 @@
     figures: Figures,
     log: Logger,
     in_flight: Arc<AtomicUsize>,
-    tuning: Tuning,
+    asking: Asking,
     look: Notify,
     warm: AtomicBool,
     streams: Arc<AtomicUsize>,
@@ -94,7 +93,7 @@
             figures,
             log,
             in_flight: Arc::default(),
-            tuning: cfg.tuning,
+            asking: Asking::default(),
             look: Notify::new(),
             warm: AtomicBool::new(false),
             streams: Arc::default(),
@@ -137,11 +136,6 @@
         &self.figures
     }
 
-    /// How choices are weighed.
-    pub fn tuning(&self) -> Tuning {
-        self.tuning
-    }
-
     /// The log.
     pub fn log(&self) -> &Logger {
         &self.log
@@ -252,53 +246,23 @@
         self.change(|view, _| view.take_over(snapshot));
     }
 
-    /// Chooses an upstream.
+    /// Chooses an upstream of a plain service.
     pub fn choose(&self, wanted: Wanted<'_>) -> Result<Choice, NoChoice> {
         let now = self.now();
         self.read(|view| view.fleet().choose(wanted, now))
     }
 
-    /// Notes a request that is about to be sent, here and at the other boxes.
-    pub fn place(
-        self: &Arc<Hub>,
-        choice: &Choice,
-        request: u64,
-        prompt: Option<&Prompt>,
-        workspace: Option<&WorkspaceName>,
-    ) -> Placed {
-        let now = self.now();
-        self.fleet(|fleet| fleet.sent(&choice.upstream));
-        if let Some(prompt) = prompt {
-            let Choice { unread, copied, .. } = *choice;
-            let placement = Placement { request, prompt, unread, copied, sender: None };
-            self.fleet(|f| f.place(&choice.upstream, placement, now));
-            self.peers.tell(&Message::Placed {
-                upstream: choice.upstream.clone(),
-                request,
-                prompt: prompt.into(),
-                unread,
-                copied,
-                workspace: workspace.cloned(),
-            });
-            if let Some(workspace) = workspace {
-                self.shares(|shares| shares.begin(workspace, prompt.charge(), now));
-            }
-        }
-        Placed::new(self, choice, request, prompt.is_some())
-    }
-
-    /// How much of its fair share a workspace would have used with this request.
-    pub fn share_used(&self, workspace: Option<&WorkspaceName>, prompt: &Prompt) -> f64 {
+    /// Places a request by what this box believes.
+    pub fn admit(&self, wish: Wish<'_>) -> Result<Choice, Denial> {
         let now = self.now();
-        workspace.map_or(0.0, |w| self.shares(|shares| shares.used(w, prompt.charge(), now)))
+        let mut inner = self.inner.lock().expect("no panic under lock");
+        let Inner { view, shares, .. } = &mut *inner;
+        admit::admit(view.fleet_mut(), shares, wish, now)
     }
 
-    /// Counts a request that is refused for want of time at the engines, here and at the others.
-    pub fn refuse(&self, workspace: Option<&WorkspaceName>, prompt: &Prompt) {
-        let Some(workspace) = workspace.cloned() else { return };
-        let (now, tokens) = (self.now(), prompt.charge());
-        self.shares(|shares| shares.refuse(&workspace, tokens, now));
-        self.peers.tell(&Message::Refused { workspace, tokens });
+    /// What has been asked of other boxes.
+    pub fn asking(&self) -> &Asking {
+        &self.asking
     }
 
     /// Changes what is known of the shares of workspaces.
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -6,7 +6,12 @@
 use slog::info;
 use slog::warn;
 
+use crate::names::UpstreamName;
+use crate::names::WorkspaceName;
 use crate::placement::engine::Placement;
+use crate::placement::share::Tokens;
+use crate::placement::upstream;
+use crate::proxy::asking;
 use crate::proxy::dialect::News;
 use crate::proxy::dialect::Prompt;
 use crate::proxy::hub::Hub;
@@ -44,17 +49,18 @@
 pub fn message(hub: &Hub, message: Message, sender: IpAddr) {
     let now = hub.now();
     match message {
-        Message::Placed { upstream, request, prompt, unread, copied, workspace } => {
-            let prompt = Prompt::from(prompt);
-            let sender = Some(sender);
+        Message::Placed { upstream, request, prompt, unread, copied, workspace, sender: by } => {
+            let prompt = Prompt::from(&prompt);
+            let sender = Some(by.unwrap_or(sender));
             let placement = Placement { request, prompt: &prompt, unread, copied, sender };
             hub.fleet(|fleet| fleet.place(&upstream, placement, now));
             if let Some(workspace) = workspace {
-                hub.shares(|shares| shares.begin(&workspace, prompt.charge(), now));
+                count(hub, &upstream, &workspace, prompt.charge(), now);
             }
         }
         Message::Refused { workspace, tokens } => {
-            hub.shares(|shares| shares.refuse(&workspace, tokens, now));
+            let tokens = Tokens { asked: tokens, begun: 0 };
+            hub.shares(|shares| shares.add(&workspace, tokens, now));
         }
         Message::First { upstream, request, took_ms } => {
             let took = Duration::from_millis(took_ms.into());
@@ -73,7 +79,33 @@
             hub.change(|view, _| view.told_leaving(&upstream));
         }
         Message::Gone { upstream } => hub.change(|view, _| view.told_gone(&upstream)),
+        Message::Answer(answer) => asking::answered(hub, answer, sender),
+        Message::Used(all) => hub.shares(|shares| {
+            all.iter().for_each(|used| shares.add(&used.workspace, used.tokens, now));
+        }),
         // Taken in by the peers.
-        Message::Beat(_) => {}
+        Message::Beat(_) | Message::Ask(_) => {}
+    }
+}
+
+/// Counts what another box has placed by itself. The owner of the engine counts it as its own, to
+/// tell the other owners.
+fn count(
+    hub: &Hub,
+    upstream: &UpstreamName,
+    workspace: &WorkspaceName,
+    tokens: u64,
+    now: Duration,
+) {
+    let owned = hub.peers().owners().of_hash(upstream::hash(upstream));
+    let me = hub.peers().me();
+    match owned.map(|o| o.owner == me) {
+        Some(true) => hub.shares(|shares| shares.begin(workspace, tokens, now)),
+        // The owner tells of it.
+        Some(false) => {}
+        None => {
+            let tokens = Tokens { asked: tokens, begun: tokens };
+            hub.shares(|shares| shares.add(workspace, tokens, now));
+        }
     }
 }
--- a/src/proxy/look.rs
+++ b/src/proxy/look.rs
@@ -6,6 +6,7 @@
 use slog::info;
 
 use crate::names::UpstreamName;
+use crate::proxy::asking;
 use crate::proxy::dialect::Listed;
 use crate::proxy::hub::Hub;
 use crate::proxy::message::Message;
@@ -46,7 +47,11 @@
         if hub.fleet(|fleet| fleet.not_reached(&name, now)) {
             info!(hub.log(), "upstream unreachable"; "name" => name.as_str(),
                 "error" => util::with_causes(&e));
-            hub.peers().tell(&Message::Unreachable { upstream: name });
+            let message = Message::Unreachable { upstream: name.clone() };
+            match hub.read(|view| view.fleet().is_engine(&name)) {
+                true => asking::tell_keepers(&hub, &name, &message),
+                false => hub.peers().tell(&message),
+            }
         }
         return;
     }
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -1,14 +1,20 @@
 //! What boxes tell each other.
 
-use std::net::SocketAddr;
+use std::net::IpAddr;
 
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::names::BoxName;
+use crate::fleet::members::Beat;
+use crate::fleet::owners::Group;
+use crate::names::ServiceName;
 use crate::names::UpstreamName;
 use crate::names::WorkspaceName;
 use crate::names::ZoneName;
+use crate::placement::admit::Denial;
+use crate::placement::choice::Choice;
+use crate::placement::choice::Source;
+use crate::placement::share::Tokens;
 use crate::proxy::dialect::Part;
 use crate::proxy::dialect::Prompt;
 
@@ -31,6 +37,8 @@
         copied: u32,
         /// Whom it is charged to.
         workspace: Option<WorkspaceName>,
+        /// The box that sends it, if that isn't who tells.
+        sender: Option<IpAddr>,
     },
     /// A request has been refused for want of time at the engines.
     Refused {
@@ -60,6 +68,12 @@
         /// The upstream.
         upstream: UpstreamName,
     },
+    /// A request to be placed.
+    Ask(Ask),
+    /// What came of it.
+    Answer(Answer),
+    /// What workspaces used at the sender.
+    Used(Vec<Used>),
     /// The store says that an upstream leaves.
     Leaving {
         /// The upstream.
@@ -79,25 +93,49 @@
     }
 }
 
-/// A sign of life.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Beat {
-    /// The box.
-    pub name: BoxName,
-    /// Its availability zone.
+/// A request that the owner of a group of engines is to place.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ask {
+    /// Names the send.
+    pub request: u64,
+    /// The engines that are asked for.
+    pub group: Group,
+    /// Their service.
+    pub service: ServiceName,
+    /// What is to be read.
+    pub prompt: ToldPrompt,
+    /// Whom it is charged to.
+    pub workspace: Option<WorkspaceName>,
+    /// The availability zone of the box that asks.
     pub zone: ZoneName,
-    /// Where it answers other boxes.
-    pub addr: SocketAddr,
-    /// Which start of it this is.
-    pub incarnation: u64,
-    /// The version of its configuration; zero for none.
-    pub version: u64,
-    /// Whether it sees the store.
-    pub sees_store: bool,
-    /// Whether it knows what engines keep.
-    pub is_warm: bool,
-    /// Boxes that it has heard of lately.
-    pub known: Vec<SocketAddr>,
+    /// Engines that are out of the question.
+    pub except: Vec<UpstreamName>,
+    /// The route's aim, in milliseconds.
+    pub aim_ms: u32,
+    /// Time that the request has waited already, in milliseconds.
+    pub waited_ms: u32,
+    /// An engine of another group that keeps some of the prompt.
+    pub source: Option<Source>,
+    /// Whether no other group will be asked.
+    pub is_last: bool,
+}
+
+/// What the owner of a group of engines says.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Answer {
+    /// The send that it is about.
+    pub request: u64,
+    /// Where the request is placed, or why it isn't.
+    pub result: Result<Choice, Denial>,
+}
+
+/// What a workspace asked for and got at one box since it told last, in tokens.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Used {
+    /// The workspace.
+    pub workspace: WorkspaceName,
+    /// What it asked for and got.
+    pub tokens: Tokens,
 }
 
 /// A prompt, as boxes tell it.
@@ -115,8 +153,9 @@
     }
 }
 
-impl From<ToldPrompt> for Prompt {
-    fn from(told: ToldPrompt) -> Prompt {
-        Prompt { tokens: told.tokens, written_max: told.written_max, parts: told.parts }
+impl From<&ToldPrompt> for Prompt {
+    fn from(told: &ToldPrompt) -> Prompt {
+        let ToldPrompt { tokens, written_max, ref parts } = *told;
+        Prompt { tokens, written_max, parts: parts.clone() }
     }
 }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod answer;
 pub mod ask;
+pub mod asking;
 pub mod budget;
 pub mod capacity;
 pub mod dialect;
@@ -135,7 +136,9 @@
     let (stop, stopping) = watch::channel(Stop::No);
     follow(&hub, &*around.directory);
     peers::start(&hub);
-    tokio::spawn(warm::up(hub.clone(), around.engines));
+    tokio::spawn(warm::up(hub.clone(), around.engines.clone()));
+    tokio::spawn(warm::keep(hub.clone(), around.engines));
+    tokio::spawn(asking::tell_shares(hub.clone()));
     tokio::spawn(tick(hub.clone()));
     tokio::spawn(look::run(hub.clone()));
     tokio::spawn(reload(hub.clone(), path));
@@ -180,6 +183,12 @@
                 "streams_max" => hub.streams_max(), "in_flight" => hub.in_flight());
         }
         hub.change(view::View::tick);
+        let engines = hub.read(|view| view.fleet().engines().count());
+        if hub.peers().refresh(engines) {
+            let owners = hub.peers().owners();
+            info!(hub.log(), "owners"; "boxes" => hub.peers().live() + 1, "engines" => engines,
+                "kept" => owners.kept_by(hub.peers().me()).count());
+        }
         let known: HashSet<SocketAddr> =
             hub.read(|view| view.fleet().listed().map(|l| l.addr).collect());
         hub.links().tick(&known);
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -2,11 +2,11 @@
 //! may be lost; a model that misses some is less exact, and nothing else depends on it.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use slog::debug;
@@ -16,31 +16,30 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::fleet::members::Age;
+use crate::fleet::members::BEAT;
+use crate::fleet::members::Beat;
+use crate::fleet::members::Heard;
+use crate::fleet::members::Member;
+use crate::fleet::members::Members;
+use crate::fleet::members::Record;
+use crate::fleet::owners::Candidate;
+use crate::fleet::owners::Owners;
 use crate::names::BoxName;
 use crate::names::ZoneName;
+use crate::proxy::asking;
 use crate::proxy::hub::Hub;
 use crate::proxy::intake;
-use crate::proxy::message::Beat;
 use crate::proxy::message::Message;
 use crate::proxy::settings::Settings;
 use crate::proxy::side;
 use crate::util;
 
-/// Time between signs of life.
-const BEAT: Duration = Duration::from_millis(400);
-
-/// A box that has not been heard of for this long gets no more than signs of life: five beats and
-/// a lost one.
-const SILENT_AFTER: Duration = Duration::from_millis(2400);
-
-/// A box that has not been heard of for this long is forgotten, unless it is a seed.
-const FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
-
 /// Largest datagram, in bytes: fits an Ethernet frame.
 const DATAGRAM_MAX: usize = 1400;
 
-/// What is told waits for more for this long a box that hears it, so that the cost of telling grows
-/// with the number of boxes and not with that times the requests.
+/// What is told to all waits for more for this long a box that hears it, so that the cost of telling
+/// grows with the number of boxes and not with that times the requests.
 const DELAY_PER_BOX: Duration = Duration::from_micros(500);
 
 /// Shorter delays are not worth a timer: up to a dozen boxes hear at once.
@@ -54,21 +53,18 @@
 const LATER_PER_BOX: Duration = Duration::from_millis(2);
 const LATER_MAX: Duration = Duration::from_millis(100);
 
+/// What is told to single boxes waits for more for this long: a tenth of the time that a choice can
+/// be off by without anybody waiting.
+const GATHER: Duration = Duration::from_millis(20);
+
 /// Datagrams taken in before others get their turn.
 const DATAGRAMS_AT_ONCE: usize = 64;
 
-/// Addresses of other boxes told in a sign of life.
-const TOLD_MAX: usize = 48;
-
-/// One sign of life in so many tells addresses, beside those to boxes that are new: a list costs ten
-/// times the rest, and only mends what was lost at the start.
-const LIST_EVERY: u64 = 10;
-
 /// The store tells each box of a new configuration at about the same time; another box is asked
 /// for it only if the store has not told after this.
 const ASK_AFTER: Duration = Duration::from_millis(300);
 
-/// What a box says of itself in a sign of life.
+/// What a box says of itself that changes.
 #[derive(Clone, Copy, Debug)]
 struct State {
     version: u64,
@@ -82,27 +78,28 @@
     me: SocketAddr,
     name: BoxName,
     zone: ZoneName,
+    cores: f64,
     incarnation: u64,
     port: u16,
     socket: Arc<UdpSocket>,
-    known: Mutex<BTreeMap<SocketAddr, Peer>>,
-    pending: Mutex<Pending>,
+    epoch: Instant,
+    members: Mutex<Members>,
+    seen: Mutex<Seen>,
+    to_all: Mutex<Pending>,
     told: Notify,
     told_later: Notify,
-    /// Signs of life given.
-    beats: AtomicU64,
+    to_some: Mutex<BTreeMap<IpAddr, Vec<u8>>>,
+    told_some: Notify,
 }
 
-/// What a sign of life tells beside what it says.
-struct Heard {
-    /// The boxes that must hear of this one at once: those that were not known before, and the
-    /// sender if it was not known to be alive.
-    news: Vec<SocketAddr>,
-    /// Whether the sender has ended and started since it was last heard.
-    has_restarted: bool,
+/// What is worked out of the members now and then, since it is asked for with each request.
+#[derive(Debug, Default)]
+struct Seen {
+    live: usize,
+    owners: Arc<Owners>,
 }
 
-/// What waits to be told.
+/// What waits to be told to all.
 #[derive(Debug, Default)]
 struct Pending {
     /// Messages, one behind the other.
@@ -111,42 +108,6 @@
     is_urgent: bool,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Peer {
-    is_seed: bool,
-    added: Instant,
-    heard: Option<Instant>,
-    /// Whether it has been alive without a word since that it isn't any more.
-    counts_as_live: bool,
-    incarnation: u64,
-    version: u64,
-    sees_store: bool,
-    is_warm: bool,
-}
-
-impl Peer {
-    fn unheard() -> Peer {
-        Peer {
-            is_seed: false,
-            added: Instant::now(),
-            heard: None,
-            counts_as_live: false,
-            incarnation: 0,
-            version: 0,
-            sees_store: false,
-            is_warm: false,
-        }
-    }
-
-    fn is_live(&self) -> bool {
-        self.heard.is_some_and(|at| at.elapsed() < SILENT_AFTER)
-    }
-
-    fn is_forgotten(&self) -> bool {
-        !self.is_seed && FORGOTTEN_AFTER < self.heard.unwrap_or(self.added).elapsed()
-    }
-}
-
 impl Peers {
     /// Nobody is known yet.
     pub fn new(cfg: &Settings, socket: UdpSocket) -> Peers {
@@ -154,36 +115,75 @@
             me: cfg.peers,
             name: cfg.identity.name.clone(),
             zone: cfg.identity.zone.clone(),
+            cores: cfg.cores,
             incarnation: util::new_incarnation(),
             port: cfg.datagrams.port(),
             socket: Arc::new(socket),
-            known: Mutex::default(),
-            pending: Mutex::default(),
+            epoch: Instant::now(),
+            members: Mutex::new(Members::new(cfg.peers.ip())),
+            seen: Mutex::default(),
+            to_all: Mutex::default(),
             told: Notify::new(),
             told_later: Notify::new(),
-            beats: AtomicU64::new(0),
+            to_some: Mutex::default(),
+            told_some: Notify::new(),
         }
     }
 
+    /// This box's address.
+    pub fn me(&self) -> IpAddr {
+        self.me.ip()
+    }
+
+    /// This box's availability zone.
+    pub fn zone(&self) -> &ZoneName {
+        &self.zone
+    }
+
     /// Adds boxes that may be there.
     pub fn add_seeds(&self, seeds: &[SocketAddr]) {
-        let mut known = self.known.lock().expect("no panic under lock");
-        for seed in seeds.iter().filter(|s| **s != self.me) {
-            known.entry(*seed).or_insert_with(Peer::unheard).is_seed = true;
-        }
+        let now = self.now();
+        self.members(|members| seeds.iter().for_each(|s| members.add_seed(s.ip(), now)));
     }
 
     /// How many others are alive.
     pub fn live(&self) -> usize {
-        let known = self.known.lock().expect("no panic under lock");
-        known.values().filter(|p| p.is_live()).count()
+        self.seen.lock().expect("no panic under lock").live
+    }
+
+    /// Who owns the models of which engines.
+    pub fn owners(&self) -> Arc<Owners> {
+        self.seen.lock().expect("no panic under lock").owners.clone()
+    }
+
+    /// Works out anew who is alive and who owns what. True when owners have changed.
+    pub fn refresh(&self, engines: usize) -> bool {
+        let now = self.now();
+        let me = Candidate { ip: self.me.ip(), zone: self.zone.clone(), cores: self.cores };
+        let candidate = |(ip, member): (IpAddr, &Member)| {
+            let record = member.record.as_ref()?;
+            Some(Candidate { ip, zone: record.zone.clone(), cores: record.cores })
+        };
+        let (live, others) = self.members(|members| {
+            let others: Vec<Candidate> = members.live(now).filter_map(candidate).collect();
+            (members.live(now).count(), others)
+        });
+        let boxes: Vec<Candidate> = others.into_iter().chain([me]).collect();
+        let owners = Owners::new(&boxes, engines);
+        let mut seen = self.seen.lock().expect("no panic under lock");
+        seen.live = live;
+        let has_changed = *seen.owners != owners;
+        if has_changed {
+            seen.owners = Arc::new(owners);
+        }
+        has_changed
     }
 
     /// Tells all boxes that are alive: at once where there are few, else together with what else
     /// is told within a moment, since each datagram costs each box a call.
     pub fn tell(&self, message: &Message) {
         let Ok(mut buf) = postcard::to_stdvec(message) else { return };
-        let mut pending = self.pending.lock().expect("no panic under lock");
+        let mut pending = self.to_all.lock().expect("no panic under lock");
         if DATAGRAM_MAX < pending.buf.len() + buf.len() {
             self.send_to_live(&std::mem::take(&mut pending.buf));
         }
@@ -198,8 +198,31 @@
         pending.buf.append(&mut buf);
     }
 
-    /// Sends what is pending whenever there is something, until the process ends.
-    async fn flush(&self) {
+    /// Tells single boxes, together with what else they are told within a moment.
+    pub fn tell_some(&self, to: impl Iterator<Item = IpAddr>, message: &Message) {
+        let Ok(buf) = postcard::to_stdvec(message) else { return };
+        let mut pending = self.to_some.lock().expect("no panic under lock");
+        if pending.is_empty() {
+            self.told_some.notify_one();
+        }
+        for ip in to.filter(|ip| *ip != self.me.ip()) {
+            let waiting = pending.entry(ip).or_default();
+            if DATAGRAM_MAX < waiting.len() + buf.len() {
+                self.send(&std::mem::take(waiting), ip);
+            }
+            waiting.extend_from_slice(&buf);
+        }
+    }
+
+    /// Tells one box at once.
+    pub fn tell_now(&self, to: IpAddr, message: &Message) {
+        if let Ok(buf) = postcard::to_stdvec(message) {
+            self.send(&buf, to);
+        }
+    }
+
+    /// Sends what is pending for all whenever there is something, until the process ends.
+    async fn flush_all(&self) {
         loop {
             tokio::select! {
                 () = self.told.notified() => {}
@@ -213,117 +236,114 @@
             if DELAY_MIN <= delay {
                 tokio::time::sleep(delay.min(DELAY_MAX)).await;
             }
-            let pending = std::mem::take(&mut *self.pending.lock().expect("no panic under lock"));
+            let pending = std::mem::take(&mut *self.to_all.lock().expect("no panic under lock"));
             self.send_to_live(&pending.buf);
         }
     }
 
+    /// The same for what is pending for single boxes.
+    async fn flush_some(&self) {
+        loop {
+            self.told_some.notified().await;
+            tokio::time::sleep(GATHER).await;
+            let pending = std::mem::take(&mut *self.to_some.lock().expect("no panic under lock"));
+            pending.iter().for_each(|(ip, buf)| self.send(buf, *ip));
+        }
+    }
+
     fn send_to_live(&self, buf: &[u8]) {
         if buf.is_empty() {
             return;
         }
-        let known = self.known.lock().expect("no panic under lock");
-        let live = known.iter().filter(|(_, p)| p.is_live()).map(|(addr, _)| *addr);
-        self.send(buf, live);
+        let now = self.now();
+        self.members(|members| members.live(now).for_each(|(ip, _)| self.send(buf, ip)));
     }
 
-    /// Tells all boxes, or only those in `to`, that this one is alive.
-    fn beat(&self, state: State, to: Option<&[SocketAddr]>) {
-        let number = self.beats.fetch_add(1, Ordering::Relaxed);
-        let tells_others = to.is_some() || number.is_multiple_of(LIST_EVERY);
+    /// Gives the boxes that are due a sign of life.
+    fn beat(&self, state: State) {
+        let now = self.now();
+        let (to, ages) = self.members(|members| {
+            let mut rng = rand::rng();
+            (members.targets(now, &mut rng), members.ages(now, &mut rng))
+        });
+        self.give_sign(state, ages, &to);
+    }
+
+    /// Gives some boxes a sign of life at once.
+    fn greet(&self, state: State, to: &BTreeSet<IpAddr>) {
+        let now = self.now();
+        let (to, ages) = self.members(|members| {
+            let to = to.iter().map(|ip| (*ip, members.record(*ip).is_none())).collect::<Vec<_>>();
+            (to, members.ages(now, &mut rand::rng()))
+        });
+        self.give_sign(state, ages, &to);
+    }
+
+    fn give_sign(&self, state: State, ages: Vec<Age>, to: &[(IpAddr, bool)]) {
         let State { version, sees_store, is_warm } = state;
-        let mut known = self.known.lock().expect("no panic under lock");
-        known.retain(|_, peer| !peer.is_forgotten());
-        let live = known.iter().filter(|(_, p)| p.is_live()).map(|(addr, _)| *addr);
-        let message = Message::Beat(Beat {
+        let record = Record {
             name: self.name.clone(),
             zone: self.zone.clone(),
             addr: self.me,
             incarnation: self.incarnation,
+            cores: self.cores,
             version,
             sees_store,
             is_warm,
-            known: live.take(if tells_others { TOLD_MAX } else { 0 }).collect(),
-        });
-        let Ok(buf) = postcard::to_stdvec(&message) else { return };
-        match to {
-            Some(to) => self.send(&buf, to.iter().copied()),
-            None => self.send(&buf, known.keys().copied()),
+        };
+        let mut beat = Beat { record, asks: false, ages };
+        for asks in [false, true] {
+            let mut to = to.iter().filter(|(_, a)| *a == asks).map(|(ip, _)| *ip).peekable();
+            if to.peek().is_none() {
+                continue;
+            }
+            beat.asks = asks;
+            let Ok(buf) = postcard::to_stdvec(&Message::Beat(beat.clone())) else { continue };
+            to.for_each(|ip| self.send(&buf, ip));
         }
     }
 
-    fn send(&self, buf: &[u8], to: impl Iterator<Item = SocketAddr>) {
+    fn send(&self, buf: &[u8], to: IpAddr) {
         if DATAGRAM_MAX < buf.len() {
             return;
         }
-        for addr in to {
-            // What can't be sent now is lost, as any datagram may be.
-            let _ = self.socket.try_send_to(buf, SocketAddr::new(addr.ip(), self.port));
-        }
-    }
-
-    /// Notes a sign of life.
-    fn hear(&self, beat: &Beat) -> Heard {
-        let mut news = Vec::new();
-        if beat.addr == self.me {
-            return Heard { news, has_restarted: false };
-        }
-        let mut known = self.known.lock().expect("no panic under lock");
-        for addr in beat.known.iter().filter(|a| **a != self.me) {
-            known.entry(*addr).or_insert_with(|| {
-                news.push(*addr);
-                Peer::unheard()
-            });
-        }
-        let peer = known.entry(beat.addr).or_insert_with(Peer::unheard);
-        let was_live = peer.is_live();
-        let has_restarted = peer.heard.is_some() && peer.incarnation != beat.incarnation;
-        peer.heard = Some(Instant::now());
-        peer.counts_as_live = true;
-        peer.incarnation = beat.incarnation;
-        peer.version = beat.version;
-        peer.sees_store = beat.sees_store;
-        peer.is_warm = beat.is_warm;
-        if !was_live {
-            news.push(beat.addr);
-        }
-        Heard { news, has_restarted }
-    }
-
-    /// The boxes that have fallen silent since the last call.
-    fn take_silent(&self) -> Vec<SocketAddr> {
-        let mut known = self.known.lock().expect("no panic under lock");
-        let silent = known.iter_mut().filter(|(_, p)| p.counts_as_live && !p.is_live());
-        silent
-            .map(|(addr, peer)| {
-                peer.counts_as_live = false;
-                *addr
-            })
-            .collect()
+        // What can't be sent now is lost, as any datagram may be.
+        let _ = self.socket.try_send_to(buf, SocketAddr::new(to, self.port));
     }
 
     /// A box that has a newer configuration than `version`, preferably one that sees the store.
     fn ahead_of(&self, version: u64) -> Option<SocketAddr> {
-        self.pick(|p| (version < p.version).then_some((p.sees_store, p.version)))
+        self.pick(|r| (version < r.version).then_some((r.sees_store, r.version)))
     }
 
     /// A box that knows what engines keep.
     pub fn warm(&self) -> Option<SocketAddr> {
-        self.pick(|p| p.is_warm.then_some(()))
+        self.pick(|r| r.is_warm.then_some(()))
     }
 
     /// A box that sees the store.
     fn with_store(&self) -> Option<SocketAddr> {
-        self.pick(|p| p.sees_store.then_some(()))
+        self.pick(|r| r.sees_store.then_some(()))
+    }
+
+    /// Where a box answers others, if it is alive.
+    pub fn addr_of(&self, ip: IpAddr) -> Option<SocketAddr> {
+        let now = self.now();
+        self.members(|members| {
+            let (_, member) = members.live(now).find(|(live, _)| *live == ip)?;
+            member.record.as_ref().map(|r| r.addr)
+        })
     }
 
     /// Of the boxes that are alive and have a rank, one with the highest. Boxes with the same rank
     /// are asked by different ones: when many start at once, one alone could not answer them all.
-    fn pick<R: Ord>(&self, rank: impl Fn(&Peer) -> Option<R>) -> Option<SocketAddr> {
-        let known = self.known.lock().expect("no panic under lock");
-        let live = known.iter().filter(|(_, p)| p.is_live());
-        let ranked = live.filter_map(|(addr, p)| Some((rank(p)?, self.draw(addr), *addr)));
-        ranked.max().map(|(_, _, addr)| addr)
+    fn pick<R: Ord>(&self, rank: impl Fn(&Record) -> Option<R>) -> Option<SocketAddr> {
+        let now = self.now();
+        self.members(|members| {
+            let records = members.live(now).filter_map(|(_, m)| m.record.as_ref());
+            let ranked = records.filter_map(|r| Some((rank(r)?, self.draw(&r.addr), r.addr)));
+            ranked.max().map(|(_, _, addr)| addr)
+        })
     }
 
     /// A number for another box that differs from box to box.
@@ -333,8 +353,16 @@
 
     /// Whether this box comes first among those that are alive.
     pub fn is_first(&self) -> bool {
-        let known = self.known.lock().expect("no panic under lock");
-        known.iter().filter(|(_, p)| p.is_live()).all(|(addr, _)| self.me < *addr)
+        let now = self.now();
+        self.members(|members| members.live(now).all(|(ip, _)| self.me.ip() < ip))
+    }
+
+    fn members<T>(&self, f: impl FnOnce(&mut Members) -> T) -> T {
+        f(&mut self.members.lock().expect("no panic under lock"))
+    }
+
+    fn now(&self) -> Duration {
+        self.epoch.elapsed()
     }
 }
 
@@ -343,7 +371,9 @@
     tokio::spawn(listen(hub.clone()));
     tokio::spawn(beat(hub.clone()));
     let flushing = hub.clone();
-    tokio::spawn(async move { flushing.peers().flush().await });
+    tokio::spawn(async move { flushing.peers().flush_all().await });
+    let flushing = hub.clone();
+    tokio::spawn(async move { flushing.peers().flush_some().await });
     tokio::spawn(catch_up(hub.clone()));
 }
 
@@ -379,6 +409,7 @@
         buf = rest;
         match message {
             Message::Beat(beat) => hear(hub, &beat),
+            Message::Ask(ask) => asking::answer(hub, &ask, from.ip()),
             message => intake::message(hub, message, from.ip()),
         }
     }
@@ -387,19 +418,21 @@
 /// Takes in a sign of life. Boxes that start learn of each other within some round trips, since
 /// each answers at once.
 fn hear(hub: &Hub, beat: &Beat) {
-    let Heard { news, has_restarted } = hub.peers().hear(beat);
+    let peers = hub.peers();
+    let now = peers.now();
+    let Heard { greet, is_new, has_restarted } = peers.members(|members| members.hear(beat, now));
+    let record = &beat.record;
     if has_restarted {
-        info!(hub.log(), "box restarted"; "name" => beat.name.as_str());
-        hub.fleet(|fleet| fleet.forget_sender(beat.addr.ip()));
+        info!(hub.log(), "box restarted"; "name" => record.name.as_str());
+        hub.fleet(|fleet| fleet.forget_sender(record.addr.ip()));
     }
-    if news.is_empty() {
-        return;
+    if is_new {
+        info!(hub.log(), "box heard"; "name" => record.name.as_str(),
+            "zone" => record.zone.as_str(), "version" => record.version);
     }
-    if news.contains(&beat.addr) {
-        info!(hub.log(), "box heard"; "name" => beat.name.as_str(),
-            "zone" => beat.zone.as_str(), "version" => beat.version);
+    if !greet.is_empty() {
+        peers.greet(state(hub), &greet);
     }
-    hub.peers().beat(state(hub), Some(&news));
 }
 
 fn state(hub: &Hub) -> State {
@@ -409,11 +442,13 @@
 
 async fn beat(hub: Arc<Hub>) {
     loop {
-        for addr in hub.peers().take_silent() {
-            info!(hub.log(), "box silent"; "addr" => %addr);
-            hub.fleet(|fleet| fleet.forget_sender(addr.ip()));
+        let peers = hub.peers();
+        let now = peers.now();
+        for ip in peers.members(|members| members.take_silent(now)) {
+            info!(hub.log(), "box silent"; "ip" => %ip);
+            hub.fleet(|fleet| fleet.forget_sender(ip));
         }
-        hub.peers().beat(state(&hub), None);
+        peers.beat(state(&hub));
         tokio::time::sleep(BEAT).await;
     }
 }
--- a/src/proxy/placed.rs
+++ b/src/proxy/placed.rs
@@ -9,6 +9,7 @@
 use crate::names::UpstreamName;
 use crate::placement::choice::Choice;
 use crate::placement::upstream::Health;
+use crate::proxy::asking;
 use crate::proxy::hub::Hub;
 use crate::proxy::message::Message;
 
@@ -55,6 +56,7 @@
 impl Placed {
     /// The entry of a request that `choice` was made for.
     pub fn new(hub: &Arc<Hub>, choice: &Choice, request: u64, is_model: bool) -> Placed {
+        hub.fleet(|fleet| fleet.sent(&choice.upstream));
         Placed {
             hub: hub.clone(),
             upstream: choice.upstream.clone(),
@@ -72,7 +74,7 @@
         &self.upstream
     }
 
-    /// Notes the first token, here and at the other boxes; nothing if this isn't the first.
+    /// Notes the first token, here and at those who keep the engine's model; nothing if this isn't the first.
     pub fn first(&self) -> Option<FirstToken> {
         if self.begun.swap(true, Ordering::Relaxed) || !self.is_model {
             return None;
@@ -82,7 +84,8 @@
         self.hub.fleet(|fleet| fleet.first(&self.upstream, self.request, Some(took), now));
         let (upstream, request) = (self.upstream.clone(), self.request);
         let took_ms = u32::try_from(took.as_millis()).unwrap_or(u32::MAX);
-        self.hub.peers().tell(&Message::First { upstream, request, took_ms });
+        let message = Message::First { upstream, request, took_ms };
+        asking::tell_keepers(&self.hub, &self.upstream, &message);
         let first = FirstToken { expected: self.expected, took };
         self.hub.metrics().first_token(first);
         Some(first)
@@ -109,7 +112,7 @@
         });
         if self.is_model {
             let (upstream, request) = (self.upstream.clone(), self.request);
-            self.hub.peers().tell(&Message::Ended { upstream, request });
+            asking::tell_keepers(&self.hub, &self.upstream, &Message::Ended { upstream, request });
         }
     }
 }
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -21,6 +21,8 @@
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
 use crate::names::WorkspaceName;
+use crate::placement::admit::Denial;
+use crate::placement::admit::Wish;
 use crate::placement::choice::Choice;
 use crate::placement::choice::NoChoice;
 use crate::placement::choice::Wanted;
@@ -28,8 +30,10 @@
 use crate::proxy::admission;
 use crate::proxy::answer;
 use crate::proxy::answer::Refusal;
+use crate::proxy::asking;
 use crate::proxy::dialect::Head;
 use crate::proxy::dialect::Outgoing;
+use crate::proxy::dialect::Prompt;
 use crate::proxy::dialect::Verdict;
 use crate::proxy::hub::Hub;
 use crate::proxy::link;
@@ -58,14 +62,6 @@
 /// When to come back at the earliest after an overload.
 const OVERLOAD_RETRY_MIN: Duration = Duration::from_millis(100);
 
-/// A workspace that is over its share by this part of it gets only what needs no wait at all.
-const SHARE_EXCESS: f64 = 0.5;
-
-/// A workspace that has had less than this part of its share goes to any engine that is free. The
-/// others stay with the engines that keep their parts: to copy these or read them again takes from
-/// what all can be served.
-const SHARE_ANYWHERE: f64 = 0.85;
-
 /// Longest answer of a plain service that is held until it is whole.
 const WHOLE_MAX: usize = 4 << 20;
 
@@ -185,11 +181,11 @@
         let mut unsent = 0;
         let mut earlier = Earlier::default();
         loop {
-            let choice = match self.choose() {
-                Ok(choice) => choice,
+            let (choice, placed) = match self.place().await {
+                Ok(placed) => placed,
                 Err(cause) => return earlier.give_up(cause),
             };
-            match self.send(&choice, None).await {
+            match self.send(&choice, placed, None).await {
                 Sent::Answer(reply) => return Ok(reply),
                 Sent::Unsent(e) => {
                     info!(self.hub.log(), "not sent"; "id" => &self.head.id,
@@ -224,67 +220,76 @@
         self.sends < SENDS_MAX && self.hub.may_repeat(&self.service)
     }
 
-    /// Chooses an upstream, or says why the request can't be served in time.
-    pub fn choose(&self) -> Result<Choice, Refusal> {
-        let prompt = self.head.prompt.as_ref();
-        let used = prompt.map_or(0.0, |p| self.hub.share_used(self.workspace.as_ref(), p));
-        let wait_max = prompt.map_or(Duration::MAX, |_| self.wait_max(used));
-        let wanted = Wanted {
+    /// Chooses an upstream and enters the request there, or says why it can't be served in time.
+    pub async fn place(&mut self) -> Result<(Choice, Placed), Refusal> {
+        let name = format!("{}/{}", self.head.id, self.tried.len());
+        let request = xxh3_64(name.as_bytes());
+        let choice = match &self.head.prompt {
+            Some(prompt) => self.place_prompt(prompt, request).await?,
+            None => self.choose_plain()?,
+        };
+        self.log_placed(&choice);
+        let placed = Placed::new(&self.hub, &choice, request, self.head.prompt.is_some());
+        Ok((choice, placed))
+    }
+
+    async fn place_prompt(&self, prompt: &Prompt, request: u64) -> Result<Choice, Refusal> {
+        let wish = Wish {
+            request,
             service: &self.service,
             prompt,
+            workspace: self.workspace.as_ref(),
             except: &self.tried,
-            wait_max,
-            anywhere: used <= SHARE_ANYWHERE,
+            aim: self.route.aim,
+            waited: self.arrived.elapsed(),
+            group: None,
+            zone: None,
+            sender: None,
+            source: None,
+            is_last: false,
         };
-        let no_choice = match self.hub.choose(wanted) {
-            Ok(choice) => return Ok(choice),
-            Err(no_choice) => no_choice,
+        asking::place(&self.hub, wish).await.map_err(|denial| {
+            self.log_denial(&denial);
+            refusal(denial.cause, denial.wait_max)
+        })
+    }
+
+    fn choose_plain(&self) -> Result<Choice, Refusal> {
+        let wanted = Wanted {
+            service: &self.service,
+            prompt: None,
+            except: &self.tried,
+            wait_max: Duration::MAX,
+            anywhere: true,
+            group: None,
+            zone: None,
+            source: None,
         };
-        if let Some(prompt) = prompt {
-            self.hub.refuse(self.workspace.as_ref(), prompt);
-        }
-        self.log_no_choice(no_choice, used, wait_max);
-        Err(match no_choice {
-            NoChoice::NoUpstream => Refusal::NoUpstream { retry_after: NO_UPSTREAM_RETRY },
-            NoChoice::Full => Refusal::Overloaded { retry_after: NO_UPSTREAM_RETRY },
-            NoChoice::Busy { wait } => {
-                let excess = wait.saturating_sub(wait_max);
-                Refusal::Overloaded { retry_after: excess.max(OVERLOAD_RETRY_MIN) }
-            }
+        self.hub.choose(wanted).map_err(|cause| {
+            info!(self.hub.log(), "not placed"; "id" => &self.head.id, "route" => &self.route.name,
+                "service" => self.service.as_str(), "cause" => cause.code(),
+                "tried" => self.tried.len(), "version" => self.hub.version());
+            refusal(cause, Duration::MAX)
         })
     }
 
-    fn log_no_choice(&self, no_choice: NoChoice, share_used: f64, wait_max: Duration) {
-        let wait = match no_choice {
+    fn log_denial(&self, denial: &Denial) {
+        let wait = match denial.cause {
             NoChoice::Busy { wait } => Some(wait.as_millis() as u64),
             NoChoice::NoUpstream | NoChoice::Full => None,
         };
         info!(self.hub.log(), "not placed"; "id" => &self.head.id, "route" => &self.route.name,
-            "service" => self.service.as_str(), "cause" => no_choice.code(),
+            "service" => self.service.as_str(), "cause" => denial.cause.code(),
             "workspace" => self.workspace.as_ref().map(WorkspaceName::as_str),
-            "share_used" => (share_used * 100.0).round() / 100.0,
-            "wait_ms" => wait, "wait_max_ms" => wait_max.as_millis() as u64,
+            "share_used" => (denial.share_used * 100.0).round() / 100.0,
+            "wait_ms" => wait, "wait_max_ms" => denial.wait_max.as_millis() as u64,
             "tried" => self.tried.len(), "version" => self.hub.version());
     }
 
-    /// How long the request may wait for an engine. The wait is judged, not the time to the first
-    /// token, so that long prompts are refused no more often than short ones.
-    fn wait_max(&self, used: f64) -> Duration {
-        let tuning = self.hub.tuning();
-        let share = if used <= 1.0 {
-            tuning.wait_share
-        } else {
-            let left = 1.0 - (used - 1.0) / SHARE_EXCESS;
-            tuning.wait_share_over * left.max(0.0)
-        };
-        self.route.aim.mul_f64(share).saturating_sub(self.arrived.elapsed())
-    }
-
     /// Sends the request to an upstream, from the event after `resume_after` on if that is given.
-    async fn send(&mut self, choice: &Choice, resume_after: Option<u64>) -> Sent {
+    async fn send(&mut self, choice: &Choice, placed: Placed, resume_after: Option<u64>) -> Sent {
         self.tried.push(choice.upstream.clone());
         let req = self.request_for(choice, resume_after);
-        let placed = self.place(choice);
         let began = Instant::now();
         let once = self.route.repeat == Repeat::Never;
         let links = self.hub.links().clone();
@@ -370,8 +375,8 @@
         let repeatable =
             self.route.repeat == Repeat::AfterEvent && self.sends < self.route.max_upstreams;
         while repeatable && self.may_repeat() {
-            let choice = self.choose().ok()?;
-            match self.send(&choice, after.or(self.head.resume_after)).await {
+            let (choice, placed) = self.place().await.ok()?;
+            match self.send(&choice, placed, after.or(self.head.resume_after)).await {
                 Sent::Answer(reply) => return Some(reply),
                 Sent::Unsent(_) | Sent::NotRun => {}
                 Sent::Unsure(_) => return None,
@@ -398,8 +403,7 @@
         req
     }
 
-    fn place(&self, choice: &Choice) -> Placed {
-        let name = format!("{}/{}", self.head.id, self.tried.len());
+    fn log_placed(&self, choice: &Choice) {
         info!(self.hub.log(), "placed"; "id" => &self.head.id, "route" => &self.route.name,
             "workspace" => self.workspace.as_ref().map(WorkspaceName::as_str),
             "upstream" => choice.upstream.as_str(), "prompt" => self.head.prompt.as_ref().map_or(0, |p| p.tokens),
@@ -408,9 +412,7 @@
             "copied" => choice.copied, "running" => choice.running,
             "running_tokens" => choice.running_tokens, "wait_ms" => choice.wait.as_millis() as u64,
             "expected_ms" => choice.first_token.as_millis() as u64,
-            "version" => self.hub.version(), "try" => self.tried.len());
-        let prompt = self.head.prompt.as_ref();
-        self.hub.place(choice, xxh3_64(name.as_bytes()), prompt, self.workspace.as_ref())
+            "version" => self.hub.version(), "try" => self.tried.len() + 1);
     }
 
     /// Passes an answer on.
@@ -454,6 +456,18 @@
     }
 }
 
+/// The refusal of a request that isn't placed, though it could have waited for so long.
+fn refusal(cause: NoChoice, wait_max: Duration) -> Refusal {
+    match cause {
+        NoChoice::NoUpstream => Refusal::NoUpstream { retry_after: NO_UPSTREAM_RETRY },
+        NoChoice::Full => Refusal::Overloaded { retry_after: NO_UPSTREAM_RETRY },
+        NoChoice::Busy { wait } => {
+            let excess = wait.saturating_sub(wait_max);
+            Refusal::Overloaded { retry_after: excess.max(OVERLOAD_RETRY_MIN) }
+        }
+    }
+}
+
 /// An answer to a caller.
 pub fn respond(status: StatusCode, headers: HeaderMap, body: Body) -> Response<Body> {
     let mut resp = Response::new(body);
--- a/src/proxy/side.rs
+++ b/src/proxy/side.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use crate::fleet::owners::Group;
 use crate::placement::fleet::Learned;
 use crate::proxy::Stop;
 use crate::proxy::ask;
@@ -70,12 +71,16 @@
     Ok(serde_json::from_slice(&ask_for(addr, SNAPSHOT_PATH).await?)?)
 }
 
-/// Asks another box what it has learned of engines.
-pub async fn ask_learned(addr: SocketAddr) -> Result<Learned, AskError> {
-    Ok(postcard::from_bytes(&ask_for(addr, LEARNED_PATH).await?)?)
+/// Asks another box what it has learned of engines, or of those of one group.
+pub async fn ask_learned(addr: SocketAddr, group: Option<Group>) -> Result<Learned, AskError> {
+    let path = match group {
+        Some(group) => format!("{LEARNED_PATH}/{group}"),
+        None => LEARNED_PATH.to_owned(),
+    };
+    Ok(postcard::from_bytes(&ask_for(addr, &path).await?)?)
 }
 
-async fn ask_for(addr: SocketAddr, path: &'static str) -> Result<Bytes, AskError> {
+async fn ask_for(addr: SocketAddr, path: &str) -> Result<Bytes, AskError> {
     let (status, body) = Asker::new(addr).get(path, ASK_TIMEOUT).await?;
     if status != StatusCode::OK {
         return Err(AskError::Status(status));
@@ -106,13 +111,23 @@
     hub: Arc<Hub>,
 }
 
+impl Known {
+    fn learned(&self, group: Option<Group>) -> Response<Bytes> {
+        packed(&self.hub.read(|view| view.fleet().learned(group)))
+    }
+}
+
 impl Page for Known {
     fn refuse(&self, head: &http::request::Parts) -> Option<Response<Bytes>> {
         match head.uri.path() {
             SNAPSHOT_PATH => Some(json(&self.hub.read(View::snapshot))),
-            LEARNED_PATH => Some(packed(&self.hub.read(|view| view.fleet().learned()))),
+            LEARNED_PATH => Some(self.learned(None)),
             METRICS_PATH => Some(Response::new(Bytes::from(self.hub.metrics().page()))),
-            _ => Some(empty(StatusCode::NOT_FOUND)),
+            path => {
+                let group = path.strip_prefix(LEARNED_PATH).and_then(|rest| rest.strip_prefix('/'));
+                let group = group.and_then(|group| group.parse().ok());
+                Some(group.map_or_else(|| empty(StatusCode::NOT_FOUND), |g| self.learned(Some(g))))
+            }
         }
     }
 
--- a/src/proxy/warm.rs
+++ b/src/proxy/warm.rs
@@ -1,16 +1,21 @@
 //! What is known of engines, for a box that has just started: told by another box, or where none
 //! knows, what they keep by the engines themselves.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use slog::debug;
 use tokio::time::Instant;
 
+use crate::fleet::owners::Group;
+use crate::fleet::owners::Owned;
 use crate::names::UpstreamName;
 use crate::placement::fleet::Kept;
 use crate::placement::fleet::Learned;
 use crate::proxy::dialect::Engines;
+use crate::proxy::dialect::Listed;
 use crate::proxy::hub::Hub;
 use crate::proxy::side;
 use crate::proxy::view::View;
@@ -21,13 +26,16 @@
 /// Boxes that are there answer the first sign of life; this is some round trips within a region.
 const OTHERS_HEARD: Duration = Duration::from_millis(120);
 
+/// Boxes that start together agree within this time on who keeps which models.
+const SETTLE: Duration = Duration::from_millis(300);
+
 /// After this the box learns from what it sends.
 const GIVE_UP: Duration = Duration::from_secs(5);
 
 /// Learns of the engines, once.
 pub async fn up(hub: Arc<Hub>, engines: Arc<dyn Engines>) {
     let began = Instant::now();
-    while began.elapsed() < GIVE_UP {
+    while began.elapsed() < GIVE_UP && hub.peers().owners().is_none() {
         tokio::time::sleep(INTERVAL).await;
         if !hub.read(View::is_ready) {
             continue;
@@ -37,7 +45,7 @@
             return;
         }
         if OTHERS_HEARD < began.elapsed() && hub.peers().is_first() {
-            let kept = from_engines(&hub, &*engines).await;
+            let kept = from_engines(&hub, &*engines, None).await;
             hub.warm_up(&Learned { kept, ..Learned::default() });
             return;
         }
@@ -47,15 +55,57 @@
 
 async fn from_others(hub: &Hub) -> Option<Learned> {
     let addr = hub.peers().warm()?;
-    side::ask_learned(addr)
+    side::ask_learned(addr, None)
         .await
         .inspect_err(|e| debug!(hub.log(), "box not asked"; "addr" => %addr, "error" => %e))
         .ok()
 }
 
-async fn from_engines(hub: &Hub, engines: &dyn Engines) -> Vec<Kept> {
-    let known: Vec<(UpstreamName, _)> =
-        hub.read(|view| view.fleet().engines().map(|l| (l.name.clone(), l.addr)).collect());
+/// Learns of the engines of groups whose models this box comes to keep, until the process ends.
+pub async fn keep(hub: Arc<Hub>, engines: Arc<dyn Engines>) {
+    let mut known: BTreeSet<Group> = BTreeSet::new();
+    loop {
+        tokio::time::sleep(SETTLE).await;
+        let me = hub.peers().me();
+        let kept: BTreeMap<Group, Owned> = hub.peers().owners().kept_by(me).collect();
+        known.retain(|group| kept.contains_key(group));
+        for (group, owned) in kept {
+            if known.insert(group) {
+                tokio::spawn(learn(hub.clone(), engines.clone(), group, owned));
+            }
+        }
+    }
+}
+
+/// Learns of the engines of a group from whoever else keeps their models. Where nobody knows of them,
+/// the owner asks the engines.
+async fn learn(hub: Arc<Hub>, engines: Arc<dyn Engines>, group: Group, owned: Owned) {
+    let me = hub.peers().me();
+    let other = owned.keepers().find(|ip| *ip != me).and_then(|ip| hub.peers().addr_of(ip));
+    if let Some(addr) = other {
+        match side::ask_learned(addr, Some(group)).await {
+            Ok(learned) if learned.kept.iter().any(|k| !k.parts.is_empty()) => {
+                hub.warm_up(&learned);
+                return;
+            }
+            Ok(_) => {}
+            Err(e) => debug!(hub.log(), "box not asked"; "addr" => %addr, "error" => %e),
+        }
+    }
+    if owned.owner == me {
+        let kept = from_engines(&hub, &*engines, Some(group)).await;
+        hub.warm_up(&Learned { kept, ..Learned::default() });
+    }
+}
+
+async fn from_engines(hub: &Hub, engines: &dyn Engines, group: Option<Group>) -> Vec<Kept> {
+    let known: Vec<(UpstreamName, _)> = hub.read(|view| {
+        let asked = |l: &Listed| (l.name.clone(), l.addr);
+        match group {
+            Some(group) => view.fleet().engines_of(group).map(asked).collect(),
+            None => view.fleet().engines().map(asked).collect(),
+        }
+    });
     let asked = known.into_iter().map(|(upstream, addr)| {
         let answer = engines.kept(addr);
         async move {
--- a/tests/proxy_placement.rs
+++ b/tests/proxy_placement.rs
@@ -58,7 +58,16 @@
     wait_max: Duration,
 ) -> Result<Choice, NoChoice> {
     let (prompt, except) = (Some(prompt), &[][..]);
-    let wanted = Wanted { service: "llm", prompt, except, wait_max, anywhere: true };
+    let wanted = Wanted {
+        service: "llm",
+        prompt,
+        except,
+        wait_max,
+        anywhere: true,
+        group: None,
+        zone: None,
+        source: None,
+    };
     fleet.choose(wanted, millis(ms))
 }
 
@@ -292,7 +301,7 @@
     let choice = send(&mut old, &prompt(7, 100), 1, 0);
     finish(&mut old, &choice, 1, 400);
     let mut new = fleet(4);
-    new.take_over(&old.learned());
+    new.take_over(&old.learned(None));
     let found = choose(&new, &prompt(7, 101), 0).expect("there is an engine");
     assert_eq!((found.upstream, found.unread), (choice.upstream, 3_000));
 }
--- a/tests/proxy_speed.rs
+++ b/tests/proxy_speed.rs
@@ -122,7 +122,16 @@
     fn choose(&self, prompt: &Prompt, now: Duration) -> Choice {
         let (prompt, except) = (Some(prompt), &[][..]);
         let wait_max = Duration::MAX;
-        let wanted = Wanted { service: "llm", prompt, except, wait_max, anywhere: true };
+        let wanted = Wanted {
+            service: "llm",
+            prompt,
+            except,
+            wait_max,
+            anywhere: true,
+            group: None,
+            zone: None,
+            source: None,
+        };
         self.fleet.choose(wanted, now).expect("there is an engine")
     }
 
