Let three boxes of a zone watch the store and tell the others of their zone

Change: of the boxes of a zone that are alive the first three by rank, larger ones first, watch; others step in one by one, 0.3 s apart, when none has said for a second that it sees the store. A fleet that starts for the first time meets for a second before anybody watches; a box that restarts lists at once. In fleets of up to 16 boxes all watch, as before.

--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -66,6 +66,8 @@
     pub sees_store: bool,
     /// Whether it knows what engines keep.
     pub is_warm: bool,
+    /// A digest of the upstreams that it lists.
+    pub upstreams: u64,
 }
 
 /// How long ago a box was known to be alive.
@@ -124,9 +126,9 @@
         !self.is_seed && self.alive_at.unwrap_or(self.known_at) + FORGOTTEN_AFTER < now
     }
 
-    /// Time since its own word came last.
-    pub fn silent_for(&self, now: Duration) -> Duration {
-        now.saturating_sub(self.said_at)
+    /// Its last word, and how old that is.
+    pub fn word(&self, now: Duration) -> Option<(&Record, Duration)> {
+        Some((self.record.as_ref()?, now.saturating_sub(self.said_at)))
     }
 }
 
@@ -216,8 +218,13 @@
     }
 
     /// Whom to give the next sign of life, and whether it asks for one: all in a small fleet, else a
-    /// few that are alive, one that isn't, and those whose own word is missing.
-    pub fn targets(&mut self, now: Duration, rng: &mut impl Rng) -> Vec<(IpAddr, bool)> {
+    /// few that are alive, one that isn't, those whose own word is missing, and all of `zone`.
+    pub fn targets(
+        &mut self,
+        zone: Option<&ZoneName>,
+        now: Duration,
+        rng: &mut impl Rng,
+    ) -> BTreeMap<IpAddr, bool> {
         self.known.retain(|_, member| !member.is_forgotten(now));
         if self.known.len() <= DIRECT_MAX {
             return self.known.iter().map(|(ip, m)| (*ip, m.record.is_none())).collect();
@@ -225,11 +232,19 @@
         let (live, away): (Vec<_>, Vec<_>) = self.known.iter().partition(|(_, m)| m.is_live(now));
         let (said, unsaid): (Vec<_>, Vec<_>) =
             live.into_iter().partition(|(_, m)| m.record.is_some());
+        let is_of_zone = |m: &Member| m.record.as_ref().map(|r| &r.zone) == zone;
+        let here: Vec<_> = said.iter().copied().filter(|(_, m)| is_of_zone(m)).collect();
         let few = said.into_iter().choose_multiple(rng, FANOUT);
         let asked = unsaid.into_iter().choose_multiple(rng, ASKED_MAX);
         let away = away.into_iter().choose(rng);
         let ips = |(ip, m): (&IpAddr, &Member)| (*ip, m.record.is_none() || !m.is_live(now));
-        few.into_iter().chain(asked).chain(away).map(ips).collect()
+        few.into_iter().chain(here).chain(asked).chain(away).map(ips).collect()
+    }
+
+    /// The boxes of a zone that are alive.
+    pub fn zone(&self, zone: &ZoneName, now: Duration) -> Vec<IpAddr> {
+        let is_here = |m: &Member| m.record.as_ref().is_some_and(|r| r.zone == *zone);
+        self.live(now).filter(|(_, m)| is_here(m)).map(|(ip, _)| ip).collect()
     }
 
     /// How long ago others were alive, for a sign of life.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,5 +1,6 @@
-//! What the boxes of a fleet know of each other: who is alive, and who owns the model of which
-//! engines. Nothing here does input or output; time is a parameter.
+//! What the boxes of a fleet know of each other: who is alive, who watches the store, and who
+//! owns the model of which engines. Nothing here does input or output; time is a parameter.
 
+pub mod duty;
 pub mod members;
 pub mod owners;
--- a/src/fleet/owners.rs
+++ b/src/fleet/owners.rs
@@ -26,7 +26,7 @@
 
 /// Only boxes that may use at least this part of what the largest may own groups, since a box that
 /// has used up its part of a core stands still for up to a tenth of a second.
-const CORES_SHARE_MIN: f64 = 0.5;
+pub const CORES_SHARE_MIN: f64 = 0.5;
 
 /// Fleets of up to so many boxes tell all of them everything: each decides by itself then, and
 /// nobody waits for an answer.
--- a/src/proxy/dialect.rs
+++ b/src/proxy/dialect.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
@@ -145,6 +146,8 @@
     Lost(String),
     /// The store answers again.
     Regained,
+    /// The store isn't watched any more, since other boxes do that.
+    LeftToOthers,
 }
 
 /// Why an engine can't be asked what it keeps.
@@ -160,6 +163,6 @@
 
 /// The store that holds the configuration and the list of upstreams.
 pub trait Directory: Send + Sync {
-    /// Follows both until the receiver is gone. Needs a runtime.
-    fn follow(&self, tx: mpsc::UnboundedSender<News>);
+    /// Follows both until the receiver is gone, whenever `is_due` says so. Needs a runtime.
+    fn follow(&self, tx: mpsc::UnboundedSender<News>, is_due: watch::Receiver<bool>);
 }
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -325,13 +325,21 @@
                 info!(self.log, "upstream's entry missing"; "name" => name.as_str());
             }
         }
-        let message = match change {
-            Change::Leaving(name) => Message::Leaving { upstream: name.clone() },
-            Change::Gone(name) => Message::Gone { upstream: name.clone() },
-            _ => return,
-        };
-        if sees_store {
-            self.peers.tell(&message);
+        if !sees_store {
+            return;
+        }
+        match change {
+            Change::Leaving(name) => {
+                self.peers.tell_followers(&Message::Leaving { upstream: name.clone() });
+            }
+            Change::Gone(name) => {
+                self.peers.tell_followers(&Message::Gone { upstream: name.clone() });
+            }
+            Change::Upstream(listed) => {
+                self.peers.tell_followers(&Message::Listed(listed.clone()));
+            }
+            Change::Configured(_) => self.peers.announce(),
+            Change::Told(_) | Change::Missing(_) => {}
         }
     }
 }
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -36,6 +36,7 @@
             }
             hub.change(|view, _| view.store_lost());
         }
+        News::LeftToOthers => hub.change(|view, _| view.store_left_to_others()),
         News::Regained => {
             if !hub.read(View::reaches_store) {
                 info!(hub.log(), "store reached");
@@ -78,7 +79,8 @@
         Message::Leaving { upstream } => {
             hub.change(|view, _| view.told_leaving(&upstream));
         }
-        Message::Gone { upstream } => hub.change(|view, _| view.told_gone(&upstream)),
+        Message::Listed(listed) => hub.change(|view, _| view.told_listed(listed)),
+        Message::Gone { upstream } => hub.change(|view, now| view.told_gone(&upstream, now)),
         Message::Answer(answer) => asking::answered(hub, answer, sender),
         Message::Used(all) => hub.shares(|shares| {
             all.iter().for_each(|used| shares.add(&used.workspace, used.tokens, now));
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -15,6 +15,7 @@
 use crate::placement::choice::Choice;
 use crate::placement::choice::Source;
 use crate::placement::share::Tokens;
+use crate::proxy::dialect::Listed;
 use crate::proxy::dialect::Part;
 use crate::proxy::dialect::Prompt;
 
@@ -74,6 +75,8 @@
     Answer(Answer),
     /// What workspaces used at the sender.
     Used(Vec<Used>),
+    /// The store says that an upstream is new or has changed.
+    Listed(Listed),
     /// The store says that an upstream leaves.
     Leaving {
         /// The upstream.
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -134,12 +134,14 @@
     info!(log, "started"; "callers" => %cfg.callers, "zone" => cfg.identity.zone.as_str());
 
     let (stop, stopping) = watch::channel(Stop::No);
-    follow(&hub, &*around.directory);
+    let (due, is_due) = watch::channel(false);
+    follow(&hub, &*around.directory, is_due);
     peers::start(&hub);
     tokio::spawn(warm::up(hub.clone(), around.engines.clone()));
     tokio::spawn(warm::keep(hub.clone(), around.engines));
     tokio::spawn(asking::tell_shares(hub.clone()));
-    tokio::spawn(tick(hub.clone()));
+    due.send_replace(hub.peers().is_store_due());
+    tokio::spawn(tick(hub.clone(), due));
     tokio::spawn(look::run(hub.clone()));
     tokio::spawn(reload(hub.clone(), path));
     tokio::spawn(side::serve_ready(ready, hub.clone(), stopping.clone()));
@@ -157,9 +159,9 @@
     TcpListener::bind(addr).await.map_err(|source| Error::Io { what, source })
 }
 
-fn follow(hub: &Arc<Hub>, directory: &dyn Directory) {
+fn follow(hub: &Arc<Hub>, directory: &dyn Directory, is_due: watch::Receiver<bool>) {
     let (tx, mut rx) = mpsc::unbounded_channel();
-    directory.follow(tx);
+    directory.follow(tx, is_due);
     let hub = hub.clone();
     tokio::spawn(async move {
         while let Some(news) = rx.recv().await {
@@ -168,7 +170,7 @@
     });
 }
 
-async fn tick(hub: Arc<Hub>) {
+async fn tick(hub: Arc<Hub>, store_due: watch::Sender<bool>) {
     let mut capacity = Capacity::new(hub.streams_max());
     loop {
         let due = Instant::now() + TICK;
@@ -189,6 +191,10 @@
             info!(hub.log(), "owners"; "boxes" => hub.peers().live() + 1, "engines" => engines,
                 "kept" => owners.kept_by(hub.peers().me()).count());
         }
+        let is_due = hub.peers().is_store_due();
+        if store_due.send_if_modified(|was| std::mem::replace(was, is_due) != is_due) {
+            info!(hub.log(), "watch of the store"; "is_due" => is_due);
+        }
         let known: HashSet<SocketAddr> =
             hub.read(|view| view.fleet().listed().map(|l| l.addr).collect());
         hub.links().tick(&known);
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -9,6 +9,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use rand::Rng;
 use slog::debug;
 use slog::info;
 use tokio::net::UdpSocket;
@@ -16,6 +17,9 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::fleet::duty;
+use crate::fleet::duty::Colleague;
+use crate::fleet::duty::Situation;
 use crate::fleet::members::Age;
 use crate::fleet::members::BEAT;
 use crate::fleet::members::Beat;
@@ -33,6 +37,7 @@
 use crate::proxy::message::Message;
 use crate::proxy::settings::Settings;
 use crate::proxy::side;
+use crate::proxy::view::View;
 use crate::util;
 
 /// Largest datagram, in bytes: fits an Ethernet frame.
@@ -60,6 +65,12 @@
 /// Datagrams taken in before others get their turn.
 const DATAGRAMS_AT_ONCE: usize = 64;
 
+/// A word of another box that is older says nothing of what it lists now.
+const WORD_FRESH: Duration = Duration::from_millis(1500);
+
+/// Boxes that hear of a new configuration at once ask for it spread over this time.
+const ASK_SPREAD: Duration = Duration::from_millis(150);
+
 /// The store tells each box of a new configuration at about the same time; another box is asked
 /// for it only if the store has not told after this.
 const ASK_AFTER: Duration = Duration::from_millis(300);
@@ -70,6 +81,7 @@
     version: u64,
     sees_store: bool,
     is_warm: bool,
+    upstreams: u64,
 }
 
 /// The other boxes.
@@ -90,6 +102,10 @@
     told_later: Notify,
     to_some: Mutex<BTreeMap<IpAddr, Vec<u8>>>,
     told_some: Notify,
+    announced: Notify,
+    is_first_start: bool,
+    /// Woken when another box is ahead.
+    behind: Notify,
 }
 
 /// What is worked out of the members now and then, since it is asked for with each request.
@@ -127,6 +143,9 @@
             told_later: Notify::new(),
             to_some: Mutex::default(),
             told_some: Notify::new(),
+            announced: Notify::new(),
+            is_first_start: cfg.is_first_start,
+            behind: Notify::new(),
         }
     }
 
@@ -214,6 +233,43 @@
         }
     }
 
+    /// Tells the boxes for which this one watches the store: all in a small fleet, else those of its
+    /// zone.
+    pub fn tell_followers(&self, message: &Message) {
+        if self.owners().is_none() {
+            self.tell(message);
+            return;
+        }
+        let zone = self.members(|members| members.zone(&self.zone, self.now()));
+        self.tell_some(zone.into_iter(), message);
+    }
+
+    /// Has a sign of life given at once, since what this box says of itself has changed.
+    pub fn announce(&self) {
+        self.announced.notify_one();
+    }
+
+    /// Whether this box is to watch the store.
+    pub fn is_store_due(&self) -> bool {
+        let now = self.now();
+        let colleague = |(ip, member): (IpAddr, &Member)| {
+            let (record, age) = member.word(now)?;
+            let saw_store = record.sees_store.then_some(age);
+            let is_here = record.zone == self.zone;
+            is_here.then_some(Colleague { ip, cores: record.cores, saw_store })
+        };
+        let zone: Vec<Colleague> =
+            self.members(|members| members.live(now).filter_map(colleague).collect());
+        duty::is_due(Situation {
+            me: self.me.ip(),
+            cores: self.cores,
+            zone: &zone,
+            alive: self.live() + 1,
+            age: now,
+            is_first_start: self.is_first_start,
+        })
+    }
+
     /// Tells one box at once.
     pub fn tell_now(&self, to: IpAddr, message: &Message) {
         if let Ok(buf) = postcard::to_stdvec(message) {
@@ -264,7 +320,9 @@
         let now = self.now();
         let (to, ages) = self.members(|members| {
             let mut rng = rand::rng();
-            (members.targets(now, &mut rng), members.ages(now, &mut rng))
+            // Those for which this box watches the store rely on its word.
+            let zone = state.sees_store.then_some(&self.zone);
+            (members.targets(zone, now, &mut rng), members.ages(now, &mut rng))
         });
         self.give_sign(state, ages, &to);
     }
@@ -273,14 +331,15 @@
     fn greet(&self, state: State, to: &BTreeSet<IpAddr>) {
         let now = self.now();
         let (to, ages) = self.members(|members| {
-            let to = to.iter().map(|ip| (*ip, members.record(*ip).is_none())).collect::<Vec<_>>();
+            let to: BTreeMap<IpAddr, bool> =
+                to.iter().map(|ip| (*ip, members.record(*ip).is_none())).collect();
             (to, members.ages(now, &mut rand::rng()))
         });
         self.give_sign(state, ages, &to);
     }
 
-    fn give_sign(&self, state: State, ages: Vec<Age>, to: &[(IpAddr, bool)]) {
-        let State { version, sees_store, is_warm } = state;
+    fn give_sign(&self, state: State, ages: Vec<Age>, to: &BTreeMap<IpAddr, bool>) {
+        let State { version, sees_store, is_warm, upstreams } = state;
         let record = Record {
             name: self.name.clone(),
             zone: self.zone.clone(),
@@ -290,10 +349,11 @@
             version,
             sees_store,
             is_warm,
+            upstreams,
         };
         let mut beat = Beat { record, asks: false, ages };
         for asks in [false, true] {
-            let mut to = to.iter().filter(|(_, a)| *a == asks).map(|(ip, _)| *ip).peekable();
+            let mut to = to.iter().filter(|(_, a)| **a == asks).map(|(ip, _)| *ip).peekable();
             if to.peek().is_none() {
                 continue;
             }
@@ -326,6 +386,20 @@
         self.pick(|r| r.sees_store.then_some(()))
     }
 
+    /// A box that sees the store and lists other upstreams than this one, if all that lately said that
+    /// they see the store do.
+    fn with_other_upstreams(&self, digest: u64) -> Option<SocketAddr> {
+        let now = self.now();
+        self.members(|members| {
+            let words = members.live(now).filter_map(|(_, member)| member.word(now));
+            let fresh: Vec<_> =
+                words.filter(|(r, age)| r.sees_store && *age < WORD_FRESH).collect();
+            let is_alone = fresh.iter().all(|(r, _)| r.upstreams != digest);
+            let newest = fresh.iter().min_by_key(|(_, age)| *age);
+            newest.filter(|_| is_alone).map(|(r, _)| r.addr)
+        })
+    }
+
     /// Where a box answers others, if it is alive.
     pub fn addr_of(&self, ip: IpAddr) -> Option<SocketAddr> {
         let now = self.now();
@@ -430,14 +504,21 @@
         info!(hub.log(), "box heard"; "name" => record.name.as_str(),
             "zone" => record.zone.as_str(), "version" => record.version);
     }
+    if hub.version() < record.version {
+        peers.behind.notify_one();
+    }
     if !greet.is_empty() {
         peers.greet(state(hub), &greet);
     }
 }
 
 fn state(hub: &Hub) -> State {
-    let (version, sees_store) = hub.read(|view| (view.version(), view.reaches_store()));
-    State { version, sees_store, is_warm: hub.is_warm() }
+    hub.read(|view| State {
+        version: view.version(),
+        sees_store: view.reaches_store(),
+        is_warm: hub.is_warm(),
+        upstreams: view.digest(),
+    })
 }
 
 async fn beat(hub: Arc<Hub>) {
@@ -449,19 +530,33 @@
             hub.fleet(|fleet| fleet.forget_sender(ip));
         }
         peers.beat(state(&hub));
-        tokio::time::sleep(BEAT).await;
+        // Whichever comes first.
+        let _ = tokio::time::timeout(BEAT, peers.announced.notified()).await;
     }
 }
 
 /// Asks other boxes for what this one misses: a configuration that is newer, and the upstreams
 /// while it doesn't see the store.
 async fn catch_up(hub: Arc<Hub>) {
+    let mut was_apart = false;
     loop {
-        tokio::time::sleep(ASK_AFTER).await;
-        let (version, sees_store) = hub.read(|view| (view.version(), view.reaches_store()));
+        // Whichever comes first. Many boxes hear of a configuration at once; they don't ask at once.
+        if tokio::time::timeout(ASK_AFTER, hub.peers().behind.notified()).await.is_ok() {
+            let part = rand::rng().random_range(0.0..1.0);
+            tokio::time::sleep(ASK_SPREAD.mul_f64(part)).await;
+        }
+        let State { version, sees_store, upstreams, .. } = state(&hub);
         let ahead = hub.peers().ahead_of(version);
-        let other = if sees_store { None } else { hub.peers().with_store() };
-        let Some(addr) = ahead.or(other) else { continue };
+        let is_small = hub.peers().owners().is_none();
+        let apart = match (sees_store, is_small) {
+            (true, _) => None,
+            (false, true) => hub.peers().with_store(),
+            (false, false) => hub.peers().with_other_upstreams(upstreams),
+        };
+        // What has just changed may still be on its way.
+        let is_apart = std::mem::replace(&mut was_apart, apart.is_some()) || is_small;
+        let is_known = hub.read(View::is_ready);
+        let Some(addr) = ahead.or(apart.filter(|_| is_apart || !is_known)) else { continue };
         match side::ask(addr).await {
             Ok(snapshot) => hub.take_over(snapshot),
             Err(e) => debug!(hub.log(), "box not asked"; "addr" => %addr, "error" => %e),
--- a/src/proxy/settings.rs
+++ b/src/proxy/settings.rs
@@ -30,6 +30,8 @@
     pub datagrams: SocketAddr,
     /// `[box] cores`: what the process may use of a core.
     pub cores: f64,
+    /// `[box] first-start`: whether the whole fleet starts for the first time.
+    pub is_first_start: bool,
     /// `[box] descriptors`: sockets and files that the process may have open.
     pub descriptors: usize,
     /// `[store] address`: where the platform's store is.
@@ -60,6 +62,7 @@
         peers: rdr.address("listen", "peers"),
         datagrams: rdr.address("listen", "datagrams"),
         cores: rdr.optional("box", "cores", 1.0),
+        is_first_start: rdr.optional("box", "first-start", false),
         descriptors: rdr.optional("box", "descriptors", 4096),
         store: rdr.address("store", "address"),
         store_watch: Duration::from_secs_f64(rdr.optional("store", "watch-s", WATCH_S)),
--- a/src/proxy/view.rs
+++ b/src/proxy/view.rs
@@ -1,11 +1,13 @@
 //! What this box knows of the configuration and the upstreams, and when it believes the store.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::names::UpstreamName;
 use crate::placement::fleet::Fleet;
@@ -17,6 +19,10 @@
 /// its return; one that is missing after this is gone.
 const LAPSE_GRACE: Duration = Duration::from_millis(2200);
 
+/// An upstream that another box says to be gone gets no work, but is remembered for this long, so that
+/// a box that is behind doesn't bring it back.
+const SAID_GONE_KEPT: Duration = Duration::from_secs(10);
+
 /// What one box can tell another that can't ask the store.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Snapshot {
@@ -24,6 +30,8 @@
     pub table: Option<Arc<Table>>,
     /// All upstreams in use or leaving.
     pub upstreams: Vec<Listed>,
+    /// Whether the sender sees the store, so that there are no others.
+    pub is_sure: bool,
 }
 
 /// A change of what is believed, for the log and for the other boxes.
@@ -50,6 +58,8 @@
     fleet: Fleet,
     /// Upstreams whose entries may have lapsed while the store was away.
     missing: BTreeSet<UpstreamName>,
+    /// Upstreams that another box has said to be gone, and when.
+    said_gone: BTreeMap<UpstreamName, Duration>,
     listed_once: bool,
     reached: bool,
     /// Until when after the store's return a missing entry may come back.
@@ -64,6 +74,7 @@
             table: None,
             fleet,
             missing: BTreeSet::new(),
+            said_gone: BTreeMap::new(),
             listed_once: false,
             reached: false,
             grace_until: Duration::ZERO,
@@ -108,7 +119,11 @@
 
     /// What another box may take over.
     pub fn snapshot(&self) -> Snapshot {
-        Snapshot { table: self.table.clone(), upstreams: self.fleet.listed().cloned().collect() }
+        Snapshot {
+            table: self.table.clone(),
+            upstreams: self.fleet.listed().cloned().collect(),
+            is_sure: self.reached,
+        }
     }
 
     /// Takes over a configuration, unless it is no newer than the one in force.
@@ -183,10 +198,28 @@
 
     /// Another box, which sees the store, says that an upstream's entry is gone. It may only have
     /// lapsed, so that is believed only while this box doesn't see the store itself.
-    pub fn told_gone(&mut self, name: &UpstreamName) {
+    pub fn told_gone(&mut self, name: &UpstreamName, now: Duration) {
         if !self.reached {
             self.told_leaving(name);
+            self.said_gone.insert(name.clone(), now);
+        }
+    }
+
+    /// Another box, which sees the store, says that an upstream is new or has changed.
+    pub fn told_listed(&mut self, listed: Listed) {
+        let is_leaving = self.fleet.get(&listed.name).is_some_and(|known| known.leaving);
+        if !self.reached && !is_leaving {
+            self.set(listed);
+        }
+    }
+
+    /// A digest of the upstreams that are in use: boxes that list the same have the same.
+    pub fn digest(&self) -> u64 {
+        let mut hash = Xxh3::new();
+        for listed in self.fleet.listed().filter(|l| !l.leaving) {
+            hash.update(listed.name.as_bytes());
         }
+        hash.digest()
     }
 
     /// Takes over what another box knows, while this one doesn't see the store.
@@ -198,6 +231,12 @@
             return;
         }
         let is_useful = !snapshot.upstreams.is_empty();
+        if snapshot.is_sure {
+            let listed: BTreeSet<&UpstreamName> =
+                snapshot.upstreams.iter().map(|l| &l.name).collect();
+            let known: Vec<UpstreamName> = self.fleet.listed().map(|l| l.name.clone()).collect();
+            known.iter().filter(|name| !listed.contains(name)).for_each(|n| self.drop_upstream(n));
+        }
         for listed in snapshot.upstreams {
             let known = self.fleet.get(&listed.name);
             // An upstream never returns from leaving.
@@ -213,6 +252,11 @@
         self.reached = false;
     }
 
+    /// Others watch the store and tell what changes.
+    pub fn store_left_to_others(&mut self) {
+        self.reached = false;
+    }
+
     /// The store answers.
     pub fn store_regained(&mut self, now: Duration) {
         // At the start nothing is known that could be missing.
@@ -225,6 +269,10 @@
     /// Gives up what has been missing for too long, while the store answers.
     pub fn tick(&mut self, now: Duration) {
         self.fleet.tick(now);
+        let is_over = |said: &Duration| *said + SAID_GONE_KEPT <= now;
+        for (name, _) in self.said_gone.extract_if(.., |_, said| is_over(said)) {
+            self.fleet.remove(&name);
+        }
         if !self.reached || now < self.grace_until {
             return;
         }
--- a/tests/proxy_view.rs
+++ b/tests/proxy_view.rs
@@ -96,14 +96,14 @@
 #[test]
 fn that_an_upstream_is_gone_is_believed_of_others_only_while_the_store_is_away() {
     let mut view = view();
-    view.told_gone(&UpstreamName::from("a"));
+    view.told_gone(&UpstreamName::from("a"), millis(10_000));
     assert!(is_open(&view, "a"));
     view.store_lost();
-    view.told_gone(&UpstreamName::from("a"));
+    view.told_gone(&UpstreamName::from("a"), millis(10_000));
     assert!(!is_open(&view, "a"));
     // An upstream that leaves stays so, whatever another box still believes.
     let upstreams = vec![upstream("a"), upstream("b"), upstream("c")];
-    view.take_over(Snapshot { table: None, upstreams });
+    view.take_over(Snapshot { table: None, upstreams, is_sure: false });
     assert!(!is_open(&view, "a"));
     assert!(is_open(&view, "c"));
 }
