--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -22,9 +22,13 @@
 /// Time between signs of life.
 pub const BEAT: Duration = Duration::from_millis(400);
 
-/// A box that has not been heard of for this long doesn't count as alive: six beats where each is
-/// heard, and in a large fleet the two or three rounds that a sign of life takes beside them.
-pub const SILENT_AFTER: Duration = Duration::from_millis(3200);
+/// A box that has not been heard of for this long doesn't count as alive where all hear of all: five
+/// beats and a lost one.
+const SILENT_AFTER: Duration = Duration::from_millis(2400);
+
+/// The same where a few are told. In a fleet of 300 a sign of life reaches most within five beats; a
+/// box is taken for silent in fewer than one of 100,000 beats (`tests/fleet_members.rs`).
+const SILENT_AFTER_TOLD: Duration = Duration::from_millis(4800);
 
 /// A box that has not been heard of for this long is forgotten, unless it is a seed.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
@@ -117,8 +121,8 @@
         }
     }
 
-    fn is_live(&self, now: Duration) -> bool {
-        self.alive_at.is_some_and(|at| now < at + SILENT_AFTER)
+    fn is_live(&self, now: Duration, silent_after: Duration) -> bool {
+        self.alive_at.is_some_and(|at| now < at + silent_after)
     }
 
     fn is_forgotten(&self, now: Duration) -> bool {
@@ -165,7 +169,8 @@
 
     /// The others that are alive.
     pub fn live(&self, now: Duration) -> impl Iterator<Item = (IpAddr, &Member)> {
-        self.known.iter().filter(move |(_, m)| m.is_live(now)).map(|(ip, m)| (*ip, m))
+        let after = self.silent_after();
+        self.known.iter().filter(move |(_, m)| m.is_live(now, after)).map(|(ip, m)| (*ip, m))
     }
 
     /// Another box's last word.
@@ -173,6 +178,10 @@
         self.known.get(&ip)?.record.as_ref()
     }
 
+    fn silent_after(&self) -> Duration {
+        if self.known.len() <= DIRECT_MAX { SILENT_AFTER } else { SILENT_AFTER_TOLD }
+    }
+
     /// Takes in a sign of life.
     pub fn hear(&mut self, beat: &Beat, now: Duration) -> Heard {
         let mut heard = Heard::default();
@@ -180,6 +189,7 @@
         if sender == self.me {
             return heard;
         }
+        let after = self.silent_after();
         for age in beat.ages.iter().filter(|a| a.ip != self.me && a.ip != sender) {
             let member = self.known.entry(age.ip).or_insert_with(|| Member::unheard(now));
             let Some(at) = now.checked_sub(AGE_UNIT * u32::from(age.tenths)) else { continue };
@@ -188,10 +198,10 @@
             }
             // The age is rounded up when it is told, so what was heard later is never put back.
             member.alive_at = member.alive_at.max(Some(at));
-            member.counts_as_live |= member.is_live(now);
+            member.counts_as_live |= member.is_live(now, after);
         }
         let member = self.known.entry(sender).or_insert_with(|| Member::unheard(now));
-        heard.is_new = !member.is_live(now) || member.record.is_none();
+        heard.is_new = !member.is_live(now, after) || member.record.is_none();
         let known = member.record.as_ref();
         heard.has_restarted = known.is_some_and(|r| r.incarnation != beat.record.incarnation);
         member.record = Some(beat.record.clone());
@@ -207,8 +217,9 @@
     /// The boxes that have fallen silent since the last call.
     pub fn take_silent(&mut self, now: Duration) -> Vec<IpAddr> {
         let mut silent = Vec::new();
+        let after = self.silent_after();
         for (ip, member) in &mut self.known {
-            if member.counts_as_live && !member.is_live(now) {
+            if member.counts_as_live && !member.is_live(now, after) {
                 member.counts_as_live = false;
                 silent.push(*ip);
             }
@@ -228,7 +239,9 @@
         if self.known.len() <= DIRECT_MAX {
             return self.known.iter().map(|(ip, m)| (*ip, m.record.is_none())).collect();
         }
-        let (live, away): (Vec<_>, Vec<_>) = self.known.iter().partition(|(_, m)| m.is_live(now));
+        let after = self.silent_after();
+        let (live, away): (Vec<_>, Vec<_>) =
+            self.known.iter().partition(|(_, m)| m.is_live(now, after));
         let (said, unsaid): (Vec<_>, Vec<_>) =
             live.into_iter().partition(|(_, m)| m.record.is_some());
         let is_of_zone = |m: &Member| m.record.as_ref().map(|r| &r.zone) == zone;
@@ -236,7 +249,7 @@
         let few = said.into_iter().choose_multiple(rng, FANOUT);
         let asked = unsaid.into_iter().choose_multiple(rng, ASKED_MAX);
         let away = away.into_iter().choose(rng);
-        let ips = |(ip, m): (&IpAddr, &Member)| (*ip, m.record.is_none() || !m.is_live(now));
+        let ips = |(ip, m): (&IpAddr, &Member)| (*ip, m.record.is_none() || !m.is_live(now, after));
         few.into_iter().chain(here).chain(asked).chain(away).map(ips).collect()
     }
 
@@ -248,12 +261,12 @@
 
     /// How long ago others were alive, for a sign of life.
     pub fn ages(&self, now: Duration, rng: &mut impl Rng) -> Vec<Age> {
-        let told = self.live(now).choose_multiple(rng, AGES_MAX).into_iter();
-        told.filter_map(|(ip, member)| {
+        let age = |(ip, member): (IpAddr, &Member)| {
             let age = now.saturating_sub(member.alive_at?);
             let tenths = age.as_millis().div_ceil(AGE_UNIT.as_millis());
             Some(Age { ip, tenths: u8::try_from(tenths).unwrap_or(u8::MAX) })
-        })
-        .collect()
+        };
+        let told = self.live(now).choose_multiple(rng, AGES_MAX);
+        told.into_iter().filter_map(age).collect()
     }
 }
--- a/src/proxy/view.rs
+++ b/src/proxy/view.rs
@@ -269,10 +269,14 @@
     /// Gives up what has been missing for too long, while the store answers.
     pub fn tick(&mut self, now: Duration) {
         self.fleet.tick(now);
-        let is_over = |said: &Duration| *said + SAID_GONE_KEPT <= now;
-        for (name, _) in self.said_gone.extract_if(.., |_, said| is_over(said)) {
-            self.fleet.remove(&name);
-        }
+        let fleet = &mut self.fleet;
+        self.said_gone.retain(|name, said| {
+            let is_kept = now < *said + SAID_GONE_KEPT;
+            if !is_kept {
+                fleet.remove(name);
+            }
+            is_kept
+        });
         if !self.reached || now < self.grace_until {
             return;
         }
--- /dev/null
+++ b/tests/proxy_admit.rs
@@ -0,0 +1,137 @@
+//! Who is admitted where workspaces ask for more than the engines can do. Load: one workspace at some
+//! tenths over its share, another at three times its share, and engines that are all busy.
+
+use std::time::Duration;
+
+use frostdyke::fleet::owners::Group;
+use frostdyke::names::ServiceName;
+use frostdyke::names::UpstreamName;
+use frostdyke::names::WorkspaceName;
+use frostdyke::names::ZoneName;
+use frostdyke::placement::admit;
+use frostdyke::placement::admit::Denial;
+use frostdyke::placement::admit::Wish;
+use frostdyke::placement::choice::Choice;
+use frostdyke::placement::fleet::Fleet;
+use frostdyke::placement::share::Shares;
+use frostdyke::placement::share::Tokens;
+use frostdyke::placement::tuning::Tuning;
+use frostdyke::proxy::dialect::Listed;
+use frostdyke::proxy::dialect::Part;
+use frostdyke::proxy::dialect::Prompt;
+use frostdyke::proxy::table::EngineLimits;
+
+const LIMITS: EngineLimits =
+    EngineLimits { slots: 64, memory_tokens: 500_000, copied_per_s: 400_000 };
+
+/// The aim of all requests.
+const AIM: Duration = Duration::from_millis(1000);
+
+/// When requests come.
+const NOW: Duration = Duration::from_secs(10);
+
+fn name(n: u64) -> WorkspaceName {
+    WorkspaceName::from(&*format!("w{n}"))
+}
+
+struct Desk {
+    fleet: Fleet,
+    shares: Shares,
+    requests: u64,
+}
+
+impl Desk {
+    fn new(engines: u8) -> Desk {
+        let mut fleet = Fleet::new(ZoneName::from("a"), Tuning::default());
+        for n in 1..=engines {
+            let listed = Listed {
+                name: UpstreamName::from(&*format!("e{n}")),
+                service: ServiceName::from("llm"),
+                addr: ([127, 0, 0, n], 80).into(),
+                zone: ZoneName::from("a"),
+                slots: 64,
+                leaving: false,
+            };
+            fleet.set(listed, Some(LIMITS));
+        }
+        Desk { fleet, shares: Shares::new(Duration::from_secs(4)), requests: 0 }
+    }
+
+    fn ask(
+        &mut self,
+        workspace: u64,
+        group: Option<Group>,
+        is_last: bool,
+    ) -> Result<Choice, Denial> {
+        self.requests += 1;
+        let own = Part { id: 1000 + self.requests, tokens: 3_000 };
+        let prompt = Prompt { tokens: 3_000, written_max: 10, parts: vec![own] };
+        let wish = Wish {
+            request: self.requests,
+            service: "llm",
+            prompt: &prompt,
+            workspace: Some(&name(workspace)),
+            except: &[],
+            aim: AIM,
+            waited: Duration::ZERO,
+            group,
+            zone: None,
+            sender: None,
+            source: None,
+            is_last,
+        };
+        admit::admit(&mut self.fleet, &mut self.shares, wish, NOW)
+    }
+
+    /// Notes what a workspace had before, by which it is at `used` of its share.
+    fn had(&mut self, workspace: u64, used: f64) {
+        let begun = (used * 1e6) as u64;
+        self.shares.add(&name(workspace), Tokens { asked: 5_000_000, begun }, NOW);
+    }
+}
+
+/// What a workspace may still get shrinks evenly beyond its share. When it fell at once to a fifth, a
+/// workspace at 1.1 to 1.3 of its share got less than half of what another got at three times its.
+#[test]
+fn who_is_a_little_over_its_share_waits_longer_than_who_is_far_over() {
+    let wait = |used: f64| {
+        let mut desk = Desk::new(1);
+        // The others bring the mean of what was begun to a million.
+        desk.had(0, used);
+        desk.had(1, 2.0 - used);
+        while desk.ask(2, None, true).is_ok() {}
+        desk.ask(0, None, true).expect_err("the engine is busy").wait_max.as_millis()
+    };
+    let waits = [0.7, 1.1, 1.3, 1.8].map(wait);
+    assert_eq!(waits[0], 700);
+    assert!((350..650).contains(&waits[1]), "{waits:?}");
+    assert!((100..350).contains(&waits[2]), "{waits:?}");
+    assert_eq!(waits[3], 0, "{waits:?}");
+}
+
+/// Where another group of engines may be asked, a request isn't counted twice.
+#[test]
+fn a_request_that_goes_on_to_other_engines_is_not_counted_as_refused() {
+    let mut desk = Desk::new(1);
+    while desk.ask(0, None, true).is_ok() {}
+    desk.shares.take_own();
+    let denied = desk.ask(1, None, false).expect_err("the engine is busy");
+    assert!(denied.may_go_on);
+    assert!(desk.shares.take_own().is_empty());
+    let denied = desk.ask(1, None, true).expect_err("the engine is busy");
+    assert!(!denied.may_go_on);
+    assert_eq!(desk.shares.take_own().len(), 1);
+}
+
+#[test]
+fn only_engines_of_the_group_are_chosen() {
+    let mut desk = Desk::new(40);
+    for prefix in 0..4u64 {
+        let group = Group::of(prefix << 62, 2);
+        for _ in 0..40 {
+            let choice = desk.ask(prefix, Some(group), true).expect("there is room");
+            let hash = frostdyke::placement::upstream::hash(&choice.upstream);
+            assert!(group.has(hash));
+        }
+    }
+}
--- a/tests/proxy_shares.rs
+++ b/tests/proxy_shares.rs
@@ -4,6 +4,7 @@
 
 use frostdyke::names::WorkspaceName;
 use frostdyke::placement::share::Shares;
+use frostdyke::placement::share::Tokens;
 use proptest::collection;
 use proptest::prelude::*;
 
@@ -67,3 +68,18 @@
         prop_assert!(used <= 1.0 + 1e-3, "used {used}");
     }
 }
+
+#[test]
+fn what_another_box_counted_is_added_and_not_told_again() {
+    let mut shares = Shares::new(WINDOW);
+    shares.begin(&name(0), 300, millis(0));
+    shares.refuse(&name(0), 100, millis(0));
+    shares.add(&name(1), Tokens { asked: 900, begun: 200 }, millis(0));
+    let own = shares.take_own();
+    assert_eq!(own.get(&name(0)), Some(&Tokens { asked: 400, begun: 300 }));
+    assert_eq!(own.len(), 1);
+    assert!(shares.take_own().is_empty());
+    // 500 are shared evenly: 250 for each.
+    assert!(1.0 < shares.used(&name(0), 1, millis(1)));
+    assert!(shares.used(&name(1), 1, millis(1)) < 1.0);
+}
