Look in another group of engines for what would have to be read anew

Change: where an owner would have to have much read that is shared, it says so first; the asker asks the owner of the engine to which the prompt belongs otherwise, leaving ones among them, and comes back with a source to copy from.

--- a/src/placement/admit.rs
+++ b/src/placement/admit.rs
@@ -19,6 +19,7 @@
 use crate::placement::fleet::Fleet;
 use crate::placement::share::Shares;
 use crate::placement::tuning::Tuning;
+use crate::placement::upstream::COPY_MIN;
 use crate::proxy::dialect::Prompt;
 
 /// A workspace that is over its share by this part of it gets only what needs no wait at all.
@@ -29,6 +30,18 @@
 /// what all can be served.
 const SHARE_ANYWHERE: f64 = 0.85;
 
+/// What is wanted of whoever keeps the models.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Purpose {
+    /// To place a request, unless much that others share would have to be read for it. Then an engine
+    /// elsewhere may keep that, and can be copied from.
+    PlaceIfKept,
+    /// To place a request.
+    Place,
+    /// To say which engine keeps the most of a prompt.
+    Look,
+}
+
 /// A request for an engine, as whoever decides sees it.
 #[derive(Clone, Copy, Debug)]
 pub struct Wish<'a> {
@@ -54,6 +67,8 @@
     pub sender: Option<IpAddr>,
     /// An engine that may not be chosen and keeps some of the prompt.
     pub source: Option<Source>,
+    /// What is wanted.
+    pub purpose: Purpose,
     /// Whether no other group of engines will be asked.
     pub is_last: bool,
 }
@@ -94,7 +109,15 @@
         zone: wish.zone,
         source: wish.source,
     };
+    if wish.purpose == Purpose::Look {
+        let (cause, source) = (NoChoice::OnlyLooked, fleet.keeper(wanted, now));
+        return Err(Denial { cause, share_used, wait_max: left, source, may_go_on: true });
+    }
     let cause = match fleet.choose(wanted, now) {
+        Ok(choice) if wish.purpose == Purpose::PlaceIfKept && is_worth_a_look(prompt, &choice) => {
+            let (cause, source) = (NoChoice::NotKept, None);
+            return Err(Denial { cause, share_used, wait_max: left, source, may_go_on: true });
+        }
         Ok(choice) => {
             let Choice { unread, copied, .. } = choice;
             let placement = Placement { request, prompt, unread, copied, sender };
@@ -116,6 +139,12 @@
     Err(Denial { cause, share_used, wait_max: left, source, may_go_on })
 }
 
+/// Whether enough would be read that others share, so that a copy would be worth it.
+fn is_worth_a_look(prompt: &Prompt, choice: &Choice) -> bool {
+    let own = prompt.parts.last().map_or(prompt.tokens, |own| own.tokens);
+    COPY_MIN <= choice.unread.saturating_sub(own)
+}
+
 /// How long a request may wait for an engine. The wait is judged, not the time to the first token, so
 /// that long prompts are refused no more often than short ones.
 fn wait_max(tuning: Tuning, aim: Duration, share_used: f64) -> Duration {
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -71,6 +71,10 @@
     NoUpstream,
     /// All that are in use have no room.
     Full,
+    /// Much that others share would have to be read, which may be kept elsewhere.
+    NotKept,
+    /// None was wanted.
+    OnlyLooked,
     /// It would have to wait for too long at each engine that has room.
     Busy {
         /// The shortest wait.
@@ -84,6 +88,8 @@
         match self {
             NoChoice::NoUpstream => "no-upstream",
             NoChoice::Full => "full",
+            NoChoice::NotKept => "not-kept",
+            NoChoice::OnlyLooked => "only-looked",
             NoChoice::Busy { .. } => "busy",
         }
     }
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -217,17 +217,15 @@
     /// The hash of the engine to which a prompt belongs, of those that aren't in `avoided`; all boxes
     /// that list the same engines come to the same.
     pub fn home(&self, service: &str, prompt: &Prompt, avoided: Option<Group>) -> Option<u64> {
-        let part = match &prompt.parts[..] {
-            [.., shared, _] => shared.id,
-            [own] => own.id,
-            [] => u64::from(prompt.tokens),
-        };
-        self.upstreams
-            .values()
-            .filter(|u| u.engine.is_some() && !u.listed.leaving && &*u.listed.service == service)
-            .filter(|u| avoided.is_none_or(|group| !group.has(u.hash)))
-            .map(|u| u.hash)
-            .max_by_key(|hash| mix(hash ^ part))
+        let engines = self.upstreams.values().filter(|u| u.engine.is_some() && !u.listed.leaving);
+        home(engines.filter(|u| &*u.listed.service == service), prompt, avoided)
+    }
+
+    /// The same among the engines that leave, too: one of them may still keep what its successor
+    /// doesn't.
+    pub fn home_elsewhere(&self, service: &str, prompt: &Prompt, avoided: Group) -> Option<u64> {
+        let engines = self.upstreams.values().filter(|u| u.engine.is_some());
+        home(engines.filter(|u| &*u.listed.service == service), prompt, Some(avoided))
     }
 
     /// The engine that keeps the most of a prompt.
@@ -401,6 +399,23 @@
     }
 }
 
+/// The hash of the engine to which a prompt belongs, of those that aren't in `avoided`.
+fn home<'a>(
+    engines: impl Iterator<Item = &'a Upstream>,
+    prompt: &Prompt,
+    avoided: Option<Group>,
+) -> Option<u64> {
+    let part = match &prompt.parts[..] {
+        [.., shared, _] => shared.id,
+        [own] => own.id,
+        [] => u64::from(prompt.tokens),
+    };
+    engines
+        .map(|u| u.hash)
+        .filter(|hash| avoided.is_none_or(|group| !group.has(*hash)))
+        .max_by_key(|hash| mix(hash ^ part))
+}
+
 /// The engines to which the shared parts of a prompt belong, by rendezvous hashing of the last of
 /// them. The very last part is the request's own.
 fn homes<'a>(
--- a/src/placement/upstream.rs
+++ b/src/placement/upstream.rs
@@ -18,7 +18,7 @@
 use crate::proxy::dialect::Prompt;
 
 /// Fewest tokens that are worth a copy: twice those that are read in the time of its setup.
-const COPY_MIN: u32 = 400;
+pub const COPY_MIN: u32 = 400;
 
 /// Preference for an upstream in the own zone: bytes between zones are charged for.
 const ZONE_LEAD: Duration = Duration::from_millis(4);
--- a/src/proxy/asking.rs
+++ b/src/proxy/asking.rs
@@ -14,11 +14,15 @@
 
 use crate::fleet::owners::Group;
 use crate::fleet::owners::Owned;
+use crate::fleet::owners::Owners;
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
 use crate::placement::admit::Denial;
+use crate::placement::admit::Purpose;
 use crate::placement::admit::Wish;
 use crate::placement::choice::Choice;
+use crate::placement::choice::NoChoice;
+use crate::placement::choice::Source;
 use crate::placement::upstream;
 use crate::proxy::dialect::Prompt;
 use crate::proxy::hub::Hub;
@@ -106,10 +110,17 @@
         wish.group = Some(group);
         wish.is_last = n == GROUPS_MAX;
         let Some(owned) = owners.of(group) else { break };
-        let Some(placed) = place_in(hub, wish, group, owned).await else { break };
+        let Some(mut placed) = place_in(hub, wish, group, owned).await else { break };
+        if placed.as_ref().is_err_and(|denied| denied.cause == NoChoice::NotKept) {
+            wish.source = look(hub, wish, &owners, group).await;
+            wish.purpose = Purpose::Place;
+            let Some(second) = place_in(hub, wish, group, owned).await else { break };
+            placed = second;
+        }
+        wish.purpose = Purpose::Place;
         match placed {
             Err(denied) if denied.may_go_on => {
-                wish.source = denied.source;
+                wish.source = denied.source.or(wish.source);
                 denial = Some(denied);
             }
             placed => return placed,
@@ -123,7 +134,7 @@
 
 /// Places a request by what this box believes, and tells all others.
 fn place_for_all(hub: &Hub, wish: Wish<'_>) -> Placed {
-    let placed = hub.admit(Wish { is_last: true, ..wish });
+    let placed = hub.admit(Wish { is_last: true, purpose: Purpose::Place, ..wish });
     match &placed {
         Ok(choice) => hub.peers().tell(&told(&wish, choice)),
         Err(_) => {
@@ -138,7 +149,7 @@
 
 /// Places a request though nobody who keeps the models answers: by what little this box knows.
 fn place_alone(hub: &Hub, wish: Wish<'_>) -> Placed {
-    let placed = hub.admit(Wish { is_last: true, ..wish });
+    let placed = hub.admit(Wish { is_last: true, purpose: Purpose::Place, ..wish });
     if let Ok(choice) = &placed {
         debug!(hub.log(), "placed alone"; "upstream" => choice.upstream.as_str());
         tell_keepers(hub, &choice.upstream, &told(&wish, choice));
@@ -168,6 +179,16 @@
     None
 }
 
+/// Finds an engine outside of a group that keeps some of a prompt: the one to which it belonged before
+/// an engine of the group came, or one that leaves.
+async fn look(hub: &Arc<Hub>, wish: Wish<'_>, owners: &Owners, group: Group) -> Option<Source> {
+    let home = hub.read(|v| v.fleet().home_elsewhere(wish.service, wish.prompt, group))?;
+    let elsewhere = owners.group(home);
+    let wish = Wish { group: Some(elsewhere), purpose: Purpose::Look, ..wish };
+    let looked = place_in(hub, wish, elsewhere, owners.of(elsewhere)?).await?;
+    looked.err()?.source
+}
+
 async fn ask(hub: &Hub, ip: IpAddr, wish: &Wish<'_>, group: Group) -> Option<Placed> {
     let millis = |d: Duration| u32::try_from(d.as_millis()).unwrap_or(u32::MAX);
     let asking = hub.asking();
@@ -187,6 +208,7 @@
             aim_ms: millis(wish.aim),
             waited_ms: millis(wish.waited),
             source: wish.source,
+            purpose: wish.purpose,
             is_last: wish.is_last,
         }),
     );
@@ -215,6 +237,7 @@
         zone: Some(&ask.zone),
         sender: Some(from),
         source: ask.source,
+        purpose: ask.purpose,
         is_last: ask.is_last,
     };
     let result = hub.admit(wish);
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -12,6 +12,7 @@
 use crate::names::WorkspaceName;
 use crate::names::ZoneName;
 use crate::placement::admit::Denial;
+use crate::placement::admit::Purpose;
 use crate::placement::choice::Choice;
 use crate::placement::choice::Source;
 use crate::placement::share::Tokens;
@@ -119,6 +120,8 @@
     pub waited_ms: u32,
     /// An engine of another group that keeps some of the prompt.
     pub source: Option<Source>,
+    /// What is wanted.
+    pub purpose: Purpose,
     /// Whether no other group will be asked.
     pub is_last: bool,
 }
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -22,6 +22,7 @@
 use crate::names::UpstreamName;
 use crate::names::WorkspaceName;
 use crate::placement::admit::Denial;
+use crate::placement::admit::Purpose;
 use crate::placement::admit::Wish;
 use crate::placement::choice::Choice;
 use crate::placement::choice::NoChoice;
@@ -246,6 +247,7 @@
             zone: None,
             sender: None,
             source: None,
+            purpose: Purpose::PlaceIfKept,
             is_last: false,
         };
         asking::place(&self.hub, wish).await.map_err(|denial| {
@@ -276,7 +278,7 @@
     fn log_denial(&self, denial: &Denial) {
         let wait = match denial.cause {
             NoChoice::Busy { wait } => Some(wait.as_millis() as u64),
-            NoChoice::NoUpstream | NoChoice::Full => None,
+            _ => None,
         };
         info!(self.hub.log(), "not placed"; "id" => &self.head.id, "route" => &self.route.name,
             "service" => self.service.as_str(), "cause" => denial.cause.code(),
@@ -460,7 +462,9 @@
 fn refusal(cause: NoChoice, wait_max: Duration) -> Refusal {
     match cause {
         NoChoice::NoUpstream => Refusal::NoUpstream { retry_after: NO_UPSTREAM_RETRY },
-        NoChoice::Full => Refusal::Overloaded { retry_after: NO_UPSTREAM_RETRY },
+        NoChoice::Full | NoChoice::NotKept | NoChoice::OnlyLooked => {
+            Refusal::Overloaded { retry_after: NO_UPSTREAM_RETRY }
+        }
         NoChoice::Busy { wait } => {
             let excess = wait.saturating_sub(wait_max);
             Refusal::Overloaded { retry_after: excess.max(OVERLOAD_RETRY_MIN) }
--- a/tests/proxy_admit.rs
+++ b/tests/proxy_admit.rs
@@ -10,6 +10,7 @@
 use frostdyke::names::ZoneName;
 use frostdyke::placement::admit;
 use frostdyke::placement::admit::Denial;
+use frostdyke::placement::admit::Purpose;
 use frostdyke::placement::admit::Wish;
 use frostdyke::placement::choice::Choice;
 use frostdyke::placement::fleet::Fleet;
@@ -78,6 +79,7 @@
             zone: None,
             sender: None,
             source: None,
+            purpose: Purpose::Place,
             is_last,
         };
         admit::admit(&mut self.fleet, &mut self.shares, wish, NOW)
