--- a/src/proxy/admission.rs
+++ b/src/proxy/admission.rs
@@ -36,7 +36,7 @@
     let patience = head.patience.map_or(route.timeout, |p| p.min(route.timeout));
     hub.count_request(&service);
     Ok(Run {
-        connections_max: hub.share_of(connections_max),
+        connections_max,
         hub: hub.clone(),
         head,
         parts,
@@ -49,6 +49,7 @@
         tried: Vec::new(),
         sends: 0,
         in_flight: hub.enter(),
+        start: None,
         stream: None,
         first_token: None,
     })
--- a/src/proxy/figures.rs
+++ b/src/proxy/figures.rs
@@ -78,6 +78,7 @@
         gauge("frostdyke_proxy_in_flight", |hub| hub.in_flight() as u64);
         gauge("frostdyke_proxy_streams", |hub| hub.streams() as u64);
         gauge("frostdyke_proxy_streams_max", |hub| hub.streams_max() as u64);
+        gauge("frostdyke_proxy_turned_away", |hub| hub.turned_away() as u64);
         gauge("frostdyke_proxy_connections", |hub| hub.connections() as u64);
         gauge("frostdyke_boxes_alive", |hub| hub.peers().live() as u64 + 1);
         gauge("frostdyke_configuration_version", Hub::version);
--- a/src/proxy/front.rs
+++ b/src/proxy/front.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use http::HeaderValue;
@@ -23,6 +24,7 @@
 use crate::proxy::answer::Refusal;
 use crate::proxy::hub::Hub;
 use crate::proxy::link;
+use crate::proxy::placed::InFlight;
 use crate::proxy::request;
 use crate::proxy::stream::Body;
 use crate::proxy::table::Limits;
@@ -51,6 +53,9 @@
                 continue;
             }
         };
+        if hub.turns_away() {
+            continue;
+        }
         let (hub, stopping) = (hub.clone(), stopping.clone());
         tokio::spawn(async move {
             let connected = hub.connected();
@@ -66,7 +71,12 @@
         return;
     }
     let limits = hub.table().map(|t| t.limits.clone()).unwrap_or_default();
-    let service = service_fn(|req| respond(hub.clone(), stopping.clone(), req));
+    // The first request on the connection is counted from here on.
+    let first = Mutex::new(Some(hub.start()));
+    let service = service_fn(|req| {
+        let start = first.lock().expect("no panic under lock").take();
+        respond(hub.clone(), stopping.clone(), req, start)
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(rest(&limits))
@@ -104,11 +114,15 @@
     hub: Arc<Hub>,
     stopping: watch::Receiver<Stop>,
     req: Request<Incoming>,
+    start: Option<InFlight>,
 ) -> Result<Response<Body>, Infallible> {
     let stop = *stopping.borrow();
     let mut resp = match stop {
         Stop::Late => answer::refusal(Refusal::Stopping),
-        Stop::No | Stop::Begun => request::serve(hub.clone(), req).await,
+        Stop::No | Stop::Begun => {
+            let start = start.unwrap_or_else(|| hub.start());
+            request::serve(hub.clone(), req, start).await
+        }
     };
     // The caller's next connection leads to another box.
     if *stopping.borrow() != Stop::No || hub.sends_away() {
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::names::ServiceName;
+use crate::names::UpstreamName;
 use crate::placement::admit;
 use crate::placement::admit::Denial;
 use crate::placement::admit::Wish;
@@ -27,6 +28,7 @@
 use crate::proxy::capacity;
 use crate::proxy::dialect::Dialect;
 use crate::proxy::figures::Figures;
+use crate::proxy::link::Allowed;
 use crate::proxy::link::Links;
 use crate::proxy::message::Message;
 use crate::proxy::peers::Peers;
@@ -37,12 +39,6 @@
 use crate::proxy::view::Snapshot;
 use crate::proxy::view::View;
 
-/// Connections to one upstream that every box may have, however many boxes there are.
-const CONNECTIONS_MIN: u32 = 4;
-
-/// Part of an upstream's connections that all boxes use together.
-const CONNECTIONS_SHARE: f64 = 0.9;
-
 /// What all requests of a process share.
 pub struct Hub {
     inner: Mutex<Inner>,
@@ -59,6 +55,9 @@
     streams: Arc<AtomicUsize>,
     streams_max: AtomicUsize,
     full: AtomicBool,
+    starts: Arc<AtomicUsize>,
+    starts_max: usize,
+    turned_away: AtomicUsize,
     connections: Arc<AtomicUsize>,
     connections_max: usize,
 }
@@ -99,6 +98,9 @@
             streams: Arc::default(),
             streams_max: AtomicUsize::new(capacity::streams(cfg.cores)),
             full: AtomicBool::new(false),
+            starts: Arc::default(),
+            starts_max: capacity::starts(cfg.cores),
+            turned_away: AtomicUsize::new(0),
             connections: Arc::default(),
             connections_max: capacity::connections(cfg.descriptors),
         });
@@ -172,6 +174,25 @@
         self.full.store(full, Ordering::Relaxed);
     }
 
+    /// Counts a request until the guard is dropped, when it has been sent.
+    pub fn start(&self) -> InFlight {
+        InFlight::new(self.starts.clone())
+    }
+
+    /// Whether no more callers can be let in now. Notes that one is turned away.
+    pub fn turns_away(&self) -> bool {
+        let is_crowded = self.starts_max <= self.starts.load(Ordering::Relaxed);
+        if is_crowded {
+            self.turned_away.fetch_add(1, Ordering::Relaxed);
+        }
+        is_crowded
+    }
+
+    /// How many callers have been turned away so far.
+    pub fn turned_away(&self) -> usize {
+        self.turned_away.load(Ordering::Relaxed)
+    }
+
     /// Counts a caller's connection until the guard is dropped.
     pub fn connected(&self) -> InFlight {
         InFlight::new(self.connections.clone())
@@ -286,10 +307,10 @@
         allowed
     }
 
-    /// This box's part of the connections that an upstream takes.
-    pub fn share_of(&self, connections: u32) -> u32 {
-        let part = f64::from(connections) * CONNECTIONS_SHARE / (self.peers.live() + 1) as f64;
-        (part as u32).max(CONNECTIONS_MIN)
+    /// How many connections to an upstream this box may have, where it takes so many from all.
+    pub fn allowed(&self, upstream: &UpstreamName, connections: u32) -> Allowed {
+        let slots = self.read(|view| view.fleet().get(upstream).map_or(0, |l| l.slots));
+        Allowed::new(connections, slots, self.peers.live() + 1)
     }
 
     /// Notes that it is time to connect to an upstream.
--- a/src/proxy/link.rs
+++ b/src/proxy/link.rs
@@ -55,6 +55,12 @@
 /// Idle connections kept per upstream.
 const IDLE_MAX: usize = 32;
 
+/// Connections to one upstream that every box may have, however many boxes there are.
+const CONNECTIONS_MIN: u32 = 4;
+
+/// Part of an upstream's connections that all boxes use together.
+const CONNECTIONS_SHARE: f64 = 0.9;
+
 /// Why a request could not be sent or got no answer.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -79,6 +85,26 @@
     }
 }
 
+/// How many connections to one upstream this box may have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Allowed {
+    /// While requests are on them.
+    pub busy: u32,
+    /// Between requests.
+    pub kept: u32,
+}
+
+impl Allowed {
+    /// Of an upstream that takes `connections` from all of `boxes` and runs `slots` requests. Requests
+    /// of a whole fleet at once are no more than its slots and a few that wait, so a box that has many
+    /// of them may have a connection for each; what rests is shared evenly.
+    pub fn new(connections: u32, slots: u32, boxes: usize) -> Allowed {
+        let part = f64::from(connections) * CONNECTIONS_SHARE / boxes.max(1) as f64;
+        let kept = (part as u32).max(CONNECTIONS_MIN);
+        Allowed { busy: kept.max(slots), kept }
+    }
+}
+
 /// Connections to all upstreams.
 #[derive(Debug, Default)]
 pub struct Links {
@@ -88,6 +114,8 @@
 #[derive(Debug, Default)]
 struct PerUpstream {
     open: u32,
+    /// How many of them may rest.
+    kept_max: u32,
     /// Those that have rested longest come first.
     idle: Vec<Resting>,
 }
@@ -215,18 +243,17 @@
 }
 
 impl Links {
-    /// Sends a request. `max` bounds the connections to this upstream; `once` asks for a
-    /// connection that is sure to be alive.
+    /// Sends a request; `once` asks for a connection that is sure to be alive.
     pub async fn send(
         self: &Arc<Links>,
         addr: SocketAddr,
-        max: u32,
+        allowed: Allowed,
         once: bool,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<AnswerBody>, Error> {
         let mut conn = match self.take(addr, once) {
             Some(conn) => conn,
-            None => self.connect(addr, max).await?,
+            None => self.connect(addr, allowed).await?,
         };
         let answer = conn.tx.send_request(req);
         tokio::pin!(answer);
@@ -241,7 +268,7 @@
 
     /// Makes a connection and keeps it for the next request.
     pub async fn warm(self: &Arc<Links>, addr: SocketAddr) -> Result<(), Error> {
-        self.connect(addr, u32::MAX).await?.rest();
+        self.connect(addr, Allowed { busy: u32::MAX, kept: CONNECTIONS_MIN }).await?.rest();
         Ok(())
     }
 
@@ -282,17 +309,17 @@
 
     fn put(&self, addr: SocketAddr, resting: Resting) {
         let mut by_addr = self.by_addr.lock().expect("no panic under lock");
-        let idle = &mut by_addr.entry(addr).or_default().idle;
-        if idle.len() < IDLE_MAX {
-            idle.push(resting);
+        let upstream = by_addr.entry(addr).or_default();
+        if upstream.idle.len() < IDLE_MAX && upstream.open <= upstream.kept_max {
+            upstream.idle.push(resting);
             return;
         }
         drop(by_addr);
         resting.close();
     }
 
-    async fn connect(self: &Arc<Links>, addr: SocketAddr, max: u32) -> Result<Conn, Error> {
-        let count = self.count(addr, max).ok_or(Error::NoneFree)?;
+    async fn connect(self: &Arc<Links>, addr: SocketAddr, allowed: Allowed) -> Result<Conn, Error> {
+        let count = self.count(addr, allowed).ok_or(Error::NoneFree)?;
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr))
             .await
             .map_err(|_| Error::ConnectTimeout)?
@@ -305,12 +332,13 @@
         Ok(Conn { tx, driver: Some(driver), keep: KEEP_DEFAULT, count })
     }
 
-    fn count(self: &Arc<Links>, addr: SocketAddr, max: u32) -> Option<Count> {
+    fn count(self: &Arc<Links>, addr: SocketAddr, allowed: Allowed) -> Option<Count> {
         let mut by_addr = self.by_addr.lock().expect("no panic under lock");
         let upstream = by_addr.entry(addr).or_default();
-        if max <= upstream.open {
+        if allowed.busy <= upstream.open {
             return None;
         }
+        upstream.kept_max = allowed.kept;
         upstream.open += 1;
         Some(Count { links: self.clone(), addr })
     }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -74,6 +74,10 @@
 /// Left of the time to stop when the process ends at the latest.
 const STOP_RESERVE: Duration = Duration::from_millis(400);
 
+/// A box that has turned callers away says for this long that it isn't ready: the balancer takes two
+/// of its probes, a second each, to lead new connections elsewhere.
+const CROWDED_FOR: Duration = Duration::from_millis(2200);
+
 /// How far a stop has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stop {
@@ -172,17 +176,24 @@
 
 async fn tick(hub: Arc<Hub>, store_due: watch::Sender<bool>) {
     let mut capacity = Capacity::new(hub.streams_max());
+    let mut turned_away = 0;
+    let mut crowded_until = Instant::now();
     loop {
         let due = Instant::now() + TICK;
         tokio::time::sleep_until(due).await;
-        let before = (capacity.is_behind(), capacity.is_full());
+        let before = (capacity.is_behind(), hub.is_full());
         hub.set_streams_max(capacity.note(due.elapsed(), hub.streams()));
-        let after = (capacity.is_behind(), capacity.is_full());
+        if turned_away < hub.turned_away() {
+            turned_away = hub.turned_away();
+            crowded_until = due + CROWDED_FOR;
+        }
+        hub.set_full(capacity.is_full() || due < crowded_until);
+        let after = (capacity.is_behind(), hub.is_full());
         if after != before {
-            hub.set_full(capacity.is_full());
             info!(hub.log(), "load"; "behind" => after.0, "full" => after.1,
                 "delay_ms" => capacity.delay().as_millis() as u64, "streams" => hub.streams(),
-                "streams_max" => hub.streams_max(), "in_flight" => hub.in_flight());
+                "streams_max" => hub.streams_max(), "in_flight" => hub.in_flight(),
+                "turned_away" => turned_away);
         }
         hub.change(view::View::tick);
         let engines = hub.read(|view| view.fleet().engines().count());
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -78,7 +78,7 @@
     pub route: Route,
     /// The service that the route's split gave it.
     pub service: ServiceName,
-    /// Most connections of this box to one of the service's upstreams.
+    /// Connections that one of the service's upstreams takes from all boxes.
     pub connections_max: u32,
     /// Whom it is charged to.
     pub workspace: Option<WorkspaceName>,
@@ -96,6 +96,8 @@
     pub first_token: Option<FirstToken>,
     /// Counts it until all of its answer has been passed on.
     pub in_flight: InFlight,
+    /// The same until it has been sent for the first time.
+    pub start: Option<InFlight>,
     /// The same among the streams, if it is one.
     pub stream: Option<InFlight>,
 }
@@ -141,13 +143,14 @@
 }
 
 /// Serves one request.
-pub async fn serve(hub: Arc<Hub>, req: Request<Incoming>) -> Response<Body> {
+pub async fn serve(hub: Arc<Hub>, req: Request<Incoming>, start: InFlight) -> Response<Body> {
     let arrived = Instant::now();
     let (parts, body) = req.into_parts();
     let mut run = match admission::admit(&hub, parts, arrived) {
         Ok(run) => run,
         Err((cause, id)) => return refuse(&hub, &id, cause),
     };
+    run.start = Some(start);
     match admission::read_body(&hub, body, run.deadline).await {
         Ok(body) => run.body = body,
         Err(cause) => return refuse(&hub, &run.head.id, cause),
@@ -290,12 +293,14 @@
 
     /// Sends the request to an upstream, from the event after `resume_after` on if that is given.
     async fn send(&mut self, choice: &Choice, placed: Placed, resume_after: Option<u64>) -> Sent {
+        self.start = None;
         self.tried.push(choice.upstream.clone());
         let req = self.request_for(choice, resume_after);
         let began = Instant::now();
         let once = self.route.repeat == Repeat::Never;
         let links = self.hub.links().clone();
-        let answer = links.send(choice.addr, self.connections_max, once, req).await;
+        let allowed = self.hub.allowed(&choice.upstream, self.connections_max);
+        let answer = links.send(choice.addr, allowed, once, req).await;
         let resp = match answer {
             Ok(resp) => resp,
             Err(e) if e.is_unsent() => {
