--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -40,8 +40,8 @@
 /// Boxes told directly at each beat of a larger fleet.
 const FANOUT: usize = 3;
 
-/// Ages told at a time. With [`FANOUT`], four in five of 300 boxes are heard of in each beat; an age
-/// takes six bytes, so this is some 5 KB/s.
+/// Ages told at a time; an age takes six bytes. Signs of life are 12 KB/s a box at 165 and at 330 boxes,
+/// those that watchers give their zones included (`tests/fleet_members.rs`).
 const AGES_MAX: usize = 128;
 
 /// Boxes that are alive, but whose own word hasn't come, asked for it at a time.
--- /dev/null
+++ b/src/proxy/gossip.rs
@@ -0,0 +1,156 @@
+//! The tasks by which boxes know of each other: signs of life, what other boxes tell, and questions to
+//! those that are ahead.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use slog::debug;
+use slog::info;
+
+use crate::fleet::members::BEAT;
+use crate::fleet::members::Beat;
+use crate::fleet::members::Heard;
+use crate::proxy::asking;
+use crate::proxy::hub::Hub;
+use crate::proxy::intake;
+use crate::proxy::message::Message;
+use crate::proxy::peers::DATAGRAM_MAX;
+use crate::proxy::peers::State;
+use crate::proxy::side;
+use crate::proxy::view::View;
+
+/// Datagrams taken in before others get their turn.
+const DATAGRAMS_AT_ONCE: usize = 64;
+
+/// Boxes that hear of a new configuration at once ask for it spread over this time.
+const ASK_SPREAD: Duration = Duration::from_millis(150);
+
+/// The store tells each box of a new configuration at about the same time; another box is asked
+/// for it only if the store has not told after this.
+const ASK_AFTER: Duration = Duration::from_millis(300);
+
+/// Begins to tell, to listen and to ask.
+pub fn start(hub: &Arc<Hub>) {
+    tokio::spawn(listen(hub.clone()));
+    tokio::spawn(beat(hub.clone()));
+    let flushing = hub.clone();
+    tokio::spawn(async move { flushing.peers().flush_all().await });
+    let flushing = hub.clone();
+    tokio::spawn(async move { flushing.peers().flush_some().await });
+    tokio::spawn(catch_up(hub.clone()));
+}
+
+async fn listen(hub: Arc<Hub>) {
+    let socket = hub.peers().socket.clone();
+    let mut buf = [0; DATAGRAM_MAX];
+    loop {
+        let (len, from) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(e) => {
+                // A box that doesn't listen yet answers with an error.
+                debug!(hub.log(), "datagram"; "error" => %e);
+                continue;
+            }
+        };
+        take_in(&hub, &buf[..len], from);
+        // What has come meanwhile is taken in without waiting for each.
+        for _ in 0..DATAGRAMS_AT_ONCE {
+            let Ok((len, from)) = socket.try_recv_from(&mut buf) else { break };
+            take_in(&hub, &buf[..len], from);
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Takes in the messages of a datagram.
+fn take_in(hub: &Hub, mut buf: &[u8], from: SocketAddr) {
+    while !buf.is_empty() {
+        let Ok((message, rest)) = postcard::take_from_bytes::<Message>(buf) else {
+            debug!(hub.log(), "datagram refused"; "from" => %from);
+            return;
+        };
+        buf = rest;
+        match message {
+            Message::Beat(beat) => hear(hub, &beat),
+            Message::Ask(ask) => asking::answer(hub, &ask, from.ip()),
+            message => intake::message(hub, message, from.ip()),
+        }
+    }
+}
+
+/// Takes in a sign of life. Boxes that start learn of each other within some round trips, since
+/// each answers at once.
+fn hear(hub: &Hub, beat: &Beat) {
+    let peers = hub.peers();
+    let now = peers.now();
+    let Heard { greet, is_new, has_restarted } = peers.members(|members| members.hear(beat, now));
+    let record = &beat.record;
+    if has_restarted {
+        info!(hub.log(), "box restarted"; "name" => record.name.as_str());
+        hub.fleet(|fleet| fleet.forget_sender(record.addr.ip()));
+    }
+    if is_new {
+        info!(hub.log(), "box heard"; "name" => record.name.as_str(),
+            "zone" => record.zone.as_str(), "version" => record.version);
+    }
+    if hub.version() < record.version {
+        peers.behind.notify_one();
+    }
+    if !greet.is_empty() {
+        peers.greet(state(hub), &greet);
+    }
+}
+
+fn state(hub: &Hub) -> State {
+    hub.read(|view| State {
+        version: view.version(),
+        sees_store: view.reaches_store(),
+        is_warm: hub.is_warm(),
+        upstreams: view.digest(),
+    })
+}
+
+async fn beat(hub: Arc<Hub>) {
+    loop {
+        let peers = hub.peers();
+        let now = peers.now();
+        for ip in peers.members(|members| members.take_silent(now)) {
+            info!(hub.log(), "box silent"; "ip" => %ip);
+            hub.fleet(|fleet| fleet.forget_sender(ip));
+        }
+        peers.beat(state(&hub));
+        // Whichever comes first.
+        let _ = tokio::time::timeout(BEAT, peers.announced.notified()).await;
+    }
+}
+
+/// Asks other boxes for what this one misses: a configuration that is newer, and the upstreams
+/// while it doesn't see the store.
+async fn catch_up(hub: Arc<Hub>) {
+    let mut was_apart = false;
+    loop {
+        // Whichever comes first. Many boxes hear of a configuration at once; they don't ask at once.
+        if tokio::time::timeout(ASK_AFTER, hub.peers().behind.notified()).await.is_ok() {
+            let part = rand::rng().random_range(0.0..1.0);
+            tokio::time::sleep(ASK_SPREAD.mul_f64(part)).await;
+        }
+        let State { version, sees_store, upstreams, .. } = state(&hub);
+        let ahead = hub.peers().ahead_of(version);
+        let is_small = hub.peers().owners().is_none();
+        let apart = match (sees_store, is_small) {
+            (true, _) => None,
+            (false, true) => hub.peers().with_store(),
+            (false, false) => hub.peers().with_other_upstreams(upstreams),
+        };
+        // What has just changed may still be on its way.
+        let is_apart = std::mem::replace(&mut was_apart, apart.is_some()) || is_small;
+        let is_known = hub.read(View::is_ready);
+        let Some(addr) = ahead.or(apart.filter(|_| is_apart || !is_known)) else { continue };
+        match side::ask(addr).await {
+            Ok(snapshot) => hub.take_over(snapshot),
+            Err(e) => debug!(hub.log(), "box not asked"; "addr" => %addr, "error" => %e),
+        }
+    }
+}
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -14,6 +14,7 @@
 pub mod door;
 pub mod figures;
 pub mod front;
+pub mod gossip;
 pub mod hub;
 pub mod intake;
 pub mod link;
@@ -144,7 +145,7 @@
     let (stop, stopping) = watch::channel(Stop::No);
     let (due, is_due) = watch::channel(false);
     follow(&hub, &*around.directory, is_due);
-    peers::start(&hub);
+    gossip::start(&hub);
     tokio::spawn(warm::up(hub.clone(), around.engines.clone()));
     tokio::spawn(warm::keep(hub.clone(), around.engines));
     tokio::spawn(asking::tell_shares(hub.clone()));
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -9,9 +9,6 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use rand::Rng;
-use slog::debug;
-use slog::info;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -21,9 +18,7 @@
 use crate::fleet::duty::Colleague;
 use crate::fleet::duty::Situation;
 use crate::fleet::members::Age;
-use crate::fleet::members::BEAT;
 use crate::fleet::members::Beat;
-use crate::fleet::members::Heard;
 use crate::fleet::members::Member;
 use crate::fleet::members::Members;
 use crate::fleet::members::Record;
@@ -31,17 +26,12 @@
 use crate::fleet::owners::Owners;
 use crate::names::BoxName;
 use crate::names::ZoneName;
-use crate::proxy::asking;
-use crate::proxy::hub::Hub;
-use crate::proxy::intake;
 use crate::proxy::message::Message;
 use crate::proxy::settings::Settings;
-use crate::proxy::side;
-use crate::proxy::view::View;
 use crate::util;
 
 /// Largest datagram, in bytes: fits an Ethernet frame.
-const DATAGRAM_MAX: usize = 1400;
+pub(super) const DATAGRAM_MAX: usize = 1400;
 
 /// What is told to all waits for more for this long a box that hears it, so that the cost of telling
 /// grows with the number of boxes and not with that times the requests.
@@ -62,26 +52,16 @@
 /// be off by without anybody waiting.
 const GATHER: Duration = Duration::from_millis(20);
 
-/// Datagrams taken in before others get their turn.
-const DATAGRAMS_AT_ONCE: usize = 64;
-
 /// A word of another box that is older says nothing of what it lists now.
 const WORD_FRESH: Duration = Duration::from_millis(1500);
 
-/// Boxes that hear of a new configuration at once ask for it spread over this time.
-const ASK_SPREAD: Duration = Duration::from_millis(150);
-
-/// The store tells each box of a new configuration at about the same time; another box is asked
-/// for it only if the store has not told after this.
-const ASK_AFTER: Duration = Duration::from_millis(300);
-
 /// What a box says of itself that changes.
 #[derive(Clone, Copy, Debug)]
-struct State {
-    version: u64,
-    sees_store: bool,
-    is_warm: bool,
-    upstreams: u64,
+pub(super) struct State {
+    pub(super) version: u64,
+    pub(super) sees_store: bool,
+    pub(super) is_warm: bool,
+    pub(super) upstreams: u64,
 }
 
 /// The other boxes.
@@ -93,7 +73,7 @@
     cores: f64,
     incarnation: u64,
     port: u16,
-    socket: Arc<UdpSocket>,
+    pub(super) socket: Arc<UdpSocket>,
     epoch: Instant,
     members: Mutex<Members>,
     seen: Mutex<Seen>,
@@ -102,10 +82,10 @@
     told_later: Notify,
     to_some: Mutex<BTreeMap<IpAddr, Vec<u8>>>,
     told_some: Notify,
-    announced: Notify,
+    pub(super) announced: Notify,
     is_first_start: bool,
     /// Woken when another box is ahead.
-    behind: Notify,
+    pub(super) behind: Notify,
 }
 
 /// What is worked out of the members now and then, since it is asked for with each request.
@@ -278,7 +258,7 @@
     }
 
     /// Sends what is pending for all whenever there is something, until the process ends.
-    async fn flush_all(&self) {
+    pub(super) async fn flush_all(&self) {
         loop {
             tokio::select! {
                 () = self.told.notified() => {}
@@ -298,7 +278,7 @@
     }
 
     /// The same for what is pending for single boxes.
-    async fn flush_some(&self) {
+    pub(super) async fn flush_some(&self) {
         loop {
             self.told_some.notified().await;
             tokio::time::sleep(GATHER).await;
@@ -316,7 +296,7 @@
     }
 
     /// Gives the boxes that are due a sign of life.
-    fn beat(&self, state: State) {
+    pub(super) fn beat(&self, state: State) {
         let now = self.now();
         let (to, ages) = self.members(|members| {
             let mut rng = rand::rng();
@@ -328,7 +308,7 @@
     }
 
     /// Gives some boxes a sign of life at once.
-    fn greet(&self, state: State, to: &BTreeSet<IpAddr>) {
+    pub(super) fn greet(&self, state: State, to: &BTreeSet<IpAddr>) {
         let now = self.now();
         let (to, ages) = self.members(|members| {
             let to: BTreeMap<IpAddr, bool> =
@@ -372,7 +352,7 @@
     }
 
     /// A box that has a newer configuration than `version`, preferably one that sees the store.
-    fn ahead_of(&self, version: u64) -> Option<SocketAddr> {
+    pub(super) fn ahead_of(&self, version: u64) -> Option<SocketAddr> {
         self.pick(|r| (version < r.version).then_some((r.sees_store, r.version)))
     }
 
@@ -382,13 +362,13 @@
     }
 
     /// A box that sees the store.
-    fn with_store(&self) -> Option<SocketAddr> {
+    pub(super) fn with_store(&self) -> Option<SocketAddr> {
         self.pick(|r| r.sees_store.then_some(()))
     }
 
     /// A box that sees the store and lists other upstreams than this one, if all that lately said that
     /// they see the store do.
-    fn with_other_upstreams(&self, digest: u64) -> Option<SocketAddr> {
+    pub(super) fn with_other_upstreams(&self, digest: u64) -> Option<SocketAddr> {
         let now = self.now();
         self.members(|members| {
             let words = members.live(now).filter_map(|(_, member)| member.word(now));
@@ -431,135 +411,11 @@
         self.members(|members| members.live(now).all(|(ip, _)| self.me.ip() < ip))
     }
 
-    fn members<T>(&self, f: impl FnOnce(&mut Members) -> T) -> T {
+    pub(super) fn members<T>(&self, f: impl FnOnce(&mut Members) -> T) -> T {
         f(&mut self.members.lock().expect("no panic under lock"))
     }
 
-    fn now(&self) -> Duration {
+    pub(super) fn now(&self) -> Duration {
         self.epoch.elapsed()
     }
 }
-
-/// Begins to tell, to listen and to ask.
-pub fn start(hub: &Arc<Hub>) {
-    tokio::spawn(listen(hub.clone()));
-    tokio::spawn(beat(hub.clone()));
-    let flushing = hub.clone();
-    tokio::spawn(async move { flushing.peers().flush_all().await });
-    let flushing = hub.clone();
-    tokio::spawn(async move { flushing.peers().flush_some().await });
-    tokio::spawn(catch_up(hub.clone()));
-}
-
-async fn listen(hub: Arc<Hub>) {
-    let socket = hub.peers().socket.clone();
-    let mut buf = [0; DATAGRAM_MAX];
-    loop {
-        let (len, from) = match socket.recv_from(&mut buf).await {
-            Ok(received) => received,
-            Err(e) => {
-                // A box that doesn't listen yet answers with an error.
-                debug!(hub.log(), "datagram"; "error" => %e);
-                continue;
-            }
-        };
-        take_in(&hub, &buf[..len], from);
-        // What has come meanwhile is taken in without waiting for each.
-        for _ in 0..DATAGRAMS_AT_ONCE {
-            let Ok((len, from)) = socket.try_recv_from(&mut buf) else { break };
-            take_in(&hub, &buf[..len], from);
-        }
-        tokio::task::yield_now().await;
-    }
-}
-
-/// Takes in the messages of a datagram.
-fn take_in(hub: &Hub, mut buf: &[u8], from: SocketAddr) {
-    while !buf.is_empty() {
-        let Ok((message, rest)) = postcard::take_from_bytes::<Message>(buf) else {
-            debug!(hub.log(), "datagram refused"; "from" => %from);
-            return;
-        };
-        buf = rest;
-        match message {
-            Message::Beat(beat) => hear(hub, &beat),
-            Message::Ask(ask) => asking::answer(hub, &ask, from.ip()),
-            message => intake::message(hub, message, from.ip()),
-        }
-    }
-}
-
-/// Takes in a sign of life. Boxes that start learn of each other within some round trips, since
-/// each answers at once.
-fn hear(hub: &Hub, beat: &Beat) {
-    let peers = hub.peers();
-    let now = peers.now();
-    let Heard { greet, is_new, has_restarted } = peers.members(|members| members.hear(beat, now));
-    let record = &beat.record;
-    if has_restarted {
-        info!(hub.log(), "box restarted"; "name" => record.name.as_str());
-        hub.fleet(|fleet| fleet.forget_sender(record.addr.ip()));
-    }
-    if is_new {
-        info!(hub.log(), "box heard"; "name" => record.name.as_str(),
-            "zone" => record.zone.as_str(), "version" => record.version);
-    }
-    if hub.version() < record.version {
-        peers.behind.notify_one();
-    }
-    if !greet.is_empty() {
-        peers.greet(state(hub), &greet);
-    }
-}
-
-fn state(hub: &Hub) -> State {
-    hub.read(|view| State {
-        version: view.version(),
-        sees_store: view.reaches_store(),
-        is_warm: hub.is_warm(),
-        upstreams: view.digest(),
-    })
-}
-
-async fn beat(hub: Arc<Hub>) {
-    loop {
-        let peers = hub.peers();
-        let now = peers.now();
-        for ip in peers.members(|members| members.take_silent(now)) {
-            info!(hub.log(), "box silent"; "ip" => %ip);
-            hub.fleet(|fleet| fleet.forget_sender(ip));
-        }
-        peers.beat(state(&hub));
-        // Whichever comes first.
-        let _ = tokio::time::timeout(BEAT, peers.announced.notified()).await;
-    }
-}
-
-/// Asks other boxes for what this one misses: a configuration that is newer, and the upstreams
-/// while it doesn't see the store.
-async fn catch_up(hub: Arc<Hub>) {
-    let mut was_apart = false;
-    loop {
-        // Whichever comes first. Many boxes hear of a configuration at once; they don't ask at once.
-        if tokio::time::timeout(ASK_AFTER, hub.peers().behind.notified()).await.is_ok() {
-            let part = rand::rng().random_range(0.0..1.0);
-            tokio::time::sleep(ASK_SPREAD.mul_f64(part)).await;
-        }
-        let State { version, sees_store, upstreams, .. } = state(&hub);
-        let ahead = hub.peers().ahead_of(version);
-        let is_small = hub.peers().owners().is_none();
-        let apart = match (sees_store, is_small) {
-            (true, _) => None,
-            (false, true) => hub.peers().with_store(),
-            (false, false) => hub.peers().with_other_upstreams(upstreams),
-        };
-        // What has just changed may still be on its way.
-        let is_apart = std::mem::replace(&mut was_apart, apart.is_some()) || is_small;
-        let is_known = hub.read(View::is_ready);
-        let Some(addr) = ahead.or(apart.filter(|_| is_apart || !is_known)) else { continue };
-        match side::ask(addr).await {
-            Ok(snapshot) => hub.take_over(snapshot),
-            Err(e) => debug!(hub.log(), "box not asked"; "addr" => %addr, "error" => %e),
-        }
-    }
-}
