--- a/src/proxy/asking.rs
+++ b/src/proxy/asking.rs
@@ -51,24 +51,25 @@
 /// Sums of workspaces told at a time, so that they fit a datagram.
 const USED_MAX: usize = 24;
 
-type Placed = Result<Choice, Denial>;
+/// What whoever keeps the models decides.
+type Decision = Result<Choice, Denial>;
 
 /// What this box has asked others.
 #[derive(Debug, Default)]
 pub struct Asking {
-    waiting: Mutex<FxHashMap<u64, oneshot::Sender<Placed>>>,
+    waiting: Mutex<FxHashMap<u64, oneshot::Sender<Decision>>>,
     /// Boxes that gave no answer, and until when they aren't asked.
     suspects: Mutex<FxHashMap<IpAddr, Duration>>,
 }
 
 impl Asking {
-    fn expect(&self, request: u64) -> oneshot::Receiver<Placed> {
+    fn expect(&self, request: u64) -> oneshot::Receiver<Decision> {
         let (tx, rx) = oneshot::channel();
         self.waiting.lock().expect("no panic under lock").insert(request, tx);
         rx
     }
 
-    fn take(&self, request: u64) -> Option<oneshot::Sender<Placed>> {
+    fn take(&self, request: u64) -> Option<oneshot::Sender<Decision>> {
         self.waiting.lock().expect("no panic under lock").remove(&request)
     }
 
@@ -97,7 +98,7 @@
 }
 
 /// Places a request, or says why it isn't placed.
-pub async fn place(hub: &Arc<Hub>, wish: Wish<'_>) -> Placed {
+pub async fn place(hub: &Arc<Hub>, wish: Wish<'_>) -> Decision {
     let owners = hub.peers().owners();
     if owners.is_none() {
         return place_for_all(hub, wish);
@@ -110,13 +111,7 @@
         wish.group = Some(group);
         wish.is_last = n == GROUPS_MAX;
         let Some(owned) = owners.of(group) else { break };
-        let Some(mut placed) = place_in(hub, wish, group, owned).await else { break };
-        if placed.as_ref().is_err_and(|denied| denied.cause == NoChoice::NotKept) {
-            wish.source = look(hub, wish, &owners, group).await;
-            wish.purpose = Purpose::Place;
-            let Some(second) = place_in(hub, wish, group, owned).await else { break };
-            placed = second;
-        }
+        let Some(placed) = place_or_copy(hub, wish, &owners, group, owned).await else { break };
         wish.purpose = Purpose::Place;
         match placed {
             Err(denied) if denied.may_go_on => {
@@ -132,8 +127,25 @@
     }
 }
 
+/// Has a request placed in a group of engines. Where none of them keeps what others share, it is looked
+/// for in another group first.
+async fn place_or_copy(
+    hub: &Arc<Hub>,
+    wish: Wish<'_>,
+    owners: &Owners,
+    group: Group,
+    owned: Owned,
+) -> Option<Decision> {
+    let placed = place_in(hub, wish, group, owned).await?;
+    if !placed.as_ref().is_err_and(|denied| denied.cause == NoChoice::NotKept) {
+        return Some(placed);
+    }
+    let source = look(hub, wish, owners, group).await;
+    place_in(hub, Wish { source, purpose: Purpose::Place, ..wish }, group, owned).await
+}
+
 /// Places a request by what this box believes, and tells all others.
-fn place_for_all(hub: &Hub, wish: Wish<'_>) -> Placed {
+fn place_for_all(hub: &Hub, wish: Wish<'_>) -> Decision {
     let placed = hub.admit(Wish { is_last: true, purpose: Purpose::Place, ..wish });
     match &placed {
         Ok(choice) => hub.peers().tell(&told(&wish, choice)),
@@ -148,7 +160,7 @@
 }
 
 /// Places a request though nobody who keeps the models answers: by what little this box knows.
-fn place_alone(hub: &Hub, wish: Wish<'_>) -> Placed {
+fn place_alone(hub: &Hub, wish: Wish<'_>) -> Decision {
     let placed = hub.admit(Wish { is_last: true, purpose: Purpose::Place, ..wish });
     if let Ok(choice) = &placed {
         debug!(hub.log(), "placed alone"; "upstream" => choice.upstream.as_str());
@@ -158,7 +170,7 @@
 }
 
 /// Has a request placed in a group of engines; nothing if nobody who keeps its models answers.
-async fn place_in(hub: &Arc<Hub>, wish: Wish<'_>, group: Group, owned: Owned) -> Option<Placed> {
+async fn place_in(hub: &Arc<Hub>, wish: Wish<'_>, group: Group, owned: Owned) -> Option<Decision> {
     for ip in owned.keepers() {
         if ip == hub.peers().me() {
             let placed = hub.admit(wish);
@@ -189,7 +201,7 @@
     looked.err()?.source
 }
 
-async fn ask(hub: &Hub, ip: IpAddr, wish: &Wish<'_>, group: Group) -> Option<Placed> {
+async fn ask(hub: &Hub, ip: IpAddr, wish: &Wish<'_>, group: Group) -> Option<Decision> {
     let millis = |d: Duration| u32::try_from(d.as_millis()).unwrap_or(u32::MAX);
     let asking = hub.asking();
     let request = wish.request;
