--- a/tests/proxy_capacity.rs
+++ b/tests/proxy_capacity.rs
@@ -4,6 +4,7 @@
 
 use frostdyke::proxy::capacity::Capacity;
 use frostdyke::proxy::door::Door;
+use frostdyke::proxy::link::Allowed;
 
 /// What a box begins with.
 const FIRST: usize = 300;
@@ -93,3 +94,13 @@
         assert!(door.enter(0, Duration::from_millis(5 * n)).is_some(), "the {n}th");
     }
 }
+
+/// A box whose callers share one engine's parts needs as many connections there as the engine has slots;
+/// shared evenly among 295 boxes it would have five.
+#[test]
+fn a_box_may_use_all_slots_of_an_engine_and_keeps_its_even_part() {
+    let allowed = Allowed::new(1_900, 12, 295);
+    assert_eq!(allowed, Allowed { busy: 12, kept: 5 });
+    assert_eq!(Allowed::new(1_900, 12, 9), Allowed { busy: 190, kept: 190 });
+    assert_eq!(Allowed::new(100, 2, 1_000).kept, 4, "some are kept however many boxes there are");
+}
