--- a/src/placement/tuning.rs
+++ b/src/placement/tuning.rs
@@ -25,7 +25,8 @@
     /// Part of a route's aim that a request may wait for an engine; the rest is for reading the
     /// prompt and the first step.
     pub wait_share: f64,
-    /// The same for a workspace that has had its fair share: it gets what the others leave.
+    /// The same for a workspace that has had its fair share, where engines are busy: it gets what the
+    /// others leave.
     pub wait_share_over: f64,
 }
 
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -162,12 +162,13 @@
         (self.streams() < self.streams_max()).then(|| InFlight::new(self.streams.clone()))
     }
 
-    /// Whether this box has as many streams as it can pass on.
+    /// Whether this box has as many streams as it can pass on, or has turned callers away lately; new
+    /// callers do better elsewhere.
     pub fn is_full(&self) -> bool {
         self.full.load(Ordering::Relaxed)
     }
 
-    /// Notes whether this box has as many streams as it can pass on.
+    /// Notes whether new callers do better elsewhere.
     pub fn set_full(&self, full: bool) {
         self.full.store(full, Ordering::Relaxed);
     }
