One check of what a large box is, of a member's zone, of what engines keep; one way to want any upstream

Read as a newcomer: the same half of the largest box's cores was compared in two files, a member's zone twice in one, what each engine keeps was listed twice, and the wish for any upstream of a service was written out in the proxy and in two tests. No change of behaviour; no assertion is touched.

--- a/src/fleet/duty.rs
+++ b/src/fleet/duty.rs
@@ -6,7 +6,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::fleet::owners::CORES_SHARE_MIN;
+use crate::fleet::owners;
 use crate::fleet::owners::TELL_ALL_MAX;
 
 /// Boxes of a zone that watch. The store may turn single boxes away: where it turns away one in three,
@@ -64,8 +64,7 @@
     let most = s.zone.iter().map(|b| b.cores).fold(s.cores, f64::max);
     // Larger boxes first, since a small one that is busy stands still for a tenth of a second.
     let key = |ip: IpAddr, cores: f64| {
-        let is_large = most * CORES_SHARE_MIN <= cores;
-        (!is_large, xxh3_64(ip.to_string().as_bytes()), ip)
+        (!owners::is_large(cores, most), xxh3_64(ip.to_string().as_bytes()), ip)
     };
     let mine = key(s.me, s.cores);
     let rank = s.zone.iter().filter(|b| key(b.ip, b.cores) < mine).count();
--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -129,6 +129,10 @@
         !self.is_seed && self.alive_at.unwrap_or(self.known_at) + FORGOTTEN_AFTER < now
     }
 
+    fn is_of(&self, zone: &ZoneName) -> bool {
+        self.record.as_ref().is_some_and(|r| r.zone == *zone)
+    }
+
     /// Its last word, and how old that is.
     pub fn word(&self, now: Duration) -> Option<(&Record, Duration)> {
         Some((self.record.as_ref()?, now.saturating_sub(self.said_at)))
@@ -244,8 +248,8 @@
             self.known.iter().partition(|(_, m)| m.is_live(now, after));
         let (said, unsaid): (Vec<_>, Vec<_>) =
             live.into_iter().partition(|(_, m)| m.record.is_some());
-        let is_of_zone = |m: &Member| m.record.as_ref().map(|r| &r.zone) == zone;
-        let here: Vec<_> = said.iter().copied().filter(|(_, m)| is_of_zone(m)).collect();
+        let is_here = |m: &Member| zone.is_some_and(|zone| m.is_of(zone));
+        let here: Vec<_> = said.iter().copied().filter(|(_, m)| is_here(m)).collect();
         let few = said.into_iter().choose_multiple(rng, FANOUT);
         let asked = unsaid.into_iter().choose_multiple(rng, ASKED_MAX);
         let away = away.into_iter().choose(rng);
@@ -255,8 +259,7 @@
 
     /// The boxes of a zone that are alive.
     pub fn zone(&self, zone: &ZoneName, now: Duration) -> Vec<IpAddr> {
-        let is_here = |m: &Member| m.record.as_ref().is_some_and(|r| r.zone == *zone);
-        self.live(now).filter(|(_, m)| is_here(m)).map(|(ip, _)| ip).collect()
+        self.live(now).filter(|(_, m)| m.is_of(zone)).map(|(ip, _)| ip).collect()
     }
 
     /// How long ago others were alive, for a sign of life.
--- a/src/fleet/owners.rs
+++ b/src/fleet/owners.rs
@@ -26,7 +26,7 @@
 
 /// Only boxes that may use at least this part of what the largest may own groups, since a box that
 /// has used up its part of a core stands still for up to a tenth of a second.
-pub const CORES_SHARE_MIN: f64 = 0.5;
+const CORES_SHARE_MIN: f64 = 0.5;
 
 /// Fleets of up to so many boxes tell all of them everything: each decides by itself then, and
 /// nobody waits for an answer.
@@ -114,8 +114,7 @@
             return Owners::default();
         }
         let most = boxes.iter().map(|b| b.cores).fold(0.0, f64::max);
-        let able: Vec<&Candidate> =
-            boxes.iter().filter(|b| most * CORES_SHARE_MIN <= b.cores).collect();
+        let able: Vec<&Candidate> = boxes.iter().filter(|b| is_large(b.cores, most)).collect();
         let bits = bits(engines);
         let group = |prefix| owned(Group { bits, prefix }, &able);
         Owners { bits, groups: (0..1 << bits).filter_map(group).collect() }
@@ -155,6 +154,11 @@
     }
 }
 
+/// Whether a box of these cores does for what others rely on, where the largest may use `most`.
+pub fn is_large(cores: f64, most: f64) -> bool {
+    most * CORES_SHARE_MIN <= cores
+}
+
 /// The power of two of groups that comes nearest to [`ENGINES_PER_GROUP`].
 fn bits(engines: usize) -> u32 {
     let groups = (engines as f64 / ENGINES_PER_GROUP).max(1.0);
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -43,6 +43,28 @@
     pub source: Option<Source>,
 }
 
+impl<'a> Wanted<'a> {
+    /// Any upstream of a service, those in `except` apart, that has no longer wait than this.
+    pub fn any(
+        service: &'a str,
+        prompt: Option<&'a Prompt>,
+        except: &'a [UpstreamName],
+        wait_max: Duration,
+    ) -> Wanted<'a> {
+        Wanted {
+            service,
+            prompt,
+            except,
+            wait_max,
+            wait_max_idle: wait_max,
+            anywhere: true,
+            group: None,
+            zone: None,
+            source: None,
+        }
+    }
+}
+
 /// The choice for a request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Choice {
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -190,8 +190,7 @@
                 .collect();
         };
         // Looked up once: what engines keep is spread over memory, and many engines are asked.
-        let kept: Vec<u32> =
-            usable.iter().map(|u| u.engine.as_ref().map_or(0, |e| e.kept(prompt))).collect();
+        let kept = kept(usable, prompt);
         let source = self.source(usable, &kept, wanted, prompt);
         let homes = homes(usable, prompt);
         let own = prompt.parts.last().map_or(0, |own| own.tokens);
@@ -232,24 +231,26 @@
     /// The hash of the engine to which a prompt belongs, of those that aren't in `avoided`; all boxes
     /// that list the same engines come to the same.
     pub fn home(&self, service: &str, prompt: &Prompt, avoided: Option<Group>) -> Option<u64> {
-        let engines = self.upstreams.values().filter(|u| u.engine.is_some() && !u.listed.leaving);
-        home(engines.filter(|u| &*u.listed.service == service), prompt, avoided)
+        let staying = self.engines_for(service).filter(|u| !u.listed.leaving);
+        home(staying, prompt, avoided)
     }
 
     /// The same among the engines that leave, too: one of them may still keep what its successor
     /// doesn't.
     pub fn home_elsewhere(&self, service: &str, prompt: &Prompt, avoided: Group) -> Option<u64> {
+        home(self.engines_for(service), prompt, Some(avoided))
+    }
+
+    fn engines_for(&self, service: &str) -> impl Iterator<Item = &Upstream> {
         let engines = self.upstreams.values().filter(|u| u.engine.is_some());
-        home(engines.filter(|u| &*u.listed.service == service), prompt, Some(avoided))
+        engines.filter(move |u| &*u.listed.service == service)
     }
 
     /// The engine that keeps the most of a prompt.
     pub fn keeper(&self, wanted: Wanted<'_>, now: Duration) -> Option<Source> {
         let prompt = wanted.prompt?;
         let usable = self.usable(wanted, now);
-        let kept: Vec<u32> =
-            usable.iter().map(|u| u.engine.as_ref().map_or(0, |e| e.kept(prompt))).collect();
-        self.source(&usable, &kept, wanted, prompt).filter(|s| s.kept != 0)
+        self.source(&usable, &kept(&usable, prompt), wanted, prompt).filter(|s| s.kept != 0)
     }
 
     /// Notes a request that another box sends to an upstream, or this one if no `sender` is given.
@@ -414,6 +415,11 @@
     }
 }
 
+/// Tokens at the head of a prompt that each upstream keeps.
+fn kept(upstreams: &[&Upstream], prompt: &Prompt) -> Vec<u32> {
+    upstreams.iter().map(|u| u.engine.as_ref().map_or(0, |e| e.kept(prompt))).collect()
+}
+
 /// How busy engines are, from 0 to 1, by their mean wait.
 fn busy(candidates: &[Candidate<'_>], longest: Duration) -> f64 {
     let waits: f64 = candidates.iter().map(|c| c.wait().as_secs_f64()).sum();
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -259,17 +259,7 @@
     }
 
     fn choose_plain(&self) -> Result<Choice, Refusal> {
-        let wanted = Wanted {
-            service: &self.service,
-            prompt: None,
-            except: &self.tried,
-            wait_max: Duration::MAX,
-            wait_max_idle: Duration::MAX,
-            anywhere: true,
-            group: None,
-            zone: None,
-            source: None,
-        };
+        let wanted = Wanted::any(&self.service, None, &self.tried, Duration::MAX);
         self.hub.choose(wanted).map_err(|cause| {
             info!(self.hub.log(), "not placed"; "id" => &self.head.id, "route" => &self.route.name,
                 "service" => self.service.as_str(), "cause" => cause.code(),
--- a/tests/proxy_placement.rs
+++ b/tests/proxy_placement.rs
@@ -58,17 +58,7 @@
     wait_max: Duration,
 ) -> Result<Choice, NoChoice> {
     let (prompt, except) = (Some(prompt), &[][..]);
-    let wanted = Wanted {
-        service: "llm",
-        prompt,
-        except,
-        wait_max,
-        wait_max_idle: wait_max,
-        anywhere: true,
-        group: None,
-        zone: None,
-        source: None,
-    };
+    let wanted = Wanted::any("llm", prompt, except, wait_max);
     fleet.choose(wanted, millis(ms))
 }
 
--- a/tests/proxy_speed.rs
+++ b/tests/proxy_speed.rs
@@ -122,17 +122,7 @@
     fn choose(&self, prompt: &Prompt, now: Duration) -> Choice {
         let (prompt, except) = (Some(prompt), &[][..]);
         let wait_max = Duration::MAX;
-        let wanted = Wanted {
-            service: "llm",
-            prompt,
-            except,
-            wait_max,
-            wait_max_idle: wait_max,
-            anywhere: true,
-            group: None,
-            zone: None,
-            source: None,
-        };
+        let wanted = Wanted::any("llm", prompt, except, wait_max);
         self.fleet.choose(wanted, now).expect("there is an engine")
     }
 
