Send cold engines no more than they bear, by their owner and its standby

Cause: nothing in the code knew that an engine bears 6.1 requests a second after a start.

Change: placement::cold, a plain model of a cold start in the engine's model. What its owner, a second one that believes to own, the standby and boxes that decide by themselves may each send adds up to less than the bound; who places without anybody who keeps the model sends nothing there. When an engine is cold is told by its entry, by the entry that comes anew, and by the engine itself when a connection works again that was refused (its health answer, asked by those who keep its model); the longest of these counts. A box that comes to keep a model waits for a second.

--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -177,6 +177,11 @@
         self.known.iter().filter(move |(_, m)| m.is_live(now, after)).map(|(ip, m)| (*ip, m))
     }
 
+    /// How many others there are, or were lately.
+    pub fn known(&self) -> usize {
+        self.known.len()
+    }
+
     /// Another box's last word.
     pub fn record(&self, ip: IpAddr) -> Option<&Record> {
         self.known.get(&ip)?.record.as_ref()
--- a/src/fleet/owners.rs
+++ b/src/fleet/owners.rs
@@ -16,6 +16,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::names::ZoneName;
+use crate::placement::cold::Role;
 
 /// Engines of a group: enough that one is free when others aren't, few enough that what its owner
 /// hears is a small part of what all are sent.
@@ -93,6 +94,14 @@
 }
 
 impl Owned {
+    /// By what right a box decides what goes to the group's engines.
+    pub fn role(self, ip: IpAddr) -> Role {
+        if self.owner == ip {
+            return Role::Owner;
+        }
+        if self.standby == Some(ip) { Role::Standby } else { Role::Stranger }
+    }
+
     /// The owner, then the standby.
     pub fn keepers(self) -> impl Iterator<Item = IpAddr> {
         std::iter::once(self.owner).chain(self.standby)
--- a/src/placement/admit.rs
+++ b/src/placement/admit.rs
@@ -15,6 +15,7 @@
 use crate::placement::choice::NoChoice;
 use crate::placement::choice::Source;
 use crate::placement::choice::Wanted;
+use crate::placement::cold::Role;
 use crate::placement::engine::Placement;
 use crate::placement::fleet::Fleet;
 use crate::placement::share::Shares;
@@ -71,6 +72,8 @@
     pub purpose: Purpose,
     /// Whether no other group of engines will be asked.
     pub is_last: bool,
+    /// By what right whoever decides does so.
+    pub role: Role,
 }
 
 /// Why a request isn't placed.
@@ -110,6 +113,7 @@
         group: wish.group,
         zone: wish.zone,
         source: wish.source,
+        role: wish.role,
     };
     if wish.purpose == Purpose::Look {
         let (cause, source) = (NoChoice::OnlyLooked, fleet.keeper(wanted, now));
@@ -122,7 +126,8 @@
         }
         Ok(choice) => {
             let Choice { unread, copied, .. } = choice;
-            let placement = Placement { request, prompt, unread, copied, sender };
+            let placement =
+                Placement { request, prompt, unread, copied, sender, decided: Some(wish.role) };
             fleet.place(&choice.upstream, placement, now);
             if let Some(workspace) = wish.workspace {
                 shares.begin(workspace, charge, now);
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -9,6 +9,7 @@
 use crate::fleet::owners::Group;
 use crate::names::UpstreamName;
 use crate::names::ZoneName;
+use crate::placement::cold::Role;
 use crate::proxy::dialect::Prompt;
 
 /// An engine that keeps some of a prompt, from which another may copy it.
@@ -41,6 +42,8 @@
     pub zone: Option<&'a ZoneName>,
     /// An engine that may not be chosen and keeps some of the prompt.
     pub source: Option<Source>,
+    /// By what right this box chooses, where an engine is cold.
+    pub role: Role,
 }
 
 impl<'a> Wanted<'a> {
@@ -61,6 +64,7 @@
             group: None,
             zone: None,
             source: None,
+            role: Role::Stranger,
         }
     }
 }
--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -8,6 +8,8 @@
 use rustc_hash::FxHashMap;
 
 use crate::placement::cache::PrefixCache;
+use crate::placement::cold::ColdStart;
+use crate::placement::cold::Role;
 use crate::placement::speed::Factor;
 use crate::placement::speed::Speed;
 use crate::placement::speed::Work;
@@ -78,6 +80,7 @@
     load: f64,
     load_at: Duration,
     factor: Factor,
+    cold: ColdStart,
 }
 
 /// What is known of a request when it is sent to an engine.
@@ -93,6 +96,8 @@
     pub copied: u32,
     /// The box that sends it; nothing for this one.
     pub sender: Option<IpAddr>,
+    /// By what right this box has decided that; nothing where another one has.
+    pub decided: Option<Role>,
 }
 
 impl Engine {
@@ -109,9 +114,15 @@
             load: 0.0,
             load_at: Duration::ZERO,
             factor: Factor::default(),
+            cold: ColdStart::default(),
         }
     }
 
+    /// What it can hold and bear.
+    pub fn limits(&self) -> EngineLimits {
+        self.limits
+    }
+
     /// Seconds that it takes to read this.
     pub fn reading(&self, work: Work, speed: &Speed) -> f64 {
         speed.reading(work) * self.factor.get()
@@ -200,7 +211,10 @@
         tuning: Tuning,
         now: Duration,
     ) {
-        let Placement { request, prompt, unread, copied, sender } = placement;
+        let Placement { request, prompt, unread, copied, sender, decided } = placement;
+        if let Some(limits) = self.limits.cold {
+            self.cold.begin(decided, limits, tuning.cold, now);
+        }
         let work = Work::reading(prompt.tokens.saturating_sub(unread), unread);
         let ahead = self.left(speed, now).and(work);
         self.load = self.load(tuning, now) + self.reading(work, speed);
@@ -216,6 +230,28 @@
         self.run_tokens += tokens;
     }
 
+    /// Notes that it is cold for so long, or for as long as after a start if nothing is known. True where
+    /// that is news.
+    pub fn chill(&mut self, cold_for: Option<Duration>, now: Duration) -> bool {
+        let Some(limits) = self.limits.cold else { return false };
+        self.cold.note(now + cold_for.unwrap_or(limits.lasts), now)
+    }
+
+    /// How long it stays cold.
+    pub fn cold_for(&self, now: Duration) -> Duration {
+        self.cold.left(now)
+    }
+
+    /// Nothing goes there before `until`, if it is cold.
+    pub fn hold_if_cold(&mut self, until: Duration) {
+        self.cold.hold(until);
+    }
+
+    /// Whether it bears one more request now, if a box of this role sends it.
+    pub fn bears(&self, role: Role, tuning: Tuning, now: Duration) -> bool {
+        self.limits.cold.is_none_or(|limits| self.cold.bears(role, limits, tuning.cold, now))
+    }
+
     /// What it is believed to keep, for a box that knows nothing yet.
     pub fn parts(&self) -> Vec<Part> {
         self.cache.parts()
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -116,6 +116,34 @@
         self.upstreams.insert(upstream.listed.name.clone(), upstream);
     }
 
+    /// Notes that an upstream is cold for so long, or for as long as after a start if nothing is known. True
+    /// where that is news.
+    pub fn chill(
+        &mut self,
+        name: &UpstreamName,
+        cold_for: Option<Duration>,
+        now: Duration,
+    ) -> bool {
+        self.engine(name).is_some_and(|engine| engine.chill(cold_for, now))
+    }
+
+    /// Whether the upstream is an engine that bears less than usual after a start.
+    pub fn may_be_cold(&self, name: &UpstreamName) -> bool {
+        let engine = self.upstreams.get(name).and_then(|u| u.engine.as_ref());
+        engine.is_some_and(|engine| engine.limits().cold.is_some())
+    }
+
+    /// Cold engines of a group get nothing before `until`.
+    pub fn hold_cold(&mut self, group: Group, until: Duration) {
+        let of_group = self.upstreams.values_mut().filter(|u| group.has(u.hash));
+        of_group.filter_map(|u| u.engine.as_mut()).for_each(|e| e.hold_if_cold(until));
+    }
+
+    /// All upstreams, as they are to be told to another box.
+    pub fn told(&self, now: Duration) -> Vec<Listed> {
+        self.upstreams.values().map(|u| u.told(now)).collect()
+    }
+
     /// Forgets an upstream.
     pub fn remove(&mut self, name: &UpstreamName) {
         self.upstreams.remove(name);
@@ -197,7 +225,7 @@
         let shared = prompt.tokens.saturating_sub(own);
         let lead_max = Duration::from_secs_f64(speed.reading(Work::reading(0, shared)));
         let candidate = |(u, kept): (&&'a Upstream, &u32)| {
-            if !u.has_room(prompt) {
+            if !u.has_room(prompt) || !u.bears(wanted.role, cx) {
                 return None;
             }
             let rank = homes.iter().position(|home| home.is_some_and(|h| std::ptr::eq(h, *u)));
@@ -369,6 +397,11 @@
         self.upstreams.get_mut(name).is_some_and(|u| u.doubt(is_own, now))
     }
 
+    /// Whether no connection to an upstream could be made when it was tried last.
+    pub fn was_away(&self, name: &UpstreamName) -> bool {
+        self.upstreams.get(name).is_some_and(Upstream::was_away)
+    }
+
     /// Notes that a connection to an upstream could be made. True when that was in doubt.
     pub fn reached(&mut self, name: &UpstreamName) -> bool {
         self.upstreams.get_mut(name).is_some_and(Upstream::reached)
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -4,6 +4,7 @@
 pub mod admit;
 pub mod cache;
 pub mod choice;
+pub mod cold;
 pub mod engine;
 pub mod fleet;
 pub mod share;
--- a/src/placement/tuning.rs
+++ b/src/placement/tuning.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::placement::cold::ColdBound;
+
 /// How fast engines are believed to be at first, and how what a choice costs is weighed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Tuning {
@@ -28,6 +30,8 @@
     /// The same for a workspace that has had its fair share, where engines are busy: it gets what the
     /// others leave.
     pub wait_share_over: f64,
+    /// How far above what it bears a cold engine may get.
+    pub cold: ColdBound,
 }
 
 impl Default for Tuning {
@@ -43,6 +47,7 @@
             copy_weight: 16.0,
             wait_share: 0.7,
             wait_share_over: 0.15,
+            cold: ColdBound::default(),
         }
     }
 }
--- a/src/placement/upstream.rs
+++ b/src/placement/upstream.rs
@@ -10,6 +10,7 @@
 use crate::names::ZoneName;
 use crate::placement::choice::Choice;
 use crate::placement::choice::Source;
+use crate::placement::cold::Role;
 use crate::placement::engine::Engine;
 use crate::placement::speed::Speed;
 use crate::placement::speed::Work;
@@ -154,6 +155,11 @@
         true
     }
 
+    /// Whether no connection could be made when it was tried last.
+    pub(super) fn was_away(&self) -> bool {
+        self.doubt.is_some_and(|doubt| doubt.failures != 0)
+    }
+
     /// Notes that a connection to it could be made. True when that was in doubt.
     pub(super) fn reached(&mut self) -> bool {
         self.doubt.take().is_some()
@@ -182,6 +188,17 @@
         self.engine.as_ref().is_none_or(|engine| engine.has_room(prompt))
     }
 
+    /// Whether it bears one more request now, if a box of this role sends it.
+    pub(super) fn bears(&self, role: Role, cx: Context<'_>) -> bool {
+        self.engine.as_ref().is_none_or(|engine| engine.bears(role, cx.tuning, cx.now))
+    }
+
+    /// How it is listed, with what is known now of its start.
+    pub(super) fn told(&self, now: Duration) -> Listed {
+        let cold_for = self.engine.as_ref().map(|engine| engine.cold_for(now));
+        Listed { cold_for, ..self.listed.clone() }
+    }
+
     /// How this engine, which keeps `kept` tokens of a prompt, would come by it; nothing for plain
     /// services.
     pub(super) fn plan(
--- a/src/proxy/ask.rs
+++ b/src/proxy/ask.rs
@@ -10,6 +10,7 @@
 use http::StatusCode;
 use http::Uri;
 use http::header::HOST;
+use http::response;
 use http_body_util::BodyExt;
 use http_body_util::Empty;
 use http_body_util::Limited;
@@ -76,13 +77,23 @@
         path: &str,
         timeout: Duration,
     ) -> Result<(StatusCode, Bytes), Error> {
+        let (head, body) = self.get_whole(path, timeout).await?;
+        Ok((head.status, body))
+    }
+
+    /// The same with the answer's head.
+    pub async fn get_whole(
+        &mut self,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<(response::Parts, Bytes), Error> {
         // A connection on which a call failed or hung says nothing further.
         let conn = self.conn.take();
         let call = call(self.addr, conn, path);
-        let (conn, status, body) =
+        let (conn, head, body) =
             tokio::time::timeout(timeout, call).await.map_err(|_| Error::Timeout)??;
         self.conn = Some(conn);
-        Ok((status, body))
+        Ok((head, body))
     }
 }
 
@@ -90,7 +101,7 @@
     addr: SocketAddr,
     conn: Option<Conn>,
     path: &str,
-) -> Result<(Conn, StatusCode, Bytes), Error> {
+) -> Result<(Conn, response::Parts, Bytes), Error> {
     let mut conn = match conn {
         Some(conn) if !conn.tx.is_closed() => conn,
         _ => connect(addr).await?,
@@ -103,9 +114,9 @@
     }
     conn.tx.ready().await?;
     let resp = conn.tx.send_request(req).await?;
-    let status = resp.status();
-    let body = Limited::new(resp.into_body(), ANSWER_MAX).collect().await;
-    Ok((conn, status, body.map_err(Error::Body)?.to_bytes()))
+    let (head, body) = resp.into_parts();
+    let body = Limited::new(body, ANSWER_MAX).collect().await;
+    Ok((conn, head, body.map_err(Error::Body)?.to_bytes()))
 }
 
 async fn connect(addr: SocketAddr) -> Result<Conn, Error> {
--- a/src/proxy/asking.rs
+++ b/src/proxy/asking.rs
@@ -23,6 +23,7 @@
 use crate::placement::choice::Choice;
 use crate::placement::choice::NoChoice;
 use crate::placement::choice::Source;
+use crate::placement::cold::Role;
 use crate::placement::upstream;
 use crate::proxy::dialect::Prompt;
 use crate::proxy::hub::Hub;
@@ -146,7 +147,8 @@
 
 /// Places a request by what this box believes, and tells all others.
 fn place_for_all(hub: &Hub, wish: Wish<'_>) -> Decision {
-    let placed = hub.admit(Wish { is_last: true, purpose: Purpose::Place, ..wish });
+    let role = Role::Peer { boxes: hub.peers().known(), draw: hub.peers().own_draw() };
+    let placed = hub.admit(Wish { is_last: true, purpose: Purpose::Place, role, ..wish });
     match &placed {
         Ok(choice) => hub.peers().tell(&told(&wish, choice)),
         Err(_) => {
@@ -161,7 +163,8 @@
 
 /// Places a request though nobody who keeps the models answers: by what little this box knows.
 fn place_alone(hub: &Hub, wish: Wish<'_>) -> Decision {
-    let placed = hub.admit(Wish { is_last: true, purpose: Purpose::Place, ..wish });
+    let role = Role::Stranger;
+    let placed = hub.admit(Wish { is_last: true, purpose: Purpose::Place, role, ..wish });
     if let Ok(choice) = &placed {
         debug!(hub.log(), "placed alone"; "upstream" => choice.upstream.as_str());
         tell_keepers(hub, &choice.upstream, &told(&wish, choice));
@@ -173,7 +176,7 @@
 async fn place_in(hub: &Arc<Hub>, wish: Wish<'_>, group: Group, owned: Owned) -> Option<Decision> {
     for ip in owned.keepers() {
         if ip == hub.peers().me() {
-            let placed = hub.admit(wish);
+            let placed = hub.admit(Wish { role: owned.role(ip), ..wish });
             if let Ok(choice) = &placed {
                 tell_other_keeper(hub, &wish, choice, owned);
             }
@@ -237,6 +240,7 @@
 /// Places a request that another box asks for.
 pub fn answer(hub: &Hub, ask: &Ask, from: IpAddr) {
     let prompt = Prompt::from(&ask.prompt);
+    let owned = hub.peers().owners().of(ask.group);
     let wish = Wish {
         request: ask.request,
         service: &ask.service,
@@ -251,11 +255,12 @@
         source: ask.source,
         purpose: ask.purpose,
         is_last: ask.is_last,
+        role: owned.map_or(Role::Stranger, |owned| owned.role(hub.peers().me())),
     };
     let result = hub.admit(wish);
     let request = ask.request;
     if let Ok(choice) = &result
-        && let Some(owned) = hub.peers().owners().of(ask.group)
+        && let Some(owned) = owned
     {
         tell_other_keeper(hub, &wish, choice, owned);
     }
@@ -311,6 +316,12 @@
     }
 }
 
+/// Whether this box keeps the model of an engine; each does in a small fleet.
+pub fn keeps(hub: &Hub, name: &UpstreamName) -> bool {
+    let owned = hub.peers().owners().of_hash(upstream::hash(name));
+    owned.is_none_or(|owned| owned.keepers().any(|ip| ip == hub.peers().me()))
+}
+
 /// Tells those who keep the model of an engine; all boxes in a small fleet.
 pub fn tell_keepers(hub: &Hub, name: &UpstreamName, message: &Message) {
     let owners = hub.peers().owners();
--- a/src/proxy/dialect.rs
+++ b/src/proxy/dialect.rs
@@ -125,6 +125,15 @@
     pub slots: u32,
     /// Whether it is about to stop: it gets no new work.
     pub leaving: bool,
+    /// How long it still bears less than usual after its start; nothing if that isn't known.
+    pub cold_for: Option<Duration>,
+}
+
+impl Listed {
+    /// Whether both say the same, but for what changes by itself.
+    pub fn is_same(&self, other: &Listed) -> bool {
+        *self == Listed { cold_for: self.cold_for, ..other.clone() }
+    }
 }
 
 /// What the platform's store tells.
@@ -159,6 +168,13 @@
 pub trait Engines: Send + Sync {
     /// The parts of prompts that the engine at `addr` keeps, in no order.
     fn kept(&self, addr: std::net::SocketAddr) -> BoxFuture<'static, Result<Vec<Part>, NotAsked>>;
+
+    /// How long the engine at `addr` still bears less than usual, as it says itself at `health_path`.
+    fn cold_for(
+        &self,
+        addr: std::net::SocketAddr,
+        health_path: &str,
+    ) -> BoxFuture<'static, Result<Duration, NotAsked>>;
 }
 
 /// The store that holds the configuration and the list of upstreams.
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -27,6 +27,7 @@
 use crate::proxy::budget::Budget;
 use crate::proxy::capacity;
 use crate::proxy::dialect::Dialect;
+use crate::proxy::dialect::Engines;
 use crate::proxy::figures::Figures;
 use crate::proxy::link::Allowed;
 use crate::proxy::link::Links;
@@ -44,6 +45,7 @@
     inner: Mutex<Inner>,
     epoch: Instant,
     dialect: Arc<dyn Dialect>,
+    engines: Arc<dyn Engines>,
     links: Arc<Links>,
     peers: Peers,
     figures: Figures,
@@ -72,6 +74,7 @@
     pub fn new(
         cfg: &Settings,
         dialect: Arc<dyn Dialect>,
+        engines: Arc<dyn Engines>,
         peers: Peers,
         figures: Figures,
         log: Logger,
@@ -86,6 +89,7 @@
             inner: Mutex::new(inner),
             epoch: Instant::now(),
             dialect,
+            engines,
             links: Arc::default(),
             peers,
             figures,
@@ -111,6 +115,11 @@
         &*self.dialect
     }
 
+    /// Calls to engines beside requests.
+    pub fn engines(&self) -> &dyn Engines {
+        &*self.engines
+    }
+
     /// Counts a request until the guard is dropped.
     pub fn enter(&self) -> InFlight {
         InFlight::new(self.in_flight.clone())
@@ -265,7 +274,7 @@
 
     /// Takes over what another box knows.
     pub fn take_over(&self, snapshot: Snapshot) {
-        self.change(|view, _| view.take_over(snapshot));
+        self.change(|view, now| view.take_over(snapshot, now));
     }
 
     /// Chooses an upstream of a plain service.
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -21,12 +21,12 @@
 /// Takes in what the store tells.
 pub fn news(hub: &Hub, news: News) {
     match news {
-        News::Configured(table) => hub.change(|view, _| view.configure(table)),
+        News::Configured(table) => hub.change(|view, now| view.configure(table, now)),
         News::BadConfiguration(fault) => {
             warn!(hub.log(), "configuration refused"; "fault" => fault);
         }
         News::Listed(all) => hub.change(|view, now| view.list(all, now)),
-        News::Changed(listed) => hub.change(|view, _| view.set(listed)),
+        News::Changed(listed) => hub.change(|view, now| view.set(listed, now)),
         News::Gone(name) => hub.change(|view, now| view.gone(&name, now)),
         News::BadEntry(fault) => warn!(hub.log(), "entry refused"; "fault" => fault),
         News::Lost(cause) => {
@@ -53,7 +53,8 @@
         Message::Placed { upstream, request, prompt, unread, copied, workspace, sender: by } => {
             let prompt = Prompt::from(&prompt);
             let sender = Some(by.unwrap_or(sender));
-            let placement = Placement { request, prompt: &prompt, unread, copied, sender };
+            let placement =
+                Placement { request, prompt: &prompt, unread, copied, sender, decided: None };
             hub.fleet(|fleet| fleet.place(&upstream, placement, now));
             if let Some(workspace) = workspace {
                 count(hub, &upstream, &workspace, prompt.charge(), now);
@@ -79,7 +80,7 @@
         Message::Leaving { upstream } => {
             hub.change(|view, _| view.told_leaving(&upstream));
         }
-        Message::Listed(listed) => hub.change(|view, _| view.told_listed(listed)),
+        Message::Listed(listed) => hub.change(|view, now| view.told_listed(listed, now)),
         Message::Gone { upstream } => hub.change(|view, now| view.told_gone(&upstream, now)),
         Message::Answer(answer) => asking::answered(hub, answer, sender),
         Message::Used(all) => hub.shares(|shares| {
--- a/src/proxy/look.rs
+++ b/src/proxy/look.rs
@@ -1,8 +1,10 @@
 //! Upstreams that may not be reachable: they get no work until a connection to them can be made.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use slog::debug;
 use slog::info;
 
 use crate::names::UpstreamName;
@@ -55,7 +57,31 @@
         }
         return;
     }
+    let was_away = hub.read(|view| view.fleet().was_away(&name));
+    if was_away {
+        note_start(&hub, &name, addr).await;
+    }
     if hub.fleet(|fleet| fleet.reached(&name)) {
         info!(hub.log(), "upstream reachable"; "name" => name.as_str());
     }
 }
+
+/// An engine that was away may have started anew. Those who keep its model ask it how long it is cold; if it
+/// doesn't say, it is taken for one that has just started.
+async fn note_start(hub: &Hub, name: &UpstreamName, addr: SocketAddr) {
+    if !hub.read(|view| view.fleet().may_be_cold(name)) || !asking::keeps(hub, name) {
+        return;
+    }
+    let Some(path) = hub.read(|view| view.health_path(name)) else { return };
+    let cold_for = match hub.engines().cold_for(addr, &path).await {
+        Ok(cold_for) => Some(cold_for),
+        Err(e) => {
+            debug!(hub.log(), "engine not asked"; "upstream" => name.as_str(), "error" => %e);
+            None
+        }
+    };
+    let now = hub.now();
+    hub.fleet(|fleet| fleet.chill(name, cold_for, now));
+    info!(hub.log(), "upstream back"; "name" => name.as_str(),
+        "cold_ms" => cold_for.map(|d| d.as_millis() as u64));
+}
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -31,6 +31,7 @@
 pub mod view;
 pub mod warm;
 
+use std::collections::BTreeSet;
 use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
@@ -50,9 +51,11 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::fleet::owners::Group;
 use crate::log;
 use crate::metrics;
 use crate::metrics::Metrics;
+use crate::placement::cold;
 use crate::proxy::capacity::Capacity;
 use crate::proxy::dialect::Dialect;
 use crate::proxy::dialect::Directory;
@@ -139,7 +142,7 @@
     let mut signals = Signals::new().map_err(|source| Error::Io { what: "signals", source })?;
     let peers = Peers::new(&cfg, socket);
     peers.add_seeds(&cfg.seeds);
-    let hub = Hub::new(&cfg, around.dialect, peers, figures, log.clone());
+    let hub = Hub::new(&cfg, around.dialect, around.engines.clone(), peers, figures, log.clone());
     info!(log, "started"; "callers" => %cfg.callers, "zone" => cfg.identity.zone.as_str());
 
     let (stop, stopping) = watch::channel(Stop::No);
@@ -183,6 +186,7 @@
     let mut capacity = Capacity::new(hub.streams_max());
     let mut turned_away = 0;
     let mut crowded_until = Instant::now();
+    let mut kept: BTreeSet<Group> = BTreeSet::new();
     loop {
         let due = Instant::now() + TICK;
         tokio::time::sleep_until(due).await;
@@ -204,6 +208,9 @@
         let engines = hub.read(|view| view.fleet().engines().count());
         if hub.peers().refresh(engines) {
             let owners = hub.peers().owners();
+            let now_kept = owners.kept_by(hub.peers().me()).map(|(group, _)| group).collect();
+            hold_cold(&hub, &now_kept, &kept);
+            kept = now_kept;
             info!(hub.log(), "owners"; "boxes" => hub.peers().live() + 1, "engines" => engines,
                 "kept" => owners.kept_by(hub.peers().me()).count());
         }
@@ -217,6 +224,12 @@
     }
 }
 
+/// What others have just sent to the engines of groups that are new to this box isn't known here.
+fn hold_cold(hub: &Hub, kept: &BTreeSet<Group>, before: &BTreeSet<Group>) {
+    let until = hub.now() + cold::LOOKS_BACK;
+    hub.fleet(|fleet| kept.difference(before).for_each(|group| fleet.hold_cold(*group, until)));
+}
+
 /// Waits until all requests have ended and no new ones are to be expected, or time is up.
 async fn drain(hub: &Hub, stop: &watch::Sender<Stop>, within: Duration) {
     let began = Instant::now();
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -92,6 +92,7 @@
 #[derive(Debug, Default)]
 struct Seen {
     live: usize,
+    known: usize,
     /// The boxes and how many engines, by which the owners were worked out.
     boxes: Vec<Candidate>,
     engines: usize,
@@ -153,6 +154,11 @@
         self.seen.lock().expect("no panic under lock").live
     }
 
+    /// How many boxes have been heard of lately, this one and those that are silent now included.
+    pub fn known(&self) -> usize {
+        self.seen.lock().expect("no panic under lock").known
+    }
+
     /// Who owns the models of which engines.
     pub fn owners(&self) -> Arc<Owners> {
         self.seen.lock().expect("no panic under lock").owners.clone()
@@ -166,13 +172,13 @@
             let record = member.record.as_ref()?;
             Some(Candidate { ip, zone: record.zone.clone(), cores: record.cores })
         };
-        let (live, others) = self.members(|members| {
+        let (live, known, others) = self.members(|members| {
             let others: Vec<Candidate> = members.live(now).filter_map(candidate).collect();
-            (members.live(now).count(), others)
+            (members.live(now).count(), members.known() + 1, others)
         });
         let boxes: Vec<Candidate> = others.into_iter().chain([me]).collect();
         let mut seen = self.seen.lock().expect("no panic under lock");
-        seen.live = live;
+        (seen.live, seen.known) = (live, known);
         // Each box is hashed for each group, and mostly nothing has changed.
         if seen.boxes == boxes && seen.engines == engines {
             return false;
@@ -408,6 +414,11 @@
         })
     }
 
+    /// A number of this box's own.
+    pub fn own_draw(&self) -> u32 {
+        xxh3_64(self.me.ip().to_string().as_bytes()) as u32
+    }
+
     /// A number for another box that differs from box to box.
     fn draw(&self, addr: &SocketAddr) -> u64 {
         xxh3_64(format!("{}/{addr}", self.me).as_bytes())
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -27,6 +27,7 @@
 use crate::placement::choice::Choice;
 use crate::placement::choice::NoChoice;
 use crate::placement::choice::Wanted;
+use crate::placement::cold::Role;
 use crate::placement::upstream::Health;
 use crate::proxy::admission;
 use crate::proxy::answer;
@@ -251,6 +252,7 @@
             source: None,
             purpose: Purpose::PlaceIfKept,
             is_last: false,
+            role: Role::Stranger,
         };
         asking::place(&self.hub, wish).await.map_err(|denial| {
             self.log_denial(&denial);
--- a/src/proxy/settings.rs
+++ b/src/proxy/settings.rs
@@ -7,6 +7,7 @@
 use crate::config::settings;
 use crate::config::settings::Error;
 use crate::config::settings::Reader;
+use crate::placement::cold::ColdBound;
 use crate::placement::tuning::Tuning;
 use crate::proxy::budget::Bounds;
 
@@ -95,6 +96,10 @@
         copy_weight: number("copy-weight", usual.copy_weight),
         wait_share: number("wait-share", usual.wait_share),
         wait_share_over: number("wait-share-over", usual.wait_share_over),
+        cold: ColdBound {
+            overage: number("cold-overage", usual.cold.overage),
+            slack: number("cold-slack", usual.cold.slack),
+        },
     }
 }
 
--- a/src/proxy/side.rs
+++ b/src/proxy/side.rs
@@ -120,7 +120,7 @@
 impl Page for Known {
     fn refuse(&self, head: &http::request::Parts) -> Option<Response<Bytes>> {
         match head.uri.path() {
-            SNAPSHOT_PATH => Some(json(&self.hub.read(View::snapshot))),
+            SNAPSHOT_PATH => Some(json(&self.hub.read(|view| view.snapshot(self.hub.now())))),
             LEARNED_PATH => Some(self.learned(None)),
             METRICS_PATH => Some(Response::new(Bytes::from(self.hub.metrics().page()))),
             path => {
--- a/src/proxy/table.rs
+++ b/src/proxy/table.rs
@@ -9,6 +9,7 @@
 
 use crate::names::ServiceName;
 use crate::names::WorkspaceName;
+use crate::placement::cold::ColdLimits;
 
 /// One version of the configuration.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -65,6 +66,8 @@
 pub struct Service {
     /// Connections that one upstream takes from all boxes together.
     pub max_connections: u32,
+    /// The path at which an upstream says how it is.
+    pub health_path: String,
     /// What is known of its engines, where it is a model.
     pub engine: Option<EngineLimits>,
 }
@@ -78,6 +81,8 @@
     pub memory_tokens: u64,
     /// Tokens of a prompt's memory that it copies from another engine in a second.
     pub copied_per_s: u64,
+    /// What it bears after a start; nothing where that is no less than usual.
+    pub cold: Option<ColdLimits>,
 }
 
 /// Whom a request is charged to.
--- a/src/proxy/view.rs
+++ b/src/proxy/view.rs
@@ -118,16 +118,16 @@
     }
 
     /// What another box may take over.
-    pub fn snapshot(&self) -> Snapshot {
+    pub fn snapshot(&self, now: Duration) -> Snapshot {
         Snapshot {
             table: self.table.clone(),
-            upstreams: self.fleet.listed().cloned().collect(),
+            upstreams: self.fleet.told(now),
             is_sure: self.reached,
         }
     }
 
     /// Takes over a configuration, unless it is no newer than the one in force.
-    pub fn configure(&mut self, table: Arc<Table>) {
+    pub fn configure(&mut self, table: Arc<Table>, now: Duration) {
         if table.version <= self.version() {
             return;
         }
@@ -136,7 +136,12 @@
         let known: Vec<Listed> = self.fleet.listed().cloned().collect();
         for listed in known {
             let limits = self.engine_limits(&listed);
+            let is_new = limits.is_some() && !self.fleet.is_engine(&listed.name);
+            let (name, cold_for) = (listed.name.clone(), listed.cold_for);
             self.fleet.set(listed, limits);
+            if is_new {
+                self.fleet.chill(&name, cold_for, now);
+            }
         }
     }
 
@@ -149,7 +154,7 @@
             .map(|known| known.name.clone())
             .collect();
         for listed in all {
-            self.set(listed);
+            self.set(listed, now);
         }
         for name in absent {
             self.gone(&name, now);
@@ -158,10 +163,11 @@
     }
 
     /// Takes over one upstream.
-    pub fn set(&mut self, listed: Listed) {
+    pub fn set(&mut self, listed: Listed, now: Duration) {
         self.missing.remove(&listed.name);
-        let known = self.fleet.get(&listed.name);
-        if known == Some(&listed) {
+        let is_known = self.fleet.get(&listed.name).is_some_and(|known| known.is_same(&listed));
+        let is_colder = self.fleet.chill(&listed.name, listed.cold_for, now);
+        if is_known && !is_colder {
             return;
         }
         let change = if listed.leaving {
@@ -171,7 +177,9 @@
         };
         self.changes.push(change);
         let limits = self.engine_limits(&listed);
+        let (name, cold_for) = (listed.name.clone(), listed.cold_for);
         self.fleet.set(listed, limits);
+        self.fleet.chill(&name, cold_for, now);
     }
 
     /// An entry is gone. Near trouble with the store it may only have lapsed.
@@ -206,10 +214,10 @@
     }
 
     /// Another box, which sees the store, says that an upstream is new or has changed.
-    pub fn told_listed(&mut self, listed: Listed) {
+    pub fn told_listed(&mut self, listed: Listed, now: Duration) {
         let is_leaving = self.fleet.get(&listed.name).is_some_and(|known| known.leaving);
         if !self.reached && !is_leaving {
-            self.set(listed);
+            self.set(listed, now);
         }
     }
 
@@ -223,9 +231,9 @@
     }
 
     /// Takes over what another box knows, while this one doesn't see the store.
-    pub fn take_over(&mut self, snapshot: Snapshot) {
+    pub fn take_over(&mut self, snapshot: Snapshot, now: Duration) {
         if let Some(table) = snapshot.table {
-            self.configure(table);
+            self.configure(table, now);
         }
         if self.reached {
             return;
@@ -241,7 +249,7 @@
             let known = self.fleet.get(&listed.name);
             // An upstream never returns from leaving.
             if known.is_none_or(|k| !k.leaving) {
-                self.set(listed);
+                self.set(listed, now);
             }
         }
         self.listed_once |= is_useful;
@@ -291,6 +299,12 @@
         self.changes.push(Change::Gone(name.clone()));
     }
 
+    /// The path at which an upstream says how it is.
+    pub fn health_path(&self, name: &UpstreamName) -> Option<String> {
+        let service = &self.fleet.get(name)?.service;
+        Some(self.table.as_ref()?.service(service)?.health_path.clone())
+    }
+
     fn engine_limits(&self, listed: &Listed) -> Option<EngineLimits> {
         self.table.as_ref()?.service(&listed.service)?.engine
     }
--- a/tests/fleet_placement.rs
+++ b/tests/fleet_placement.rs
@@ -16,6 +16,7 @@
 use frostdyke::placement::admit::Wish;
 use frostdyke::placement::cache::PrefixCache;
 use frostdyke::placement::choice::Choice;
+use frostdyke::placement::cold::Role;
 use frostdyke::placement::fleet::Fleet;
 use frostdyke::placement::share::Shares;
 use frostdyke::placement::tuning::Tuning;
@@ -33,7 +34,7 @@
 const BOXES: usize = 300;
 const ENGINES: usize = 320;
 const LIMITS: EngineLimits =
-    EngineLimits { slots: 12, memory_tokens: 470_000, copied_per_s: 400_000 };
+    EngineLimits { slots: 12, memory_tokens: 470_000, copied_per_s: 400_000, cold: None };
 
 /// Requests a second, and for how long.
 const RATE: f64 = 2_200.0;
@@ -93,6 +94,7 @@
             zone: ZoneName::from(&*format!("zone-{}", n % 5)),
             slots: 12,
             leaving: false,
+            cold_for: None,
         };
         fleet.set(listed, Some(LIMITS));
     }
@@ -189,6 +191,7 @@
                 source,
                 purpose: Purpose::Place,
                 is_last: is_last || !has_owners,
+                role: Role::Owner,
             };
             let result = admit::admit(&mut fleet, &mut shares, wish, now);
             let ask = ask(&wish, &boxes[asker]);
--- a/tests/proxy_admit.rs
+++ b/tests/proxy_admit.rs
@@ -13,6 +13,7 @@
 use frostdyke::placement::admit::Purpose;
 use frostdyke::placement::admit::Wish;
 use frostdyke::placement::choice::Choice;
+use frostdyke::placement::cold::Role;
 use frostdyke::placement::engine::Placement;
 use frostdyke::placement::fleet::Fleet;
 use frostdyke::placement::fleet::Kept;
@@ -26,7 +27,7 @@
 use frostdyke::proxy::table::EngineLimits;
 
 const LIMITS: EngineLimits =
-    EngineLimits { slots: 64, memory_tokens: 500_000, copied_per_s: 400_000 };
+    EngineLimits { slots: 64, memory_tokens: 500_000, copied_per_s: 400_000, cold: None };
 
 /// The aim of all requests.
 const AIM: Duration = Duration::from_millis(1000);
@@ -57,6 +58,7 @@
                 zone: ZoneName::from("a"),
                 slots: 64,
                 leaving: false,
+                cold_for: None,
             };
             fleet.set(listed, Some(LIMITS));
         }
@@ -88,6 +90,7 @@
             source: None,
             purpose: Purpose::Place,
             is_last,
+            role: Role::Owner,
         };
         admit::admit(&mut self.fleet, &mut self.shares, wish, NOW)
     }
@@ -130,8 +133,14 @@
         for request in 50_000..50_003 {
             let own = Part { id: request, tokens: 3_000 };
             let prompt = Prompt { tokens: 3_000, written_max: 10, parts: vec![own] };
-            let placement =
-                Placement { request, prompt: &prompt, unread: 3_000, copied: 0, sender: None };
+            let placement = Placement {
+                request,
+                prompt: &prompt,
+                unread: 3_000,
+                copied: 0,
+                sender: None,
+                decided: None,
+            };
             desk.fleet.place(&first.upstream, placement, NOW);
         }
         desk.shared = Some(Part { id: 7, tokens: 20_000 });
--- a/tests/proxy_placement.rs
+++ b/tests/proxy_placement.rs
@@ -18,7 +18,7 @@
 use frostdyke::proxy::table::EngineLimits;
 
 const LIMITS: EngineLimits =
-    EngineLimits { slots: 64, memory_tokens: 500_000, copied_per_s: 400_000 };
+    EngineLimits { slots: 64, memory_tokens: 500_000, copied_per_s: 400_000, cold: None };
 
 fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -32,6 +32,7 @@
         zone: ZoneName::from(if n < 3 { "a" } else { "b" }),
         slots: 64,
         leaving: false,
+        cold_for: None,
     }
 }
 
@@ -65,7 +66,7 @@
 fn send(fleet: &mut Fleet, prompt: &Prompt, request: u64, ms: u64) -> Choice {
     let choice = choose(fleet, prompt, ms).expect("there is an engine");
     let Choice { unread, copied, .. } = choice;
-    let placement = Placement { request, prompt, unread, copied, sender: None };
+    let placement = Placement { request, prompt, unread, copied, sender: None, decided: None };
     fleet.place(&choice.upstream, placement, millis(ms));
     choice
 }
@@ -114,7 +115,8 @@
     for request in 0..64 {
         let sender = if request < 40 { gone } else { alive };
         let small = Prompt { tokens: 10, written_max: 1, parts: Vec::new() };
-        let placement = Placement { request, prompt: &small, unread: 10, copied: 0, sender };
+        let placement =
+            Placement { request, prompt: &small, unread: 10, copied: 0, sender, decided: None };
         fleet.place(&UpstreamName::from("e1"), placement, millis(0));
     }
     assert_eq!(choose(&fleet, &prompt(1, 100), 0), Err(NoChoice::Full));
--- a/tests/proxy_speed.rs
+++ b/tests/proxy_speed.rs
@@ -20,7 +20,7 @@
 use rand::rngs::StdRng;
 
 const LIMITS: EngineLimits =
-    EngineLimits { slots: 64, memory_tokens: 500_000, copied_per_s: 400_000 };
+    EngineLimits { slots: 64, memory_tokens: 500_000, copied_per_s: 400_000, cold: None };
 
 /// An engine as it is: reads one prompt after the other.
 #[derive(Clone, Copy, Debug)]
@@ -65,6 +65,7 @@
             zone: ZoneName::from("a"),
             slots: 64,
             leaving: false,
+            cold_for: None,
         };
         fleet.set(listed, Some(LIMITS));
         let rng = StdRng::seed_from_u64(seed);
@@ -107,6 +108,7 @@
             unread: choice.unread,
             copied: choice.copied,
             sender: None,
+            decided: None,
         };
         self.fleet.place(&choice.upstream, placement, now);
         self.free_at = self.free_at.max(self.now) + truth.reading(tokens);
--- a/tests/proxy_view.rs
+++ b/tests/proxy_view.rs
@@ -24,6 +24,7 @@
         zone: ZoneName::from("a"),
         slots: 1,
         leaving: false,
+        cold_for: None,
     }
 }
 
@@ -56,7 +57,7 @@
     view.list(vec![upstream("b")], millis(10_000));
     view.tick(millis(11_900));
     assert!(is_open(&view, "a"));
-    view.set(upstream("a"));
+    view.set(upstream("a"), millis(11_900));
     view.tick(millis(13_000));
     assert!(is_open(&view, "a"));
 }
@@ -103,7 +104,7 @@
     assert!(!is_open(&view, "a"));
     // An upstream that leaves stays so, whatever another box still believes.
     let upstreams = vec![upstream("a"), upstream("b"), upstream("c")];
-    view.take_over(Snapshot { table: None, upstreams, is_sure: false });
+    view.take_over(Snapshot { table: None, upstreams, is_sure: false }, millis(10_000));
     assert!(!is_open(&view, "a"));
     assert!(is_open(&view, "c"));
 }
