Don't send requests where an owner that is behind says

The other boxes obeyed: requests reached an engine 3.6 to 4.0 s after it had said that it leaves, through boxes that had known of that for 2.8 s.

Ruled out: entries gathered for a second (all boxes of the other zones knew at 36.6 s what was said at 35.86); a grace for missing entries (the entry said that it leaves); requests that waited (placed at 39.4 to 39.8 s).

Change: a box checks an owner's choice against what it knows itself. What leaves, or is gone within the last 30 s, is refused, the owner is told, and the standby is asked; the owner is left alone for a second like one that doesn't answer. That an upstream is gone is remembered, and a box that is behind doesn't bring it back.

--- a/src/proxy/asking.rs
+++ b/src/proxy/asking.rs
@@ -185,10 +185,17 @@
         if hub.asking().is_suspect(ip, hub.now()) {
             continue;
         }
-        if let Some(placed) = ask(hub, ip, &wish, group).await {
-            return Some(placed);
+        match ask(hub, ip, &wish, group).await {
+            Some(Ok(choice)) if hub.read(|view| view.is_barred(&choice.upstream)) => {
+                // It was cut off, or stood still: it believes in an upstream that leaves or is gone.
+                info!(hub.log(), "an owner is behind"; "ip" => %ip, "group" => %group,
+                    "upstream" => choice.upstream.as_str());
+                let (upstream, request) = (choice.upstream, wish.request);
+                hub.peers().tell_some([ip].into_iter(), &Message::Ended { upstream, request });
+            }
+            Some(placed) => return Some(placed),
+            None => info!(hub.log(), "no answer of an owner"; "ip" => %ip, "group" => %group),
         }
-        info!(hub.log(), "no answer of an owner"; "ip" => %ip, "group" => %group);
         hub.asking().suspect(ip, hub.now());
     }
     None
--- a/src/proxy/view.rs
+++ b/src/proxy/view.rs
@@ -23,6 +23,10 @@
 /// a box that is behind doesn't bring it back.
 const SAID_GONE_KEPT: Duration = Duration::from_secs(10);
 
+/// An upstream that is gone is remembered for this long: a box that was cut off from all others doesn't
+/// own anything any more after a sixth of it, and may have believed in the upstream until it came back.
+const DROPPED_KEPT: Duration = Duration::from_secs(30);
+
 /// What one box can tell another that can't ask the store.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Snapshot {
@@ -58,6 +62,8 @@
     fleet: Fleet,
     /// Upstreams whose entries may have lapsed while the store was away.
     missing: BTreeSet<UpstreamName>,
+    /// Upstreams that are gone, and when that was known. Names are never given twice.
+    dropped: BTreeMap<UpstreamName, Duration>,
     /// Upstreams that another box has said to be gone, and when.
     said_gone: BTreeMap<UpstreamName, Duration>,
     listed_once: bool,
@@ -74,6 +80,7 @@
             table: None,
             fleet,
             missing: BTreeSet::new(),
+            dropped: BTreeMap::new(),
             said_gone: BTreeMap::new(),
             listed_once: false,
             reached: false,
@@ -165,6 +172,7 @@
     /// Takes over one upstream.
     pub fn set(&mut self, listed: Listed, now: Duration) {
         self.missing.remove(&listed.name);
+        self.dropped.remove(&listed.name);
         let is_known = self.fleet.get(&listed.name).is_some_and(|known| known.is_same(&listed));
         let is_colder = self.fleet.chill(&listed.name, listed.cold_for, now);
         if is_known && !is_colder {
@@ -192,7 +200,13 @@
             }
             return;
         }
-        self.drop_upstream(name);
+        self.drop_upstream(name, now);
+    }
+
+    /// Whether this box knows that an upstream must get no requests: it leaves or is gone. Another box that
+    /// was cut off may still believe in it.
+    pub fn is_barred(&self, name: &UpstreamName) -> bool {
+        self.dropped.contains_key(name) || self.fleet.get(name).is_some_and(|l| l.leaving)
     }
 
     /// Another box, which sees the store, says that an upstream leaves. None ever comes back from
@@ -216,7 +230,7 @@
     /// Another box, which sees the store, says that an upstream is new or has changed.
     pub fn told_listed(&mut self, listed: Listed, now: Duration) {
         let is_leaving = self.fleet.get(&listed.name).is_some_and(|known| known.leaving);
-        if !self.reached && !is_leaving {
+        if !self.reached && !is_leaving && !self.dropped.contains_key(&listed.name) {
             self.set(listed, now);
         }
     }
@@ -243,12 +257,16 @@
             let listed: BTreeSet<&UpstreamName> =
                 snapshot.upstreams.iter().map(|l| &l.name).collect();
             let known: Vec<UpstreamName> = self.fleet.listed().map(|l| l.name.clone()).collect();
-            known.iter().filter(|name| !listed.contains(name)).for_each(|n| self.drop_upstream(n));
+            known
+                .iter()
+                .filter(|name| !listed.contains(name))
+                .for_each(|name| self.drop_upstream(name, now));
         }
         for listed in snapshot.upstreams {
             let known = self.fleet.get(&listed.name);
             // An upstream never returns from leaving.
-            if known.is_none_or(|k| !k.leaving) {
+            let is_gone = !snapshot.is_sure && self.dropped.contains_key(&listed.name);
+            if known.is_none_or(|k| !k.leaving) && !is_gone {
                 self.set(listed, now);
             }
         }
@@ -277,11 +295,13 @@
     /// Gives up what has been missing for too long, while the store answers.
     pub fn tick(&mut self, now: Duration) {
         self.fleet.tick(now);
-        let fleet = &mut self.fleet;
+        self.dropped.retain(|_, at| now < *at + DROPPED_KEPT);
+        let (fleet, dropped) = (&mut self.fleet, &mut self.dropped);
         self.said_gone.retain(|name, said| {
             let is_kept = now < *said + SAID_GONE_KEPT;
             if !is_kept {
                 fleet.remove(name);
+                dropped.insert(name.clone(), now);
             }
             is_kept
         });
@@ -289,12 +309,13 @@
             return;
         }
         for name in std::mem::take(&mut self.missing) {
-            self.drop_upstream(&name);
+            self.drop_upstream(&name, now);
         }
     }
 
-    fn drop_upstream(&mut self, name: &UpstreamName) {
+    fn drop_upstream(&mut self, name: &UpstreamName, now: Duration) {
         self.missing.remove(name);
+        self.dropped.insert(name.clone(), now);
         self.fleet.remove(name);
         self.changes.push(Change::Gone(name.clone()));
     }
