Evacuate zones: known by every sign of life, newest word wins

Cause: nothing read `evacuations`.

The state is a few names with the store's revision; each sign of life carries it, the newest wins, so that a removal is news as well and a box that starts learns it with the first greeting. Upstreams of such a zone get nothing, also not at another box's word; where none is left requests are refused at once. When a zone is taken back its engines count as cold.

Ruled out: a message of its own and a call for who missed it (a datagram may be lost; 64 boxes would ask for 300 KB each).

--- /dev/null
+++ b/src/fleet/evacuated.rs
@@ -0,0 +1,57 @@
+//! Availability zones that the operator has emptied: their engines get nothing until the order is taken back.
+//!
+//! The whole state is a handful of names. Each sign of life carries it with the store's revision as of which
+//! it is known, and the newest wins; so it reaches every box, also one that starts meanwhile, without being
+//! asked for.
+
+use std::collections::BTreeSet;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::names::ZoneName;
+
+/// What the operator orders.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Nothing more is to be sent to the engines of a zone.
+    Evacuate(ZoneName),
+    /// A zone's engines may be sent requests again.
+    TakeBack(ZoneName),
+}
+
+/// The zones that are evacuated, as of a revision of the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evacuated {
+    /// The store's revision; zero where nothing has been heard.
+    pub revision: u64,
+    /// The zones.
+    pub zones: BTreeSet<ZoneName>,
+}
+
+impl Evacuated {
+    /// Takes over what is known as of a later revision. True where the zones are others.
+    pub fn merge(&mut self, other: &Evacuated) -> bool {
+        if other.revision <= self.revision {
+            return false;
+        }
+        self.revision = other.revision;
+        let is_new = self.zones != other.zones;
+        if is_new {
+            self.zones = other.zones.clone();
+        }
+        is_new
+    }
+
+    /// The same after these orders, in turn, as of `revision`.
+    pub fn after(&self, orders: &[Order], revision: u64) -> Evacuated {
+        let mut zones = self.zones.clone();
+        for order in orders {
+            match order {
+                Order::Evacuate(zone) => zones.insert(zone.clone()),
+                Order::TakeBack(zone) => zones.remove(zone),
+            };
+        }
+        Evacuated { revision, zones }
+    }
+}
--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -16,6 +16,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::fleet::evacuated::Evacuated;
 use crate::names::BoxName;
 use crate::names::ZoneName;
 
@@ -71,6 +72,8 @@
     pub is_warm: bool,
     /// A digest of the upstreams that it lists.
     pub upstreams: u64,
+    /// The zones whose engines get nothing.
+    pub evacuated: Evacuated,
 }
 
 /// How long ago a box was known to be alive.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -2,5 +2,6 @@
 //! owns the model of which engines. Nothing here does input or output; time is a parameter.
 
 pub mod duty;
+pub mod evacuated;
 pub mod members;
 pub mod owners;
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -1,6 +1,7 @@
 //! All upstreams that this box knows, and the choice of one for a request.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::time::Duration;
 
@@ -88,6 +89,8 @@
     /// The same where none has.
     speed_unknown: Speed,
     upstreams: BTreeMap<UpstreamName, Upstream>,
+    /// Zones whose upstreams get nothing.
+    closed: BTreeSet<ZoneName>,
 }
 
 impl Fleet {
@@ -99,6 +102,7 @@
             speeds: BTreeMap::new(),
             speed_unknown: Speed::new(&tuning),
             upstreams: BTreeMap::new(),
+            closed: BTreeSet::new(),
         }
     }
 
@@ -127,6 +131,19 @@
         self.engine(name).is_some_and(|engine| engine.chill(cold_for, now))
     }
 
+    /// The upstreams of these zones get nothing from now on, and those of all others may.
+    pub fn close(&mut self, zones: BTreeSet<ZoneName>) {
+        self.closed = zones;
+    }
+
+    /// Engines of a zone may just have started, all of them.
+    pub fn chill_zone(&mut self, zone: &ZoneName, now: Duration) {
+        let of_zone = self.upstreams.values_mut().filter(|u| u.listed.zone == *zone);
+        of_zone.filter_map(|u| u.engine.as_mut()).for_each(|engine| {
+            engine.chill(None, now);
+        });
+    }
+
     /// Whether the upstream is an engine that bears less than usual after a start.
     pub fn may_be_cold(&self, name: &UpstreamName) -> bool {
         let engine = self.upstreams.get(name).and_then(|u| u.engine.as_ref());
@@ -251,7 +268,8 @@
         let leaving = self
             .upstreams
             .values()
-            .filter(|u| u.listed.leaving && !u.is_doubted() && &*u.listed.service == wanted.service)
+            .filter(|u| u.listed.leaving && !self.closed.contains(&u.listed.zone))
+            .filter(|u| !u.is_doubted() && &*u.listed.service == wanted.service)
             .filter_map(|u| Some(source(u, u.engine.as_ref()?.kept(prompt))));
         staying.chain(leaving).chain(wanted.source).max_by_key(|s| s.kept)
     }
@@ -259,7 +277,7 @@
     /// The hash of the engine to which a prompt belongs, of those that aren't in `avoided`; all boxes
     /// that list the same engines come to the same.
     pub fn home(&self, service: &str, prompt: &Prompt, avoided: Option<Group>) -> Option<u64> {
-        let staying = self.engines_for(service).filter(|u| !u.listed.leaving);
+        let staying = self.engines_for(service).filter(|u| self.takes(u));
         home(staying, prompt, avoided)
     }
 
@@ -430,6 +448,11 @@
         self.upstreams.values_mut().filter_map(|u| u.engine.as_mut()).for_each(|e| e.tick(now));
     }
 
+    /// Whether an upstream gets new requests, as far as it and its zone go.
+    fn takes(&self, upstream: &Upstream) -> bool {
+        !upstream.listed.leaving && !self.closed.contains(&upstream.listed.zone)
+    }
+
     fn engine(&mut self, name: &UpstreamName) -> Option<&mut Engine> {
         self.upstreams.get_mut(name)?.engine.as_mut()
     }
@@ -439,7 +462,7 @@
         let open: Vec<&Upstream> = self
             .upstreams
             .values()
-            .filter(|u| &*u.listed.service == wanted.service && !u.listed.leaving)
+            .filter(|u| &*u.listed.service == wanted.service && self.takes(u))
             .filter(|u| wanted.group.is_none_or(|group| group.has(u.hash)))
             .filter(|u| !wanted.except.contains(&u.listed.name))
             .collect();
--- a/src/proxy/dialect.rs
+++ b/src/proxy/dialect.rs
@@ -13,6 +13,8 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
+use crate::fleet::evacuated::Evacuated;
+use crate::fleet::evacuated::Order;
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
 use crate::names::ZoneName;
@@ -149,6 +151,15 @@
     Changed(Listed),
     /// An upstream's entry is gone.
     Gone(UpstreamName),
+    /// All zones that are evacuated.
+    Evacuated(Evacuated),
+    /// Zones are evacuated or taken back.
+    Ordered {
+        /// In turn.
+        orders: Vec<Order>,
+        /// As of which revision of the store.
+        revision: u64,
+    },
     /// An entry that can't be read, and why.
     BadEntry(String),
     /// The store gives no answer, or refuses.
--- a/src/proxy/gossip.rs
+++ b/src/proxy/gossip.rs
@@ -95,6 +95,9 @@
         info!(hub.log(), "box heard"; "name" => record.name.as_str(),
             "zone" => record.zone.as_str(), "version" => record.version);
     }
+    if hub.read(|view| view.evacuated().revision) < record.evacuated.revision {
+        hub.change(|view, now| view.evacuate(&record.evacuated, now));
+    }
     if hub.version() < record.version {
         peers.behind.notify_one();
     }
@@ -109,6 +112,7 @@
         sees_store: view.reaches_store(),
         is_warm: hub.is_warm(),
         upstreams: view.digest(),
+        evacuated: view.evacuated().clone(),
     })
 }
 
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -352,6 +352,13 @@
                 info!(self.log, "upstream said to be leaving"; "name" => name.as_str());
             }
             Change::Gone(name) => info!(self.log, "upstream gone"; "name" => name.as_str()),
+            Change::Evacuated(evacuated) => {
+                let zones: Vec<&str> = evacuated.zones.iter().map(|zone| zone.as_str()).collect();
+                info!(self.log, "zones evacuated"; "zones" => zones.join(","),
+                    "revision" => evacuated.revision);
+                // A sign of life tells it on, whether or not this box sees the store.
+                self.peers.announce();
+            }
             Change::Missing(name) => {
                 info!(self.log, "upstream's entry missing"; "name" => name.as_str());
             }
@@ -370,7 +377,7 @@
                 self.peers.tell_followers(&Message::Listed(listed.clone()));
             }
             Change::Configured(_) => self.peers.announce(),
-            Change::Told(_) | Change::Missing(_) => {}
+            Change::Told(_) | Change::Missing(_) | Change::Evacuated(_) => {}
         }
     }
 }
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -28,6 +28,11 @@
         News::Listed(all) => hub.change(|view, now| view.list(all, now)),
         News::Changed(listed) => hub.change(|view, now| view.set(listed, now)),
         News::Gone(name) => hub.change(|view, now| view.gone(&name, now)),
+        News::Evacuated(all) => hub.change(|view, now| view.evacuate(&all, now)),
+        News::Ordered { orders, revision } => hub.change(|view, now| {
+            let evacuated = view.evacuated().after(&orders, revision);
+            view.evacuate(&evacuated, now);
+        }),
         News::BadEntry(fault) => warn!(hub.log(), "entry refused"; "fault" => fault),
         News::Lost(cause) => {
             if hub.read(View::reaches_store) {
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -17,6 +17,7 @@
 use crate::fleet::duty;
 use crate::fleet::duty::Colleague;
 use crate::fleet::duty::Situation;
+use crate::fleet::evacuated::Evacuated;
 use crate::fleet::members::Age;
 use crate::fleet::members::Beat;
 use crate::fleet::members::Member;
@@ -56,12 +57,13 @@
 const WORD_FRESH: Duration = Duration::from_millis(1500);
 
 /// What a box says of itself that changes.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct State {
     pub(super) version: u64,
     pub(super) sees_store: bool,
     pub(super) is_warm: bool,
     pub(super) upstreams: u64,
+    pub(super) evacuated: Evacuated,
 }
 
 /// The other boxes.
@@ -333,7 +335,7 @@
     }
 
     fn give_sign(&self, state: State, ages: Vec<Age>, to: &BTreeMap<IpAddr, bool>) {
-        let State { version, sees_store, is_warm, upstreams } = state;
+        let State { version, sees_store, is_warm, upstreams, evacuated } = state;
         let record = Record {
             name: self.name.clone(),
             zone: self.zone.clone(),
@@ -344,6 +346,7 @@
             sees_store,
             is_warm,
             upstreams,
+            evacuated,
         };
         let mut beat = Beat { record, asks: false, ages };
         for asks in [false, true] {
--- a/src/proxy/settings.rs
+++ b/src/proxy/settings.rs
@@ -39,6 +39,8 @@
     pub store: SocketAddr,
     /// `[store] watch-s`: how long a watch waits for a change.
     pub store_watch: Duration,
+    /// `[store] evacuations`: whether the operator may empty zones.
+    pub has_evacuations: bool,
     /// `[peers] seeds`: addresses of other boxes' `[listen] peers`, separated by commas.
     pub seeds: Vec<SocketAddr>,
     /// `[stop] within-s`: time from the signal to stop until the process must have ended.
@@ -67,6 +69,7 @@
         descriptors: rdr.optional("box", "descriptors", 4096),
         store: rdr.address("store", "address"),
         store_watch: Duration::from_secs_f64(rdr.optional("store", "watch-s", WATCH_S)),
+        has_evacuations: rdr.optional("store", "evacuations", false),
         seeds: seeds(&mut rdr),
         stop_within: Duration::from_secs_f64(rdr.optional("stop", "within-s", 8.0)),
         repeats: Bounds {
--- a/src/proxy/view.rs
+++ b/src/proxy/view.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::fleet::evacuated::Evacuated;
 use crate::names::UpstreamName;
 use crate::placement::fleet::Fleet;
 use crate::proxy::dialect::Listed;
@@ -53,6 +54,8 @@
     Gone(UpstreamName),
     /// An upstream's entry is missing; it is kept until it is sure to be gone.
     Missing(UpstreamName),
+    /// Other zones are evacuated than before.
+    Evacuated(Evacuated),
 }
 
 /// What this box knows.
@@ -62,6 +65,7 @@
     fleet: Fleet,
     /// Upstreams whose entries may have lapsed while the store was away.
     missing: BTreeSet<UpstreamName>,
+    evacuated: Evacuated,
     /// Upstreams that are gone, and when that was known. Names are never given twice.
     dropped: BTreeMap<UpstreamName, Duration>,
     /// Upstreams that another box has said to be gone, and when.
@@ -80,6 +84,7 @@
             table: None,
             fleet,
             missing: BTreeSet::new(),
+            evacuated: Evacuated::default(),
             dropped: BTreeMap::new(),
             said_gone: BTreeMap::new(),
             listed_once: false,
@@ -109,6 +114,24 @@
         &mut self.fleet
     }
 
+    /// The zones whose engines get nothing.
+    pub fn evacuated(&self) -> &Evacuated {
+        &self.evacuated
+    }
+
+    /// Takes over which zones are evacuated, if that is newer than what is known. Engines of a zone that is
+    /// taken back may have turned cold.
+    pub fn evacuate(&mut self, evacuated: &Evacuated, now: Duration) {
+        let before = self.evacuated.zones.clone();
+        if !self.evacuated.merge(evacuated) {
+            return;
+        }
+        let zones = &self.evacuated.zones;
+        before.difference(zones).for_each(|zone| self.fleet.chill_zone(zone, now));
+        self.fleet.close(zones.clone());
+        self.changes.push(Change::Evacuated(self.evacuated.clone()));
+    }
+
     /// Whether requests can be served: there are a configuration and upstreams.
     pub fn is_ready(&self) -> bool {
         self.table.is_some() && self.listed_once
@@ -203,10 +226,11 @@
         self.drop_upstream(name, now);
     }
 
-    /// Whether this box knows that an upstream must get no requests: it leaves or is gone. Another box that
-    /// was cut off may still believe in it.
+    /// Whether this box knows that an upstream must get no requests: it leaves or is gone, or its zone
+    /// is evacuated. Another box that was cut off may still believe in it.
     pub fn is_barred(&self, name: &UpstreamName) -> bool {
-        self.dropped.contains_key(name) || self.fleet.get(name).is_some_and(|l| l.leaving)
+        let is_closed = |l: &Listed| l.leaving || self.evacuated.zones.contains(&l.zone);
+        self.dropped.contains_key(name) || self.fleet.get(name).is_some_and(is_closed)
     }
 
     /// Another box, which sees the store, says that an upstream leaves. None ever comes back from
--- /dev/null
+++ b/tests/fleet_evacuated.rs
@@ -0,0 +1,160 @@
+//! Zones that the operator empties. Load: 300 boxes, of which a few watch the store, each at its own moment;
+//! every tenth datagram is lost; boxes start meanwhile. No network.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use frostdyke::fleet::evacuated::Evacuated;
+use frostdyke::fleet::evacuated::Order;
+use frostdyke::names::ServiceName;
+use frostdyke::names::UpstreamName;
+use frostdyke::names::ZoneName;
+use frostdyke::placement::choice::NoChoice;
+use frostdyke::placement::choice::Wanted;
+use frostdyke::placement::cold::ColdLimits;
+use frostdyke::placement::cold::Role;
+use frostdyke::placement::fleet::Fleet;
+use frostdyke::placement::tuning::Tuning;
+use frostdyke::proxy::dialect::Listed;
+use frostdyke::proxy::dialect::Part;
+use frostdyke::proxy::dialect::Prompt;
+use frostdyke::proxy::table::EngineLimits;
+use frostdyke::proxy::table::Limits;
+use frostdyke::proxy::table::Service;
+use frostdyke::proxy::table::Table;
+use frostdyke::proxy::view::Change;
+use frostdyke::proxy::view::View;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const BOXES: usize = 300;
+
+/// Others told at each sign of life, and part of the datagrams that is lost.
+const FANOUT: usize = 3;
+const LOST: f64 = 0.1;
+
+/// Beats in which an order must be in force everywhere, by signs of life alone: two thirds of the 5 s that users
+/// allow. Watchers tell their zones at once, which makes it less.
+const BEATS_MAX: usize = 8;
+
+fn zone(name: &str) -> ZoneName {
+    ZoneName::from(name)
+}
+
+fn evacuated(revision: u64, zones: &[&str]) -> Evacuated {
+    Evacuated { revision, zones: zones.iter().map(|name| zone(name)).collect() }
+}
+
+/// How many beats it takes until all boxes know what some watchers do.
+fn spread(watchers: usize, news: &Evacuated, seed: u64) -> usize {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut known = vec![evacuated(700, &["b"]); BOXES];
+    for n in 0..watchers {
+        // Each hears it with a revision of its own.
+        let revision = news.revision + n as u64;
+        known[n * BOXES / watchers].merge(&Evacuated { revision, ..news.clone() });
+    }
+    for beat in 0.. {
+        if known.iter().all(|k| k.zones == news.zones) {
+            return beat;
+        }
+        // One box has just started and knows nothing.
+        known[rng.random_range(0..BOXES)] = Evacuated::default();
+        let before = known.clone();
+        for told in before {
+            for _ in 0..FANOUT {
+                let to = rng.random_range(0..BOXES);
+                if !rng.random_bool(LOST) {
+                    known[to].merge(&told);
+                }
+            }
+        }
+    }
+    unreachable!("the loop ends by a return")
+}
+
+#[test]
+fn an_order_and_its_end_reach_all_boxes_within_some_beats() {
+    for seed in 0..50 {
+        for news in [evacuated(900, &["a", "b"]), evacuated(900, &[])] {
+            let beats = spread(9, &news, seed);
+            assert!(beats <= BEATS_MAX, "{news:?}, seed {seed}: {beats} beats");
+        }
+    }
+}
+
+#[test]
+fn the_newest_word_wins_and_an_end_is_news_too() {
+    let mut known = evacuated(0, &[]);
+    assert!(known.merge(&evacuated(10, &["a"])));
+    assert!(!known.merge(&evacuated(12, &["a"])), "the same zones");
+    assert!(known.merge(&evacuated(20, &[])));
+    assert!(!known.merge(&evacuated(15, &["a"])), "from before the end");
+    assert_eq!(known, evacuated(20, &[]));
+}
+
+/// One call to the store brings several orders.
+#[test]
+fn orders_that_come_together_all_count() {
+    let orders =
+        [Order::Evacuate(zone("a")), Order::Evacuate(zone("c")), Order::TakeBack(zone("b"))];
+    let mut known = evacuated(10, &["b"]);
+    let after = known.after(&orders, 11);
+    assert!(known.merge(&after));
+    assert_eq!(known, evacuated(11, &["a", "c"]));
+}
+
+/// A view of two engines, in two zones, that bear less after a start.
+fn view() -> View {
+    let mut view = View::new(Fleet::new(zone("a"), Tuning::default()));
+    let cold = ColdLimits { lasts: Duration::from_secs(3), pace: Duration::from_millis(160) };
+    let limits =
+        EngineLimits { slots: 8, memory_tokens: 100_000, copied_per_s: 400_000, cold: Some(cold) };
+    let service =
+        Service { max_connections: 100, health_path: String::new(), engine: Some(limits) };
+    let services = [(ServiceName::from("llm"), service)].into();
+    let table = Table::new(1, Vec::new(), services, None, Limits::default());
+    view.configure(table.into(), Duration::ZERO);
+    let listed = |n: u8, name: &str| Listed {
+        name: UpstreamName::from(&*format!("e{n}")),
+        service: ServiceName::from("llm"),
+        addr: ([127, 0, 0, n], 80).into(),
+        zone: zone(name),
+        slots: 8,
+        leaving: false,
+        cold_for: Some(Duration::ZERO),
+    };
+    view.list(vec![listed(1, "a"), listed(2, "b")], Duration::ZERO);
+    view
+}
+
+fn choose(view: &View, role: Role, now: Duration) -> Result<String, NoChoice> {
+    let prompt = Prompt { tokens: 100, written_max: 10, parts: vec![Part { id: 1, tokens: 100 }] };
+    let wanted = Wanted { role, ..Wanted::any("llm", Some(&prompt), &[], Duration::MAX) };
+    view.fleet().choose(wanted, now).map(|choice| choice.upstream.as_str().to_owned())
+}
+
+#[test]
+fn engines_of_an_evacuated_zone_get_nothing() {
+    let (mut view, now) = (view(), Duration::from_secs(1));
+    view.evacuate(&evacuated(5, &["a"]), now);
+    assert!(view.take_changes().contains(&Change::Evacuated(evacuated(5, &["a"]))));
+    assert_eq!(choose(&view, Role::Owner, now), Ok("e2".to_owned()));
+    assert!(view.is_barred(&UpstreamName::from("e1")), "not at another box's word either");
+    assert!(!view.is_barred(&UpstreamName::from("e2")));
+    view.evacuate(&evacuated(6, &["a", "b"]), now);
+    assert_eq!(choose(&view, Role::Owner, now), Err(NoChoice::NoUpstream), "refused at once");
+}
+
+#[test]
+fn engines_of_a_zone_that_is_taken_back_are_cold() {
+    let (mut view, now) = (view(), Duration::from_secs(1));
+    view.evacuate(&evacuated(5, &["a", "b"]), now);
+    view.evacuate(&evacuated(6, &["b"]), now);
+    assert_eq!(choose(&view, Role::Stranger, now), Err(NoChoice::Full));
+    assert_eq!(choose(&view, Role::Owner, now), Ok("e1".to_owned()));
+    let later = now + Duration::from_millis(3_100);
+    assert_eq!(choose(&view, Role::Stranger, later), Ok("e1".to_owned()));
+    assert_eq!(view.evacuated().zones, BTreeSet::from([zone("b")]));
+}
--- a/tests/fleet_members.rs
+++ b/tests/fleet_members.rs
@@ -4,6 +4,7 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
+use frostdyke::fleet::evacuated::Evacuated;
 use frostdyke::fleet::members::Age;
 use frostdyke::fleet::members::BEAT;
 use frostdyke::fleet::members::Beat;
@@ -37,6 +38,7 @@
         sees_store: false,
         is_warm: true,
         upstreams: 7,
+        evacuated: Evacuated::default(),
     }
 }
 
