Place requests for plain services by who counts what all boxes have there

A lease of slots a box was not built: 24 slots for 64 boxes, of which a tenth has half of the callers.

Change: the owner of a service (by the service's name, as for groups of engines) counts what runs at its upstreams and admits what can be answered within half of the aim by what work takes on average, as observed; the rest is refused at once. A workspace beyond its share waits for less. The standby hears of it; where nobody answers a box chooses alone, as before. In a small fleet all tell all.

--- a/src/placement/admit.rs
+++ b/src/placement/admit.rs
@@ -125,6 +125,7 @@
             return Err(Denial { cause, share_used, wait_max: left, source, may_go_on: true });
         }
         Ok(choice) => {
+            let choice = Choice { is_counted: wish.role != Role::Stranger, ..choice };
             let Choice { unread, copied, .. } = choice;
             let placement =
                 Placement { request, prompt, unread, copied, sender, decided: Some(wish.role) };
@@ -156,7 +157,7 @@
 /// wait is judged, not the time to the first token, so that long prompts are refused no more often than
 /// short ones. A workspace beyond its share gives way to the others as the engines get busy, the further
 /// beyond the sooner; while they have room it waits like any other.
-fn waits_max(tuning: Tuning, aim: Duration, share_used: f64) -> (Duration, Duration) {
+pub(super) fn waits_max(tuning: Tuning, aim: Duration, share_used: f64) -> (Duration, Duration) {
     let within = aim.mul_f64(tuning.wait_share);
     if share_used <= 1.0 {
         return (within, within);
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -86,6 +86,8 @@
     pub copied: u32,
     /// That engine.
     pub copy_from: Option<SocketAddr>,
+    /// Whether whoever chose it knows what all boxes send there, and has counted it.
+    pub is_counted: bool,
     /// Requests that run or wait at the engine already.
     pub running: usize,
     /// Tokens of memory that these take.
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -18,6 +18,7 @@
 use crate::placement::choice::Wanted;
 use crate::placement::engine::Engine;
 use crate::placement::engine::Placement;
+use crate::placement::plain;
 use crate::placement::speed::Speed;
 use crate::placement::speed::Work;
 use crate::placement::tuning::Tuning;
@@ -46,6 +47,9 @@
 /// nobody.
 const SPARE: f64 = 0.25;
 
+/// Upstreams of a plain service that answer within the same step of time are as good as each other.
+const PLAIN_STEP: Duration = Duration::from_millis(10);
+
 /// What a box has learned of engines, for one that has just started.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Learned {
@@ -218,6 +222,51 @@
         Err(shortest.map_or(NoChoice::Full, |wait| NoChoice::Busy { wait }))
     }
 
+    /// Of a plain service's upstreams the one that answers soonest, and how long it works on a request; in the
+    /// sender's zone where several do.
+    pub fn choose_plain(
+        &self,
+        wish: plain::Wish<'_>,
+        now: Duration,
+    ) -> Result<(Choice, Duration), NoChoice> {
+        let usable = self.usable(Wanted::any(wish.service, None, wish.except, Duration::MAX), now);
+        let rank = |u: &&&Upstream| {
+            let running = u.plain.running();
+            let time = u.plain.wait(u.listed.slots) + u.plain.work();
+            // Averages of work differ a little, always.
+            let steps = time.as_millis() / PLAIN_STEP.as_millis();
+            (steps, running, u.listed.zone != *wish.zone)
+        };
+        let best = usable.iter().min_by_key(rank).ok_or(NoChoice::NoUpstream)?;
+        Ok((best.choice_plain(), best.plain.work()))
+    }
+
+    /// Counts a request at an upstream of a plain service.
+    pub fn begin_plain(
+        &mut self,
+        name: &UpstreamName,
+        request: u64,
+        sender: Option<IpAddr>,
+        now: Duration,
+    ) {
+        if let Some(upstream) = self.upstreams.get_mut(name) {
+            upstream.plain.begin(request, sender, upstream.listed.slots, now);
+        }
+    }
+
+    /// Requests that whoever keeps an upstream's model, or counts what runs there, lets be there at once.
+    pub fn placed_max(&self, name: &UpstreamName) -> u32 {
+        let Some(upstream) = self.upstreams.get(name) else { return 0 };
+        let slots = upstream.listed.slots;
+        if upstream.engine.is_some() { slots } else { slots * plain::WAITING_MAX }
+    }
+
+    /// Upstreams of a service that this box leaves alone for now.
+    pub fn resting(&self, service: &str, now: Duration) -> Vec<UpstreamName> {
+        let of_service = self.upstreams.values().filter(|u| &*u.listed.service == service);
+        of_service.filter(|u| !u.is_awake(now)).map(|u| u.listed.name.clone()).collect()
+    }
+
     /// The upstreams with room, and what sending the request to each would cost.
     fn candidates<'a>(
         &self,
@@ -302,7 +351,11 @@
     /// Notes a request that another box sends to an upstream, or this one if no `sender` is given.
     pub fn place(&mut self, name: &UpstreamName, placement: Placement<'_>, now: Duration) {
         let Some(upstream) = self.upstreams.get_mut(name) else { return };
-        let Some(engine) = &mut upstream.engine else { return };
+        let Some(engine) = &mut upstream.engine else {
+            let Placement { request, sender, .. } = placement;
+            upstream.plain.begin(request, sender, upstream.listed.slots, now);
+            return;
+        };
         let speed = self.speeds.get(&upstream.listed.service).unwrap_or(&self.speed_unknown);
         engine.place(placement, speed, self.tuning, now);
     }
@@ -317,7 +370,10 @@
         now: Duration,
     ) {
         let Some(upstream) = self.upstreams.get_mut(name) else { return };
-        let Some(engine) = &mut upstream.engine else { return };
+        let Some(engine) = &mut upstream.engine else {
+            took.into_iter().for_each(|took| upstream.plain.answered(request, took));
+            return;
+        };
         if !self.speeds.contains_key(&upstream.listed.service) {
             self.speeds.insert(upstream.listed.service.clone(), self.speed_unknown.clone());
         }
@@ -337,15 +393,19 @@
 
     /// Notes the end of a request.
     pub fn end(&mut self, name: &UpstreamName, request: u64) {
-        if let Some(engine) = self.engine(name) {
-            engine.end(request);
+        let Some(upstream) = self.upstreams.get_mut(name) else { return };
+        match &mut upstream.engine {
+            Some(engine) => engine.end(request),
+            None => upstream.plain.end(request),
         }
     }
 
     /// Forgets the requests of a box that is gone.
     pub fn forget_sender(&mut self, sender: IpAddr) {
-        let engines = self.upstreams.values_mut().filter_map(|u| u.engine.as_mut());
-        engines.for_each(|engine| engine.forget_sender(sender));
+        for upstream in self.upstreams.values_mut() {
+            upstream.plain.forget_sender(sender);
+            upstream.engine.iter_mut().for_each(|engine| engine.forget_sender(sender));
+        }
     }
 
     /// What has been learned of the engines, or of those of one group.
@@ -445,7 +505,10 @@
 
     /// Forgets what is too old to be true.
     pub fn tick(&mut self, now: Duration) {
-        self.upstreams.values_mut().filter_map(|u| u.engine.as_mut()).for_each(|e| e.tick(now));
+        for upstream in self.upstreams.values_mut() {
+            upstream.plain.tick(now);
+            upstream.engine.iter_mut().for_each(|engine| engine.tick(now));
+        }
     }
 
     /// Whether an upstream gets new requests, as far as it and its zone go.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -7,6 +7,7 @@
 pub mod cold;
 pub mod engine;
 pub mod fleet;
+pub mod plain;
 pub mod share;
 pub mod speed;
 pub mod tuning;
--- a/src/placement/upstream.rs
+++ b/src/placement/upstream.rs
@@ -12,6 +12,7 @@
 use crate::placement::choice::Source;
 use crate::placement::cold::Role;
 use crate::placement::engine::Engine;
+use crate::placement::plain::Plain;
 use crate::placement::speed::Speed;
 use crate::placement::speed::Work;
 use crate::placement::tuning::Tuning;
@@ -83,6 +84,8 @@
 pub(super) struct Upstream {
     pub(super) listed: Listed,
     pub(super) engine: Option<Engine>,
+    /// What runs there, where it is of a plain service.
+    pub(super) plain: Plain,
     /// Requests of this box there.
     outstanding: u32,
     answer_time: f64,
@@ -115,6 +118,7 @@
     pub(super) fn new(listed: Listed, engine: Option<Engine>) -> Upstream {
         Upstream {
             engine,
+            plain: Plain::default(),
             outstanding: 0,
             answer_time: 0.0,
             failures: 0,
@@ -240,6 +244,13 @@
         plan.wait.as_secs_f64() + reading * tuning.read_weight + copying * tuning.copy_weight - lead
     }
 
+    /// The choice of this upstream of a plain service.
+    pub(super) fn choice_plain(&self) -> Choice {
+        let wait = self.plain.wait(self.listed.slots);
+        let first_token = wait + self.plain.work();
+        Choice { wait, first_token, running: self.plain.running(), ..self.choice(None) }
+    }
+
     /// The choice of this upstream.
     pub(super) fn choice(&self, plan: Option<Plan>) -> Choice {
         let first_token = plan.as_ref().map_or(Duration::ZERO, |p| {
@@ -252,6 +263,7 @@
             wait: plan.as_ref().map_or(Duration::ZERO, |p| p.wait),
             unread: plan.as_ref().map_or(0, |p| p.unread),
             copied: plan.as_ref().map_or(0, |p| p.copied),
+            is_counted: false,
             copy_from: plan.and_then(|p| p.copy_from),
             running: self.engine.as_ref().map_or(0, Engine::running),
             running_tokens: self.engine.as_ref().map_or(0, Engine::running_tokens),
--- a/src/proxy/asking.rs
+++ b/src/proxy/asking.rs
@@ -53,7 +53,7 @@
 const USED_MAX: usize = 24;
 
 /// What whoever keeps the models decides.
-type Decision = Result<Choice, Denial>;
+pub type Decision = Result<Choice, Denial>;
 
 /// What this box has asked others.
 #[derive(Debug, Default)]
@@ -74,13 +74,15 @@
         self.waiting.lock().expect("no panic under lock").remove(&request)
     }
 
-    fn suspect(&self, ip: IpAddr, now: Duration) {
+    /// Notes that a box gave no answer, or is behind.
+    pub fn suspect(&self, ip: IpAddr, now: Duration) {
         let mut suspects = self.suspects.lock().expect("no panic under lock");
         suspects.retain(|_, until| now < *until);
         suspects.insert(ip, now + SUSPECT_FOR);
     }
 
-    fn is_suspect(&self, ip: IpAddr, now: Duration) -> bool {
+    /// Whether a box is left alone for now.
+    pub fn is_suspect(&self, ip: IpAddr, now: Duration) -> bool {
         let suspects = self.suspects.lock().expect("no panic under lock");
         suspects.get(&ip).is_some_and(|until| now < *until)
     }
@@ -147,7 +149,7 @@
 
 /// Places a request by what this box believes, and tells all others.
 fn place_for_all(hub: &Hub, wish: Wish<'_>) -> Decision {
-    let role = Role::Peer { boxes: hub.peers().known(), draw: hub.peers().own_draw() };
+    let role = Role::Peer { boxes: hub.peers().known(), draw: hub.peers().own_draw("") };
     let placed = hub.admit(Wish { is_last: true, purpose: Purpose::Place, role, ..wish });
     match &placed {
         Ok(choice) => hub.peers().tell(&told(&wish, choice)),
@@ -185,14 +187,9 @@
         if hub.asking().is_suspect(ip, hub.now()) {
             continue;
         }
-        match ask(hub, ip, &wish, group).await {
-            Some(Ok(choice)) if hub.read(|view| view.is_barred(&choice.upstream)) => {
-                // It was cut off, or stood still: it believes in an upstream that leaves or is gone.
-                info!(hub.log(), "an owner is behind"; "ip" => %ip, "group" => %group,
-                    "upstream" => choice.upstream.as_str());
-                let (upstream, request) = (choice.upstream, wish.request);
-                hub.peers().tell_some([ip].into_iter(), &Message::Ended { upstream, request });
-            }
+        let question = Message::Ask(question(hub, &wish, group));
+        match ask(hub, ip, wish.request, &question).await {
+            Some(Ok(choice)) if is_behind(hub, ip, &choice, wish.request) => {}
             Some(placed) => return Some(placed),
             None => info!(hub.log(), "no answer of an owner"; "ip" => %ip, "group" => %group),
         }
@@ -211,29 +208,46 @@
     looked.err()?.source
 }
 
-async fn ask(hub: &Hub, ip: IpAddr, wish: &Wish<'_>, group: Group) -> Option<Decision> {
-    let millis = |d: Duration| u32::try_from(d.as_millis()).unwrap_or(u32::MAX);
+fn question(hub: &Hub, wish: &Wish<'_>, group: Group) -> Ask {
+    Ask {
+        request: wish.request,
+        group,
+        service: ServiceName::from(wish.service),
+        prompt: wish.prompt.into(),
+        workspace: wish.workspace.cloned(),
+        zone: hub.peers().zone().clone(),
+        except: wish.except.to_vec(),
+        aim_ms: millis(wish.aim),
+        waited_ms: millis(wish.waited),
+        source: wish.source,
+        purpose: wish.purpose,
+        is_last: wish.is_last,
+    }
+}
+
+/// A time as boxes tell it.
+pub fn millis(d: Duration) -> u32 {
+    u32::try_from(d.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Whether an owner that was cut off or stood still has chosen an upstream that must get nothing. It is told
+/// that the request isn't sent.
+pub fn is_behind(hub: &Hub, ip: IpAddr, choice: &Choice, request: u64) -> bool {
+    if !hub.read(|view| view.is_barred(&choice.upstream)) {
+        return false;
+    }
+    let upstream = choice.upstream.clone();
+    info!(hub.log(), "an owner is behind"; "ip" => %ip, "upstream" => upstream.as_str());
+    hub.peers().tell_some([ip].into_iter(), &Message::Ended { upstream, request });
+    true
+}
+
+/// Asks another box to place a request; nothing if it doesn't answer in time.
+pub async fn ask(hub: &Hub, ip: IpAddr, request: u64, question: &Message) -> Option<Decision> {
     let asking = hub.asking();
-    let request = wish.request;
     let mut answer = asking.expect(request);
     let _pending = Pending { asking, request };
-    hub.peers().tell_now(
-        ip,
-        &Message::Ask(Ask {
-            request,
-            group,
-            service: ServiceName::from(wish.service),
-            prompt: wish.prompt.into(),
-            workspace: wish.workspace.cloned(),
-            zone: hub.peers().zone().clone(),
-            except: wish.except.to_vec(),
-            aim_ms: millis(wish.aim),
-            waited_ms: millis(wish.waited),
-            source: wish.source,
-            purpose: wish.purpose,
-            is_last: wish.is_last,
-        }),
-    );
+    hub.peers().tell_now(ip, question);
     let due = Instant::now() + ANSWER_TIMEOUT;
     if let Ok(answer) = tokio::time::timeout_at(due, &mut answer).await {
         return answer.ok();
--- a/src/proxy/gossip.rs
+++ b/src/proxy/gossip.rs
@@ -18,6 +18,7 @@
 use crate::proxy::message::Message;
 use crate::proxy::peers::DATAGRAM_MAX;
 use crate::proxy::peers::State;
+use crate::proxy::plain;
 use crate::proxy::side;
 use crate::proxy::view::View;
 
@@ -75,6 +76,7 @@
         match message {
             Message::Beat(beat) => hear(hub, &beat),
             Message::Ask(ask) => asking::answer(hub, &ask, from.ip()),
+            Message::AskPlain(ask) => plain::answer(hub, &ask, from.ip()),
             message => intake::message(hub, message, from.ip()),
         }
     }
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -22,6 +22,7 @@
 use crate::placement::choice::Wanted;
 use crate::placement::fleet::Fleet;
 use crate::placement::fleet::Learned;
+use crate::placement::plain;
 use crate::placement::share::Shares;
 use crate::proxy::asking::Asking;
 use crate::proxy::budget::Budget;
@@ -31,6 +32,7 @@
 use crate::proxy::figures::Figures;
 use crate::proxy::link::Allowed;
 use crate::proxy::link::Links;
+use crate::proxy::link::Sharing;
 use crate::proxy::message::Message;
 use crate::proxy::peers::Peers;
 use crate::proxy::placed::InFlight;
@@ -67,6 +69,8 @@
     view: View,
     budget: Budget,
     shares: Shares,
+    /// Of plain services, in requests.
+    plain_shares: Shares,
 }
 
 impl Hub {
@@ -84,6 +88,7 @@
             view: View::new(fleet),
             budget: Budget::new(cfg.repeats),
             shares: Shares::new(cfg.share_window),
+            plain_shares: Shares::new(cfg.share_window),
         };
         let hub = Arc::new(Hub {
             inner: Mutex::new(inner),
@@ -291,6 +296,19 @@
         admit::admit(view.fleet_mut(), shares, wish, now)
     }
 
+    /// Places a request for a plain service by what this box counts.
+    pub fn admit_plain(&self, wish: plain::Wish<'_>) -> Result<Choice, Denial> {
+        let now = self.now();
+        let mut inner = self.inner.lock().expect("no panic under lock");
+        let Inner { view, plain_shares, .. } = &mut *inner;
+        plain::admit(view.fleet_mut(), plain_shares, wish, now)
+    }
+
+    /// Changes what is known of the shares of workspaces at plain services.
+    pub fn plain_shares<T>(&self, f: impl FnOnce(&mut Shares) -> T) -> T {
+        f(&mut self.inner.lock().expect("no panic under lock").plain_shares)
+    }
+
     /// What has been asked of other boxes.
     pub fn asking(&self) -> &Asking {
         &self.asking
@@ -317,10 +335,13 @@
         allowed
     }
 
-    /// How many connections to an upstream this box may have, where it takes so many from all.
-    pub fn allowed(&self, upstream: &UpstreamName, connections: u32) -> Allowed {
-        let slots = self.read(|view| view.fleet().get(upstream).map_or(0, |l| l.slots));
-        Allowed::new(connections, slots, self.peers.live() + 1)
+    /// How many connections to an upstream this box may have, where it takes so many from all;
+    /// `is_placed` for a request that the upstream's owner has placed.
+    pub fn allowed(&self, upstream: &UpstreamName, connections: u32, is_placed: bool) -> Allowed {
+        let placed_max = self.read(|view| view.fleet().placed_max(upstream));
+        let draw = self.peers.own_draw(upstream);
+        let boxes = self.peers.known();
+        Allowed::new(Sharing { connections, placed_max, boxes, draw }, is_placed)
     }
 
     /// Notes that it is time to connect to an upstream.
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -9,6 +9,7 @@
 use crate::names::UpstreamName;
 use crate::names::WorkspaceName;
 use crate::placement::engine::Placement;
+use crate::placement::plain;
 use crate::placement::share::Tokens;
 use crate::placement::upstream;
 use crate::proxy::asking;
@@ -61,7 +62,11 @@
             let placement =
                 Placement { request, prompt: &prompt, unread, copied, sender, decided: None };
             hub.fleet(|fleet| fleet.place(&upstream, placement, now));
-            if let Some(workspace) = workspace {
+            let is_engine = hub.read(|view| view.fleet().is_engine(&upstream));
+            if !is_engine && let Some(workspace) = workspace {
+                let tokens = Tokens { asked: plain::CHARGE, begun: plain::CHARGE };
+                hub.plain_shares(|shares| shares.add(&workspace, tokens, now));
+            } else if let Some(workspace) = workspace {
                 count(hub, &upstream, &workspace, prompt.charge(), now);
             }
         }
@@ -92,7 +97,7 @@
             all.iter().for_each(|used| shares.add(&used.workspace, used.tokens, now));
         }),
         // Taken in by the peers.
-        Message::Beat(_) | Message::Ask(_) => {}
+        Message::Beat(_) | Message::Ask(_) | Message::AskPlain(_) => {}
     }
 }
 
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -19,6 +19,7 @@
 use crate::proxy::dialect::Listed;
 use crate::proxy::dialect::Part;
 use crate::proxy::dialect::Prompt;
+use crate::proxy::plain::AskPlain;
 
 /// What boxes tell each other.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -72,6 +73,8 @@
     },
     /// A request to be placed.
     Ask(Ask),
+    /// A request for a plain service to be placed.
+    AskPlain(AskPlain),
     /// What came of it.
     Answer(Answer),
     /// What workspaces used at the sender.
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -22,6 +22,7 @@
 pub mod message;
 pub mod peers;
 pub mod placed;
+pub mod plain;
 pub mod pump;
 pub mod request;
 pub mod settings;
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -417,9 +417,9 @@
         })
     }
 
-    /// A number of this box's own.
-    pub fn own_draw(&self) -> u32 {
-        xxh3_64(self.me.ip().to_string().as_bytes()) as u32
+    /// A number of this box's own for something that has a name.
+    pub fn own_draw(&self, name: &str) -> u32 {
+        xxh3_64(format!("{}/{name}", self.me.ip()).as_bytes()) as u32
     }
 
     /// A number for another box that differs from box to box.
--- a/src/proxy/placed.rs
+++ b/src/proxy/placed.rs
@@ -6,12 +6,14 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use crate::names::ServiceName;
 use crate::names::UpstreamName;
 use crate::placement::choice::Choice;
 use crate::placement::upstream::Health;
 use crate::proxy::asking;
 use crate::proxy::hub::Hub;
 use crate::proxy::message::Message;
+use crate::proxy::plain;
 
 /// Counts a request while it is served.
 #[derive(Debug)]
@@ -48,6 +50,7 @@
     /// When it was sent.
     sent: Duration,
     expected: Duration,
+    service: ServiceName,
     is_model: bool,
     begun: AtomicBool,
     health: Option<Health>,
@@ -55,7 +58,13 @@
 
 impl Placed {
     /// The entry of a request that `choice` was made for.
-    pub fn new(hub: &Arc<Hub>, choice: &Choice, request: u64, is_model: bool) -> Placed {
+    pub fn new(
+        hub: &Arc<Hub>,
+        choice: &Choice,
+        request: u64,
+        service: &ServiceName,
+        is_model: bool,
+    ) -> Placed {
         hub.fleet(|fleet| fleet.sent(&choice.upstream));
         Placed {
             hub: hub.clone(),
@@ -63,6 +72,7 @@
             request,
             sent: hub.now(),
             expected: choice.first_token,
+            service: service.clone(),
             is_model,
             begun: AtomicBool::new(false),
             health: None,
@@ -76,7 +86,7 @@
 
     /// Notes the first token, here and at those who keep the engine's model; nothing if this isn't the first.
     pub fn first(&self) -> Option<FirstToken> {
-        if self.begun.swap(true, Ordering::Relaxed) || !self.is_model {
+        if self.begun.swap(true, Ordering::Relaxed) {
             return None;
         }
         let now = self.hub.now();
@@ -85,12 +95,23 @@
         let (upstream, request) = (self.upstream.clone(), self.request);
         let took_ms = u32::try_from(took.as_millis()).unwrap_or(u32::MAX);
         let message = Message::First { upstream, request, took_ms };
-        asking::tell_keepers(&self.hub, &self.upstream, &message);
+        self.tell(&message);
+        if !self.is_model {
+            return None;
+        }
         let first = FirstToken { expected: self.expected, took };
         self.hub.metrics().first_token(first);
         Some(first)
     }
 
+    /// Tells those who keep the model, or count what runs there.
+    fn tell(&self, message: &Message) {
+        match self.is_model {
+            true => asking::tell_keepers(&self.hub, &self.upstream, message),
+            false => plain::tell(&self.hub, &self.service, message),
+        }
+    }
+
     /// Notes how the request went, before it has ended.
     pub fn note(&self, health: Health) {
         let now = self.hub.now();
@@ -110,9 +131,7 @@
             fleet.ended(&self.upstream, self.health, now);
             fleet.end(&self.upstream, self.request);
         });
-        if self.is_model {
-            let (upstream, request) = (self.upstream.clone(), self.request);
-            asking::tell_keepers(&self.hub, &self.upstream, &Message::Ended { upstream, request });
-        }
+        let (upstream, request) = (self.upstream.clone(), self.request);
+        self.tell(&Message::Ended { upstream, request });
     }
 }
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -28,7 +28,9 @@
 use crate::placement::choice::NoChoice;
 use crate::placement::choice::Wanted;
 use crate::placement::cold::Role;
+use crate::placement::plain;
 use crate::placement::upstream::Health;
+use crate::proxy;
 use crate::proxy::admission;
 use crate::proxy::answer;
 use crate::proxy::answer::Refusal;
@@ -230,10 +232,11 @@
         let request = xxh3_64(name.as_bytes());
         let choice = match &self.head.prompt {
             Some(prompt) => self.place_prompt(prompt, request).await?,
-            None => self.choose_plain()?,
+            None => self.place_plain(request).await?,
         };
         self.log_placed(&choice);
-        let placed = Placed::new(&self.hub, &choice, request, self.head.prompt.is_some());
+        let placed =
+            Placed::new(&self.hub, &choice, request, &self.service, self.head.prompt.is_some());
         Ok((choice, placed))
     }
 
@@ -260,6 +263,31 @@
         })
     }
 
+    async fn place_plain(&self, request: u64) -> Result<Choice, Refusal> {
+        let now = self.hub.now();
+        let resting = self.hub.read(|view| view.fleet().resting(&self.service, now));
+        let except: Vec<UpstreamName> = self.tried.iter().cloned().chain(resting).collect();
+        let wish = plain::Wish {
+            request,
+            service: &self.service,
+            workspace: self.workspace.as_ref(),
+            except: &except,
+            aim: self.route.aim,
+            waited: self.arrived.elapsed(),
+            zone: self.hub.peers().zone(),
+            sender: None,
+        };
+        match proxy::plain::place(&self.hub, wish).await {
+            Some(Ok(choice)) => Ok(choice),
+            Some(Err(denial)) if !matches!(denial.cause, NoChoice::NoUpstream) => {
+                self.log_denial(&denial);
+                Err(refusal(denial.cause, denial.wait_max))
+            }
+            // Nobody who counts answers, or all that are left rest.
+            Some(Err(_)) | None => self.choose_plain(),
+        }
+    }
+
     fn choose_plain(&self) -> Result<Choice, Refusal> {
         let wanted = Wanted::any(&self.service, None, &self.tried, Duration::MAX);
         self.hub.choose(wanted).map_err(|cause| {
@@ -291,7 +319,7 @@
         let began = Instant::now();
         let once = self.route.repeat == Repeat::Never;
         let links = self.hub.links().clone();
-        let allowed = self.hub.allowed(&choice.upstream, self.connections_max);
+        let allowed = self.hub.allowed(&choice.upstream, self.connections_max, choice.is_counted);
         let answer = links.send(choice.addr, allowed, once, req).await;
         let resp = match answer {
             Ok(resp) => resp,
@@ -352,6 +380,9 @@
             return Sent::Unsure(Some(reply));
         }
         reply.placed.note(Health::Good(began.elapsed()));
+        if self.head.prompt.is_none() {
+            reply.placed.first();
+        }
         Sent::Answer(reply)
     }
 
