--- a/src/proxy/link.rs
+++ b/src/proxy/link.rs
@@ -55,11 +55,21 @@
 /// Idle connections kept per upstream.
 const IDLE_MAX: usize = 32;
 
-/// Connections to one upstream that every box may have, however many boxes there are.
-const CONNECTIONS_MIN: u32 = 4;
+/// Part of an upstream's connections that the boxes use that this one has heard of. The rest is for boxes that
+/// start meanwhile: a fifth more are known everywhere within some beats.
+const CONNECTIONS_SHARE: f64 = 0.83;
 
-/// Part of an upstream's connections that all boxes use together.
-const CONNECTIONS_SHARE: f64 = 0.9;
+/// Part of an upstream's connections that requests may use which its owner has placed, beside those that are shared
+/// out; two boxes may believe to own it.
+const PLACED_SHARE: f64 = 0.35;
+
+/// Where fewer connections are shared than there are boxes, so many standard deviations of the number of those that
+/// draw one are left unused: more draw one at one in 10,000 upstreams.
+const DRAWN_DEVIATIONS: f64 = 4.0;
+
+/// A box counts at least so many boxes: it may be cut off from the others, and may not have heard of them since its
+/// start.
+const BOXES_MIN: usize = 16;
 
 /// Why a request could not be sent or got no answer.
 #[derive(Debug, thiserror::Error)]
@@ -94,14 +104,39 @@
     pub kept: u32,
 }
 
+/// What the connections to one upstream are shared by.
+#[derive(Clone, Copy, Debug)]
+pub struct Sharing {
+    /// Connections that it takes from all boxes.
+    pub connections: u32,
+    /// Requests that its owner lets be there at once.
+    pub placed_max: u32,
+    /// The boxes that there are, or were lately.
+    pub boxes: usize,
+    /// A number of this box's own for the upstream, by which it has one of too few connections or none.
+    pub draw: u32,
+}
+
 impl Allowed {
-    /// Of an upstream that takes `connections` from all of `boxes` and runs `slots` requests. Requests
-    /// of a whole fleet at once are no more than its slots and a few that wait, so a box that has many
-    /// of them may have a connection for each; what rests is shared evenly.
-    pub fn new(connections: u32, slots: u32, boxes: usize) -> Allowed {
-        let part = f64::from(connections) * CONNECTIONS_SHARE / boxes.max(1) as f64;
-        let kept = (part as u32).max(CONNECTIONS_MIN);
-        Allowed { busy: kept.max(slots), kept }
+    /// The even part of this box. Requests that the upstream's owner has placed, as `is_placed` says, come on
+    /// top of all parts: they are no more than its slots and a few that wait, so a box that has many of them may
+    /// have a connection for each. The sum over all boxes stays below what the upstream takes, whatever the
+    /// numbers (`tests/proxy_capacity.rs`).
+    pub fn new(sharing: Sharing, is_placed: bool) -> Allowed {
+        let connections = f64::from(sharing.connections);
+        let placed = (connections * PLACED_SHARE / 2.0) as u32;
+        let placed = placed.min(sharing.placed_max);
+        let shared = (connections * CONNECTIONS_SHARE - 2.0 * f64::from(placed)).max(0.0);
+        let boxes = sharing.boxes.max(BOXES_MIN) as f64;
+        let kept = if boxes <= shared {
+            (shared / boxes) as u32
+        } else {
+            // Each of a part of the boxes has one; the others go to other upstreams. Which ones is drawn, so the
+            // number varies by its root.
+            let few = (shared - DRAWN_DEVIATIONS * shared.sqrt()).max(0.0);
+            u32::from(f64::from(sharing.draw) < few / boxes * f64::from(u32::MAX))
+        };
+        Allowed { busy: if is_placed { kept.max(placed) } else { kept }, kept }
     }
 }
 
@@ -268,7 +303,7 @@
 
     /// Makes a connection and keeps it for the next request.
     pub async fn warm(self: &Arc<Links>, addr: SocketAddr) -> Result<(), Error> {
-        self.connect(addr, Allowed { busy: u32::MAX, kept: CONNECTIONS_MIN }).await?.rest();
+        self.connect(addr, Allowed { busy: u32::MAX, kept: 1 }).await?.rest();
         Ok(())
     }
 
