Bound what is admitted to a plain upstream by its slots, too; test fairness there and what is gone

Cause (by reading): an aim that is long beside the work would let more be admitted than an upstream's queue takes. Three times the slots bound it now. Tests: the bound (failed first: 100 of 100 admitted), that a workspace beyond its share gives way at a plain service, and that a box that is behind doesn't bring back an upstream that is gone.

--- a/src/placement/plain.rs
+++ b/src/placement/plain.rs
@@ -34,8 +34,8 @@
 /// A request whose end isn't heard of is forgotten after this: longer than any is held.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(20);
 
-/// Requests at an upstream, in multiples of its slots, that no admission exceeds: those that are worked on and
-/// those that wait, where an aim leaves time for both.
+/// Requests at an upstream, in multiples of its slots, that no admission exceeds, however long the aim: more would
+/// fill its queue and have to wait for the others' slow ones.
 pub const WAITING_MAX: u32 = 3;
 
 /// What each request counts among the shares of workspaces.
@@ -147,7 +147,8 @@
         Ok((choice, work)) => {
             let left = wish.aim.mul_f64(AIM_SHARE).saturating_sub(wish.waited + work);
             let wait_max = by_share.min(left);
-            if choice.wait <= wait_max {
+            let has_room = choice.running < fleet.placed_max(&choice.upstream) as usize;
+            if has_room && choice.wait <= wait_max {
                 let choice = Choice { is_counted: true, ..choice };
                 fleet.begin_plain(&choice.upstream, wish.request, wish.sender, now);
                 if let Some(workspace) = wish.workspace {
--- a/tests/proxy_plain.rs
+++ b/tests/proxy_plain.rs
@@ -12,6 +12,7 @@
 
 use frostdyke::names::ServiceName;
 use frostdyke::names::UpstreamName;
+use frostdyke::names::WorkspaceName;
 use frostdyke::names::ZoneName;
 use frostdyke::placement::choice::Choice;
 use frostdyke::placement::choice::Wanted;
@@ -300,3 +301,62 @@
         assert!(1.2 * alone < owned, "{boxes} boxes: {alone} alone, {owned} by the owner");
     }
 }
+
+/// Load: an aim of a hundred times the work, and more requests than any queue holds.
+#[test]
+fn an_upstreams_queue_isnt_filled_however_long_the_aim() {
+    let (mut fleet, mut shares) = (fleet(1), Shares::new(Duration::from_secs(4)));
+    let zone = ZoneName::from("a");
+    let mut admitted = 0;
+    for request in 0..100 {
+        let wish = Wish {
+            request,
+            service: "ledger",
+            workspace: None,
+            except: &[],
+            aim: Duration::from_secs(5),
+            waited: Duration::ZERO,
+            zone: &zone,
+            sender: None,
+        };
+        admitted += u32::from(plain::admit(&mut fleet, &mut shares, wish, at(1.0)).is_ok());
+    }
+    assert_eq!(admitted, 3 * SLOTS);
+}
+
+/// Load: two workspaces, of which one asks for four times as much as the other; together twice what can be done.
+#[test]
+fn a_workspace_beyond_its_share_gives_way() {
+    let (mut fleet, mut shares) = (fleet(1), Shares::new(Duration::from_secs(4)));
+    let zone = ZoneName::from("a");
+    let names = ["many", "few"].map(WorkspaceName::from);
+    let mut served = [0, 0];
+    let mut running = VecDeque::new();
+    // 100 requests a second can be worked on: one ends every ten milliseconds.
+    for request in 0..1_600 {
+        let now = 0.005 * request as f64;
+        if request % 2 == 0
+            && let Some(ended) = running.pop_front()
+        {
+            fleet.end(&name(0), ended);
+        }
+        let who = usize::from(request % 5 == 0);
+        let wish = Wish {
+            request,
+            service: "ledger",
+            workspace: Some(&names[who]),
+            except: &[],
+            aim: AIM,
+            waited: Duration::ZERO,
+            zone: &zone,
+            sender: None,
+        };
+        if plain::admit(&mut fleet, &mut shares, wish, at(now)).is_ok() {
+            served[who] += 1;
+            running.push_back(request);
+        }
+    }
+    // The one that asks for 40 a second, less than half of what there is, gets nearly all of it.
+    assert!(320 * 9 / 10 <= served[1], "{served:?}");
+    assert!(350 <= served[0], "{served:?}");
+}
--- a/tests/proxy_view.rs
+++ b/tests/proxy_view.rs
@@ -123,3 +123,21 @@
     view.told_leaving(&UpstreamName::from("a"));
     assert_eq!(view.take_changes(), []);
 }
+
+/// Load: an upstream is gone; a box that was cut off comes back, still believes in it, and tells.
+#[test]
+fn a_box_that_is_behind_doesnt_bring_back_what_is_gone() {
+    let mut view = view();
+    view.gone(&UpstreamName::from("a"), millis(13_000));
+    assert!(view.is_barred(&UpstreamName::from("a")));
+    view.store_left_to_others();
+    view.told_listed(upstream("a"), millis(14_000));
+    let upstreams = vec![upstream("a"), upstream("b")];
+    view.take_over(Snapshot { table: None, upstreams, is_sure: false }, millis(14_000));
+    assert!(!is_open(&view, "a"));
+    assert!(is_open(&view, "b"));
+    // The store's own word goes before: an entry that lapsed for long may come back after all.
+    view.store_regained(millis(15_000));
+    view.set(upstream("a"), millis(15_000));
+    assert!(is_open(&view, "a") && !view.is_barred(&UpstreamName::from("a")));
+}
