Split the fleet of upstreams and a request's placing by their jobs

Each job has a file now (fleet/choosing, plain, cold, reach, learned; proxy/placing); moves only, no line of logic changed.

--- /dev/null
+++ b/src/placement/fleet/cold.rs
@@ -0,0 +1,41 @@
+//! Which engines are cold.
+
+use std::time::Duration;
+
+use crate::fleet::owners::Group;
+use crate::names::UpstreamName;
+use crate::names::ZoneName;
+use crate::placement::fleet::Fleet;
+
+impl Fleet {
+    /// Notes that an upstream is cold for so long, or for as long as after a start if nothing is known. True
+    /// where that is news.
+    pub fn chill(
+        &mut self,
+        name: &UpstreamName,
+        cold_for: Option<Duration>,
+        now: Duration,
+    ) -> bool {
+        self.engine(name).is_some_and(|engine| engine.chill(cold_for, now))
+    }
+
+    /// Engines of a zone may just have started, all of them.
+    pub fn chill_zone(&mut self, zone: &ZoneName, now: Duration) {
+        let of_zone = self.upstreams.values_mut().filter(|u| u.listed.zone == *zone);
+        of_zone.filter_map(|u| u.engine.as_mut()).for_each(|engine| {
+            engine.chill(None, now);
+        });
+    }
+
+    /// Whether the upstream is an engine that bears less than usual after a start.
+    pub fn may_be_cold(&self, name: &UpstreamName) -> bool {
+        let engine = self.upstreams.get(name).and_then(|u| u.engine.as_ref());
+        engine.is_some_and(|engine| engine.limits().cold.is_some())
+    }
+
+    /// Cold engines of a group get nothing before `until`.
+    pub fn hold_cold(&mut self, group: Group, until: Duration) {
+        let of_group = self.upstreams.values_mut().filter(|u| group.has(u.hash));
+        of_group.filter_map(|u| u.engine.as_mut()).for_each(|e| e.hold_if_cold(until));
+    }
+}
--- /dev/null
+++ b/src/placement/fleet/learned.rs
@@ -0,0 +1,59 @@
+//! What a box has learned of engines, as it is told to one that comes to keep their models.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::fleet::owners::Group;
+use crate::names::ServiceName;
+use crate::names::UpstreamName;
+use crate::placement::fleet::Fleet;
+use crate::placement::speed::Speed;
+use crate::placement::upstream::Upstream;
+use crate::proxy::dialect::Part;
+
+/// What a box has learned of engines, for one that has just started.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Learned {
+    /// What engines keep.
+    pub kept: Vec<Kept>,
+    /// How fast those of a service read.
+    pub speeds: Vec<(ServiceName, Speed)>,
+}
+
+/// What an engine is believed to keep.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Kept {
+    /// The engine.
+    pub upstream: UpstreamName,
+    /// Parts of prompts, those unused longest first.
+    pub parts: Vec<Part>,
+}
+
+impl Fleet {
+    /// What has been learned of the engines, or of those of one group.
+    pub fn learned(&self, group: Option<Group>) -> Learned {
+        let kept = |u: &Upstream| {
+            Some(Kept { upstream: u.listed.name.clone(), parts: u.engine.as_ref()?.parts() })
+        };
+        let speeds = self.speeds.iter().map(|(service, s)| (service.clone(), s.clone()));
+        let of_group = |u: &&Upstream| group.is_none_or(|group| group.has(u.hash));
+        Learned {
+            kept: self.upstreams.values().filter(of_group).filter_map(kept).collect(),
+            speeds: speeds.collect(),
+        }
+    }
+
+    /// Takes over what another box has learned of the engines.
+    pub fn take_over(&mut self, learned: &Learned) {
+        for kept in &learned.kept {
+            if let Some(engine) = self.engine(&kept.upstream) {
+                engine.keep(&kept.parts);
+            }
+        }
+        for (service, speed) in &learned.speeds {
+            let unknown = &self.speed_unknown;
+            let known = self.speeds.entry(service.clone()).or_insert_with(|| unknown.clone());
+            known.adopt(speed);
+        }
+    }
+}
--- /dev/null
+++ b/src/placement/fleet/plain.rs
@@ -0,0 +1,62 @@
+//! The choice among the upstreams of a plain service, and what runs there.
+
+use std::net::IpAddr;
+use std::time::Duration;
+
+use crate::names::UpstreamName;
+use crate::placement::choice::Choice;
+use crate::placement::choice::NoChoice;
+use crate::placement::choice::Wanted;
+use crate::placement::fleet::Fleet;
+use crate::placement::plain;
+use crate::placement::upstream::Upstream;
+
+/// Upstreams of a plain service that answer within the same step of time are as good as each other.
+const PLAIN_STEP: Duration = Duration::from_millis(10);
+
+impl Fleet {
+    /// Of a plain service's upstreams the one that answers soonest, and how long it works on a request; in the
+    /// sender's zone where several do.
+    pub fn choose_plain(
+        &self,
+        wish: plain::Wish<'_>,
+        now: Duration,
+    ) -> Result<(Choice, Duration), NoChoice> {
+        let usable = self.usable(Wanted::any(wish.service, None, wish.except, Duration::MAX), now);
+        let rank = |u: &&&Upstream| {
+            let running = u.plain.running();
+            let time = u.plain.wait(u.listed.slots) + u.plain.work();
+            // Averages of work differ a little, always.
+            let steps = time.as_millis() / PLAIN_STEP.as_millis();
+            (steps, running, u.listed.zone != *wish.zone)
+        };
+        let best = usable.iter().min_by_key(rank).ok_or(NoChoice::NoUpstream)?;
+        Ok((best.choice_plain(), best.plain.work()))
+    }
+
+    /// Counts a request at an upstream of a plain service.
+    pub fn begin_plain(
+        &mut self,
+        name: &UpstreamName,
+        request: u64,
+        sender: Option<IpAddr>,
+        now: Duration,
+    ) {
+        if let Some(upstream) = self.upstreams.get_mut(name) {
+            upstream.plain.begin(request, sender, upstream.listed.slots, now);
+        }
+    }
+
+    /// Requests that whoever keeps an upstream's model, or counts what runs there, lets be there at once.
+    pub fn placed_max(&self, name: &UpstreamName) -> u32 {
+        let Some(upstream) = self.upstreams.get(name) else { return 0 };
+        let slots = upstream.listed.slots;
+        if upstream.engine.is_some() { slots } else { slots * plain::WAITING_MAX }
+    }
+
+    /// Upstreams of a service that this box leaves alone for now.
+    pub fn resting(&self, service: &str, now: Duration) -> Vec<UpstreamName> {
+        let of_service = self.upstreams.values().filter(|u| &*u.listed.service == service);
+        of_service.filter(|u| !u.is_awake(now)).map(|u| u.listed.name.clone()).collect()
+    }
+}
--- /dev/null
+++ b/src/placement/fleet/reach.rs
@@ -0,0 +1,44 @@
+//! Which upstreams may not be reachable.
+
+use std::time::Duration;
+
+use crate::names::UpstreamName;
+use crate::placement::fleet::Fleet;
+use crate::placement::upstream::Upstream;
+use crate::proxy::dialect::Listed;
+
+impl Fleet {
+    /// Notes that an upstream may not be reachable, by what this box saw itself or was told. True
+    /// when this is new.
+    pub fn doubt(&mut self, name: &UpstreamName, is_own: bool, now: Duration) -> bool {
+        self.upstreams.get_mut(name).is_some_and(|u| u.doubt(is_own, now))
+    }
+
+    /// Whether no connection to an upstream could be made when it was tried last.
+    pub fn was_away(&self, name: &UpstreamName) -> bool {
+        self.upstreams.get(name).is_some_and(Upstream::was_away)
+    }
+
+    /// Notes that a connection to an upstream could be made. True when that was in doubt.
+    pub fn reached(&mut self, name: &UpstreamName) -> bool {
+        self.upstreams.get_mut(name).is_some_and(Upstream::reached)
+    }
+
+    /// Notes that no connection to an upstream could be made. True when the other boxes should
+    /// hear of it: at the first failure, and only from who came upon it.
+    pub fn not_reached(&mut self, name: &UpstreamName, now: Duration) -> bool {
+        self.upstreams.get_mut(name).is_some_and(|u| u.not_reached(now))
+    }
+
+    /// How many upstreams get no work since they may not be reachable.
+    pub fn in_doubt(&self) -> usize {
+        self.upstreams.values().filter(|u| u.is_doubted()).count()
+    }
+
+    /// Upstreams that it is time to connect to, to see whether they can be reached. Each is given
+    /// once until [`Fleet::not_reached`] is called for it, or for the longest pause.
+    pub fn take_doubted(&mut self, now: Duration) -> Vec<Listed> {
+        let due = self.upstreams.values_mut().filter_map(|u| u.take_look(now).then_some(&u.listed));
+        due.cloned().collect()
+    }
+}
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -21,7 +21,7 @@
 use crate::placement::choice::NoChoice;
 use crate::placement::choice::Wanted;
 use crate::placement::fleet::Fleet;
-use crate::placement::fleet::Learned;
+use crate::placement::fleet::learned::Learned;
 use crate::placement::plain;
 use crate::placement::share::Shares;
 use crate::proxy::asking::Asking;
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -22,6 +22,7 @@
 pub mod message;
 pub mod peers;
 pub mod placed;
+pub mod placing;
 pub mod plain;
 pub mod pump;
 pub mod request;
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -1,7 +1,6 @@
 //! One caller's request: found its route, placed, sent, and sent again where that is safe.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -16,28 +15,17 @@
 use hyper::body::Incoming;
 use slog::info;
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
 use crate::names::WorkspaceName;
-use crate::placement::admit::Denial;
-use crate::placement::admit::Purpose;
-use crate::placement::admit::Wish;
 use crate::placement::choice::Choice;
-use crate::placement::choice::NoChoice;
-use crate::placement::choice::Wanted;
-use crate::placement::cold::Role;
-use crate::placement::plain;
 use crate::placement::upstream::Health;
-use crate::proxy;
 use crate::proxy::admission;
 use crate::proxy::answer;
 use crate::proxy::answer::Refusal;
-use crate::proxy::asking;
 use crate::proxy::dialect::Head;
 use crate::proxy::dialect::Outgoing;
-use crate::proxy::dialect::Prompt;
 use crate::proxy::dialect::Verdict;
 use crate::proxy::hub::Hub;
 use crate::proxy::link;
@@ -46,6 +34,8 @@
 use crate::proxy::placed::FirstToken;
 use crate::proxy::placed::InFlight;
 use crate::proxy::placed::Placed;
+use crate::proxy::placing::NO_UPSTREAM_RETRY;
+use crate::proxy::placing::OVERLOAD_RETRY_MIN;
 use crate::proxy::pump;
 use crate::proxy::stream;
 use crate::proxy::stream::Body;
@@ -60,12 +50,6 @@
 /// Sends of one request at most, those that upstreams refused included.
 const SENDS_MAX: u32 = 4;
 
-/// When to come back where no upstream can be had: entries come back within seconds.
-const NO_UPSTREAM_RETRY: Duration = Duration::from_millis(500);
-
-/// When to come back at the earliest after an overload.
-const OVERLOAD_RETRY_MIN: Duration = Duration::from_millis(100);
-
 /// Longest answer of a plain service that is held until it is whole.
 const WHOLE_MAX: usize = 4 << 20;
 
@@ -226,91 +210,6 @@
         self.sends < SENDS_MAX && self.hub.may_repeat(&self.service)
     }
 
-    /// Chooses an upstream and enters the request there, or says why it can't be served in time.
-    pub async fn place(&mut self) -> Result<(Choice, Placed), Refusal> {
-        let name = format!("{}/{}", self.head.id, self.tried.len());
-        let request = xxh3_64(name.as_bytes());
-        let choice = match &self.head.prompt {
-            Some(prompt) => self.place_prompt(prompt, request).await?,
-            None => self.place_plain(request).await?,
-        };
-        self.log_placed(&choice);
-        let placed =
-            Placed::new(&self.hub, &choice, request, &self.service, self.head.prompt.is_some());
-        Ok((choice, placed))
-    }
-
-    async fn place_prompt(&self, prompt: &Prompt, request: u64) -> Result<Choice, Refusal> {
-        let wish = Wish {
-            request,
-            service: &self.service,
-            prompt,
-            workspace: self.workspace.as_ref(),
-            except: &self.tried,
-            aim: self.route.aim,
-            waited: self.arrived.elapsed(),
-            group: None,
-            zone: None,
-            sender: None,
-            source: None,
-            purpose: Purpose::PlaceIfKept,
-            is_last: false,
-            role: Role::Stranger,
-        };
-        asking::place(&self.hub, wish).await.map_err(|denial| {
-            self.log_denial(&denial);
-            refusal(denial.cause, denial.wait_max)
-        })
-    }
-
-    async fn place_plain(&self, request: u64) -> Result<Choice, Refusal> {
-        let now = self.hub.now();
-        let resting = self.hub.read(|view| view.fleet().resting(&self.service, now));
-        let except: Vec<UpstreamName> = self.tried.iter().cloned().chain(resting).collect();
-        let wish = plain::Wish {
-            request,
-            service: &self.service,
-            workspace: self.workspace.as_ref(),
-            except: &except,
-            aim: self.route.aim,
-            waited: self.arrived.elapsed(),
-            zone: self.hub.peers().zone(),
-            sender: None,
-        };
-        match proxy::plain::place(&self.hub, wish).await {
-            Some(Ok(choice)) => Ok(choice),
-            Some(Err(denial)) if !matches!(denial.cause, NoChoice::NoUpstream) => {
-                self.log_denial(&denial);
-                Err(refusal(denial.cause, denial.wait_max))
-            }
-            // Nobody who counts answers, or all that are left rest.
-            Some(Err(_)) | None => self.choose_plain(),
-        }
-    }
-
-    fn choose_plain(&self) -> Result<Choice, Refusal> {
-        let wanted = Wanted::any(&self.service, None, &self.tried, Duration::MAX);
-        self.hub.choose(wanted).map_err(|cause| {
-            info!(self.hub.log(), "not placed"; "id" => &self.head.id, "route" => &self.route.name,
-                "service" => self.service.as_str(), "cause" => cause.code(),
-                "tried" => self.tried.len(), "version" => self.hub.version());
-            refusal(cause, Duration::MAX)
-        })
-    }
-
-    fn log_denial(&self, denial: &Denial) {
-        let wait = match denial.cause {
-            NoChoice::Busy { wait } => Some(wait.as_millis() as u64),
-            _ => None,
-        };
-        info!(self.hub.log(), "not placed"; "id" => &self.head.id, "route" => &self.route.name,
-            "service" => self.service.as_str(), "cause" => denial.cause.code(),
-            "workspace" => self.workspace.as_ref().map(WorkspaceName::as_str),
-            "share_used" => (denial.share_used * 100.0).round() / 100.0,
-            "wait_ms" => wait, "wait_max_ms" => denial.wait_max.as_millis() as u64,
-            "tried" => self.tried.len(), "version" => self.hub.version());
-    }
-
     /// Sends the request to an upstream, from the event after `resume_after` on if that is given.
     async fn send(&mut self, choice: &Choice, placed: Placed, resume_after: Option<u64>) -> Sent {
         self.start = None;
@@ -433,18 +332,6 @@
         req
     }
 
-    fn log_placed(&self, choice: &Choice) {
-        info!(self.hub.log(), "placed"; "id" => &self.head.id, "route" => &self.route.name,
-            "workspace" => self.workspace.as_ref().map(WorkspaceName::as_str),
-            "upstream" => choice.upstream.as_str(), "prompt" => self.head.prompt.as_ref().map_or(0, |p| p.tokens),
-            "own" => self.head.prompt.as_ref().and_then(|p| p.parts.last()).map_or(0, |p| p.tokens),
-            "unread" => choice.unread,
-            "copied" => choice.copied, "running" => choice.running,
-            "running_tokens" => choice.running_tokens, "wait_ms" => choice.wait.as_millis() as u64,
-            "expected_ms" => choice.first_token.as_millis() as u64,
-            "version" => self.hub.version(), "try" => self.tried.len() + 1);
-    }
-
     /// Passes an answer on.
     async fn answer(self, reply: Box<Reply>) -> Response<Body> {
         if self.route.streaming && reply.resp.status().is_success() {
@@ -486,20 +373,6 @@
     }
 }
 
-/// The refusal of a request that isn't placed, though it could have waited for so long.
-fn refusal(cause: NoChoice, wait_max: Duration) -> Refusal {
-    match cause {
-        NoChoice::NoUpstream => Refusal::NoUpstream { retry_after: NO_UPSTREAM_RETRY },
-        NoChoice::Full | NoChoice::NotKept | NoChoice::OnlyLooked => {
-            Refusal::Overloaded { retry_after: NO_UPSTREAM_RETRY }
-        }
-        NoChoice::Busy { wait } => {
-            let excess = wait.saturating_sub(wait_max);
-            Refusal::Overloaded { retry_after: excess.max(OVERLOAD_RETRY_MIN) }
-        }
-    }
-}
-
 /// An answer to a caller.
 pub fn respond(status: StatusCode, headers: HeaderMap, body: Body) -> Response<Body> {
     let mut resp = Response::new(body);
--- a/src/proxy/side.rs
+++ b/src/proxy/side.rs
@@ -16,7 +16,7 @@
 use tokio::sync::watch;
 
 use crate::fleet::owners::Group;
-use crate::placement::fleet::Learned;
+use crate::placement::fleet::learned::Learned;
 use crate::proxy::Stop;
 use crate::proxy::ask;
 use crate::proxy::ask::Asker;
