--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -159,14 +159,12 @@
 pub struct Members {
     me: IpAddr,
     known: BTreeMap<IpAddr, Member>,
-    /// When a box was last heard that wasn't known to be alive.
-    newest: Duration,
 }
 
 impl Members {
     /// Nobody is known yet to the box at `me`.
     pub fn new(me: IpAddr) -> Members {
-        Members { me, known: BTreeMap::new(), newest: Duration::ZERO }
+        Members { me, known: BTreeMap::new() }
     }
 
     /// Adds a box that may be there.
@@ -182,11 +180,6 @@
         self.known.iter().filter(move |(_, m)| m.is_live(now, after)).map(|(ip, m)| (*ip, m))
     }
 
-    /// For how long no box has been heard that wasn't known to be alive.
-    pub fn settled_for(&self, now: Duration) -> Duration {
-        now.saturating_sub(self.newest)
-    }
-
     /// How many others there are, or were lately.
     pub fn known(&self) -> usize {
         self.known.len()
@@ -227,9 +220,6 @@
         member.alive_at = Some(now);
         member.said_at = now;
         member.counts_as_live = true;
-        if heard.is_new {
-            self.newest = now;
-        }
         if heard.is_new || beat.asks {
             heard.greet.insert(sender);
         }
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -427,15 +427,10 @@
         xxh3_64(format!("{}/{addr}", self.me).as_bytes())
     }
 
-    /// Whether this box comes first among those that are alive, and has heard of no new one for `settled`; a box that
-    /// hears of nobody is the first one after `alone`.
-    pub fn is_first(&self, settled: Duration, alone: Duration) -> bool {
+    /// Whether this box comes first among those that are alive.
+    pub fn is_first(&self) -> bool {
         let now = self.now();
-        self.members(|members| {
-            let is_alone = members.live(now).next().is_none();
-            let after = if is_alone { alone } else { settled };
-            after <= members.settled_for(now) && members.live(now).all(|(ip, _)| self.me.ip() < ip)
-        })
+        self.members(|members| members.live(now).all(|(ip, _)| self.me.ip() < ip))
     }
 
     pub(super) fn members<T>(&self, f: impl FnOnce(&mut Members) -> T) -> T {
--- a/src/proxy/warm.rs
+++ b/src/proxy/warm.rs
@@ -23,16 +23,11 @@
 /// Time between looks at who could tell.
 const INTERVAL: Duration = Duration::from_millis(20);
 
-/// A box that hears of nobody for this long is alone. The signs of life of boxes that start together are lost until the
-/// others listen, and come again after a beat.
-const ALONE_AFTER: Duration = Duration::from_millis(500);
+/// Boxes that are there answer the first sign of life; this is some round trips within a region.
+const OTHERS_HEARD: Duration = Duration::from_millis(120);
 
-/// Boxes that start together have heard of each other when none was new for this long.
-const SETTLE: Duration = Duration::from_millis(150);
-
-/// Time between looks at whose models this box keeps; two that say the same are believed. To ask an engine what it
-/// keeps holds up its work: 64 boxes that started together made 8,800 such calls to 140 engines, now some 150.
-const LOOK: Duration = Duration::from_millis(100);
+/// Boxes that start together agree within this time on who keeps which models.
+const SETTLE: Duration = Duration::from_millis(300);
 
 /// After this the box learns from what it sends.
 const GIVE_UP: Duration = Duration::from_secs(5);
@@ -49,7 +44,7 @@
             hub.warm_up(&learned);
             return;
         }
-        if hub.peers().is_first(SETTLE, ALONE_AFTER) {
+        if OTHERS_HEARD < began.elapsed() && hub.peers().is_first() {
             let kept = from_engines(&hub, &*engines, None).await;
             hub.warm_up(&Learned { kept, ..Learned::default() });
             return;
@@ -69,19 +64,16 @@
 /// Learns of the engines of groups whose models this box comes to keep, until the process ends.
 pub async fn keep(hub: Arc<Hub>, engines: Arc<dyn Engines>) {
     let mut known: BTreeSet<Group> = BTreeSet::new();
-    let mut before: BTreeMap<Group, Owned> = BTreeMap::new();
     loop {
-        tokio::time::sleep(LOOK).await;
+        tokio::time::sleep(SETTLE).await;
         let me = hub.peers().me();
         let kept: BTreeMap<Group, Owned> = hub.peers().owners().kept_by(me).collect();
         known.retain(|group| kept.contains_key(group));
-        for (group, owned) in &kept {
-            // While boxes start, owners change with each that is heard.
-            if before.get(group) == Some(owned) && known.insert(*group) {
-                tokio::spawn(learn(hub.clone(), engines.clone(), *group, *owned));
+        for (group, owned) in kept {
+            if known.insert(group) {
+                tokio::spawn(learn(hub.clone(), engines.clone(), group, owned));
             }
         }
-        before = kept;
     }
 }
 
