--- a/src/proxy/dialect.rs
+++ b/src/proxy/dialect.rs
@@ -180,11 +180,11 @@
     /// The parts of prompts that the engine at `addr` keeps, in no order.
     fn kept(&self, addr: std::net::SocketAddr) -> BoxFuture<'static, Result<Vec<Part>, NotAsked>>;
 
-    /// How long the engine at `addr` still bears less than usual, as it says itself at `health_path`.
+    /// How long the engine at `addr` still bears less than usual, as it says itself at `probe_path`.
     fn cold_for(
         &self,
         addr: std::net::SocketAddr,
-        health_path: &str,
+        probe_path: &str,
     ) -> BoxFuture<'static, Result<Duration, NotAsked>>;
 }
 
--- a/src/proxy/look.rs
+++ b/src/proxy/look.rs
@@ -72,7 +72,7 @@
     if !hub.read(|view| view.fleet().may_be_cold(name)) || !asking::keeps(hub, name) {
         return;
     }
-    let Some(path) = hub.read(|view| view.health_path(name)) else { return };
+    let Some(path) = hub.read(|view| view.probe_path(name)) else { return };
     let cold_for = match hub.engines().cold_for(addr, &path).await {
         Ok(cold_for) => Some(cold_for),
         Err(e) => {
--- a/src/proxy/table.rs
+++ b/src/proxy/table.rs
@@ -67,7 +67,7 @@
     /// Connections that one upstream takes from all boxes together.
     pub max_connections: u32,
     /// The path at which an upstream says how it is.
-    pub health_path: String,
+    pub probe_path: String,
     /// What is known of its engines, where it is a model.
     pub engine: Option<EngineLimits>,
 }
--- a/src/proxy/view.rs
+++ b/src/proxy/view.rs
@@ -345,9 +345,9 @@
     }
 
     /// The path at which an upstream says how it is.
-    pub fn health_path(&self, name: &UpstreamName) -> Option<String> {
+    pub fn probe_path(&self, name: &UpstreamName) -> Option<String> {
         let service = &self.fleet.get(name)?.service;
-        Some(self.table.as_ref()?.service(service)?.health_path.clone())
+        Some(self.table.as_ref()?.service(service)?.probe_path.clone())
     }
 
     fn engine_limits(&self, listed: &Listed) -> Option<EngineLimits> {
--- a/tests/fleet_evacuated.rs
+++ b/tests/fleet_evacuated.rs
@@ -111,8 +111,7 @@
     let cold = ColdLimits { lasts: Duration::from_secs(3), pace: Duration::from_millis(160) };
     let limits =
         EngineLimits { slots: 8, memory_tokens: 100_000, copied_per_s: 400_000, cold: Some(cold) };
-    let service =
-        Service { max_connections: 100, health_path: String::new(), engine: Some(limits) };
+    let service = Service { max_connections: 100, probe_path: String::new(), engine: Some(limits) };
     let services = [(ServiceName::from("llm"), service)].into();
     let table = Table::new(1, Vec::new(), services, None, Limits::default());
     view.configure(table.into(), Duration::ZERO);
