--- a/src/proxy/side.rs
+++ b/src/proxy/side.rs
@@ -29,6 +29,9 @@
 /// Where a box tells what it knows.
 const SNAPSHOT_PATH: &str = "/v1/snapshot";
 
+/// The same for other boxes: packed it is less than half as long, some 100 KB before 3,000 upstreams.
+const PACKED_SNAPSHOT_PATH: &str = "/v1/snapshot/packed";
+
 /// Where a box tells what it has learned of engines.
 const LEARNED_PATH: &str = "/v1/learned";
 
@@ -49,9 +52,6 @@
     Status(StatusCode),
     /// Its answer can't be read.
     #[error("the answer: {0}")]
-    Json(#[from] serde_json::Error),
-    /// Its answer can't be read.
-    #[error("the answer: {0}")]
     Postcard(#[from] postcard::Error),
 }
 
@@ -68,7 +68,7 @@
 
 /// Asks another box what it knows.
 pub async fn ask(addr: SocketAddr) -> Result<Snapshot, AskError> {
-    Ok(serde_json::from_slice(&ask_for(addr, SNAPSHOT_PATH).await?)?)
+    Ok(postcard::from_bytes(&ask_for(addr, PACKED_SNAPSHOT_PATH).await?)?)
 }
 
 /// Asks another box what it has learned of engines, or of those of one group.
@@ -120,6 +120,9 @@
 impl Page for Known {
     fn refuse(&self, head: &http::request::Parts) -> Option<Response<Bytes>> {
         match head.uri.path() {
+            PACKED_SNAPSHOT_PATH => {
+                Some(packed(&self.hub.read(|view| view.snapshot(self.hub.now()))))
+            }
             SNAPSHOT_PATH => Some(json(&self.hub.read(|view| view.snapshot(self.hub.now())))),
             LEARNED_PATH => Some(self.learned(None)),
             METRICS_PATH => Some(Response::new(Bytes::from(self.hub.metrics().page()))),
--- a/tests/proxy_view.rs
+++ b/tests/proxy_view.rs
@@ -141,3 +141,21 @@
     view.set(upstream("a"), millis(15_000));
     assert!(is_open(&view, "a") && !view.is_barred(&UpstreamName::from("a")));
 }
+
+/// What boxes ask each other for: packed it must say the same, and be less than half as long as for people.
+#[test]
+fn a_snapshot_can_be_packed() {
+    let mut view = view();
+    let cold_for = Some(millis(2_500));
+    for n in 0..300 {
+        let listed = Listed { cold_for, ..upstream(&format!("i-{n:010x}")) };
+        view.set(listed, millis(1_000));
+    }
+    let snapshot = view.snapshot(millis(1_000));
+    let packed = postcard::to_stdvec(&snapshot).expect("it can be packed");
+    let again: Snapshot = postcard::from_bytes(&packed).expect("it can be read");
+    assert_eq!(again.upstreams, snapshot.upstreams);
+    assert_eq!(again.table.map(|t| t.version), snapshot.table.as_ref().map(|t| t.version));
+    let text = serde_json::to_vec(&snapshot).expect("it can be written");
+    assert!(2 * packed.len() < text.len(), "{} of {}", packed.len(), text.len());
+}
