--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -309,11 +309,6 @@
         self.end_all(|run| run.sender == Some(sender));
     }
 
-    /// Forgets all requests.
-    pub fn forget_all(&mut self) {
-        self.end_all(|_| true);
-    }
-
     /// Forgets requests whose ends were never heard of.
     pub fn tick(&mut self, now: Duration) {
         let old = |placed: Duration| placed + FORGOTTEN_AFTER < now;
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -168,18 +168,6 @@
         }
     }
 
-    /// Forgets what other boxes send to the engines of a group: before this box came to keep their models it heard of
-    /// beginnings whose ends are told to others.
-    pub fn forget_runs(&mut self, group: Group) {
-        let of_group = self.upstreams.values_mut().filter(|u| group.has(u.hash));
-        of_group.filter_map(|u| u.engine.as_mut()).for_each(Engine::forget_all);
-    }
-
-    /// Forgets what runs at the upstreams of plain services, since others may have counted it until now.
-    pub fn forget_plain_runs(&mut self) {
-        self.upstreams.values_mut().for_each(|u| u.plain.forget_all());
-    }
-
     /// All engines.
     pub fn engines(&self) -> impl Iterator<Item = &Listed> {
         self.upstreams.values().filter(|u| u.engine.is_some()).map(|u| &u.listed)
--- a/src/placement/plain.rs
+++ b/src/placement/plain.rs
@@ -101,11 +101,6 @@
         self.runs.remove(&request);
     }
 
-    /// Forgets all requests.
-    pub fn forget_all(&mut self) {
-        self.runs.clear();
-    }
-
     /// Forgets the requests of a box that is gone.
     pub fn forget_sender(&mut self, sender: IpAddr) {
         self.runs.retain(|_, run| run.sender != Some(sender));
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -211,7 +211,7 @@
         if hub.peers().refresh(engines) {
             let owners = hub.peers().owners();
             let now_kept = owners.kept_by(hub.peers().me()).map(|(group, _)| group).collect();
-            take_up(&hub, &now_kept, &kept);
+            hold_cold(&hub, &now_kept, &kept);
             kept = now_kept;
             info!(hub.log(), "owners"; "boxes" => hub.peers().live() + 1, "engines" => engines,
                 "kept" => owners.kept_by(hub.peers().me()).count());
@@ -226,17 +226,10 @@
     }
 }
 
-/// Begins to keep the models of groups that are new to this box. What others have just sent to their engines isn't known
-/// here, or only its beginning.
-fn take_up(hub: &Hub, kept: &BTreeSet<Group>, before: &BTreeSet<Group>) {
+/// What others have just sent to the engines of groups that are new to this box isn't known here.
+fn hold_cold(hub: &Hub, kept: &BTreeSet<Group>, before: &BTreeSet<Group>) {
     let until = hub.now() + cold::LOOKS_BACK;
-    hub.fleet(|fleet| {
-        for group in kept.difference(before) {
-            fleet.hold_cold(*group, until);
-            fleet.forget_runs(*group);
-        }
-        fleet.forget_plain_runs();
-    });
+    hub.fleet(|fleet| kept.difference(before).for_each(|group| fleet.hold_cold(*group, until)));
 }
 
 /// Waits until all requests have ended and no new ones are to be expected, or time is up.
--- a/tests/proxy_placement.rs
+++ b/tests/proxy_placement.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use frostdyke::fleet::owners::Group;
 use frostdyke::names::ServiceName;
 use frostdyke::names::UpstreamName;
 use frostdyke::names::ZoneName;
@@ -126,23 +125,6 @@
     assert_eq!(choice.running, 24);
 }
 
-/// All boxes have been killed and start again; while owners change, one hears of beginnings whose ends are told to others.
-#[test]
-fn who_comes_to_keep_a_model_forgets_what_it_heard_in_part() {
-    let mut fleet = fleet(1);
-    for request in 0..64 {
-        let small = Prompt { tokens: 10, written_max: 1, parts: Vec::new() };
-        let sender = Some([10, 0, 0, 1].into());
-        let placement =
-            Placement { request, prompt: &small, unread: 10, copied: 0, sender, decided: None };
-        fleet.place(&UpstreamName::from("e1"), placement, millis(0));
-    }
-    assert_eq!(choose(&fleet, &prompt(1, 100), 0), Err(NoChoice::Full));
-    fleet.forget_runs(Group::default());
-    let choice = choose(&fleet, &prompt(1, 100), 0).expect("there is room");
-    assert_eq!((choice.running, choice.running_tokens), (0, 0));
-}
-
 /// Engines are replaced one after the other; what they keep would have to be read again.
 #[test]
 fn an_engine_that_leaves_gives_its_parts_away() {
--- a/tests/proxy_plain.rs
+++ b/tests/proxy_plain.rs
@@ -389,7 +389,4 @@
     assert!(!admit(&mut fleet, 100, 1.5));
     fleet.tick(at(3.1));
     assert!(admit(&mut fleet, 101, 3.1), "what has no end for long is forgotten");
-    let mut fleet = full();
-    fleet.forget_plain_runs();
-    assert!(admit(&mut fleet, 102, 1.5), "and all, when who counts has changed");
 }
