Tell callers who are turned away at the door that they haven't run, and when to come back

Cause: a crowded box closed what it can't begin unread. Callers saw a reset: no status, no Retry-After, no word on whether the request ran. It was said that a true answer costs too much (0.18 to 0.3 ms), but that was measured with the runtime's connection and hyper. Change: a connection beyond the door's bound goes to a list beside the runtime. When its request comes, a prepared 503 is written, the rest of the request is read so that closing takes nothing back, and it is closed: four calls, no task. Bounded: 512 at a time, a second for the first bytes; beyond that closed unread as before.

Kept with 50 ms, as boxes that have too many streams say.

--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -115,10 +115,28 @@
 /// Another box serves at once; the caller's next connection is likely to lead there.
 const ELSEWHERE_RETRY: Duration = Duration::from_millis(50);
 
+/// The answer for a refusal, as it is written on a connection.
+pub fn prepared(cause: Refusal) -> Vec<u8> {
+    let resp = refusal(cause);
+    let text = text(cause);
+    let mut buf = format!("HTTP/1.1 {}\r\n", resp.status()).into_bytes();
+    for (name, value) in resp.headers() {
+        buf.extend_from_slice(name.as_str().as_bytes());
+        buf.extend_from_slice(b": ");
+        buf.extend_from_slice(value.as_bytes());
+        buf.extend_from_slice(b"\r\n");
+    }
+    buf.extend_from_slice(format!("content-length: {}\r\n\r\n{text}", text.len()).as_bytes());
+    buf
+}
+
+fn text(cause: Refusal) -> String {
+    format!("{cause}\n")
+}
+
 /// The answer for a refusal.
 pub fn refusal(cause: Refusal) -> Response<Body> {
-    let text = Bytes::from(format!("{cause}\n"));
-    let mut resp = Response::new(stream::whole(text));
+    let mut resp = Response::new(stream::whole(Bytes::from(text(cause))));
     *resp.status_mut() = cause.status();
     let headers = resp.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
--- a/src/proxy/door.rs
+++ b/src/proxy/door.rs
@@ -1,7 +1,8 @@
 //! Whom a crowded box lets in.
 //!
 //! A caller who is turned away at once tries another box in time; one who is let in to wait, or whose
-//! connection nobody takes, loses a second. What can be begun soon is let in, the rest is closed unread.
+//! connection nobody takes, loses a second. What can be begun soon is let in, the rest is told so
+//! ([`crate::proxy::turn_away`]).
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
--- a/src/proxy/front.rs
+++ b/src/proxy/front.rs
@@ -31,6 +31,7 @@
 use crate::proxy::request;
 use crate::proxy::stream::Body;
 use crate::proxy::table::Limits;
+use crate::proxy::turn_away::TurnAway;
 
 /// Pause after a failure to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -59,6 +60,7 @@
     stopping: watch::Receiver<Stop>,
 ) {
     let connections = Arc::new(Semaphore::new(hub.connections_max()));
+    let away = TurnAway::start(hub.clone());
     let mut taken = 0;
     loop {
         let Ok(permit) = connections.clone().acquire_owned().await else { return };
@@ -76,8 +78,8 @@
             tokio::task::yield_now().await;
         }
         let Some(entered) = door.enter(hub.starts(), hub.now()) else {
-            // Closed unread, and not even registered with the runtime: it costs two calls.
             hub.turn_away();
+            away.turn_away(stream);
             continue;
         };
         let (hub, stopping) = (hub.clone(), stopping.clone());
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -30,6 +30,7 @@
 pub mod side;
 pub mod stream;
 pub mod table;
+pub mod turn_away;
 pub mod view;
 pub mod warm;
 
--- a/tests/proxy_shares.rs
+++ b/tests/proxy_shares.rs
@@ -134,16 +134,16 @@
     for step in 0..16_000 / STEP {
         let now = millis(step * STEP);
         let hot = |from: u64, rate: u64| if millis(from) <= now { rate } else { 100_000 };
-        for workspace in 0..13 {
+        for (workspace, wanted) in wanted.iter_mut().enumerate() {
             let rate = match workspace {
                 0 => 2_000_000,
                 1 => hot(7_000, 30_000_000),
                 2 => hot(9_000, 6_000_000),
                 _ => 100_000,
             };
-            wanted[workspace] += rate * STEP / 1_000;
-            while TOKENS <= wanted[workspace] {
-                wanted[workspace] -= TOKENS;
+            *wanted += rate * STEP / 1_000;
+            while TOKENS <= *wanted {
+                *wanted -= TOKENS;
                 engines.ask(workspace, TOKENS, now);
             }
         }
