Ask other boxes for what differs, not for their whole lists

Cause: while upstreams come and go faster than once in a second and a half, every box's digest differs from the last words of all that see the store, so each asks one of these for its whole list and the configuration every 300 ms: 240 KB before 3,000 upstreams, and most of it from three boxes a zone. Change: the question holds the version of the asker's configuration and digests of 128 buckets of names (1 KB); the answer only what is in buckets that differ, and the configuration only if it is newer. Which engines are cold counts for the buckets, so a box that missed that learns of it. The list for people is as it was.

--- a/src/proxy/gossip.rs
+++ b/src/proxy/gossip.rs
@@ -154,7 +154,7 @@
         let is_apart = std::mem::replace(&mut was_apart, apart.is_some()) || is_small;
         let is_known = hub.read(View::is_ready);
         let Some(addr) = ahead.or(apart.filter(|_| is_apart || !is_known)) else { continue };
-        match side::ask(addr).await {
+        match side::ask(addr, &hub).await {
             Ok(snapshot) => hub.take_over(snapshot),
             Err(e) => debug!(hub.log(), "box not asked"; "addr" => %addr, "error" => %e),
         }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -11,6 +11,7 @@
 pub mod budget;
 pub mod capacity;
 pub mod dialect;
+pub mod digests;
 pub mod door;
 pub mod figures;
 pub mod front;
--- a/src/proxy/side.rs
+++ b/src/proxy/side.rs
@@ -29,8 +29,9 @@
 /// Where a box tells what it knows.
 const SNAPSHOT_PATH: &str = "/v1/snapshot";
 
-/// The same for other boxes: packed it is less than half as long, some 100 KB before 3,000 upstreams.
-const PACKED_SNAPSHOT_PATH: &str = "/v1/snapshot/packed";
+/// Where a box tells another what that one misses, packed: behind it come the version of that one's
+/// configuration and the digests of its upstreams.
+const DIFFERENCE_PATH: &str = "/v1/difference";
 
 /// Where a box tells what it has learned of engines.
 const LEARNED_PATH: &str = "/v1/learned";
@@ -66,9 +67,11 @@
     web::serve(listener, 0, Arc::new(Known { hub }), std::future::pending()).await;
 }
 
-/// Asks another box what it knows.
-pub async fn ask(addr: SocketAddr) -> Result<Snapshot, AskError> {
-    Ok(postcard::from_bytes(&ask_for(addr, PACKED_SNAPSHOT_PATH).await?)?)
+/// Asks another box what it knows and this one doesn't.
+pub async fn ask(addr: SocketAddr, hub: &Hub) -> Result<Snapshot, AskError> {
+    let (version, digests) = hub.read(|view| (view.version(), view.digests(hub.now())));
+    let path = format!("{DIFFERENCE_PATH}/{version}/{digests}");
+    Ok(postcard::from_bytes(&ask_for(addr, &path).await?)?)
 }
 
 /// Asks another box what it has learned of engines, or of those of one group.
@@ -112,6 +115,18 @@
 }
 
 impl Known {
+    /// What is told of a path that names what is wanted.
+    fn of(&self, path: &str) -> Option<Response<Bytes>> {
+        if let Some(group) = path.strip_prefix(LEARNED_PATH) {
+            return Some(self.learned(Some(group.strip_prefix('/')?.parse().ok()?)));
+        }
+        let (version, digests) =
+            path.strip_prefix(DIFFERENCE_PATH)?.strip_prefix('/')?.split_once('/')?;
+        let (version, digests) = (version.parse().ok()?, digests.parse().ok()?);
+        let now = self.hub.now();
+        Some(packed(&self.hub.read(|view| view.difference(version, &digests, now))))
+    }
+
     fn learned(&self, group: Option<Group>) -> Response<Bytes> {
         packed(&self.hub.read(|view| view.fleet().learned(group)))
     }
@@ -120,17 +135,10 @@
 impl Page for Known {
     fn refuse(&self, head: &http::request::Parts) -> Option<Response<Bytes>> {
         match head.uri.path() {
-            PACKED_SNAPSHOT_PATH => {
-                Some(packed(&self.hub.read(|view| view.snapshot(self.hub.now()))))
-            }
             SNAPSHOT_PATH => Some(json(&self.hub.read(|view| view.snapshot(self.hub.now())))),
             LEARNED_PATH => Some(self.learned(None)),
             METRICS_PATH => Some(Response::new(Bytes::from(self.hub.metrics().page()))),
-            path => {
-                let group = path.strip_prefix(LEARNED_PATH).and_then(|rest| rest.strip_prefix('/'));
-                let group = group.and_then(|group| group.parse().ok());
-                Some(group.map_or_else(|| empty(StatusCode::NOT_FOUND), |g| self.learned(Some(g))))
-            }
+            path => Some(self.of(path).unwrap_or_else(|| empty(StatusCode::NOT_FOUND))),
         }
     }
 
--- a/src/proxy/view.rs
+++ b/src/proxy/view.rs
@@ -13,6 +13,8 @@
 use crate::names::UpstreamName;
 use crate::placement::fleet::Fleet;
 use crate::proxy::dialect::Listed;
+use crate::proxy::digests;
+use crate::proxy::digests::Digests;
 use crate::proxy::table::EngineLimits;
 use crate::proxy::table::Table;
 
@@ -31,10 +33,12 @@
 /// What one box can tell another that can't ask the store.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Snapshot {
-    /// The configuration in force.
+    /// The configuration in force; nothing if whoever asks has it.
     pub table: Option<Arc<Table>>,
-    /// All upstreams in use or leaving.
+    /// All upstreams in use or leaving that are in these buckets.
     pub upstreams: Vec<Listed>,
+    /// The buckets of upstreams that are told of; all if nothing is given.
+    pub buckets: Option<BTreeSet<u8>>,
     /// Whether the sender sees the store, so that there are no others.
     pub is_sure: bool,
 }
@@ -134,7 +138,12 @@
 
     /// Whether requests can be served: there are a configuration and upstreams.
     pub fn is_ready(&self) -> bool {
-        self.table.is_some() && self.listed_once
+        self.table.is_some() && self.has_list()
+    }
+
+    /// Whether all upstreams were listed once.
+    pub fn has_list(&self) -> bool {
+        self.listed_once
     }
 
     /// Whether the store answers.
@@ -152,10 +161,26 @@
         Snapshot {
             table: self.table.clone(),
             upstreams: self.fleet.told(now),
+            buckets: None,
             is_sure: self.reached,
         }
     }
 
+    /// What another box may take over that has a configuration of this version and lists what has these
+    /// digests.
+    pub fn difference(&self, version: u64, theirs: &Digests, now: Duration) -> Snapshot {
+        let Snapshot { table, mut upstreams, is_sure, .. } = self.snapshot(now);
+        let buckets = Digests::of(upstreams.iter()).differing(theirs);
+        upstreams.retain(|l| buckets.contains(&digests::bucket(&l.name)));
+        let table = table.filter(|t| version < t.version);
+        Snapshot { table, upstreams, buckets: Some(buckets), is_sure }
+    }
+
+    /// By what another box finds out what this one misses.
+    pub fn digests(&self, now: Duration) -> Digests {
+        Digests::of(self.fleet.told(now).iter())
+    }
+
     /// Takes over a configuration, unless it is no newer than the one in force.
     pub fn configure(&mut self, table: Arc<Table>, now: Duration) {
         if table.version <= self.version() {
@@ -276,11 +301,19 @@
         if self.reached {
             return;
         }
-        let is_useful = !snapshot.upstreams.is_empty();
+        // Nothing differs from what was told one by one.
+        let is_same = snapshot.buckets.as_ref().is_some_and(BTreeSet::is_empty)
+            && self.fleet.listed().next().is_some();
+        let is_useful = !snapshot.upstreams.is_empty() || is_same;
         if snapshot.is_sure {
             let listed: BTreeSet<&UpstreamName> =
                 snapshot.upstreams.iter().map(|l| &l.name).collect();
-            let known: Vec<UpstreamName> = self.fleet.listed().map(|l| l.name.clone()).collect();
+            let buckets = snapshot.buckets.as_ref();
+            let is_told = |name: &UpstreamName| {
+                buckets.is_none_or(|buckets| buckets.contains(&digests::bucket(name)))
+            };
+            let known = self.fleet.listed().map(|l| l.name.clone());
+            let known: Vec<UpstreamName> = known.filter(is_told).collect();
             known
                 .iter()
                 .filter(|name| !listed.contains(name))
--- a/tests/proxy_view.rs
+++ b/tests/proxy_view.rs
@@ -1,5 +1,6 @@
 //! What a box believes of the upstreams when the store fails, lags or returns.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use frostdyke::names::ServiceName;
@@ -8,9 +9,13 @@
 use frostdyke::placement::fleet::Fleet;
 use frostdyke::placement::tuning::Tuning;
 use frostdyke::proxy::dialect::Listed;
+use frostdyke::proxy::digests;
+use frostdyke::proxy::digests::Digests;
 use frostdyke::proxy::view::Change;
 use frostdyke::proxy::view::Snapshot;
 use frostdyke::proxy::view::View;
+use proptest::collection;
+use proptest::prelude::*;
 
 fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -104,7 +109,7 @@
     assert!(!is_open(&view, "a"));
     // An upstream that leaves stays so, whatever another box still believes.
     let upstreams = vec![upstream("a"), upstream("b"), upstream("c")];
-    view.take_over(Snapshot { table: None, upstreams, is_sure: false }, millis(10_000));
+    view.take_over(Snapshot { upstreams, ..Snapshot::default() }, millis(10_000));
     assert!(!is_open(&view, "a"));
     assert!(is_open(&view, "c"));
 }
@@ -133,7 +138,7 @@
     view.store_left_to_others();
     view.told_listed(upstream("a"), millis(14_000));
     let upstreams = vec![upstream("a"), upstream("b")];
-    view.take_over(Snapshot { table: None, upstreams, is_sure: false }, millis(14_000));
+    view.take_over(Snapshot { upstreams, ..Snapshot::default() }, millis(14_000));
     assert!(!is_open(&view, "a"));
     assert!(is_open(&view, "b"));
     // The store's own word goes before: an entry that lapsed for long may come back after all.
@@ -159,3 +164,82 @@
     let text = serde_json::to_vec(&snapshot).expect("it can be written");
     assert!(2 * packed.len() < text.len(), "{} of {}", packed.len(), text.len());
 }
+
+fn names(view: &View) -> Vec<&UpstreamName> {
+    view.fleet().listed().filter(|l| !l.leaving).map(|l| &l.name).collect()
+}
+
+/// Load: 3,000 upstreams of which one is new and another gone, which a box that doesn't watch the store has missed, as
+/// some box does several times a second while engines are replaced.
+#[test]
+fn what_a_box_misses_is_told_without_the_whole_list() {
+    let now = millis(1_000);
+    let listed = |n: u32| upstream(&format!("i-{n:010x}"));
+    let (mut watcher, mut box_) = (view(), view());
+    (0..3_000).for_each(|n| box_.set(listed(n), now));
+    (1..3_001).for_each(|n| watcher.set(listed(n), now));
+    box_.store_left_to_others();
+    let question = box_.digests(now);
+    assert!(question.to_string().len() <= 1024);
+    assert_eq!(question.to_string().parse(), Ok(question));
+    let told = watcher.difference(box_.version(), &question, now);
+    let packed = postcard::to_stdvec(&told).expect("it can be packed").len();
+    let whole = postcard::to_stdvec(&watcher.snapshot(now)).expect("it can be packed").len();
+    assert!(20 * packed < whole, "{packed} of {whole}");
+    box_.take_over(told, now);
+    assert_eq!(names(&box_), names(&watcher));
+    assert_eq!(box_.digest(), watcher.digest());
+    assert_eq!(watcher.difference(0, &box_.digests(now), now).upstreams, []);
+}
+
+/// That an engine has turned cold again is missed by a box like anything else.
+#[test]
+fn digests_tell_which_engines_are_cold_and_nothing_of_those_that_leave() {
+    let digests = |all: &[Listed]| Digests::of(all.iter());
+    let cold = Listed { cold_for: Some(millis(3_000)), ..upstream("a") };
+    let leaving = Listed { leaving: true, ..upstream("c") };
+    let warm = digests(&[upstream("a"), upstream("b")]);
+    let differing = warm.differing(&digests(&[upstream("b"), cold.clone()]));
+    assert_eq!(differing, BTreeSet::from([digests::bucket(&cold.name)]));
+    assert_eq!(warm, digests(&[upstream("b"), leaving, upstream("a")]));
+}
+
+/// A box that has just started may have been told of each upstream by itself before it asks for the list.
+#[test]
+fn a_box_that_was_told_all_there_is_is_as_good_as_one_that_has_asked() {
+    let now = millis(1_000);
+    let watcher = view();
+    let mut box_ = View::new(Fleet::new(ZoneName::from("a"), Tuning::default()));
+    ["a", "b"].iter().for_each(|name| box_.told_listed(upstream(name), now));
+    let told = watcher.difference(0, &box_.digests(now), now);
+    assert_eq!(told.upstreams, []);
+    box_.take_over(told, now);
+    assert_eq!(names(&box_), names(&watcher));
+    assert!(box_.has_list());
+}
+
+proptest! {
+    /// Whatever a box lists: once it has taken over what one that sees the store has told, it lists the same.
+    #[test]
+    fn what_is_told_makes_lists_the_same(
+        there in collection::btree_set(0u32..500, 0..100),
+        here in collection::btree_set(0u32..500, 0..100),
+    ) {
+        let now = millis(1_000);
+        let (mut watcher, mut box_) = (view(), view());
+        there.iter().for_each(|n| watcher.set(upstream(&format!("u{n}")), now));
+        here.iter().for_each(|n| box_.set(upstream(&format!("u{n}")), now));
+        box_.store_left_to_others();
+        let told = watcher.difference(0, &box_.digests(now), now);
+        box_.take_over(told, now);
+        prop_assert_eq!(names(&box_), names(&watcher));
+    }
+
+    /// Bytes of strangers are no digests, or are told back as they came.
+    #[test]
+    fn digests_are_read_or_refused(text in ".{0,64}|[0-9a-f]{1020,1028}") {
+        if let Ok(digests) = text.parse::<Digests>() {
+            prop_assert_eq!(digests.to_string(), text);
+        }
+    }
+}
