Have boxes' digests tell which engines are cold

Cause: an engine that is warm is told as cold for no time, which the digests took for cold, so a box that missed that an engine had turned cold again would not have learned of it by asking for what differs. Found by reading; the test failed first. Nothing else changes.

--- a/src/proxy/digests.rs
+++ b/src/proxy/digests.rs
@@ -41,7 +41,7 @@
             let name = upstream::hash(&listed.name).to_le_bytes();
             let mut buf = [0; 9];
             buf[..8].copy_from_slice(&name);
-            buf[8] = listed.cold_for.is_some().into();
+            buf[8] = listed.cold_for.is_some_and(|left| !left.is_zero()).into();
             let digest = &mut digests[usize::from(bucket(&listed.name))];
             *digest = digest.wrapping_add(xxh3_64(&buf) as u32);
         }
--- a/tests/proxy_view.rs
+++ b/tests/proxy_view.rs
@@ -198,7 +198,9 @@
     let digests = |all: &[Listed]| Digests::of(all.iter());
     let cold = Listed { cold_for: Some(millis(3_000)), ..upstream("a") };
     let leaving = Listed { leaving: true, ..upstream("c") };
-    let warm = digests(&[upstream("a"), upstream("b")]);
+    // Of an engine that is warm a box tells that it is cold for no time.
+    let warm = Listed { cold_for: Some(Duration::ZERO), ..upstream("a") };
+    let warm = digests(&[warm, upstream("b")]);
     let differing = warm.differing(&digests(&[upstream("b"), cold.clone()]));
     assert_eq!(differing, BTreeSet::from([digests::bucket(&cold.name)]));
     assert_eq!(warm, digests(&[upstream("b"), leaving, upstream("a")]));
