--- a/src/placement/share.rs
+++ b/src/placement/share.rs
@@ -15,10 +15,10 @@
 const STEPS: u32 = 8;
 
 /// Part of the window in which a workspace that asks for more than its share is held to it: with a
-/// window of four seconds a second. Over the whole window, what it had while there was room shuts it
-/// out when others come, and who comes takes all until it has caught up: a hot workspace got 0.56 of
-/// what another got in the six seconds after that came, and less than half in four of them, now 0.9
-/// and in none (`tests/proxy_shares.rs`).
+/// window of four seconds a second. If it were the whole window, what it had while there was room would
+/// shut it out when others come, and who comes would take all until it has caught up: a hot workspace
+/// would get 0.56 of what another gets in the six seconds after that came, and less than half in four
+/// of them; it gets 0.9, and in none (`tests/proxy_shares.rs`).
 const LATELY: u32 = 4;
 
 /// What workspaces asked for and got lately, in tokens.
--- a/src/proxy/turn_away.rs
+++ b/src/proxy/turn_away.rs
@@ -20,7 +20,7 @@
 use crate::proxy::hub::Hub;
 
 /// Connections that may wait for their requests; what comes beyond them is closed unread. A box of
-/// 0.12 cores has some 400 new ones in a tenth of a second when it has the most.
+/// 0.12 cores turns away some 1,000 a second at the most, so these are half a second's.
 const WAITING_MAX: usize = 512;
 
 /// Time between looks for requests: a round trip to callers in the same region. On a connection where
@@ -32,7 +32,7 @@
 const FIRST_BYTES_WITHIN: Duration = Duration::from_secs(1);
 
 /// Once the answer is sent, the rest of the request is read for so long, since to close a connection
-/// with unread bytes takes the answer back.
+/// with unread bytes takes the answer back: many round trips, for bodies longer than a window.
 const REST_WITHIN: Duration = Duration::from_millis(150);
 
 /// Bytes read at a time: most requests whole.
