Read on after an answer at the door for a bounded time, also where bytes keep coming

Cause: found by reading. A caller that was told and sends a body of unknown length little by little kept its place, one of 512, for as long as it sent; only silence was bounded by 150 ms. The test fails without the change (1,000 looks); its first form passed without it, since the kernel held small writes back, so its caller sends each at once. Change: the time counts whether or not bytes come. Callers that send what they have aren't touched.

--- a/src/proxy/turn_away.rs
+++ b/src/proxy/turn_away.rs
@@ -157,7 +157,8 @@
             // It is closed right after.
             let _ = self.stream.shutdown(Shutdown::Write);
         }
-        left != 0
+        // Who sends on without end doesn't keep its place for it.
+        left != 0 && now < self.until
     }
 }
 
--- a/tests/proxy_turn_away.rs
+++ b/tests/proxy_turn_away.rs
@@ -18,6 +18,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let caller =
         TcpStream::connect(listener.local_addr().expect("an address")).expect("it accepts");
+    // Each write is to come at once.
+    caller.set_nodelay(true).expect("a connection");
     let (stream, _) = listener.accept().expect("a connection");
     (caller, Turned::new(stream).expect("the caller is there"))
 }
@@ -109,6 +111,25 @@
     assert!(read(&mut caller).starts_with("HTTP/1.1 503"));
 }
 
+/// A caller that was told and sends on, a little at a time, doesn't keep its place for longer than one that is silent.
+#[tokio::test(start_paused = true)]
+async fn who_sends_on_without_end_is_not_read_without_end() {
+    let (mut caller, mut turned) = connect();
+    caller.write_all(b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n").expect("room");
+    step_until(&mut turned, true, true);
+    let mut steps = 0;
+    loop {
+        caller.write_all(b"1\r\nx\r\n").expect("room");
+        if !step(&mut turned) {
+            break;
+        }
+        steps += 1;
+        assert!(steps < 1_000, "for how long?");
+        tokio::time::advance(Duration::from_millis(8)).await;
+    }
+    assert!(steps < 25, "{steps} looks");
+}
+
 #[tokio::test(start_paused = true)]
 async fn who_says_nothing_is_not_told_and_not_waited_for_without_end() {
     let (_caller, mut turned) = connect();
