Ask other boxes for what has changed since a revision, and take nobody's older list for another one

Cause: three watchers of a zone hear of changes of the store up to a second apart, and tell by datagrams. A box that watches nothing has heard of what any of them has told, so while upstreams come and go its list is never the list of one of them. It took that for a loss, asked two looks later for all buckets that differ, every 300 ms, and gave up what the watcher that it asked hadn't heard of yet, to list it again when the next datagram came.

Change: the feed says up to which revision of the store the list is whole; signs of life carry it; a box asks for the changes since its own revision, at most once a second (proxy::history, /v1/changes). Whether two lists differ is judged only among those of the same revision, after 2 s, and by buckets as before (fleet::standing). A list that is behind one's own is never taken over. Small fleets ask as before.

--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -72,6 +72,8 @@
     pub is_warm: bool,
     /// A digest of the upstreams that it lists.
     pub upstreams: u64,
+    /// The revision of the store up to which that list is whole.
+    pub revision: u64,
     /// The zones whose engines get nothing.
     pub evacuated: Evacuated,
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,3 +5,4 @@
 pub mod evacuated;
 pub mod members;
 pub mod owners;
+pub mod standing;
--- a/src/placement/fleet.rs
+++ b/src/placement/fleet.rs
@@ -76,6 +76,11 @@
         self.upstreams.values().map(|u| u.told(now)).collect()
     }
 
+    /// An upstream, as it is to be told to another box.
+    pub fn told_of(&self, name: &UpstreamName, now: Duration) -> Option<Listed> {
+        self.upstreams.get(name).map(|u| u.told(now))
+    }
+
     /// Forgets an upstream.
     pub fn remove(&mut self, name: &UpstreamName) {
         self.upstreams.remove(name);
--- a/src/proxy/dialect.rs
+++ b/src/proxy/dialect.rs
@@ -151,6 +151,8 @@
     Changed(Listed),
     /// An upstream's entry is gone.
     Gone(UpstreamName),
+    /// With this, the list of upstreams is whole up to a revision of the store.
+    UpTo(u64),
     /// All zones that are evacuated.
     Evacuated(Evacuated),
     /// Zones are evacuated or taken back.
--- a/src/proxy/gossip.rs
+++ b/src/proxy/gossip.rs
@@ -6,12 +6,15 @@
 use std::time::Duration;
 
 use rand::Rng;
+use rand::seq::IteratorRandom;
 use slog::debug;
 use slog::info;
+use tokio::time::Instant;
 
 use crate::fleet::members::BEAT;
 use crate::fleet::members::Beat;
 use crate::fleet::members::Heard;
+use crate::fleet::standing::Standing;
 use crate::proxy::asking;
 use crate::proxy::hub::Hub;
 use crate::proxy::intake;
@@ -32,6 +35,15 @@
 /// for it only if the store has not told after this.
 const ASK_AFTER: Duration = Duration::from_millis(300);
 
+/// Time between questions for changes of upstreams, which are told by datagrams, too: only what was lost of
+/// these waits for it. A third of the time in which all must know that an upstream leaves.
+const BEHIND_EVERY: Duration = Duration::from_millis(1000);
+
+/// A box of a larger fleet that has heard of as much as others, and lists other upstreams, asks for what
+/// differs after this time: it may have heard by datagram of a change that they take in with a call a
+/// second later, and would give that up (14 to 18 times a second under `tests/proxy_behind.rs`).
+const APART_FOR: Duration = Duration::from_millis(2000);
+
 /// Begins to tell, to listen and to ask.
 pub fn start(hub: &Arc<Hub>) {
     tokio::spawn(listen(hub.clone()));
@@ -114,6 +126,7 @@
         sees_store: view.reaches_store(),
         is_warm: hub.is_warm(),
         upstreams: view.digest(),
+        revision: view.revision(),
         evacuated: view.evacuated().clone(),
     })
 }
@@ -135,28 +148,61 @@
 /// Asks other boxes for what this one misses: a configuration that is newer, and the upstreams
 /// while it doesn't see the store.
 async fn catch_up(hub: Arc<Hub>) {
-    let mut was_apart = false;
+    let mut apart_since: Option<Instant> = None;
+    let mut asked_at = None;
     loop {
         // Whichever comes first. Many boxes hear of a configuration at once; they don't ask at once.
         if tokio::time::timeout(ASK_AFTER, hub.peers().behind.notified()).await.is_ok() {
             let part = rand::rng().random_range(0.0..1.0);
             tokio::time::sleep(ASK_SPREAD.mul_f64(part)).await;
         }
-        let State { version, sees_store, upstreams, .. } = state(&hub);
-        let ahead = hub.peers().ahead_of(version);
-        let is_small = hub.peers().owners().is_none();
-        let apart = match (sees_store, is_small) {
-            (true, _) => None,
-            (false, true) => hub.peers().with_store(),
-            (false, false) => hub.peers().with_other_upstreams(upstreams),
-        };
-        // What has just changed may still be on its way.
-        let is_apart = std::mem::replace(&mut was_apart, apart.is_some()) || is_small;
         let is_known = hub.read(View::is_ready);
-        let Some(addr) = ahead.or(apart.filter(|_| is_apart || !is_known)) else { continue };
-        match side::ask(addr, &hub).await {
-            Ok(snapshot) => hub.take_over(snapshot),
-            Err(e) => debug!(hub.log(), "box not asked"; "addr" => %addr, "error" => %e),
+        let (ahead, standing) = missing(&hub);
+        let apart = matches!(standing, Standing::Apart(_)).then(Instant::now);
+        apart_since = apart.map(|now| apart_since.unwrap_or(now));
+        let is_small = hub.peers().owners().is_none();
+        let is_apart = apart_since.is_some_and(|at| APART_FOR <= at.elapsed()) || is_small;
+        let was_asked = asked_at.is_some_and(|at: Instant| at.elapsed() < BEHIND_EVERY);
+        match (ahead, standing) {
+            (Some(addr), _) => ask(&hub, addr).await,
+            (None, Standing::Apart(addr)) if is_apart || !is_known => ask(&hub, addr).await,
+            (None, Standing::Behind(all)) if !was_asked || !is_known => {
+                let Some(addr) = all.into_iter().choose(&mut rand::rng()) else { continue };
+                asked_at = Some(Instant::now());
+                ask_changes(&hub, addr).await;
+            }
+            (None, _) => {}
         }
     }
 }
+
+/// A box with a newer configuration, and how this one stands to those that see the store.
+fn missing(hub: &Hub) -> (Option<SocketAddr>, Standing) {
+    let State { version, sees_store, upstreams, revision, .. } = state(hub);
+    let peers = hub.peers();
+    let standing = if sees_store {
+        Standing::Level
+    } else if peers.owners().is_none() {
+        peers.with_store().map_or(Standing::Level, Standing::Apart)
+    } else {
+        peers.standing(revision, upstreams)
+    };
+    (peers.ahead_of(version), standing)
+}
+
+/// Asks another box for all that differs.
+async fn ask(hub: &Hub, addr: SocketAddr) {
+    match side::ask(addr, hub).await {
+        Ok(snapshot) => hub.take_over(snapshot),
+        Err(e) => debug!(hub.log(), "box not asked"; "addr" => %addr, "error" => %e),
+    }
+}
+
+/// Asks another box for what has changed, or for all that differs if it doesn't know that any more.
+async fn ask_changes(hub: &Hub, addr: SocketAddr) {
+    match side::ask_changes(addr, hub).await {
+        Ok(Some(changes)) => hub.take_over(changes),
+        Ok(None) => ask(hub, addr).await,
+        Err(e) => debug!(hub.log(), "box not asked"; "addr" => %addr, "error" => %e),
+    }
+}
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -29,6 +29,7 @@
         News::Listed(all) => hub.change(|view, now| view.list(all, now)),
         News::Changed(listed) => hub.change(|view, now| view.set(listed, now)),
         News::Gone(name) => hub.change(|view, now| view.gone(&name, now)),
+        News::UpTo(revision) => hub.change(|view, _| view.up_to(revision)),
         News::Evacuated(all) => hub.change(|view, now| view.evacuate(&all, now)),
         News::Ordered { orders, revision } => hub.change(|view, now| {
             let evacuated = view.evacuated().after(&orders, revision);
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -16,6 +16,7 @@
 pub mod figures;
 pub mod front;
 pub mod gossip;
+pub mod history;
 pub mod hub;
 pub mod intake;
 pub mod link;
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -25,6 +25,9 @@
 use crate::fleet::members::Record;
 use crate::fleet::owners::Candidate;
 use crate::fleet::owners::Owners;
+use crate::fleet::standing;
+use crate::fleet::standing::Standing;
+use crate::fleet::standing::Word;
 use crate::names::BoxName;
 use crate::names::ZoneName;
 use crate::proxy::message::Message;
@@ -53,9 +56,6 @@
 /// be off by without anybody waiting.
 const GATHER: Duration = Duration::from_millis(20);
 
-/// A word of another box that is older says nothing of what it lists now.
-const WORD_FRESH: Duration = Duration::from_millis(1500);
-
 /// What a box says of itself that changes.
 #[derive(Clone, Debug)]
 pub(super) struct State {
@@ -63,6 +63,7 @@
     pub(super) sees_store: bool,
     pub(super) is_warm: bool,
     pub(super) upstreams: u64,
+    pub(super) revision: u64,
     pub(super) evacuated: Evacuated,
 }
 
@@ -335,7 +336,7 @@
     }
 
     fn give_sign(&self, state: State, ages: Vec<Age>, to: &BTreeMap<IpAddr, bool>) {
-        let State { version, sees_store, is_warm, upstreams, evacuated } = state;
+        let State { version, sees_store, is_warm, upstreams, revision, evacuated } = state;
         let record = Record {
             name: self.name.clone(),
             zone: self.zone.clone(),
@@ -346,6 +347,7 @@
             sees_store,
             is_warm,
             upstreams,
+            revision,
             evacuated,
         };
         let mut beat = Beat { record, asks: false, ages };
@@ -383,17 +385,17 @@
         self.pick(|r| r.sees_store.then_some(()))
     }
 
-    /// A box that sees the store and lists other upstreams than this one, if all that lately said that
-    /// they see the store do.
-    pub(super) fn with_other_upstreams(&self, digest: u64) -> Option<SocketAddr> {
+    /// How this box stands to those that watch the store for it, while it lists what has this digest and
+    /// its list is whole up to this revision.
+    pub(super) fn standing(&self, revision: u64, upstreams: u64) -> Standing {
         let now = self.now();
+        let word = |(_, member): (IpAddr, &Member)| {
+            let (r, age) = member.word(now)?;
+            let Record { addr, sees_store, revision, upstreams, .. } = *r;
+            Some(Word { addr, sees_store, revision, upstreams, age })
+        };
         self.members(|members| {
-            let words = members.live(now).filter_map(|(_, member)| member.word(now));
-            let fresh: Vec<_> =
-                words.filter(|(r, age)| r.sees_store && *age < WORD_FRESH).collect();
-            let is_alone = fresh.iter().all(|(r, _)| r.upstreams != digest);
-            let newest = fresh.iter().min_by_key(|(_, age)| *age);
-            newest.filter(|_| is_alone).map(|(r, _)| r.addr)
+            standing::judge(revision, upstreams, members.live(now).filter_map(word))
         })
     }
 
--- a/src/proxy/side.rs
+++ b/src/proxy/side.rs
@@ -33,6 +33,10 @@
 /// configuration and the digests of its upstreams.
 const DIFFERENCE_PATH: &str = "/v1/difference";
 
+/// Where a box tells another what has changed, packed: behind it come the version of that one's
+/// configuration and the revision of the store that it knows of.
+const CHANGES_PATH: &str = "/v1/changes";
+
 /// Where a box tells what it has learned of engines.
 const LEARNED_PATH: &str = "/v1/learned";
 
@@ -74,6 +78,17 @@
     Ok(postcard::from_bytes(&ask_for(addr, &path).await?)?)
 }
 
+/// Asks another box for the changes that this one may have missed; nothing if that one doesn't know them
+/// any more.
+pub async fn ask_changes(addr: SocketAddr, hub: &Hub) -> Result<Option<Snapshot>, AskError> {
+    let (version, revision) = hub.read(|view| (view.version(), view.revision()));
+    match ask_for(addr, &format!("{CHANGES_PATH}/{version}/{revision}")).await {
+        Ok(buf) => Ok(Some(postcard::from_bytes(&buf)?)),
+        Err(AskError::Status(StatusCode::GONE)) => Ok(None),
+        Err(e) => Err(e),
+    }
+}
+
 /// Asks another box what it has learned of engines, or of those of one group.
 pub async fn ask_learned(addr: SocketAddr, group: Option<Group>) -> Result<Learned, AskError> {
     let path = match group {
@@ -120,10 +135,16 @@
         if let Some(group) = path.strip_prefix(LEARNED_PATH) {
             return Some(self.learned(Some(group.strip_prefix('/')?.parse().ok()?)));
         }
+        let now = self.hub.now();
+        if let Some(changes) = path.strip_prefix(CHANGES_PATH) {
+            let (version, revision) = changes.strip_prefix('/')?.split_once('/')?;
+            let (version, revision) = (version.parse().ok()?, revision.parse().ok()?);
+            let changes = self.hub.read(|view| view.since(version, revision, now));
+            return Some(changes.map_or_else(|| empty(StatusCode::GONE), |all| packed(&all)));
+        }
         let (version, digests) =
             path.strip_prefix(DIFFERENCE_PATH)?.strip_prefix('/')?.split_once('/')?;
         let (version, digests) = (version.parse().ok()?, digests.parse().ok()?);
-        let now = self.hub.now();
         Some(packed(&self.hub.read(|view| view.difference(version, &digests, now))))
     }
 
--- a/src/proxy/view.rs
+++ b/src/proxy/view.rs
@@ -15,6 +15,7 @@
 use crate::proxy::dialect::Listed;
 use crate::proxy::digests;
 use crate::proxy::digests::Digests;
+use crate::proxy::history::History;
 use crate::proxy::table::EngineLimits;
 use crate::proxy::table::Table;
 
@@ -39,6 +40,10 @@
     pub upstreams: Vec<Listed>,
     /// The buckets of upstreams that are told of; all if nothing is given.
     pub buckets: Option<BTreeSet<u8>>,
+    /// Others that are gone.
+    pub gone: Vec<UpstreamName>,
+    /// The revision of the store up to which the sender's list is whole.
+    pub revision: u64,
     /// Whether the sender sees the store, so that there are no others.
     pub is_sure: bool,
 }
@@ -67,6 +72,7 @@
 pub struct View {
     table: Option<Arc<Table>>,
     fleet: Fleet,
+    history: History,
     /// Upstreams whose entries may have lapsed while the store was away.
     missing: BTreeSet<UpstreamName>,
     evacuated: Evacuated,
@@ -87,6 +93,7 @@
         View {
             table: None,
             fleet,
+            history: History::default(),
             missing: BTreeSet::new(),
             evacuated: Evacuated::default(),
             dropped: BTreeMap::new(),
@@ -162,18 +169,46 @@
             table: self.table.clone(),
             upstreams: self.fleet.told(now),
             buckets: None,
+            gone: Vec::new(),
+            revision: self.revision(),
             is_sure: self.reached,
         }
     }
 
+    /// The revision of the store up to which the list of upstreams is whole; zero before there is one.
+    pub fn revision(&self) -> u64 {
+        self.history.revision()
+    }
+
+    /// Notes that the store has told all up to a revision.
+    pub fn up_to(&mut self, revision: u64) {
+        self.history.up_to(revision);
+    }
+
+    /// What another box may take over that has a configuration of this version and all changes of upstreams
+    /// up to a revision; nothing if that is too long ago.
+    pub fn since(&self, version: u64, revision: u64, now: Duration) -> Option<Snapshot> {
+        let changed = self.history.since(revision)?;
+        let (kept, gone): (Vec<_>, Vec<_>) =
+            changed.partition(|name| self.fleet.get(name).is_some());
+        Some(Snapshot {
+            table: self.table.clone().filter(|t| version < t.version),
+            upstreams: kept.iter().filter_map(|name| self.fleet.told_of(name, now)).collect(),
+            buckets: Some(BTreeSet::new()),
+            gone: gone.into_iter().cloned().collect(),
+            revision: self.revision(),
+            is_sure: self.reached,
+        })
+    }
+
     /// What another box may take over that has a configuration of this version and lists what has these
     /// digests.
     pub fn difference(&self, version: u64, theirs: &Digests, now: Duration) -> Snapshot {
-        let Snapshot { table, mut upstreams, is_sure, .. } = self.snapshot(now);
-        let buckets = Digests::of(upstreams.iter()).differing(theirs);
-        upstreams.retain(|l| buckets.contains(&digests::bucket(&l.name)));
-        let table = table.filter(|t| version < t.version);
-        Snapshot { table, upstreams, buckets: Some(buckets), is_sure }
+        let mut all = self.snapshot(now);
+        let buckets = Digests::of(all.upstreams.iter()).differing(theirs);
+        all.upstreams.retain(|l| buckets.contains(&digests::bucket(&l.name)));
+        all.table = all.table.filter(|t| version < t.version);
+        Snapshot { buckets: Some(buckets), ..all }
     }
 
     /// By what another box finds out what this one misses.
@@ -232,6 +267,7 @@
             Change::Upstream(listed.clone())
         };
         self.changes.push(change);
+        self.history.note(&listed.name, now);
         let limits = self.engine_limits(&listed);
         let (name, cold_for) = (listed.name.clone(), listed.cold_for);
         self.fleet.set(listed, limits);
@@ -305,6 +341,10 @@
         let is_same = snapshot.buckets.as_ref().is_some_and(BTreeSet::is_empty)
             && self.fleet.listed().next().is_some();
         let is_useful = !snapshot.upstreams.is_empty() || is_same;
+        // What it hasn't heard of yet isn't gone.
+        if snapshot.revision < self.revision() {
+            return;
+        }
         if snapshot.is_sure {
             let listed: BTreeSet<&UpstreamName> =
                 snapshot.upstreams.iter().map(|l| &l.name).collect();
@@ -317,6 +357,7 @@
             known
                 .iter()
                 .filter(|name| !listed.contains(name))
+                .chain(&snapshot.gone)
                 .for_each(|name| self.drop_upstream(name, now));
         }
         for listed in snapshot.upstreams {
@@ -327,6 +368,9 @@
                 self.set(listed, now);
             }
         }
+        if snapshot.is_sure {
+            self.history.up_to(snapshot.revision);
+        }
         self.listed_once |= is_useful;
     }
 
@@ -352,6 +396,7 @@
     /// Gives up what has been missing for too long, while the store answers.
     pub fn tick(&mut self, now: Duration) {
         self.fleet.tick(now);
+        self.history.tick(now);
         self.dropped.retain(|_, at| now < *at + DROPPED_KEPT);
         let (fleet, dropped) = (&mut self.fleet, &mut self.dropped);
         self.said_gone.retain(|name, said| {
@@ -372,6 +417,7 @@
 
     fn drop_upstream(&mut self, name: &UpstreamName, now: Duration) {
         self.missing.remove(name);
+        self.history.note(name, now);
         self.dropped.insert(name.clone(), now);
         self.fleet.remove(name);
         self.changes.push(Change::Gone(name.clone()));
--- a/tests/fleet_members.rs
+++ b/tests/fleet_members.rs
@@ -38,6 +38,7 @@
         sees_store: false,
         is_warm: true,
         upstreams: 7,
+        revision: 7,
         evacuated: Evacuated::default(),
     }
 }
