Leave the store to three boxes of a zone also when all restart; believe no list of who has none

Cause, by the same counters: after all of 299 boxes were killed each listed 3,000 upstreams by itself, 1 MB in nine calls; their store sent 105, 112 and 82 MB in the three seconds after, a link of 1 Gbit/s filled, so watchers had the list 1.7 s after they started and the others after 2.2 to 2.5. A box that restarts among others knows 85 to 259 of them within 0.1 to 0.3 s.

Found on the way: a watcher that restarts is told the configuration before the list. Asked then for what differs, it said for sure that there are no upstreams, and the box that asked gave up all it had (proxy_view a_box_without_a_list_takes_no_upstreams_away: 0 of 2 left before). Now only who has listed is sure.

--- a/src/fleet/duty.rs
+++ b/src/fleet/duty.rs
@@ -21,7 +21,9 @@
 /// by the whole fleet.
 const STEP: Duration = Duration::from_millis(300);
 
-/// A box that starts with the whole fleet learns of the others within this time before it watches.
+/// A box that starts with the whole fleet for the first time learns of the others within this time before it
+/// watches. One that starts later knows most of them within 0.1 s. Where each of 300 boxes that start together
+/// lists 3,000 upstreams, that is 1 MB each, and takes 2.5 s on a link of 1 Gbit/s.
 const MEET: Duration = Duration::from_millis(1000);
 
 /// A box of the own zone, as another one sees it.
@@ -54,10 +56,10 @@
 
 /// Whether a box is to watch the store.
 pub fn is_due(s: Situation<'_>) -> bool {
-    if s.age < MEET {
-        // One that starts among others is of no use until it knows the routes.
-        return !s.is_first_start;
+    if s.age < MEET && s.is_first_start {
+        return false;
     }
+    // One that starts is of no use until it knows the routes, and asks the store as long as it knows few.
     if s.alive <= TELL_ALL_MAX {
         return true;
     }
--- a/src/proxy/view.rs
+++ b/src/proxy/view.rs
@@ -173,10 +173,16 @@
             buckets: None,
             gone: Vec::new(),
             revision: self.revision(),
-            is_sure: self.reached,
+            is_sure: self.is_sure(),
         }
     }
 
+    /// Whether there are no other upstreams than those that are listed.
+    fn is_sure(&self) -> bool {
+        // The configuration may come before the list.
+        self.reached && self.listed_once
+    }
+
     /// The revision of the store up to which the list of upstreams is whole; zero before there is one.
     pub fn revision(&self) -> u64 {
         self.history.revision()
@@ -199,7 +205,7 @@
             buckets: Some(BTreeSet::new()),
             gone: gone.into_iter().cloned().collect(),
             revision: self.revision(),
-            is_sure: self.reached,
+            is_sure: self.is_sure(),
         })
     }
 
--- a/tests/proxy_view.rs
+++ b/tests/proxy_view.rs
@@ -61,6 +61,18 @@
     assert_eq!(view.take_changes(), changes);
 }
 
+/// Load: a watcher restarts, and is asked as soon as its store has told it the configuration.
+#[test]
+fn a_box_without_a_list_takes_no_upstreams_away() {
+    let now = millis(1_000);
+    let mut watcher = View::new(Fleet::new(ZoneName::from("a"), Tuning::default()));
+    watcher.store_regained(millis(0));
+    let mut box_ = view();
+    box_.store_left_to_others();
+    box_.take_over(watcher.difference(0, &box_.digests(now), now), now);
+    assert_eq!(names(&box_).len(), 2);
+}
+
 #[test]
 fn an_entry_that_vanishes_while_all_is_well_is_gone_at_once() {
     let mut view = view();
