Have watchers tell of what another watcher told them first

Found on reading. A watcher that hears by datagram that an upstream leaves notes it; the store's own word is no news then, and wasn't noted in the history of changes. A box that had lost its datagrams and asked that watcher was told nothing, and believed itself level: it would have learned by the digests, 2 s later, and all must know within 3 s. The same for an upstream that was said to be gone.

Test: proxy_view what_a_watcher_was_told_first_is_told_to_who_asks_it; without the change the upstream stays open.

--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -89,7 +89,7 @@
             }
         }
         Message::Leaving { upstream } => {
-            hub.change(|view, _| view.told_leaving(&upstream));
+            hub.change(|view, now| view.told_leaving(&upstream, now));
         }
         Message::Listed(listed) => hub.change(|view, now| view.told_listed(listed, now)),
         Message::Gone { upstream } => hub.change(|view, now| view.told_gone(&upstream, now)),
--- a/src/proxy/view.rs
+++ b/src/proxy/view.rs
@@ -314,9 +314,11 @@
 
     /// Another box, which sees the store, says that an upstream leaves. None ever comes back from
     /// that, so it is believed at once.
-    pub fn told_leaving(&mut self, name: &UpstreamName) {
+    pub fn told_leaving(&mut self, name: &UpstreamName, now: Duration) {
         if self.fleet.is_open(name) {
             self.fleet.leave(name);
+            // The store's own word will be no news then.
+            self.history.note(name, now);
             self.changes.push(Change::Told(name.clone()));
         }
     }
@@ -325,7 +327,7 @@
     /// lapsed, so that is believed only while this box doesn't see the store itself.
     pub fn told_gone(&mut self, name: &UpstreamName, now: Duration) {
         if !self.reached {
-            self.told_leaving(name);
+            self.told_leaving(name, now);
             self.said_gone.insert(name.clone(), now);
         }
     }
@@ -418,11 +420,12 @@
         self.fleet.tick(now);
         self.history.tick(now);
         self.dropped.retain(|_, at| now < *at + DROPPED_KEPT);
-        let (fleet, dropped) = (&mut self.fleet, &mut self.dropped);
+        let View { fleet, dropped, history, .. } = self;
         self.said_gone.retain(|name, said| {
             let is_kept = now < *said + SAID_GONE_KEPT;
             if !is_kept {
                 fleet.remove(name);
+                history.note(name, now);
                 dropped.insert(name.clone(), now);
             }
             is_kept
--- a/tests/proxy_view.rs
+++ b/tests/proxy_view.rs
@@ -61,6 +61,24 @@
     assert_eq!(view.take_changes(), changes);
 }
 
+/// Load: an upstream leaves; a watcher hears of it by datagram before the store tells it, and a box of its zone loses
+/// all that it is told. Asked for changes, the watcher must tell of that one.
+#[test]
+fn what_a_watcher_was_told_first_is_told_to_who_asks_it() {
+    let now = millis(1_000);
+    let (mut watcher, mut box_) = (view(), view());
+    (watcher.up_to(5), box_.up_to(5));
+    box_.store_left_to_others();
+    watcher.told_leaving(&UpstreamName::from("a"), now);
+    watcher.set(Listed { leaving: true, ..upstream("a") }, now);
+    watcher.up_to(6);
+    let changes = watcher.since(0, box_.revision(), now).expect("they are known");
+    box_.take_over(changes, now);
+    assert!(!is_open(&box_, "a"));
+    assert!(is_open(&box_, "b"));
+    assert_eq!(box_.revision(), 6);
+}
+
 /// Load: a watcher restarts, and is asked as soon as its store has told it the configuration.
 #[test]
 fn a_box_without_a_list_takes_no_upstreams_away() {
@@ -148,11 +166,11 @@
     let mut view = view();
     assert!(view.reaches_store());
     view.take_changes();
-    view.told_leaving(&UpstreamName::from("a"));
+    view.told_leaving(&UpstreamName::from("a"), millis(10_000));
     assert!(!is_open(&view, "a"));
     let told = vec![Change::Told(UpstreamName::from("a"))];
     assert_eq!(view.take_changes(), told, "it is not told again by each box that hears it");
-    view.told_leaving(&UpstreamName::from("a"));
+    view.told_leaving(&UpstreamName::from("a"), millis(10_000));
     assert_eq!(view.take_changes(), []);
 }
 
