--- a/tests/proxy_view.rs
+++ b/tests/proxy_view.rs
@@ -67,7 +67,8 @@
 fn what_a_watcher_was_told_first_is_told_to_who_asks_it() {
     let now = millis(1_000);
     let (mut watcher, mut box_) = (view(), view());
-    (watcher.up_to(5), box_.up_to(5));
+    watcher.up_to(5);
+    box_.up_to(5);
     box_.store_left_to_others();
     watcher.told_leaving(&UpstreamName::from("a"), now);
     watcher.set(Listed { leaving: true, ..upstream("a") }, now);
