Be sure of no list in which an entry is missing

Who has an entry missing isn't sure of its list now: nothing is dropped by its word, nothing that is gone comes back by it.

--- a/src/proxy/view.rs
+++ b/src/proxy/view.rs
@@ -179,8 +179,8 @@
 
     /// Whether there are no other upstreams than those that are listed.
     fn is_sure(&self) -> bool {
-        // The configuration may come before the list.
-        self.reached && self.listed_once
+        // The configuration may come before the list, and an entry that is missing may be gone.
+        self.reached && self.listed_once && self.missing.is_empty()
     }
 
     /// The revision of the store up to which the list of upstreams is whole; zero before there is one.
--- a/tests/proxy_view.rs
+++ b/tests/proxy_view.rs
@@ -103,6 +103,9 @@
     assert_eq!(told.upstreams, [], "an entry that is missing is told of neither way");
     box_.take_over(told, now);
     assert!(!is_open(&box_, "a"));
+    let (version, digests) = (box_.version(), box_.digests(now));
+    box_.take_over(late.difference(version, &digests, now), now);
+    assert!(!is_open(&box_, "a"), "nor by what differs");
     // One that lists it again doesn't bring it back either.
     late.set(Listed { slots: 2, ..upstream("a") }, now);
     late.up_to(9);
