Take back at once what had only lapsed

A box that watches nothing marks what it is told to be gone as leaving, for ten seconds, and whoever leaves never returns: neither by datagram nor by what differs. The weakness is older; a box that asked for what differs in the second between dropped them, and had them back soon, which asking once a second made rarer.

Test: proxy_view what_was_said_to_be_gone_and_is_listed_again_is_back; fails without the change.

--- a/src/proxy/view.rs
+++ b/src/proxy/view.rs
@@ -387,7 +387,11 @@
             // which is asked for by what differs.
             let is_gone =
                 (!snapshot.is_sure || is_changes) && self.dropped.contains_key(&listed.name);
-            if known.is_none_or(|k| !k.leaving) && !is_gone {
+            // One that was only said to be gone had lapsed, where who sees the store lists it.
+            let has_lapsed =
+                snapshot.is_sure && !is_changes && self.said_gone.contains_key(&listed.name);
+            if has_lapsed || known.is_none_or(|k| !k.leaving) && !is_gone {
+                self.said_gone.remove(&listed.name);
                 self.set(listed, now);
             }
         }
--- a/tests/proxy_view.rs
+++ b/tests/proxy_view.rs
@@ -113,6 +113,22 @@
     assert!(!is_open(&box_, "a"));
 }
 
+/// Load: all entries lapse for a second; a watcher says that they are gone, and lists them again. A zone whose boxes had
+/// heard the first kept from all of them for ten seconds.
+#[test]
+fn what_was_said_to_be_gone_and_is_listed_again_is_back() {
+    let now = millis(20_000);
+    let (watcher, mut box_) = (view(), view());
+    box_.store_left_to_others();
+    box_.told_gone(&UpstreamName::from("a"), now);
+    assert!(!is_open(&box_, "a"));
+    let told = watcher.difference(box_.version(), &box_.digests(now), now);
+    box_.take_over(told, now);
+    assert!(is_open(&box_, "a"));
+    box_.tick(now + millis(11_000));
+    assert!(is_open(&box_, "a"), "nor is it forgotten later");
+}
+
 /// Load: a watcher restarts, and is asked as soon as its store has told it the configuration.
 #[test]
 fn a_box_without_a_list_takes_no_upstreams_away() {
