--- a/src/placement/share.rs
+++ b/src/placement/share.rs
@@ -28,7 +28,7 @@
     /// The newest part of it.
     lately: Window,
     /// What this box has admitted and refused since [`Shares::take_own`].
-    own: FxHashMap<WorkspaceName, Tokens>,
+    own: Sums,
 }
 
 /// What a workspace asked for and got.
@@ -63,7 +63,7 @@
     /// Nothing is counted yet; counts are kept for `window`.
     pub fn new(window: Duration) -> Shares {
         let lately = Window::new(window / LATELY);
-        Shares { window: Window::new(window), lately, own: FxHashMap::default() }
+        Shares { window: Window::new(window), lately, own: Sums::default() }
     }
 
     /// Counts a request that begins.
@@ -84,7 +84,7 @@
 
     /// What this box has admitted and refused since the last call, to be added elsewhere.
     pub fn take_own(&mut self) -> FxHashMap<WorkspaceName, Tokens> {
-        std::mem::take(&mut self.own)
+        std::mem::take(&mut self.own).0
     }
 
     /// How much of its share a workspace would have used with a request of this size: over one is
@@ -102,9 +102,7 @@
 
     fn count(&mut self, workspace: &WorkspaceName, tokens: Tokens, now: Duration) {
         self.add(workspace, tokens, now);
-        let own = self.own.entry(workspace.clone()).or_default();
-        own.asked += tokens.asked;
-        own.begun += tokens.begun;
+        self.own.add(workspace, tokens);
     }
 }
 
--- a/src/proxy/gossip.rs
+++ b/src/proxy/gossip.rs
@@ -157,10 +157,10 @@
             tokio::time::sleep(ASK_SPREAD.mul_f64(part)).await;
         }
         let is_known = hub.read(View::is_ready);
-        let (ahead, standing) = missing(&hub);
+        let is_small = hub.peers().owners().is_none();
+        let (ahead, standing) = missing(&hub, is_small);
         let apart = matches!(standing, Standing::Apart(_)).then(Instant::now);
         apart_since = apart.map(|now| apart_since.unwrap_or(now));
-        let is_small = hub.peers().owners().is_none();
         let is_apart = apart_since.is_some_and(|at| APART_FOR <= at.elapsed()) || is_small;
         let was_asked = asked_at.is_some_and(|at: Instant| at.elapsed() < BEHIND_EVERY);
         match (ahead, standing) {
@@ -177,12 +177,12 @@
 }
 
 /// A box with a newer configuration, and how this one stands to those that see the store.
-fn missing(hub: &Hub) -> (Option<SocketAddr>, Standing) {
+fn missing(hub: &Hub, is_small: bool) -> (Option<SocketAddr>, Standing) {
     let State { version, sees_store, upstreams, revision, .. } = state(hub);
     let peers = hub.peers();
     let standing = if sees_store {
         Standing::Level
-    } else if peers.owners().is_none() {
+    } else if is_small {
         peers.with_store().map_or(Standing::Level, Standing::Apart)
     } else {
         peers.standing(revision, upstreams)
--- a/src/proxy/side.rs
+++ b/src/proxy/side.rs
@@ -2,6 +2,7 @@
 //! and the on-call engineer what it knows and its figures.
 
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -136,15 +137,12 @@
             return Some(self.learned(Some(group.strip_prefix('/')?.parse().ok()?)));
         }
         let now = self.hub.now();
-        if let Some(changes) = path.strip_prefix(CHANGES_PATH) {
-            let (version, revision) = changes.strip_prefix('/')?.split_once('/')?;
-            let (version, revision) = (version.parse().ok()?, revision.parse().ok()?);
+        if let Some(asked) = path.strip_prefix(CHANGES_PATH) {
+            let (version, revision) = two(asked)?;
             let changes = self.hub.read(|view| view.since(version, revision, now));
             return Some(changes.map_or_else(|| empty(StatusCode::GONE), |all| packed(&all)));
         }
-        let (version, digests) =
-            path.strip_prefix(DIFFERENCE_PATH)?.strip_prefix('/')?.split_once('/')?;
-        let (version, digests) = (version.parse().ok()?, digests.parse().ok()?);
+        let (version, digests) = two(path.strip_prefix(DIFFERENCE_PATH)?)?;
         Some(packed(&self.hub.read(|view| view.difference(version, &digests, now))))
     }
 
@@ -168,6 +166,12 @@
     }
 }
 
+/// What a path names behind its first part.
+fn two<A: FromStr, B: FromStr>(path: &str) -> Option<(A, B)> {
+    let (a, b) = path.strip_prefix('/')?.split_once('/')?;
+    Some((a.parse().ok()?, b.parse().ok()?))
+}
+
 fn json<T: Serialize>(known: &T) -> Response<Bytes> {
     let Ok(json) = serde_json::to_vec(known) else {
         return empty(StatusCode::INTERNAL_SERVER_ERROR);
--- a/src/proxy/view.rs
+++ b/src/proxy/view.rs
@@ -201,7 +201,7 @@
         let (kept, gone): (Vec<_>, Vec<_>) =
             changed.partition(|name| self.fleet.get(name).is_some());
         Some(Snapshot {
-            table: self.table.clone().filter(|t| version < t.version),
+            table: self.newer_table(version),
             upstreams: kept.iter().filter_map(|name| self.fleet.told_of(name, now)).collect(),
             buckets: Some(BTreeSet::new()),
             gone: gone.into_iter().cloned().collect(),
@@ -216,8 +216,11 @@
         let mut all = self.snapshot(now);
         let buckets = Digests::of(all.upstreams.iter()).differing(theirs);
         all.upstreams.retain(|l| buckets.contains(&digests::bucket(&l.name)));
-        all.table = all.table.filter(|t| version < t.version);
-        Snapshot { buckets: Some(buckets), ..all }
+        Snapshot { table: self.newer_table(version), buckets: Some(buckets), ..all }
+    }
+
+    fn newer_table(&self, version: u64) -> Option<Arc<Table>> {
+        self.table.clone().filter(|t| version < t.version)
     }
 
     /// By what another box finds out what this one misses.
@@ -381,16 +384,15 @@
                 .chain(&snapshot.gone)
                 .for_each(|name| self.drop_upstream(name, now));
         }
+        // What differs is asked for when all who see the store list it: one that is gone, or was only said to
+        // be, had lapsed then.
+        let may_return = snapshot.is_sure && !is_changes;
         for listed in snapshot.upstreams {
-            let known = self.fleet.get(&listed.name);
-            // An upstream never returns from leaving. One that is gone returns only if all who see the store list it,
-            // which is asked for by what differs.
-            let is_gone =
-                (!snapshot.is_sure || is_changes) && self.dropped.contains_key(&listed.name);
-            // One that was only said to be gone had lapsed, where who sees the store lists it.
-            let has_lapsed =
-                snapshot.is_sure && !is_changes && self.said_gone.contains_key(&listed.name);
-            if has_lapsed || known.is_none_or(|k| !k.leaving) && !is_gone {
+            let is_gone = self.dropped.contains_key(&listed.name);
+            let was_said_gone = self.said_gone.contains_key(&listed.name);
+            // An upstream never returns from leaving.
+            let is_leaving = self.fleet.get(&listed.name).is_some_and(|known| known.leaving);
+            if may_return && was_said_gone || !is_leaving && (may_return || !is_gone) {
                 self.said_gone.remove(&listed.name);
                 self.set(listed, now);
             }
--- a/tests/proxy_plain.rs
+++ b/tests/proxy_plain.rs
@@ -122,6 +122,20 @@
     fleet
 }
 
+/// A request of this box, for whoever counts.
+fn wish(request: u64, zone: &ZoneName) -> Wish<'_> {
+    Wish {
+        request,
+        service: "ledger",
+        workspace: None,
+        except: &[],
+        aim: AIM,
+        waited: Duration::ZERO,
+        zone,
+        sender: None,
+    }
+}
+
 fn at(now: f64) -> Duration {
     Duration::from_secs_f64(now)
 }
@@ -208,16 +222,7 @@
             return Some(choice);
         }
         let zone = ZoneName::from("a");
-        let wish = Wish {
-            request,
-            service: "ledger",
-            workspace: None,
-            except: &[],
-            aim: AIM,
-            waited: Duration::ZERO,
-            zone: &zone,
-            sender: None,
-        };
+        let wish = wish(request, &zone);
         plain::admit(&mut self.fleets[0], &mut self.shares, wish, at(now)).ok()
     }
 
@@ -309,16 +314,7 @@
     let zone = ZoneName::from("a");
     let mut admitted = 0;
     for request in 0..100 {
-        let wish = Wish {
-            request,
-            service: "ledger",
-            workspace: None,
-            except: &[],
-            aim: Duration::from_secs(5),
-            waited: Duration::ZERO,
-            zone: &zone,
-            sender: None,
-        };
+        let wish = Wish { aim: Duration::from_secs(5), ..wish(request, &zone) };
         admitted += u32::from(plain::admit(&mut fleet, &mut shares, wish, at(1.0)).is_ok());
     }
     assert_eq!(admitted, 3 * SLOTS);
@@ -341,16 +337,7 @@
             fleet.end(&name(0), ended);
         }
         let who = usize::from(request % 5 == 0);
-        let wish = Wish {
-            request,
-            service: "ledger",
-            workspace: Some(&names[who]),
-            except: &[],
-            aim: AIM,
-            waited: Duration::ZERO,
-            zone: &zone,
-            sender: None,
-        };
+        let wish = Wish { workspace: Some(&names[who]), ..wish(request, &zone) };
         if plain::admit(&mut fleet, &mut shares, wish, at(now)).is_ok() {
             served[who] += 1;
             running.push_back(request);
@@ -368,24 +355,11 @@
     let zone = ZoneName::from("a");
     let admit = |fleet: &mut Fleet, request, now| {
         let mut shares = Shares::new(Duration::from_secs(4));
-        let wish = Wish {
-            request,
-            service: "ledger",
-            workspace: None,
-            except: &[],
-            aim: AIM,
-            waited: Duration::ZERO,
-            zone: &zone,
-            sender: None,
-        };
+        let wish = wish(request, &zone);
         plain::admit(fleet, &mut shares, wish, at(now)).is_ok()
     };
-    let full = || {
-        let mut fleet = fleet(1);
-        (0..18).for_each(|request| fleet.begin_plain(&name(0), request, None, at(1.0)));
-        fleet
-    };
-    let mut fleet = full();
+    let mut fleet = fleet(1);
+    (0..18).for_each(|request| fleet.begin_plain(&name(0), request, None, at(1.0)));
     assert!(!admit(&mut fleet, 100, 1.5));
     fleet.tick(at(3.1));
     assert!(admit(&mut fleet, 101, 3.1), "what has no end for long is forgotten");
