Tell whose request was refused, who decided, and what shares are judged by

Cause: a refusal's line named neither workspace nor who decided; no figure told what a workspace asked for and got, nor what owners believe of that. The hypotheses of the incident can't be told apart without. Change: workspace and route in 'refused', 'by' and 'as' in 'placed' and 'not placed' (a line for plain services, too, as before); counters of what this box's callers had begun and refused by workspace, gauges of what shares are judged by. As many lines a page as workspaces; no logic changes. Figures: none measured for it; two hash lookups a request.

--- a/src/placement/cold.rs
+++ b/src/placement/cold.rs
@@ -78,6 +78,18 @@
     Stranger,
 }
 
+impl Role {
+    /// The right as a word for logs.
+    pub fn code(self) -> &'static str {
+        match self {
+            Role::Owner => "owner",
+            Role::Standby => "standby",
+            Role::Peer { .. } => "peer",
+            Role::Stranger => "alone",
+        }
+    }
+}
+
 /// What is known of the cold start of one engine.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ColdStart {
--- a/src/placement/share.rs
+++ b/src/placement/share.rs
@@ -29,6 +29,8 @@
     lately: Window,
     /// What this box has admitted and refused since [`Shares::take_own`].
     own: Sums,
+    /// All that was counted since the start, for figures.
+    totals: Sums,
 }
 
 /// What a workspace asked for and got.
@@ -63,7 +65,12 @@
     /// Nothing is counted yet; counts are kept for `window`.
     pub fn new(window: Duration) -> Shares {
         let lately = Window::new(window / LATELY);
-        Shares { window: Window::new(window), lately, own: Sums::default() }
+        Shares {
+            window: Window::new(window),
+            lately,
+            own: Sums::default(),
+            totals: Sums::default(),
+        }
     }
 
     /// Counts a request that begins.
@@ -80,6 +87,12 @@
     pub fn add(&mut self, workspace: &WorkspaceName, tokens: Tokens, now: Duration) {
         self.window.add(workspace, tokens, now);
         self.lately.add(workspace, tokens, now);
+        self.totals.add(workspace, tokens);
+    }
+
+    /// What each workspace asked for and got since the start, as far as this box has counted or been told.
+    pub fn totals(&self) -> impl Iterator<Item = (WorkspaceName, Tokens)> {
+        self.totals.0.iter().map(|(name, tokens)| (name.clone(), *tokens))
     }
 
     /// What this box has admitted and refused since the last call, to be added elsewhere.
--- a/src/proxy/asking.rs
+++ b/src/proxy/asking.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
-use slog::debug;
 use slog::info;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -55,6 +54,23 @@
 /// What whoever keeps the models decides.
 pub type Decision = Result<Choice, Denial>;
 
+/// A decision and who made it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Decided {
+    /// Where the request goes, or why it isn't placed.
+    pub decision: Decision,
+    /// The box that decided.
+    pub by: IpAddr,
+    /// By what right.
+    pub role: Role,
+}
+
+impl Decided {
+    fn is_kept_elsewhere(&self) -> bool {
+        self.decision.as_ref().is_err_and(|denied| denied.cause == NoChoice::NotKept)
+    }
+}
+
 /// What this box has asked others.
 #[derive(Debug, Default)]
 pub struct Asking {
@@ -101,33 +117,28 @@
 }
 
 /// Places a request, or says why it isn't placed.
-pub async fn place(hub: &Arc<Hub>, wish: Wish<'_>) -> Decision {
+pub async fn place(hub: &Arc<Hub>, wish: Wish<'_>) -> Decided {
     let owners = hub.peers().owners();
     if owners.is_none() {
         return place_for_all(hub, wish);
     }
     let mut wish = wish;
-    let mut denial = None;
+    let mut denied = None;
     for n in 1..=GROUPS_MAX {
         let home = hub.read(|v| v.fleet().home(wish.service, wish.prompt, wish.group));
         let Some(group) = home.map(|hash| owners.group(hash)) else { break };
         wish.group = Some(group);
         wish.is_last = n == GROUPS_MAX;
         let Some(owned) = owners.of(group) else { break };
-        let Some(placed) = place_or_copy(hub, wish, &owners, group, owned).await else { break };
+        let Some(decided) = place_or_copy(hub, wish, &owners, group, owned).await else { break };
         wish.purpose = Purpose::Place;
-        match placed {
-            Err(denied) if denied.may_go_on => {
-                wish.source = denied.source.or(wish.source);
-                denial = Some(denied);
-            }
-            placed => return placed,
+        match &decided.decision {
+            Err(denial) if denial.may_go_on => wish.source = denial.source.or(wish.source),
+            _ => return decided,
         }
+        denied = Some(decided);
     }
-    match denial {
-        Some(denial) => Err(denial),
-        None => place_alone(hub, Wish { group: None, ..wish }),
-    }
+    denied.unwrap_or_else(|| place_alone(hub, Wish { group: None, ..wish }))
 }
 
 /// Has a request placed in a group of engines. Where none of them keeps what others share, it is looked
@@ -138,20 +149,20 @@
     owners: &Owners,
     group: Group,
     owned: Owned,
-) -> Option<Decision> {
-    let placed = place_in(hub, wish, group, owned).await?;
-    if !placed.as_ref().is_err_and(|denied| denied.cause == NoChoice::NotKept) {
-        return Some(placed);
+) -> Option<Decided> {
+    let decided = place_in(hub, wish, group, owned).await?;
+    if !decided.is_kept_elsewhere() {
+        return Some(decided);
     }
     let source = look(hub, wish, owners, group).await;
     place_in(hub, Wish { source, purpose: Purpose::Place, ..wish }, group, owned).await
 }
 
 /// Places a request by what this box believes, and tells all others.
-fn place_for_all(hub: &Hub, wish: Wish<'_>) -> Decision {
+fn place_for_all(hub: &Hub, wish: Wish<'_>) -> Decided {
     let role = Role::Peer { boxes: hub.peers().known(), draw: hub.peers().own_draw("") };
-    let placed = hub.admit(Wish { is_last: true, purpose: Purpose::Place, role, ..wish });
-    match &placed {
+    let decision = hub.admit(Wish { is_last: true, purpose: Purpose::Place, role, ..wish });
+    match &decision {
         Ok(choice) => hub.peers().tell(&told(&wish, choice)),
         Err(_) => {
             if let Some(workspace) = wish.workspace.cloned() {
@@ -160,29 +171,29 @@
             }
         }
     }
-    placed
+    Decided { decision, by: hub.peers().me(), role }
 }
 
 /// Places a request though nobody who keeps the models answers: by what little this box knows.
-fn place_alone(hub: &Hub, wish: Wish<'_>) -> Decision {
+fn place_alone(hub: &Hub, wish: Wish<'_>) -> Decided {
     let role = Role::Stranger;
-    let placed = hub.admit(Wish { is_last: true, purpose: Purpose::Place, role, ..wish });
-    if let Ok(choice) = &placed {
-        debug!(hub.log(), "placed alone"; "upstream" => choice.upstream.as_str());
+    let decision = hub.admit(Wish { is_last: true, purpose: Purpose::Place, role, ..wish });
+    if let Ok(choice) = &decision {
         tell_keepers(hub, &choice.upstream, &told(&wish, choice));
     }
-    placed
+    Decided { decision, by: hub.peers().me(), role }
 }
 
 /// Has a request placed in a group of engines; nothing if nobody who keeps its models answers.
-async fn place_in(hub: &Arc<Hub>, wish: Wish<'_>, group: Group, owned: Owned) -> Option<Decision> {
+async fn place_in(hub: &Arc<Hub>, wish: Wish<'_>, group: Group, owned: Owned) -> Option<Decided> {
     for ip in owned.keepers() {
+        let role = owned.role(ip);
         if ip == hub.peers().me() {
-            let placed = hub.admit(Wish { role: owned.role(ip), ..wish });
-            if let Ok(choice) = &placed {
+            let decision = hub.admit(Wish { role, ..wish });
+            if let Ok(choice) = &decision {
                 tell_other_keeper(hub, &wish, choice, owned);
             }
-            return Some(placed);
+            return Some(Decided { decision, by: ip, role });
         }
         if hub.asking().is_suspect(ip, hub.now()) {
             continue;
@@ -190,7 +201,7 @@
         let question = Message::Ask(question(hub, &wish, group));
         match ask(hub, ip, wish.request, &question).await {
             Some(Ok(choice)) if is_behind(hub, ip, &choice, wish.request) => {}
-            Some(placed) => return Some(placed),
+            Some(decision) => return Some(Decided { decision, by: ip, role }),
             None => info!(hub.log(), "no answer of an owner"; "ip" => %ip, "group" => %group),
         }
         hub.asking().suspect(ip, hub.now());
@@ -205,7 +216,7 @@
     let elsewhere = owners.group(home);
     let wish = Wish { group: Some(elsewhere), purpose: Purpose::Look, ..wish };
     let looked = place_in(hub, wish, elsewhere, owners.of(elsewhere)?).await?;
-    looked.err()?.source
+    looked.decision.err()?.source
 }
 
 fn question(hub: &Hub, wish: &Wish<'_>, group: Group) -> Ask {
--- a/src/proxy/figures.rs
+++ b/src/proxy/figures.rs
@@ -9,6 +9,8 @@
 use opentelemetry::metrics::Histogram;
 
 use crate::metrics::Metrics;
+use crate::names::WorkspaceName;
+use crate::placement::share::Tokens;
 use crate::proxy::hub::Hub;
 use crate::proxy::placed::FirstToken;
 use crate::proxy::view::View;
@@ -24,6 +26,8 @@
 pub struct Figures {
     metrics: Metrics,
     refused: Counter<u64>,
+    workspace_begun: Counter<u64>,
+    workspace_refused: Counter<u64>,
     ended: Counter<u64>,
     times: Histogram<f64>,
     first_expected: Histogram<f64>,
@@ -42,6 +46,8 @@
         };
         Figures {
             refused: meter.u64_counter("frostdyke_proxy_refused").build(),
+            workspace_begun: meter.u64_counter("frostdyke_workspace_begun_tokens").build(),
+            workspace_refused: meter.u64_counter("frostdyke_workspace_refused_tokens").build(),
             ended: meter.u64_counter("frostdyke_proxy_ended").build(),
             times: histogram("frostdyke_proxy_seconds"),
             first_expected: histogram("frostdyke_first_token_expected_seconds"),
@@ -90,9 +96,44 @@
         gauge("frostdyke_upstreams_leaving", |hub| {
             hub.read(|v| v.fleet().listed().filter(|l| l.leaving).count() as u64)
         });
+        self.show_shares(hub);
         gauge("frostdyke_upstreams_in_doubt", |hub| hub.read(|v| v.fleet().in_doubt() as u64));
     }
 
+    /// Shows what the shares of workspaces are judged by: what they asked for and what was begun, over the whole
+    /// fleet, as far as this box has counted or been told. There are as many lines as workspaces.
+    fn show_shares(&self, hub: &Arc<Hub>) {
+        let gauge = |name: &'static str, read: fn(Tokens) -> u64| {
+            let hub: Weak<Hub> = Arc::downgrade(hub);
+            // The meter keeps what it is told to ask.
+            let _ = (self.metrics.meter().u64_observable_gauge(name))
+                .with_callback(move |observer| {
+                    let Some(hub) = hub.upgrade() else { return };
+                    for (workspace, tokens) in
+                        hub.shares(|shares| shares.totals().collect::<Vec<_>>())
+                    {
+                        let label = KeyValue::new("workspace", workspace.as_str().to_owned());
+                        observer.observe(read(tokens), &[label]);
+                    }
+                })
+                .build();
+        };
+        gauge("frostdyke_share_asked_tokens", |tokens| tokens.asked);
+        gauge("frostdyke_share_begun_tokens", |tokens| tokens.begun);
+    }
+
+    /// Counts what a workspace's request that gave its first token is charged.
+    pub fn workspace_begun(&self, workspace: &WorkspaceName, tokens: u64) {
+        let label = KeyValue::new("workspace", workspace.as_str().to_owned());
+        self.workspace_begun.add(tokens, &[label]);
+    }
+
+    /// Counts what a workspace's request that is refused would have been charged.
+    pub fn workspace_refused(&self, workspace: &WorkspaceName, tokens: u64, cause: &'static str) {
+        let workspace = KeyValue::new("workspace", workspace.as_str().to_owned());
+        self.workspace_refused.add(tokens, &[workspace, KeyValue::new("cause", cause)]);
+    }
+
     /// Counts a request that could be repeated, by whether the budget allowed it.
     pub fn repeat(&self, allowed: bool) {
         self.repeats.add(1, &[KeyValue::new("allowed", allowed)]);
--- a/src/proxy/placed.rs
+++ b/src/proxy/placed.rs
@@ -8,12 +8,15 @@
 
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
+use crate::names::WorkspaceName;
 use crate::placement::choice::Choice;
 use crate::placement::upstream::Health;
 use crate::proxy::asking;
+use crate::proxy::dialect::Prompt;
 use crate::proxy::hub::Hub;
 use crate::proxy::message::Message;
 use crate::proxy::plain;
+use crate::proxy::request::Run;
 
 /// Counts a request while it is served.
 #[derive(Debug)]
@@ -52,20 +55,18 @@
     expected: Duration,
     service: ServiceName,
     is_model: bool,
+    /// Whom it is charged to, and how much.
+    charged: Option<(WorkspaceName, u64)>,
     begun: AtomicBool,
     health: Option<Health>,
 }
 
 impl Placed {
-    /// The entry of a request that `choice` was made for.
-    pub fn new(
-        hub: &Arc<Hub>,
-        choice: &Choice,
-        request: u64,
-        service: &ServiceName,
-        is_model: bool,
-    ) -> Placed {
+    /// The entry of a send that `choice` was made for; `request` names it.
+    pub fn new(run: &Run, choice: &Choice, request: u64) -> Placed {
+        let Run { hub, service, workspace, .. } = run;
         hub.fleet(|fleet| fleet.sent(&choice.upstream));
+        let charge = run.head.prompt.as_ref().map(Prompt::charge);
         Placed {
             hub: hub.clone(),
             upstream: choice.upstream.clone(),
@@ -73,7 +74,8 @@
             sent: hub.now(),
             expected: choice.first_token,
             service: service.clone(),
-            is_model,
+            is_model: run.head.prompt.is_some(),
+            charged: workspace.clone().zip(charge),
             begun: AtomicBool::new(false),
             health: None,
         }
@@ -99,6 +101,9 @@
         if !self.is_model {
             return None;
         }
+        if let Some((workspace, tokens)) = &self.charged {
+            self.hub.metrics().workspace_begun(workspace, *tokens);
+        }
         let first = FirstToken { expected: self.expected, took };
         self.hub.metrics().first_token(first);
         Some(first)
--- a/src/proxy/placing.rs
+++ b/src/proxy/placing.rs
@@ -1,5 +1,6 @@
 //! Where a request goes: asked of whoever keeps the models or counts, or chosen here where nobody answers.
 
+use std::net::IpAddr;
 use std::time::Duration;
 
 use slog::info;
@@ -17,6 +18,7 @@
 use crate::placement::plain::Wish as PlainWish;
 use crate::proxy::answer::Refusal;
 use crate::proxy::asking;
+use crate::proxy::asking::Decision;
 use crate::proxy::dialect::Prompt;
 use crate::proxy::placed::Placed;
 use crate::proxy::plain;
@@ -37,9 +39,7 @@
             Some(prompt) => self.place_prompt(prompt, request).await?,
             None => self.place_plain(request).await?,
         };
-        self.log_placed(&choice);
-        let placed =
-            Placed::new(&self.hub, &choice, request, &self.service, self.head.prompt.is_some());
+        let placed = Placed::new(self, &choice, request);
         Ok((choice, placed))
     }
 
@@ -60,10 +60,23 @@
             is_last: false,
             role: Role::Stranger,
         };
-        asking::place(&self.hub, wish).await.map_err(|denial| {
-            self.log_denial(&denial);
-            refusal(denial.cause, denial.wait_max)
-        })
+        let decided = asking::place(&self.hub, wish).await;
+        let by = Decider { ip: Some(decided.by), role: Some(decided.role) };
+        self.settle(decided.decision, by)
+    }
+
+    /// Logs what was decided.
+    fn settle(&self, decision: Decision, by: Decider) -> Result<Choice, Refusal> {
+        match decision {
+            Ok(choice) => {
+                self.log_placed(&choice, by);
+                Ok(choice)
+            }
+            Err(denial) => {
+                self.log_denial(&denial, by);
+                Err(refusal(denial.cause, denial.wait_max))
+            }
+        }
     }
 
     async fn place_plain(&self, request: u64) -> Result<Choice, Refusal> {
@@ -81,19 +94,17 @@
             sender: None,
         };
         match plain::place(&self.hub, wish).await {
-            Some(Ok(choice)) => Ok(choice),
-            Some(Err(denial)) if !matches!(denial.cause, NoChoice::NoUpstream) => {
-                self.log_denial(&denial);
-                Err(refusal(denial.cause, denial.wait_max))
-            }
             // Nobody who counts answers, or all that are left rest.
-            Some(Err(_)) | None => self.choose_plain(),
+            None => self.choose_plain(),
+            Some(Err(Denial { cause: NoChoice::NoUpstream, .. })) => self.choose_plain(),
+            Some(decision) => self.settle(decision, Decider::default()),
         }
     }
 
     fn choose_plain(&self) -> Result<Choice, Refusal> {
         let wanted = Wanted::any(&self.service, None, &self.tried, Duration::MAX);
-        self.hub.choose(wanted).map_err(|cause| {
+        let chosen = self.hub.choose(wanted);
+        chosen.inspect(|choice| self.log_placed(choice, Decider::default())).map_err(|cause| {
             info!(self.hub.log(), "not placed"; "id" => &self.head.id, "route" => &self.route.name,
                 "service" => self.service.as_str(), "cause" => cause.code(),
                 "tried" => self.tried.len(), "version" => self.hub.version());
@@ -101,7 +112,7 @@
         })
     }
 
-    fn log_denial(&self, denial: &Denial) {
+    fn log_denial(&self, denial: &Denial, by: Decider) {
         let wait = match denial.cause {
             NoChoice::Busy { wait } => Some(wait.as_millis() as u64),
             _ => None,
@@ -111,10 +122,11 @@
             "workspace" => self.workspace.as_ref().map(WorkspaceName::as_str),
             "share_used" => (denial.share_used * 100.0).round() / 100.0,
             "wait_ms" => wait, "wait_max_ms" => denial.wait_max.as_millis() as u64,
+            "by" => by.ip.map(|ip| ip.to_string()), "as" => by.role.map(Role::code),
             "tried" => self.tried.len(), "version" => self.hub.version());
     }
 
-    fn log_placed(&self, choice: &Choice) {
+    fn log_placed(&self, choice: &Choice, by: Decider) {
         info!(self.hub.log(), "placed"; "id" => &self.head.id, "route" => &self.route.name,
             "workspace" => self.workspace.as_ref().map(WorkspaceName::as_str),
             "upstream" => choice.upstream.as_str(), "prompt" => self.head.prompt.as_ref().map_or(0, |p| p.tokens),
@@ -123,10 +135,18 @@
             "copied" => choice.copied, "running" => choice.running,
             "running_tokens" => choice.running_tokens, "wait_ms" => choice.wait.as_millis() as u64,
             "expected_ms" => choice.first_token.as_millis() as u64,
+            "by" => by.ip.map(|ip| ip.to_string()), "as" => by.role.map(Role::code),
             "version" => self.hub.version(), "try" => self.tried.len() + 1);
     }
 }
 
+/// Who decided, for the log; nothing for plain services.
+#[derive(Clone, Copy, Debug, Default)]
+struct Decider {
+    ip: Option<IpAddr>,
+    role: Option<Role>,
+}
+
 /// The refusal of a request that isn't placed, though it could have waited for so long.
 fn refusal(cause: NoChoice, wait_max: Duration) -> Refusal {
     match cause {
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -139,17 +139,18 @@
     };
     match admission::read_body(&hub, body, run.deadline).await {
         Ok(body) => run.body = body,
-        Err(cause) => return refuse(&hub, &run.head.id, cause),
+        Err(cause) => return run.refuse(cause),
     }
     if run.route.streaming {
         run.stream = hub.enter_stream();
         if run.stream.is_none() {
-            return refuse(&hub, &run.head.id, Refusal::BoxBusy);
+            return run.refuse(Refusal::BoxBusy);
         }
     }
     run.go().await
 }
 
+/// Refuses a request of which no more than its id is known.
 fn refuse(hub: &Hub, id: &str, cause: Refusal) -> Response<Body> {
     info!(hub.log(), "refused"; "id" => id, "cause" => cause.code(), "version" => hub.version());
     hub.metrics().refused(cause.code());
@@ -161,11 +162,24 @@
         let deadline = self.deadline;
         match tokio::time::timeout_at(deadline, self.attempt()).await {
             Ok(Ok(reply)) => self.answer(reply).await,
-            Ok(Err(cause)) => refuse(&self.hub, &self.head.id, cause),
-            Err(_) => refuse(&self.hub, &self.head.id, Refusal::TimedOut),
+            Ok(Err(cause)) => self.refuse(cause),
+            Err(_) => self.refuse(Refusal::TimedOut),
         }
     }
 
+    fn refuse(&self, cause: Refusal) -> Response<Body> {
+        let hub = &self.hub;
+        info!(hub.log(), "refused"; "id" => &self.head.id, "cause" => cause.code(),
+            "route" => &self.route.name,
+            "workspace" => self.workspace.as_ref().map(WorkspaceName::as_str),
+            "version" => hub.version());
+        hub.metrics().refused(cause.code());
+        if let (Some(workspace), Some(prompt)) = (&self.workspace, &self.head.prompt) {
+            hub.metrics().workspace_refused(workspace, prompt.charge(), cause.code());
+        }
+        answer::refusal(cause)
+    }
+
     /// Sends the request until there is an answer to pass on.
     async fn attempt(&mut self) -> Result<Box<Reply>, Refusal> {
         let mut unsent = 0;
@@ -357,7 +371,7 @@
                 info!(self.hub.log(), "broke off"; "id" => &self.head.id,
                     "upstream" => placed.upstream().as_str(), "error" => %fault);
                 placed.close(Some(Health::Broken));
-                refuse(&self.hub, &self.head.id, Refusal::Broken)
+                self.refuse(Refusal::Broken)
             }
         }
     }
