Order what the store says by its era, take another start of an upstream for another one, read each entry by itself

A store that comes back from an older copy gives revisions out again; an upstream may start again under its name; an entry may hold anything. Before: a box whose watch got 410 took what the copy lacks for gone at once (503 to callers), and one whose revision was given out again missed what was written under it for good; requests on an upstream that had started anew waited for their timeouts (504), an older start's entry was believed (503); one entry without text made the whole list unreadable, so that a box never served. Ruled out: an era of its own beside each revision (each comparison would have to know of it): a revision is now its era and its number, ordered in that order, wherever boxes keep or tell one. Dropping at once what the copy lists and is gone here: engines that live would wait for their next change; it is believed after 4.5 s, or once it is written again. 'born' in entries, told among boxes: a newer one drops the model, rest and doubt of the one before, closes connections made before it and ends what runs on them; an older one is no news.

--- a/src/fleet/evacuated.rs
+++ b/src/fleet/evacuated.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::fleet::revision::Revision;
 use crate::names::ZoneName;
 
 /// What the operator orders.
@@ -23,8 +24,8 @@
 /// The zones that are evacuated, as of a revision of the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evacuated {
-    /// The store's revision; zero where nothing has been heard.
-    pub revision: u64,
+    /// The store's revision; the default where nothing has been heard.
+    pub revision: Revision,
     /// The zones.
     pub zones: BTreeSet<ZoneName>,
 }
@@ -44,7 +45,7 @@
     }
 
     /// The same after these orders, in turn, as of `revision`.
-    pub fn after(&self, orders: &[Order], revision: u64) -> Evacuated {
+    pub fn after(&self, orders: &[Order], revision: Revision) -> Evacuated {
         let mut zones = self.zones.clone();
         for order in orders {
             match order {
--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -17,6 +17,7 @@
 use serde::Serialize;
 
 use crate::fleet::evacuated::Evacuated;
+use crate::fleet::revision::Revision;
 use crate::names::BoxName;
 use crate::names::ZoneName;
 
@@ -78,7 +79,7 @@
     /// A digest of the upstreams that it lists.
     pub upstreams: u64,
     /// The revision of the store up to which that list is whole.
-    pub revision: u64,
+    pub revision: Revision,
     /// The zones whose engines get nothing.
     pub evacuated: Evacuated,
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,4 +5,5 @@
 pub mod evacuated;
 pub mod members;
 pub mod owners;
+pub mod revision;
 pub mod standing;
--- a/src/fleet/standing.rs
+++ b/src/fleet/standing.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::fleet::revision::Revision;
+
 /// A word that is older says nothing of what its box lists now.
 const FRESH: Duration = Duration::from_millis(1500);
 
@@ -14,7 +16,7 @@
     /// Whether it sees the store.
     pub sees_store: bool,
     /// The revision of the store up to which its list of upstreams is whole.
-    pub revision: u64,
+    pub revision: Revision,
     /// A digest of that list.
     pub upstreams: u64,
     /// How long ago it said so.
@@ -33,7 +35,7 @@
 }
 
 /// How a box stands whose list has this digest and is whole up to this revision.
-pub fn judge(revision: u64, upstreams: u64, words: impl Iterator<Item = Word>) -> Standing {
+pub fn judge(revision: Revision, upstreams: u64, words: impl Iterator<Item = Word>) -> Standing {
     let fresh: Vec<Word> = words.filter(|w| w.sees_store && w.age < FRESH).collect();
     let ahead: Vec<SocketAddr> =
         fresh.iter().filter(|w| revision < w.revision).map(|w| w.addr).collect();
--- a/src/proxy/dialect.rs
+++ b/src/proxy/dialect.rs
@@ -15,6 +15,7 @@
 
 use crate::fleet::evacuated::Evacuated;
 use crate::fleet::evacuated::Order;
+use crate::fleet::revision::Revision;
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
 use crate::names::ZoneName;
@@ -115,7 +116,7 @@
 /// An upstream, as the platform lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listed {
-    /// Names one start of the upstream process.
+    /// Names the upstream; starts of the same name differ by `born`.
     pub name: UpstreamName,
     /// What it serves.
     pub service: ServiceName,
@@ -125,6 +126,9 @@
     pub zone: ZoneName,
     /// Requests that it runs at once.
     pub slots: u32,
+    /// When it was started, in milliseconds since 1970 by its own clock; nothing if it doesn't say. Another start of
+    /// the same name is another upstream: it holds nothing of what was sent before.
+    pub born: Option<u64>,
     /// Whether it is about to stop: it gets no new work.
     pub leaving: bool,
     /// How long it still bears less than usual after its start; nothing if that isn't known.
@@ -152,7 +156,7 @@
     /// An upstream's entry is gone.
     Gone(UpstreamName),
     /// With this, the list of upstreams is whole up to a revision of the store.
-    UpTo(u64),
+    UpTo(Revision),
     /// All zones that are evacuated.
     Evacuated(Evacuated),
     /// Zones are evacuated or taken back.
@@ -160,10 +164,18 @@
         /// In turn.
         orders: Vec<Order>,
         /// As of which revision of the store.
-        revision: u64,
+        revision: Revision,
     },
-    /// An entry that can't be read, and why.
-    BadEntry(String),
+    /// An entry that can't be read. It names no upstream to use.
+    BadEntry {
+        /// The upstream's name, if that can be read.
+        name: Option<UpstreamName>,
+        /// What is wrong with it.
+        fault: String,
+    },
+    /// The era of the store that what follows is of. With each one the store has come back from an older copy: what
+    /// was written since is gone and will be written again.
+    InEra(u64),
     /// The store gives no answer, or refuses.
     Lost(String),
     /// The store answers again.
--- a/src/proxy/figures.rs
+++ b/src/proxy/figures.rs
@@ -35,6 +35,9 @@
     first_ratio: Histogram<f64>,
     repeats: Counter<u64>,
     store_lost: Counter<u64>,
+    store_restored: Counter<u64>,
+    entries_refused: Counter<u64>,
+    upstreams_restarted: Counter<u64>,
 }
 
 impl Figures {
@@ -58,6 +61,9 @@
                 .build(),
             repeats: meter.u64_counter("frostdyke_proxy_repeats").build(),
             store_lost: meter.u64_counter("frostdyke_store_lost").build(),
+            store_restored: meter.u64_counter("frostdyke_store_restored").build(),
+            entries_refused: meter.u64_counter("frostdyke_entries_refused").build(),
+            upstreams_restarted: meter.u64_counter("frostdyke_upstreams_restarted").build(),
             metrics,
         }
     }
@@ -144,6 +150,21 @@
         self.store_lost.add(1, &[]);
     }
 
+    /// Counts a return of the store from an older copy.
+    pub fn store_restored(&self) {
+        self.store_restored.add(1, &[]);
+    }
+
+    /// Counts an entry that can't be read.
+    pub fn entry_refused(&self) {
+        self.entries_refused.add(1, &[]);
+    }
+
+    /// Counts an upstream that has started anew under its name.
+    pub fn upstream_restarted(&self) {
+        self.upstreams_restarted.add(1, &[]);
+    }
+
     /// Counts a refusal by its cause.
     pub fn refused(&self, cause: &'static str) {
         self.refused.add(1, &[KeyValue::new("cause", cause)]);
--- a/src/proxy/history.rs
+++ b/src/proxy/history.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::fleet::revision::Revision;
 use crate::names::UpstreamName;
 
 /// How long a change is remembered. A box that is behind by more was cut off, and asks for what differs.
@@ -17,10 +18,10 @@
 /// What has changed lately in a list of upstreams.
 #[derive(Debug, Default)]
 pub struct History {
-    /// The list is whole up to this revision; zero before the first whole list.
-    revision: u64,
+    /// The list is whole up to this revision; the default before the first whole list.
+    revision: Revision,
     /// A box that is behind this revision can't be told what it misses.
-    floor: u64,
+    floor: Revision,
     changed: BTreeMap<UpstreamName, Stamp>,
 }
 
@@ -28,13 +29,13 @@
 #[derive(Clone, Copy, Debug)]
 struct Stamp {
     /// The revision by which that is known to have been; nothing until the list is whole again.
-    revision: Option<u64>,
+    revision: Option<Revision>,
     at: Duration,
 }
 
 impl History {
-    /// The revision of the store up to which the list is whole; zero before the first whole list.
-    pub fn revision(&self) -> u64 {
+    /// The revision of the store up to which the list is whole; the default before the first whole list.
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
@@ -43,9 +44,10 @@
         self.changed.insert(name.clone(), Stamp { revision: None, at: now });
     }
 
-    /// Notes that the list is whole up to a revision. It may have been whole up to a later one.
-    pub fn up_to(&mut self, revision: u64) {
-        if self.revision == 0 {
+    /// Notes that the list is whole up to a revision. It may have been whole up to a later one. What lies between an
+    /// era of the store and the next one isn't known.
+    pub fn up_to(&mut self, revision: Revision) {
+        if self.revision.is_none() || self.revision.era < revision.era {
             self.floor = revision;
         }
         self.revision = self.revision.max(revision);
@@ -55,9 +57,9 @@
 
     /// The upstreams that have changed since a revision, those that are gone included; nothing if that
     /// isn't known any more.
-    pub fn since(&self, revision: u64) -> Option<impl Iterator<Item = &UpstreamName>> {
+    pub fn since(&self, revision: Revision) -> Option<impl Iterator<Item = &UpstreamName>> {
         let is_news = move |stamp: &Stamp| stamp.revision.is_none_or(|r| revision < r);
-        let is_known = revision != 0 && self.floor <= revision;
+        let is_known = !revision.is_none() && self.floor <= revision;
         is_known.then(|| self.changed.iter().filter(move |(_, s)| is_news(s)).map(|(name, _)| name))
     }
 
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -9,6 +9,7 @@
 
 use slog::Logger;
 use slog::info;
+use slog::warn;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -395,10 +396,20 @@
             Change::Evacuated(evacuated) => {
                 let zones: Vec<&str> = evacuated.zones.iter().map(|zone| zone.as_str()).collect();
                 info!(self.log, "zones evacuated"; "zones" => zones.join(","),
-                    "revision" => evacuated.revision);
+                    "revision" => %evacuated.revision);
                 // A sign of life tells it on, whether or not this box sees the store.
                 self.peers.announce();
             }
+            Change::Restored(era) => {
+                warn!(self.log, "store came back from an older copy"; "era" => era);
+                self.figures.store_restored();
+            }
+            Change::Restarted(name, addr, born) => {
+                let cut = self.links.cut(*addr, *born);
+                info!(self.log, "upstream restarted"; "name" => name.as_str(), "addr" => %addr,
+                    "born" => born, "connections_cut" => cut);
+                self.figures.upstream_restarted();
+            }
             Change::Missing(name) => {
                 info!(self.log, "upstream's entry missing"; "name" => name.as_str());
             }
@@ -417,7 +428,12 @@
                 self.peers.tell_followers(&Message::Listed(listed.clone()));
             }
             Change::Configured(_) => self.peers.announce(),
-            Change::Listed(_) | Change::Told(_) | Change::Missing(_) | Change::Evacuated(_) => {}
+            Change::Listed(_)
+            | Change::Told(_)
+            | Change::Missing(_)
+            | Change::Evacuated(_)
+            | Change::Restored(_)
+            | Change::Restarted(..) => {}
         }
     }
 }
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -36,7 +36,8 @@
             let evacuated = view.evacuated().after(&orders, revision);
             view.evacuate(&evacuated, now);
         }),
-        News::BadEntry(fault) => warn!(hub.log(), "entry refused"; "fault" => fault),
+        News::BadEntry { name, fault } => bad_entry(hub, name.as_ref(), &fault),
+        News::InEra(era) => hub.change(|view, now| view.in_era(era, now)),
         News::Lost(cause) => {
             if hub.read(View::reaches_store) {
                 warn!(hub.log(), "store lost"; "cause" => cause);
@@ -54,6 +55,15 @@
     }
 }
 
+/// Notes an entry that can't be read, and what is wrong with it.
+fn bad_entry(hub: &Hub, name: Option<&UpstreamName>, fault: &str) {
+    let is_news = name.is_none_or(|name| hub.change(|view, now| view.unreadable(name, fault, now)));
+    if is_news {
+        warn!(hub.log(), "entry refused"; "name" => name.map(|n| n.as_str()), "fault" => fault);
+        hub.metrics().entry_refused();
+    }
+}
+
 /// Takes in a message of the box at `sender`.
 pub fn message(hub: &Hub, message: Message, sender: IpAddr) {
     let now = hub.now();
--- a/src/proxy/link.rs
+++ b/src/proxy/link.rs
@@ -7,11 +7,15 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::Weak;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::task::AtomicWaker;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
@@ -28,6 +32,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use crate::util;
+
 /// How long connecting may take: some round trips within a region, and one lost packet's less.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -86,12 +92,18 @@
     /// The connection failed after the request may have been sent.
     #[error("no answer")]
     Lost(#[source] hyper::Error),
+    /// The answer's body broke off.
+    #[error(transparent)]
+    Body(hyper::Error),
+    /// The upstream has started anew since the request was sent.
+    #[error("the upstream has started anew")]
+    Restarted,
 }
 
 impl Error {
     /// Whether the request certainly did not reach the upstream.
     pub fn is_unsent(&self) -> bool {
-        !matches!(self, Error::Lost(_))
+        !matches!(self, Error::Lost(_) | Error::Body(_) | Error::Restarted)
     }
 }
 
@@ -153,6 +165,22 @@
     kept_max: u32,
     /// Those that have rested longest come first.
     idle: Vec<Resting>,
+    /// Those that requests are on, and when they were made, in milliseconds since 1970.
+    busy: Vec<(u64, Weak<Cut>)>,
+}
+
+/// Whether a connection leads to an upstream that has started anew, so that nothing more comes on it.
+#[derive(Debug, Default)]
+struct Cut {
+    is_cut: AtomicBool,
+    waker: AtomicWaker,
+}
+
+impl Cut {
+    fn is_noticed(&self, cx: &Context<'_>) -> bool {
+        self.waker.register(cx.waker());
+        self.is_cut.load(Ordering::Relaxed)
+    }
 }
 
 /// The part of a connection that moves bytes; it must be polled for anything to happen.
@@ -168,6 +196,8 @@
     driver: Option<Driver>,
     keep: Duration,
     count: Count,
+    made: u64,
+    cut: Arc<Cut>,
 }
 
 /// A connection that no request is on. A task watches it, to see that the upstream closes it or
@@ -180,6 +210,7 @@
     since: Instant,
     keep: Duration,
     count: Count,
+    made: u64,
 }
 
 /// Counts a connection while it is open.
@@ -201,7 +232,7 @@
 impl Conn {
     /// Keeps the connection for the next request, unless it has ended.
     fn rest(self) {
-        let Conn { tx, driver, keep, count } = self;
+        let Conn { tx, driver, keep, count, made, .. } = self;
         let Some(driver) = driver else { return };
         let driver = Arc::new(Mutex::new(Some(driver)));
         let watched = driver.clone();
@@ -212,7 +243,7 @@
         }));
         let (links, addr) = (count.links.clone(), count.addr);
         let (watch, since) = (watch.abort_handle(), Instant::now());
-        links.put(addr, Resting { tx, driver, watch, since, keep, count });
+        links.put(addr, Resting { tx, driver, watch, since, keep, count, made });
     }
 }
 
@@ -233,10 +264,10 @@
     /// Nothing when the connection has ended.
     fn wake(self) -> Option<Conn> {
         let is_usable = self.is_usable();
-        let Resting { tx, driver, watch, keep, count, .. } = self;
+        let Resting { tx, driver, watch, keep, count, made, .. } = self;
         watch.abort();
         let driver = driver.lock().expect("no panic under lock").take();
-        is_usable.then_some(Conn { tx, driver, keep, count })
+        is_usable.then(|| Conn { tx, driver, keep, count, made, cut: Arc::default() })
     }
 
     fn close(self) {
@@ -266,14 +297,17 @@
 
 impl Body for AnswerBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        if self.conn.cut.is_noticed(cx) {
+            return Poll::Ready(Some(Err(Error::Restarted)));
+        }
         drive(&mut self.conn.driver, cx);
-        Pin::new(&mut self.incoming).poll_frame(cx)
+        Pin::new(&mut self.incoming).poll_frame(cx).map_err(Error::Body)
     }
 }
 
@@ -292,12 +326,16 @@
         };
         let answer = conn.tx.send_request(req);
         tokio::pin!(answer);
-        let driver = &mut conn.driver;
+        let (driver, cut) = (&mut conn.driver, &conn.cut);
+        self.note_busy(addr, conn.made, cut);
         let resp = std::future::poll_fn(|cx| {
+            if cut.is_noticed(cx) {
+                return Poll::Ready(Err(Error::Restarted));
+            }
             drive(driver, cx);
-            answer.as_mut().poll(cx)
+            answer.as_mut().poll(cx).map_err(Error::Lost)
         });
-        let resp = resp.await.map_err(Error::Lost)?;
+        let resp = resp.await?;
         Ok(resp.map(|incoming| AnswerBody { incoming, conn }))
     }
 
@@ -307,6 +345,32 @@
         Ok(())
     }
 
+    fn note_busy(&self, addr: SocketAddr, made: u64, cut: &Arc<Cut>) {
+        let mut by_addr = self.by_addr.lock().expect("no panic under lock");
+        let busy = &mut by_addr.entry(addr).or_default().busy;
+        busy.retain(|(_, cut)| cut.strong_count() != 0);
+        busy.push((made, Arc::downgrade(cut)));
+    }
+
+    /// An upstream has started anew at a time, in milliseconds since 1970: closes what rests there, and ends the
+    /// requests on connections that were made before, which are lost. Gives how many connections.
+    pub fn cut(&self, addr: SocketAddr, born: u64) -> usize {
+        let mut by_addr = self.by_addr.lock().expect("no panic under lock");
+        let Some(upstream) = by_addr.get_mut(&addr) else { return 0 };
+        let old: Vec<Resting> = upstream.idle.extract_if(.., |c| c.made <= born).collect();
+        let busy = upstream.busy.iter().filter(|(made, _)| *made <= born);
+        let busy: Vec<Arc<Cut>> = busy.filter_map(|(_, cut)| cut.upgrade()).collect();
+        // The counts take the lock.
+        drop(by_addr);
+        for cut in &busy {
+            cut.is_cut.store(true, Ordering::Relaxed);
+            cut.waker.wake();
+        }
+        let count = old.len() + busy.len();
+        old.into_iter().for_each(Resting::close);
+        count
+    }
+
     /// Closes what has rested for too long, and all to upstreams that are no more.
     pub fn tick(&self, known: &HashSet<SocketAddr>) {
         let mut old = Vec::new();
@@ -364,7 +428,8 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| Error::Connect(std::io::Error::other(e)))?;
-        Ok(Conn { tx, driver: Some(driver), keep: KEEP_DEFAULT, count })
+        let (made, cut) = (util::unix_millis(), Arc::default());
+        Ok(Conn { tx, driver: Some(driver), keep: KEEP_DEFAULT, count, made, cut })
     }
 
     fn count(self: &Arc<Links>, addr: SocketAddr, allowed: Allowed) -> Option<Count> {
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -25,6 +25,7 @@
 use crate::fleet::members::Record;
 use crate::fleet::owners::Candidate;
 use crate::fleet::owners::Owners;
+use crate::fleet::revision::Revision;
 use crate::fleet::standing;
 use crate::fleet::standing::Standing;
 use crate::fleet::standing::Word;
@@ -63,7 +64,7 @@
     pub(super) sees_store: bool,
     pub(super) is_warm: bool,
     pub(super) upstreams: u64,
-    pub(super) revision: u64,
+    pub(super) revision: Revision,
     pub(super) evacuated: Evacuated,
 }
 
@@ -387,7 +388,7 @@
 
     /// How this box stands to those that watch the store for it, while it lists what has this digest and
     /// its list is whole up to this revision.
-    pub(super) fn standing(&self, revision: u64, upstreams: u64) -> Standing {
+    pub(super) fn standing(&self, revision: Revision, upstreams: u64) -> Standing {
         let now = self.now();
         let word = |(_, member): (IpAddr, &Member)| {
             let (r, age) = member.word(now)?;
--- a/src/proxy/pump.rs
+++ b/src/proxy/pump.rs
@@ -21,6 +21,7 @@
 use tokio::time::Sleep;
 
 use crate::placement::upstream::Health;
+use crate::proxy::link;
 use crate::proxy::link::AnswerBody;
 use crate::proxy::look;
 use crate::proxy::placed::Placed;
@@ -170,7 +171,7 @@
     fn poll_source(
         &mut self,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, link::Error>>> {
         if let Some(held) = &mut self.held {
             ready!(held.as_mut().poll(cx));
             self.held = None;
@@ -231,7 +232,7 @@
     }
 
     /// Goes on with the stream elsewhere, or cuts it.
-    fn broke_off(&mut self, e: &hyper::Error) {
+    fn broke_off(&mut self, e: &link::Error) {
         let Some(mut run) = self.run.take() else { return };
         if let State::Passing(source) = std::mem::replace(&mut self.state, State::Ended) {
             info!(run.hub.log(), "broke off"; "id" => &run.head.id,
--- a/src/proxy/view.rs
+++ b/src/proxy/view.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,7 +11,9 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::fleet::evacuated::Evacuated;
+use crate::fleet::revision::Revision;
 use crate::names::UpstreamName;
+use crate::names::ZoneName;
 use crate::placement::fleet::Fleet;
 use crate::proxy::dialect::Listed;
 use crate::proxy::digests;
@@ -31,6 +34,10 @@
 /// own anything any more after a sixth of it, and may have believed in the upstream until it came back.
 const DROPPED_KEPT: Duration = Duration::from_secs(30);
 
+/// A store that has come back from an older copy may list upstreams that are gone. Those that live write their
+/// entries again; the others' lapse after three heartbeats of 1.2 s in which they write nothing.
+const RETURN_GRACE: Duration = Duration::from_millis(4500);
+
 /// What one box can tell another that can't ask the store.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Snapshot {
@@ -43,7 +50,7 @@
     /// Others that are gone.
     pub gone: Vec<UpstreamName>,
     /// The revision of the store up to which the sender's list is whole.
-    pub revision: u64,
+    pub revision: Revision,
     /// Whether the sender sees the store, so that there are no others.
     pub is_sure: bool,
 }
@@ -67,6 +74,20 @@
     Missing(UpstreamName),
     /// Other zones are evacuated than before.
     Evacuated(Evacuated),
+    /// The store has come back from an older copy, and counts this era.
+    Restored(u64),
+    /// An upstream of this name and address has started anew, by its own clock at this time in milliseconds since
+    /// 1970.
+    Restarted(UpstreamName, SocketAddr, u64),
+}
+
+/// An upstream that is gone.
+#[derive(Clone, Copy, Debug)]
+struct Dropped {
+    /// When that was known.
+    at: Duration,
+    /// Which start of it.
+    born: Option<u64>,
 }
 
 /// What this box knows.
@@ -78,8 +99,18 @@
     /// Upstreams whose entries may have lapsed while the store was away.
     missing: BTreeSet<UpstreamName>,
     evacuated: Evacuated,
-    /// Upstreams that are gone, and when that was known. Names are never given twice.
-    dropped: BTreeMap<UpstreamName, Duration>,
+    /// Zones whose evacuation an older copy of the store lacks, until when they are kept so all the same.
+    held_zones: BTreeMap<ZoneName, Duration>,
+    /// Upstreams that are gone. Another start of one may have its name.
+    dropped: BTreeMap<UpstreamName, Dropped>,
+    /// Upstreams that are gone and that a copy of the store lists, and when they are believed to be there.
+    returned: BTreeMap<UpstreamName, (Listed, Duration)>,
+    /// Entries that can't be read, and why.
+    unreadable: BTreeMap<UpstreamName, String>,
+    /// The store's era, if this box has heard it from the store itself.
+    era: u64,
+    /// Until when the store may list what is gone.
+    returns_until: Duration,
     /// Upstreams that another box has said to be gone, and when.
     said_gone: BTreeMap<UpstreamName, Duration>,
     listed_once: bool,
@@ -98,7 +129,12 @@
             history: History::default(),
             missing: BTreeSet::new(),
             evacuated: Evacuated::default(),
+            held_zones: BTreeMap::new(),
             dropped: BTreeMap::new(),
+            returned: BTreeMap::new(),
+            unreadable: BTreeMap::new(),
+            era: 0,
+            returns_until: Duration::ZERO,
             said_gone: BTreeMap::new(),
             listed_once: false,
             reached: false,
@@ -135,16 +171,54 @@
     /// Takes over which zones are evacuated, if that is newer than what is known. Engines of a zone that is
     /// taken back may have turned cold.
     pub fn evacuate(&mut self, evacuated: &Evacuated, now: Duration) {
-        let before = self.evacuated.zones.clone();
+        let Evacuated { revision, zones: before } = self.evacuated.clone();
         if !self.evacuated.merge(evacuated) {
             return;
         }
-        let zones = &self.evacuated.zones;
-        before.difference(zones).for_each(|zone| self.fleet.chill_zone(zone, now));
-        self.fleet.close(zones.clone());
+        // An older copy of the store lacks orders that will be written again.
+        let is_restored = !revision.is_none() && revision.era < evacuated.revision.era;
+        for zone in before.difference(&self.evacuated.zones) {
+            if is_restored {
+                self.held_zones.insert(zone.clone(), now + LAPSE_GRACE);
+            } else {
+                self.fleet.chill_zone(zone, now);
+            }
+        }
+        self.fleet.close(self.closed());
         self.changes.push(Change::Evacuated(self.evacuated.clone()));
     }
 
+    /// The zones whose engines get nothing.
+    fn closed(&self) -> BTreeSet<ZoneName> {
+        self.evacuated.zones.iter().chain(self.held_zones.keys()).cloned().collect()
+    }
+
+    /// The store counts this era in what it tells from now on. If that is a new one, it has come back from an older
+    /// copy: what is missing there isn't gone, and what is there may be.
+    pub fn in_era(&mut self, era: u64, now: Duration) {
+        let known = self.era.max(self.revision().era);
+        self.era = self.era.max(era);
+        if era <= known || !self.listed_once {
+            return;
+        }
+        self.grace_until = self.grace_until.max(now + LAPSE_GRACE);
+        self.returns_until = now + RETURN_GRACE;
+        self.changes.push(Change::Restored(era));
+    }
+
+    /// An upstream's entry can't be read, so it gets nothing. True where that is news.
+    pub fn unreadable(&mut self, name: &UpstreamName, fault: &str, now: Duration) -> bool {
+        if self.unreadable.get(name).is_some_and(|known| known == fault) {
+            return false;
+        }
+        self.unreadable.insert(name.clone(), fault.to_owned());
+        self.returned.remove(name);
+        if self.fleet.get(name).is_some() {
+            self.drop_upstream(name, now);
+        }
+        true
+    }
+
     /// Whether requests can be served: there are a configuration and upstreams.
     pub fn is_ready(&self) -> bool {
         self.table.is_some() && self.has_list()
@@ -183,19 +257,19 @@
         self.reached && self.listed_once && self.missing.is_empty()
     }
 
-    /// The revision of the store up to which the list of upstreams is whole; zero before there is one.
-    pub fn revision(&self) -> u64 {
+    /// The revision of the store up to which the list of upstreams is whole; the default before there is one.
+    pub fn revision(&self) -> Revision {
         self.history.revision()
     }
 
     /// Notes that the store has told all up to a revision.
-    pub fn up_to(&mut self, revision: u64) {
+    pub fn up_to(&mut self, revision: Revision) {
         self.history.up_to(revision);
     }
 
     /// What another box may take over that has a configuration of this version and all changes of upstreams
     /// up to a revision; nothing if that is too long ago.
-    pub fn since(&self, version: u64, revision: u64, now: Duration) -> Option<Snapshot> {
+    pub fn since(&self, version: u64, revision: Revision, now: Duration) -> Option<Snapshot> {
         // Nobody knows of an entry that is missing whether it is gone.
         let changed = self.history.since(revision)?.filter(|name| !self.missing.contains(*name));
         let (kept, gone): (Vec<_>, Vec<_>) =
@@ -256,7 +330,12 @@
             .map(|known| known.name.clone())
             .collect();
         for listed in all {
-            self.set(listed, now);
+            let is_gone = self.dropped.contains_key(&listed.name) && !self.is_newer_start(&listed);
+            if is_gone && now < self.returns_until {
+                self.returned.insert(listed.name.clone(), (listed, now + RETURN_GRACE));
+            } else {
+                self.set(listed, now);
+            }
         }
         for name in absent {
             self.gone(&name, now);
@@ -276,8 +355,24 @@
 
     /// Takes over one upstream.
     pub fn set(&mut self, listed: Listed, now: Duration) {
+        if self.is_older_start(&listed) {
+            return;
+        }
+        let is_restarted = self.is_newer_start(&listed);
         self.missing.remove(&listed.name);
         self.dropped.remove(&listed.name);
+        self.returned.remove(&listed.name);
+        self.unreadable.remove(&listed.name);
+        if let Some(known) = self.fleet.get(&listed.name) {
+            // No start of an upstream returns from leaving; a store that came back from a copy may say so.
+            let was_said_gone = self.said_gone.remove(&listed.name).is_some();
+            if known.leaving && !listed.leaving && !is_restarted && !was_said_gone {
+                return;
+            }
+            if is_restarted {
+                self.restart(&listed);
+            }
+        }
         let is_known = self.fleet.get(&listed.name).is_some_and(|known| known.is_same(&listed));
         let is_colder = self.fleet.chill(&listed.name, listed.cold_for, now);
         if is_known && !is_colder {
@@ -296,8 +391,35 @@
         self.fleet.chill(&name, cold_for, now);
     }
 
+    /// The start of an upstream that this box knows or knew.
+    fn born(&self, name: &UpstreamName) -> Option<u64> {
+        let dropped = || self.dropped.get(name)?.born;
+        self.fleet.get(name).map_or_else(dropped, |known| known.born)
+    }
+
+    /// Whether this is an earlier start of an upstream than the one that is known. By the clock of its machine: where
+    /// that was set back before it started, it is believed once it says a later time or its entry was gone for as long
+    /// as that is remembered.
+    fn is_older_start(&self, listed: &Listed) -> bool {
+        self.born(&listed.name).zip(listed.born).is_some_and(|(known, new)| new < known)
+    }
+
+    fn is_newer_start(&self, listed: &Listed) -> bool {
+        self.born(&listed.name).zip(listed.born).is_some_and(|(known, new)| known < new)
+    }
+
+    /// Forgets what was known of the start before: what it kept, what ran there, how it went.
+    fn restart(&mut self, listed: &Listed) {
+        let Some(known) = self.fleet.get(&listed.name) else { return };
+        let (addr, born) = (known.addr, listed.born.unwrap_or_default());
+        self.changes.push(Change::Restarted(listed.name.clone(), addr, born));
+        self.fleet.remove(&listed.name);
+    }
+
     /// An entry is gone. Near trouble with the store it may only have lapsed.
     pub fn gone(&mut self, name: &UpstreamName, now: Duration) {
+        self.returned.remove(name);
+        self.unreadable.remove(name);
         let may_return = !self.reached || now < self.grace_until;
         // One that was leaving is not missed.
         if may_return && self.fleet.is_open(name) {
@@ -312,7 +434,10 @@
     /// Whether this box knows that an upstream must get no requests: it leaves or is gone, or its zone
     /// is evacuated. Another box that was cut off may still believe in it.
     pub fn is_barred(&self, name: &UpstreamName) -> bool {
-        let is_closed = |l: &Listed| l.leaving || self.evacuated.zones.contains(&l.zone);
+        let is_closed = |l: &Listed| {
+            let zone = &l.zone;
+            l.leaving || self.evacuated.zones.contains(zone) || self.held_zones.contains_key(zone)
+        };
         self.dropped.contains_key(name) || self.fleet.get(name).is_some_and(is_closed)
     }
 
@@ -339,7 +464,8 @@
     /// Another box, which sees the store, says that an upstream is new or has changed.
     pub fn told_listed(&mut self, listed: Listed, now: Duration) {
         let is_leaving = self.fleet.get(&listed.name).is_some_and(|known| known.leaving);
-        if !self.reached && !is_leaving && !self.dropped.contains_key(&listed.name) {
+        let is_known = is_leaving || self.dropped.contains_key(&listed.name);
+        if !self.reached && (!is_known || self.is_newer_start(&listed)) {
             self.set(listed, now);
         }
     }
@@ -392,8 +518,9 @@
             let was_said_gone = self.said_gone.contains_key(&listed.name);
             // An upstream never returns from leaving.
             let is_leaving = self.fleet.get(&listed.name).is_some_and(|known| known.leaving);
-            if may_return && was_said_gone || !is_leaving && (may_return || !is_gone) {
-                self.said_gone.remove(&listed.name);
+            let is_other = self.is_newer_start(&listed);
+            let is_believed = !is_leaving && (may_return || !is_gone);
+            if is_other || may_return && was_said_gone || is_believed {
                 self.set(listed, now);
             }
         }
@@ -428,14 +555,16 @@
     pub fn tick(&mut self, now: Duration) {
         self.fleet.tick(now);
         self.history.tick(now);
-        self.dropped.retain(|_, at| now < *at + DROPPED_KEPT);
+        self.dropped.retain(|_, dropped| now < dropped.at + DROPPED_KEPT);
+        self.tick_restored(now);
         let View { fleet, dropped, history, .. } = self;
         self.said_gone.retain(|name, said| {
             let is_kept = now < *said + SAID_GONE_KEPT;
             if !is_kept {
+                let born = fleet.get(name).and_then(|known| known.born);
                 fleet.remove(name);
                 history.note(name, now);
-                dropped.insert(name.clone(), now);
+                dropped.insert(name.clone(), Dropped { at: now, born });
             }
             is_kept
         });
@@ -447,10 +576,27 @@
         }
     }
 
+    /// Believes what a copy of the store said, once what was written since would have been written again.
+    fn tick_restored(&mut self, now: Duration) {
+        let is_due = |(_, due): &&(Listed, Duration)| *due <= now;
+        let returned: Vec<Listed> =
+            self.returned.values().filter(is_due).map(|(listed, _)| listed.clone()).collect();
+        returned.into_iter().for_each(|listed| self.set(listed, now));
+        let held = self.held_zones.iter().filter(|(_, until)| **until <= now);
+        let over: Vec<ZoneName> = held.map(|(zone, _)| zone.clone()).collect();
+        over.iter().for_each(|zone| _ = self.held_zones.remove(zone));
+        if over.is_empty() {
+            return;
+        }
+        over.iter().for_each(|zone| self.fleet.chill_zone(zone, now));
+        self.fleet.close(self.closed());
+    }
+
     fn drop_upstream(&mut self, name: &UpstreamName, now: Duration) {
         self.missing.remove(name);
         self.history.note(name, now);
-        self.dropped.insert(name.clone(), now);
+        let born = self.fleet.get(name).and_then(|known| known.born);
+        self.dropped.insert(name.clone(), Dropped { at: now, born });
         self.fleet.remove(name);
         self.changes.push(Change::Gone(name.clone()));
     }
--- a/src/util.rs
+++ b/src/util.rs
@@ -29,6 +29,11 @@
 /// The number of this start of the process: milliseconds since the epoch, so a later start has a
 /// greater one.
 pub fn new_incarnation() -> u64 {
+    unix_millis()
+}
+
+/// The time of day, in milliseconds since 1970. It may jump.
+pub fn unix_millis() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
     since.as_millis() as u64
 }
--- a/tests/fleet_cold.rs
+++ b/tests/fleet_cold.rs
@@ -52,6 +52,7 @@
         addr: ([127, 0, 0, 1], 80).into(),
         zone: ZoneName::from("a"),
         slots: 32,
+        born: None,
         leaving: false,
         cold_for,
     }
--- a/tests/fleet_evacuated.rs
+++ b/tests/fleet_evacuated.rs
@@ -6,6 +6,7 @@
 
 use frostdyke::fleet::evacuated::Evacuated;
 use frostdyke::fleet::evacuated::Order;
+use frostdyke::fleet::revision::Revision;
 use frostdyke::names::ServiceName;
 use frostdyke::names::UpstreamName;
 use frostdyke::names::ZoneName;
@@ -43,7 +44,10 @@
 }
 
 fn evacuated(revision: u64, zones: &[&str]) -> Evacuated {
-    Evacuated { revision, zones: zones.iter().map(|name| zone(name)).collect() }
+    Evacuated {
+        revision: Revision::new(1, revision),
+        zones: zones.iter().map(|name| zone(name)).collect(),
+    }
 }
 
 /// How many beats it takes until all boxes know what some watchers do.
@@ -52,7 +56,7 @@
     let mut known = vec![evacuated(700, &["b"]); BOXES];
     for n in 0..watchers {
         // Each hears it with a revision of its own.
-        let revision = news.revision + n as u64;
+        let revision = Revision::new(1, news.revision.number + n as u64);
         known[n * BOXES / watchers].merge(&Evacuated { revision, ..news.clone() });
     }
     for beat in 0.. {
@@ -100,7 +104,7 @@
     let orders =
         [Order::Evacuate(zone("a")), Order::Evacuate(zone("c")), Order::TakeBack(zone("b"))];
     let mut known = evacuated(10, &["b"]);
-    let after = known.after(&orders, 11);
+    let after = known.after(&orders, Revision::new(1, 11));
     assert!(known.merge(&after));
     assert_eq!(known, evacuated(11, &["a", "c"]));
 }
@@ -121,6 +125,7 @@
         addr: ([127, 0, 0, n], 80).into(),
         zone: zone(name),
         slots: 8,
+        born: None,
         leaving: false,
         cold_for: Some(Duration::ZERO),
     };
--- a/tests/fleet_members.rs
+++ b/tests/fleet_members.rs
@@ -10,6 +10,7 @@
 use frostdyke::fleet::members::Beat;
 use frostdyke::fleet::members::Members;
 use frostdyke::fleet::members::Record;
+use frostdyke::fleet::revision::Revision;
 use frostdyke::names::BoxName;
 use frostdyke::names::ZoneName;
 use frostdyke::proxy::message::Message;
@@ -38,7 +39,7 @@
         sees_store: false,
         is_warm: true,
         upstreams: 7,
-        revision: 7,
+        revision: Revision::new(1, 7),
         evacuated: Evacuated::default(),
     }
 }
--- a/tests/fleet_placement.rs
+++ b/tests/fleet_placement.rs
@@ -93,6 +93,7 @@
             addr: ([10, 9, (n / 256) as u8, (n % 256) as u8], 80).into(),
             zone: ZoneName::from(&*format!("zone-{}", n % 5)),
             slots: 12,
+            born: None,
             leaving: false,
             cold_for: None,
         };
--- a/tests/proxy_admit.rs
+++ b/tests/proxy_admit.rs
@@ -57,6 +57,7 @@
                 addr: ([127, 0, 0, n], 80).into(),
                 zone: ZoneName::from("a"),
                 slots: 64,
+                born: None,
                 leaving: false,
                 cold_for: None,
             };
--- a/tests/proxy_behind.rs
+++ b/tests/proxy_behind.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use frostdyke::fleet::revision::Revision;
 use frostdyke::fleet::standing;
 use frostdyke::fleet::standing::Standing;
 use frostdyke::fleet::standing::Word;
@@ -74,6 +75,7 @@
         addr: ([127, 0, 0, 1], 80).into(),
         zone: ZoneName::from("a"),
         slots: 1,
+        born: None,
         leaving: false,
         cold_for: None,
     }
@@ -83,7 +85,7 @@
     let mut view = View::new(Fleet::new(ZoneName::from("a"), Tuning::default()));
     view.store_regained(Duration::ZERO);
     view.list((0..UPSTREAMS).map(listed).collect(), Duration::ZERO);
-    view.up_to(UPSTREAMS);
+    view.up_to(Revision::new(1, UPSTREAMS));
     view.take_changes();
     view
 }
@@ -100,7 +102,13 @@
 impl Watcher {
     fn new(phase: u64) -> Watcher {
         let addr = ([127, 0, 0, 1 + phase as u8], 80).into();
-        let word = Word { addr, sees_store: true, revision: 0, upstreams: 0, age: Duration::ZERO };
+        let word = Word {
+            addr,
+            sees_store: true,
+            revision: Revision::default(),
+            upstreams: 0,
+            age: Duration::ZERO,
+        };
         Watcher { view: view(), heard: 0, phase, word }
     }
 
@@ -111,7 +119,7 @@
             self.view.gone(&name(n), now);
         }
         self.heard = changes;
-        self.view.up_to(UPSTREAMS + 2 * changes);
+        self.view.up_to(Revision::new(1, UPSTREAMS + 2 * changes));
         self.view.take_changes()
     }
 
@@ -176,10 +184,10 @@
             continue;
         }
         let words = watchers.iter().map(|w| Word {
-            revision: if way == Way::Digests { 0 } else { w.word.revision },
+            revision: if way == Way::Digests { Revision::default() } else { w.word.revision },
             ..w.word
         });
-        let revision = if way == Way::Digests { 0 } else { box_.revision() };
+        let revision = if way == Way::Digests { Revision::default() } else { box_.revision() };
         let standing = standing::judge(revision, box_.digest(), words);
         apart = if matches!(standing, Standing::Apart(_)) { apart + 1 } else { 0 };
         let apart_for = if way == Way::Digests { 2 } else { APART_FOR };
--- a/tests/proxy_placement.rs
+++ b/tests/proxy_placement.rs
@@ -31,6 +31,7 @@
         addr: ([127, 0, 0, n], 80).into(),
         zone: ZoneName::from(if n < 3 { "a" } else { "b" }),
         slots: 64,
+        born: None,
         leaving: false,
         cold_for: None,
     }
--- a/tests/proxy_plain.rs
+++ b/tests/proxy_plain.rs
@@ -114,6 +114,7 @@
             addr: ([127, 0, 0, n as u8 + 1], 80).into(),
             zone: ZoneName::from(["a", "b", "c"][n % 3]),
             slots: SLOTS,
+            born: None,
             leaving: false,
             cold_for: None,
         };
--- a/tests/proxy_speed.rs
+++ b/tests/proxy_speed.rs
@@ -64,6 +64,7 @@
             addr: ([127, 0, 0, 1], 80).into(),
             zone: ZoneName::from("a"),
             slots: 64,
+            born: None,
             leaving: false,
             cold_for: None,
         };
--- a/tests/proxy_view.rs
+++ b/tests/proxy_view.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use frostdyke::fleet::evacuated::Evacuated;
+use frostdyke::fleet::revision::Revision;
 use frostdyke::names::ServiceName;
 use frostdyke::names::UpstreamName;
 use frostdyke::names::ZoneName;
@@ -28,6 +30,7 @@
         addr: ([127, 0, 0, 1], 80).into(),
         zone: ZoneName::from("a"),
         slots: 1,
+        born: None,
         leaving: false,
         cold_for: None,
     }
@@ -67,17 +70,17 @@
 fn what_a_watcher_was_told_first_is_told_to_who_asks_it() {
     let now = millis(1_000);
     let (mut watcher, mut box_) = (view(), view());
-    watcher.up_to(5);
-    box_.up_to(5);
+    watcher.up_to(Revision::new(1, 5));
+    box_.up_to(Revision::new(1, 5));
     box_.store_left_to_others();
     watcher.told_leaving(&UpstreamName::from("a"), now);
     watcher.set(Listed { leaving: true, ..upstream("a") }, now);
-    watcher.up_to(6);
+    watcher.up_to(Revision::new(1, 6));
     let changes = watcher.since(0, box_.revision(), now).expect("they are known");
     box_.take_over(changes, now);
     assert!(!is_open(&box_, "a"));
     assert!(is_open(&box_, "b"));
-    assert_eq!(box_.revision(), 6);
+    assert_eq!(box_.revision(), Revision::new(1, 6));
 }
 
 /// Load: an upstream leaves and is gone while one of three watchers is cut off. That one is told the past when it comes
@@ -86,19 +89,19 @@
 fn a_watcher_that_was_cut_off_brings_back_nothing_that_is_gone() {
     let now = millis(20_000);
     let (mut watcher, mut box_, mut late) = (view(), view(), view());
-    watcher.up_to(5);
-    box_.up_to(5);
-    late.up_to(5);
+    watcher.up_to(Revision::new(1, 5));
+    box_.up_to(Revision::new(1, 5));
+    late.up_to(Revision::new(1, 5));
     box_.store_left_to_others();
     watcher.gone(&UpstreamName::from("a"), now);
-    watcher.up_to(7);
-    box_.take_over(watcher.since(0, 5, now).expect("it is known"), now);
+    watcher.up_to(Revision::new(1, 7));
+    box_.take_over(watcher.since(0, Revision::new(1, 5), now).expect("it is known"), now);
     assert!(!is_open(&box_, "a"));
     late.store_lost();
     late.store_regained(now);
     late.set(Listed { slots: 2, ..upstream("a") }, now);
     late.gone(&UpstreamName::from("a"), now);
-    late.up_to(8);
+    late.up_to(Revision::new(1, 8));
     let told = late.since(0, box_.revision(), now).expect("it is known");
     assert_eq!(told.upstreams, [], "an entry that is missing is told of neither way");
     box_.take_over(told, now);
@@ -108,7 +111,7 @@
     assert!(!is_open(&box_, "a"), "nor by what differs");
     // One that lists it again doesn't bring it back either.
     late.set(Listed { slots: 2, ..upstream("a") }, now);
-    late.up_to(9);
+    late.up_to(Revision::new(1, 9));
     box_.take_over(late.since(0, box_.revision(), now).expect("it is known"), now);
     assert!(!is_open(&box_, "a"));
 }
@@ -340,3 +343,146 @@
         }
     }
 }
+
+fn born(name: &str, born: u64) -> Listed {
+    Listed { born: Some(born), ..upstream(name) }
+}
+
+/// The store has come back from a copy in which `b` isn't listed yet and `c`, which is gone, still is.
+#[test]
+fn a_copy_of_the_store_neither_takes_away_nor_brings_back_at_once() {
+    let mut view = view();
+    view.in_era(1, millis(0));
+    view.set(upstream("c"), millis(10_000));
+    view.gone(&UpstreamName::from("c"), millis(10_100));
+    view.up_to(Revision::new(1, 9));
+    view.in_era(2, millis(12_000));
+    view.list(vec![upstream("a"), upstream("c")], millis(12_000));
+    view.up_to(Revision::new(2, 5));
+    for ms in [12_000, 14_000] {
+        view.tick(millis(ms));
+        assert_eq!(
+            [is_open(&view, "a"), is_open(&view, "b"), is_open(&view, "c")],
+            [true, true, false],
+            "{ms}"
+        );
+    }
+    // Nobody has written `b` again; nobody has taken `c` away.
+    view.tick(millis(14_300));
+    assert!(!is_open(&view, "b"));
+    view.tick(millis(16_600));
+    assert!(is_open(&view, "c"));
+    assert_eq!(view.revision(), Revision::new(2, 5));
+}
+
+#[test]
+fn what_lives_is_back_as_soon_as_it_is_written_again() {
+    let mut view = view();
+    view.in_era(1, millis(0));
+    view.gone(&UpstreamName::from("b"), millis(10_000));
+    view.in_era(2, millis(12_000));
+    view.list(vec![upstream("a"), upstream("b")], millis(12_000));
+    assert!(!is_open(&view, "b"));
+    view.set(upstream("b"), millis(12_400));
+    assert!(is_open(&view, "b"));
+    view.gone(&UpstreamName::from("b"), millis(20_000));
+    view.tick(millis(21_000));
+    assert!(!is_open(&view, "b"));
+}
+
+/// A box that doesn't see the store, and one that hears of an era late.
+#[test]
+fn what_is_told_of_an_earlier_era_is_behind() {
+    let mut watcher = view();
+    watcher.up_to(Revision::new(1, 90));
+    let stale = watcher.snapshot(millis(100));
+    let mut other = View::new(Fleet::new(ZoneName::from("a"), Tuning::default()));
+    other.take_over(stale.clone(), millis(200));
+    assert_eq!(other.revision(), Revision::new(1, 90));
+    watcher.in_era(2, millis(300));
+    watcher.list(vec![upstream("a"), upstream("b"), upstream("c")], millis(300));
+    watcher.up_to(Revision::new(2, 40));
+    // What changed since isn't known over a return; what differs is.
+    assert!(watcher.since(0, other.revision(), millis(400)).is_none());
+    other.take_over(watcher.difference(0, &other.digests(millis(400)), millis(400)), millis(400));
+    assert!(is_open(&other, "c"));
+    assert_eq!(other.revision(), Revision::new(2, 40));
+    other.take_over(stale, millis(500));
+    assert!(is_open(&other, "c"));
+    assert_eq!(other.revision(), Revision::new(2, 40));
+}
+
+#[test]
+fn an_era_is_news_once_and_two_in_succession_are_one() {
+    let mut view = view();
+    view.in_era(4, millis(0));
+    view.in_era(5, millis(10));
+    view.in_era(7, millis(20));
+    view.in_era(7, millis(30));
+    view.in_era(6, millis(40));
+    assert_eq!(view.take_changes(), [4, 5, 7].map(Change::Restored));
+    let mut fresh = View::new(Fleet::new(ZoneName::from("a"), Tuning::default()));
+    fresh.in_era(7, millis(0));
+    fresh.list(vec![upstream("a")], millis(0));
+    assert_eq!(fresh.take_changes(), [Change::Listed(1)]);
+}
+
+#[test]
+fn an_evacuation_that_a_copy_lacks_is_kept_until_it_would_be_written_again() {
+    let mut view = view();
+    let zones = BTreeSet::from([ZoneName::from("a")]);
+    view.evacuate(&Evacuated { revision: Revision::new(1, 8), zones }, millis(0));
+    view.evacuate(
+        &Evacuated { revision: Revision::new(2, 3), ..Evacuated::default() },
+        millis(5_000),
+    );
+    view.tick(millis(7_000));
+    assert!(view.is_barred(&UpstreamName::from("a")));
+    // One that was heard late, of before.
+    view.evacuate(
+        &Evacuated { revision: Revision::new(1, 9), ..Evacuated::default() },
+        millis(7_100),
+    );
+    assert!(view.is_barred(&UpstreamName::from("a")));
+    view.tick(millis(7_300));
+    assert!(!view.is_barred(&UpstreamName::from("a")));
+}
+
+#[test]
+fn another_start_of_a_name_is_another_upstream() {
+    let mut view = view();
+    let name = UpstreamName::from("c");
+    view.set(born("c", 100), millis(0));
+    view.set(Listed { leaving: true, ..born("c", 100) }, millis(10));
+    view.set(born("c", 100), millis(20));
+    assert!(!is_open(&view, "c"), "no start returns from leaving");
+    view.take_changes();
+    view.set(born("c", 200), millis(30));
+    assert!(is_open(&view, "c"));
+    let addr = upstream("c").addr;
+    let restarted = Change::Restarted(name.clone(), addr, 200);
+    assert_eq!(view.take_changes(), [restarted, Change::Upstream(born("c", 200))]);
+    view.set(born("c", 100), millis(40));
+    view.told_listed(born("c", 100), millis(40));
+    assert_eq!(view.take_changes(), []);
+    // Gone, and back by another start that another box tells of.
+    view.gone(&name, millis(5_000));
+    view.store_lost();
+    view.told_listed(born("c", 200), millis(5_100));
+    assert!(!is_open(&view, "c"));
+    view.told_listed(born("c", 300), millis(5_200));
+    assert!(is_open(&view, "c"));
+}
+
+#[test]
+fn an_entry_that_cant_be_read_is_news_once_a_change() {
+    let mut view = view();
+    let name = UpstreamName::from("a");
+    assert!(view.unreadable(&name, "one", millis(0)));
+    assert!(!view.unreadable(&name, "one", millis(1)));
+    assert!(view.unreadable(&name, "another", millis(2)));
+    assert!(!is_open(&view, "a") && is_open(&view, "b"));
+    view.set(upstream("a"), millis(3));
+    assert!(is_open(&view, "a"));
+    assert!(view.unreadable(&name, "one", millis(4)));
+}
