Forget that an upstream was said to be gone also where it wasn't listed

Cause: took the note back only for an upstream that this box lists. Where another box had said it of one that isn't listed here, the note stayed when the upstream came, and removed it ten seconds later. Found by reading the change. Change: the note is taken back whenever the upstream is set. Test without network, failing before (26 passed, 1 failed). After: proxy_view 27 passed, formatter clean.

--- a/src/proxy/view.rs
+++ b/src/proxy/view.rs
@@ -363,9 +363,9 @@
         self.dropped.remove(&listed.name);
         self.returned.remove(&listed.name);
         self.unreadable.remove(&listed.name);
+        let was_said_gone = self.said_gone.remove(&listed.name).is_some();
         if let Some(known) = self.fleet.get(&listed.name) {
             // No start of an upstream returns from leaving; a store that came back from a copy may say so.
-            let was_said_gone = self.said_gone.remove(&listed.name).is_some();
             if known.leaving && !listed.leaving && !is_restarted && !was_said_gone {
                 return;
             }
--- a/tests/proxy_view.rs
+++ b/tests/proxy_view.rs
@@ -486,3 +486,15 @@
     assert!(is_open(&view, "a"));
     assert!(view.unreadable(&name, "one", millis(4)));
 }
+
+/// A box that doesn't see the store hears that an upstream is gone which it doesn't list, and then that it is there.
+#[test]
+fn one_that_was_said_to_be_gone_before_it_was_known_stays() {
+    let mut view = view();
+    view.store_lost();
+    view.told_gone(&UpstreamName::from("c"), millis(0));
+    view.told_listed(upstream("c"), millis(100));
+    assert!(is_open(&view, "c"));
+    view.tick(millis(11_000));
+    assert!(is_open(&view, "c"));
+}
