Interfaces and overview of the parts for small batches

Message variants, settings and shared types that the parts agree on before they are built; nothing acts on them yet. Settings: [small-batch], all off.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,6 +4,8 @@
 pub mod draining;
 pub mod evacuated;
 pub mod fingerprint;
+pub mod headroom;
+pub mod in_progress;
 pub mod members;
 pub mod owners;
 pub mod quarantine;
--- a/src/placement/admit.rs
+++ b/src/placement/admit.rs
@@ -91,6 +91,8 @@
     /// Whether other groups of engines may be asked. If so, the request is not yet counted as
     /// refused.
     pub may_try_other_groups: bool,
+    /// A group that has announced free capacity, to be asked next.
+    pub alternative: Option<EngineGroup>,
 }
 
 /// Places a request and charges the workspace's share, or counts the request as refused.
@@ -126,6 +128,7 @@
             wait_max: remaining,
             source,
             may_try_other_groups: true,
+            alternative: None,
         });
     }
     let cause = match registry.choose(criteria, now) {
@@ -139,6 +142,7 @@
                 wait_max: remaining,
                 source,
                 may_try_other_groups: true,
+                alternative: None,
             });
         }
         Ok(choice) => {
@@ -170,7 +174,14 @@
     }
     let source =
         if may_try_other_groups { registry.best_cached_source(criteria, now) } else { None };
-    Err(Denial { cause, share_used, wait_max: remaining, source, may_try_other_groups })
+    Err(Denial {
+        cause,
+        share_used,
+        wait_max: remaining,
+        source,
+        may_try_other_groups,
+        alternative: None,
+    })
 }
 
 /// Whether the choice would prefill enough shared tokens to make a copy worthwhile.
--- a/src/placement/plain.rs
+++ b/src/placement/plain.rs
@@ -177,5 +177,12 @@
         let counted = shares.refuse(workspace, REQUEST_CHARGE, now);
         shares.remember(query.request, counted);
     }
-    Err(Denial { cause, share_used, wait_max, source: None, may_try_other_groups: false })
+    Err(Denial {
+        cause,
+        share_used,
+        wait_max,
+        source: None,
+        may_try_other_groups: false,
+        alternative: None,
+    })
 }
--- a/src/placement/tuning.rs
+++ b/src/placement/tuning.rs
@@ -32,6 +32,46 @@
     pub wait_share_over: f64,
     /// How far above its sustained rate a cold engine may be loaded.
     pub cold: ColdBound,
+    pub small_batch: SmallBatch,
+}
+
+/// Decisions for services whose engines run only few requests at once. There, one long prompt is a
+/// large part of an engine's work, so waits differ much between engines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SmallBatch {
+    /// An engine with at most this many slots has a small batch; zero if none has.
+    pub slots_max: u32,
+    /// Requests that can't begin at once may wait in a queue at the owner.
+    pub queue: bool,
+    /// Each engine's own speed is estimated, and handed on with its ownership.
+    pub own_speed: bool,
+    /// Owners announce the free capacity of their groups to each other.
+    pub headroom: bool,
+    /// Among engines that would serve equally well, one with an idle connection is preferred.
+    pub prefer_connected: bool,
+}
+
+impl SmallBatch {
+    /// Whether an engine with this many slots has a small batch.
+    pub fn applies(self, slots: u32) -> bool {
+        slots <= self.slots_max
+    }
+
+    pub fn queues(self, slots: u32) -> bool {
+        self.queue && self.applies(slots)
+    }
+
+    pub fn estimates_own_speed(self, slots: u32) -> bool {
+        self.own_speed && self.applies(slots)
+    }
+
+    pub fn announces_headroom(self, slots: u32) -> bool {
+        self.headroom && self.applies(slots)
+    }
+
+    pub fn prefers_connected(self, slots: u32) -> bool {
+        self.prefer_connected && self.applies(slots)
+    }
 }
 
 impl Default for Tuning {
@@ -48,6 +88,7 @@
             wait_share: 0.7,
             wait_share_over: 0.15,
             cold: ColdBound::default(),
+            small_batch: SmallBatch::default(),
         }
     }
 }
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -8,6 +8,10 @@
 
 use crate::fleet::draining::DrainNotice;
 use crate::fleet::fingerprint::Fingerprint;
+use crate::fleet::headroom::GroupHeadroom;
+use crate::fleet::in_progress::InProgressReport;
+use crate::fleet::in_progress::RequestRecord;
+use crate::fleet::in_progress::ShortId;
 use crate::fleet::members::HeartbeatMessage;
 use crate::fleet::owners::EngineGroup;
 use crate::fleet::quarantine::SuspectReport;
@@ -124,6 +128,21 @@
     },
     /// An upstream has announced in a response that it is draining.
     DrainNotice(DrainNotice),
+    /// The sender's requests in progress at upstreams that the receiver tracks.
+    InProgress(InProgressReport),
+    /// Asks for the records of requests that a report lists and the sender doesn't know.
+    UnknownRequests(Vec<ShortId>),
+    /// Requests of the sender that are in progress, for a box that has no records of them.
+    RequestRecords(Vec<RequestRecord>),
+    /// The owner has queued a request, and decides within this time.
+    Queued {
+        /// Identifies the attempt to send it.
+        request: u64,
+        /// Time until the decision is sent at the latest, in milliseconds.
+        within_ms: u32,
+    },
+    /// Free capacity of the groups that the sender owns.
+    Headroom(Vec<GroupHeadroom>),
 }
 
 impl Message {
@@ -137,6 +156,7 @@
                 | Message::Withdrawn { .. }
                 | Message::Refused { .. }
                 | Message::SuspectCleared { .. }
+                | Message::InProgress(_)
         )
     }
 }
--- a/src/proxy/settings.rs
+++ b/src/proxy/settings.rs
@@ -8,6 +8,7 @@
 use crate::config::settings::Error;
 use crate::config::settings::Reader;
 use crate::placement::cold::ColdBound;
+use crate::placement::tuning::SmallBatch;
 use crate::placement::tuning::Tuning;
 use crate::proxy::retry_budget::RetryBounds;
 
@@ -63,7 +64,8 @@
     pub late_max: Duration,
     /// `[shares] window-s`: the time window over which fair shares are computed.
     pub share_window: Duration,
-    /// `[engines]`: the speed of engines, and the weights for choosing among them.
+    /// `[engines]`: the speed of engines, and the weights for choosing among them; `[small-batch]`:
+    /// further decisions for engines with few slots.
     pub tuning: Tuning,
     /// `[log]`.
     pub log: settings::Log,
@@ -108,6 +110,13 @@
 
 fn tuning(reader: &mut Reader) -> Tuning {
     let defaults = Tuning::default();
+    let small_batch = SmallBatch {
+        slots_max: reader.optional("small-batch", "slots-max", 0),
+        queue: reader.optional("small-batch", "queue", false),
+        own_speed: reader.optional("small-batch", "own-speed", false),
+        headroom: reader.optional("small-batch", "headroom", false),
+        prefer_connected: reader.optional("small-batch", "prefer-connected", false),
+    };
     let mut number = |key, default| reader.optional("engines", key, default);
     let millis = |d: Duration| d.as_secs_f64() * 1e3;
     let time = |ms: f64| Duration::from_secs_f64(ms.max(0.0) / 1e3);
@@ -125,6 +134,7 @@
             overage: number("cold-overage", defaults.cold.overage),
             slack: number("cold-slack", defaults.cold.slack),
         },
+        small_batch,
     }
 }
 
--- a/src/proxy/state_updates.rs
+++ b/src/proxy/state_updates.rs
@@ -164,6 +164,11 @@
         }
         Message::Suspects(all) => suspects::merge_reports(hub, &all),
         Message::SuspectCleared { fingerprint } => suspects::clear(hub, &fingerprint),
+        Message::InProgress(_)
+        | Message::UnknownRequests(_)
+        | Message::RequestRecords(_)
+        | Message::Queued { .. }
+        | Message::Headroom(_) => {}
         // Handled by `Peers`.
         Message::Heartbeat(_)
         | Message::PlacementRequest(_)
--- a/src/proxy/upstream_selection.rs
+++ b/src/proxy/upstream_selection.rs
@@ -135,6 +135,7 @@
             wait_max: Duration::ZERO,
             source: None,
             may_try_other_groups: false,
+            alternative: None,
         };
         let result = self.hub.choose(criteria).map_err(denial);
         PlacementDecision {
