Requests in progress are leases that their senders renew; half-open probes

Cause: who recorded a placement were the owner and standby by the decider's table, who was notified of first token and end those by the sender's table at that moment. Tables differ for seconds after cuts, kills and list changes, so begins stayed without ends for 20 s (engines) or 2 s (plain), and a late first token was expected to be late as long again without bound, so an engine that was believed late got nothing that could show otherwise.

Ruled out: ends to all boxes that own anything (up to 60 messages an end, and a lost one still stays); shorter expiry alone (drops long requests).

Change: the sender remembers which boxes have recorded a request (the response names the second one), notifies these, sends records to boxes that come to own the upstream, and reports what is in progress every 800 ms. Records that aren't listed, or not renewed for 2.5 s, go; listed ones that aren't known are asked for. Ends and first tokens that overtake their begins are remembered for a second. Small fleets broadcast the same report. Believed lateness ends at 2 s. An upstream that got no request and returned no first token for 500 ms gets one, if the request would be refused otherwise.

Not mended: an unverified upstream is connected to at most 2.4 s after it is reachable again, which is over a second.

--- a/src/fleet/in_progress.rs
+++ b/src/fleet/in_progress.rs
@@ -4,6 +4,9 @@
 //! for as long as the request runs. A record that is missing from a report has ended, and one that
 //! isn't renewed has lost its sender.
 
+pub mod received;
+pub mod table;
+
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -13,11 +16,34 @@
 
 /// Interval of a sender's reports. A tracker's counts are wrong for at most this long after a lost
 /// message.
-pub const REPORT_INTERVAL: Duration = Duration::from_millis(1000);
+pub const REPORT_INTERVAL: Duration = Duration::from_millis(800);
 
 /// A record that has not been renewed for this long is dropped.
 pub const LEASE: Duration = Duration::from_millis(2500);
 
+/// The same for requests of the tracking box itself, whose reports can't be lost.
+pub const OWN_LEASE: Duration = Duration::from_millis(2000);
+
+/// A record that was renewed this recently is confirmed: a report may be a little late.
+pub const CONFIRMED_FOR: Duration = Duration::from_millis(900);
+
+/// Requests placed more recently than this aren't listed in reports: their records may still be on
+/// the way.
+pub const MIN_AGE: Duration = Duration::from_millis(250);
+
+/// A tracker's record may be older than the sender's by this much, since the sender waits for the
+/// decision, and messages are batched.
+pub const AGE_SLACK: Duration = Duration::from_millis(150);
+
+/// Ids per report datagram, so that other messages fit beside it.
+pub const IDS_PER_REPORT_MAX: usize = 220;
+
+/// Records per datagram.
+pub const RECORDS_PER_DATAGRAM_MAX: usize = 16;
+
+/// A record of a request older than this is invalid.
+pub const AGE_MAX: Duration = Duration::from_secs(600);
+
 /// Short form of a request id in reports: half of its bits, which is unambiguous among the requests
 /// of one box.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -43,6 +69,8 @@
     /// Position of this datagram among those of the same report, and how many there are.
     pub part: u16,
     pub parts: u16,
+    /// How many of `requests`, from the first, have returned their first tokens.
+    pub with_first_token: u16,
     pub requests: Vec<ShortId>,
 }
 
--- a/src/fleet/owners.rs
+++ b/src/fleet/owners.rs
@@ -112,6 +112,11 @@
         if self.standby == Some(ip) { Role::Standby } else { Role::Unassigned }
     }
 
+    /// Returns the standby for the owner, and the owner for any other box.
+    pub fn other(self, ip: IpAddr) -> Option<IpAddr> {
+        if self.owner == ip { self.standby } else { Some(self.owner) }
+    }
+
     /// Returns the owner, then the standby.
     pub fn boxes(self) -> impl Iterator<Item = IpAddr> {
         std::iter::once(self.owner).chain(self.standby)
--- a/src/placement/admit.rs
+++ b/src/placement/admit.rs
@@ -76,6 +76,8 @@
     pub is_last_group: bool,
     /// The role in which this box decides.
     pub role: Role,
+    /// Whether the request may be sent again if it fails.
+    pub is_repeatable: bool,
 }
 
 /// Why a request is not placed.
@@ -119,6 +121,7 @@
         zone: query.zone,
         source: query.source,
         role: query.role,
+        is_repeatable: query.is_repeatable,
     };
     if query.purpose == Purpose::Lookup {
         let (cause, source) = (ChoiceError::LookupOnly, registry.best_cached_source(criteria, now));
@@ -131,7 +134,12 @@
             alternative: None,
         });
     }
-    let cause = match registry.choose(criteria, now) {
+    let may_try_other_groups = !query.is_last_group && share_used <= 1.0;
+    let probe = |registry: &UpstreamRegistry| {
+        if may_try_other_groups { None } else { registry.probe(criteria, now) }
+    };
+    let chosen = registry.choose(criteria, now);
+    let cause = match chosen.or_else(|cause| probe(registry).ok_or(cause)) {
         Ok(choice)
             if query.purpose == Purpose::PlaceIfCached && is_copy_worthwhile(prompt, &choice) =>
         {
@@ -165,7 +173,6 @@
         }
         Err(cause) => cause,
     };
-    let may_try_other_groups = !query.is_last_group && share_used <= 1.0;
     if let Some(workspace) = query.workspace
         && !may_try_other_groups
     {
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -45,6 +45,8 @@
     pub source: Option<CopySource>,
     /// The role in which this box decides, which matters for cold engines.
     pub role: Role,
+    /// Whether the request may be sent again if it fails.
+    pub is_repeatable: bool,
 }
 
 impl<'a> SelectionCriteria<'a> {
@@ -67,6 +69,7 @@
             zone: None,
             source: None,
             role: Role::Unassigned,
+            is_repeatable: true,
         }
     }
 }
@@ -90,6 +93,8 @@
     /// Whether the deciding box knows what all boxes send to the upstream, and has counted this
     /// request.
     pub is_counted: bool,
+    /// Whether the believed wait is too long, and the request is to show whether that is so.
+    pub is_probe: bool,
     /// Requests that already run or wait at the upstream.
     pub running: usize,
     /// Tokens of memory that these occupy.
--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -1,6 +1,8 @@
 //! Predicted state of one engine: its pending prefills, the prompt parts that it has cached, and
 //! when it would produce the first token of another request.
 
+mod records;
+
 use std::collections::VecDeque;
 use std::net::IpAddr;
 use std::time::Duration;
@@ -18,10 +20,6 @@
 use crate::proxy::adapter::PromptPart;
 use crate::proxy::routing_table::EngineLimits;
 
-/// Requests whose end is not reported are dropped at this age, which exceeds the time that any
-/// request is held.
-const STALE_REQUEST_AGE: Duration = Duration::from_secs(20);
-
 /// Time to set up a copy from another engine; the users state 3.3 ms.
 const COPY_SETUP: Duration = Duration::from_millis(4);
 
@@ -34,13 +32,21 @@
 /// engine: a few steps with a full prefill chunk.
 const OVERDUE_SLACK: Duration = Duration::from_millis(250);
 
+/// A late first token is expected to be late as long again, up to this. It exceeds any wait that
+/// callers accept; a longer one would only keep requests away after the engine has recovered.
+const LATENESS_MAX: Duration = Duration::from_millis(2000);
+
 #[derive(Clone, Copy, Debug)]
 struct RunningRequest {
     placed: Duration,
+    /// When its sender last confirmed it.
+    renewed: Duration,
     /// The sending box; `None` for this one.
     sender: Option<IpAddr>,
     /// Tokens of memory that the request occupies.
     tokens: u64,
+    cached_tokens: u32,
+    prefill_tokens: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -174,12 +180,22 @@
             return Duration::ZERO;
         };
         // If the next first token is late, the delay is expected to last as long again.
+        let late = self.lateness(speed, now).min(LATENESS_MAX.as_secs_f64());
+        Duration::from_secs_f64((end - now).max(late).max(0.0))
+    }
+
+    /// Whether the next first token is late.
+    pub fn is_overdue(&self, speed: &Speed, now: Duration) -> bool {
+        0.0 < self.lateness(speed, now.as_secs_f64())
+    }
+
+    /// Seconds by which the next first token is late; negative if it isn't.
+    fn lateness(&self, speed: &Speed, now: f64) -> f64 {
         let due = self
             .prefill_spans(speed, f64::MIN)
             .next()
             .map_or(now, |span| span.end + speed.fixed_seconds());
-        let late = now - due - OVERDUE_SLACK.as_secs_f64();
-        Duration::from_secs_f64((end - now).max(late).max(0.0))
+        now - due - OVERDUE_SLACK.as_secs_f64()
     }
 
     /// Prefill work that has been sent and is not done yet.
@@ -235,9 +251,15 @@
             copy_time,
             had_slot,
         });
-        if let Some(before) =
-            self.requests.insert(request, RunningRequest { placed: now, sender, tokens })
-        {
+        let running = RunningRequest {
+            placed: now,
+            renewed: now,
+            sender,
+            tokens,
+            cached_tokens: prompt.tokens.saturating_sub(prefill_tokens),
+            prefill_tokens,
+        };
+        if let Some(before) = self.requests.insert(request, running) {
             self.running_tokens -= before.tokens;
         }
         self.running_tokens += tokens;
@@ -317,21 +339,21 @@
         speed.update(prefill.work_with_backlog.scaled(slowdown), took, now);
     }
 
-    /// Records the end of a request, whatever the reason.
-    pub fn remove_request(&mut self, request: u64) {
+    /// Records the end of a request, whatever the reason. Returns whether it was known.
+    pub fn remove_request(&mut self, request: u64) -> bool {
         self.pending.retain(|r| r.request != request);
-        if let Some(running) = self.requests.remove(&request) {
-            self.running_tokens -= running.tokens;
-        }
+        let Some(running) = self.requests.remove(&request) else { return false };
+        self.running_tokens -= running.tokens;
+        true
     }
 
-    /// Removes a request that is not sent, including its prefill.
-    pub fn withdraw(&mut self, request: u64, speed: &Speed, tuning: Tuning, now: Duration) {
+    /// Removes a request that is not sent, including its prefill. Returns whether it was known.
+    pub fn withdraw(&mut self, request: u64, speed: &Speed, tuning: Tuning, now: Duration) -> bool {
         if let Some(work) = self.pending.iter().find(|r| r.request == request).map(|r| r.work) {
             self.load = (self.load(tuning, now) - self.prefill_seconds(work, speed)).max(0.0);
             self.load_updated = now;
         }
-        self.remove_request(request);
+        self.remove_request(request)
     }
 
     /// Removes the requests of a dead box, which cannot report their ends. The engine has dropped
@@ -340,11 +362,10 @@
         self.remove_matching(|running| running.sender == Some(sender));
     }
 
-    /// Drops requests whose ends were never reported.
+    /// Drops requests that their senders no longer confirm.
     pub fn expire(&mut self, now: Duration) {
-        let is_stale = |placed: Duration| placed + STALE_REQUEST_AGE < now;
-        self.pending.retain(|r| !is_stale(r.placed));
-        self.remove_matching(|running| is_stale(running.placed));
+        self.remove_matching(|running| running.has_expired(now));
+        self.pending.retain(|r| self.requests.contains_key(&r.request));
     }
 
     /// Whether any request runs, waits or is being prefilled.
@@ -359,7 +380,7 @@
             .filter(|(_, running)| matches(running))
             .map(|(id, _)| *id)
             .collect();
-        ended.into_iter().for_each(|id| self.remove_request(id));
+        ended.into_iter().for_each(|id| _ = self.remove_request(id));
     }
 }
 
--- a/src/placement/plain.rs
+++ b/src/placement/plain.rs
@@ -10,6 +10,9 @@
 
 use rustc_hash::FxHashMap;
 
+use crate::fleet::in_progress::LEASE;
+use crate::fleet::in_progress::OWN_LEASE;
+use crate::fleet::in_progress::RequestRecord;
 use crate::fleet::rollout::VersionFilter;
 use crate::names::UpstreamName;
 use crate::names::WorkspaceName;
@@ -18,7 +21,9 @@
 use crate::placement::admit::Denial;
 use crate::placement::choice::Choice;
 use crate::placement::choice::ChoiceError;
+use crate::placement::cold::Role;
 use crate::placement::registry::UpstreamRegistry;
+use crate::placement::registry::in_progress::ReportedState;
 use crate::placement::share::Shares;
 
 /// Processing time assumed until the first responses are measured, in seconds.
@@ -33,11 +38,6 @@
 /// that come too late; a smaller one refuses requests that could be served.
 const TARGET_LATENCY_SHARE: f64 = 0.5;
 
-/// Requests whose end is not reported are dropped at this age, many times a usual response time.
-/// Ends are reported to the box that the sender believes to count them, so some get lost; without
-/// expiry, enough lost ends would block all admission.
-const STALE_REQUEST_AGE: Duration = Duration::from_secs(2);
-
 /// Most requests at an upstream per slot, whatever the target latency. More would fill its queue
 /// and wait behind slow requests.
 pub const PLACED_PER_SLOT_MAX: u32 = 3;
@@ -48,6 +48,8 @@
 #[derive(Clone, Copy, Debug)]
 struct QueuedRequest {
     placed: Duration,
+    /// When its sender last confirmed it.
+    renewed: Duration,
     /// The sending box; `None` for this one.
     sender: Option<IpAddr>,
     /// Whether it could start at once.
@@ -89,7 +91,56 @@
     /// Records a request that is sent to the upstream.
     pub fn add_request(&mut self, request: u64, sender: Option<IpAddr>, slots: u32, now: Duration) {
         let had_slot = self.requests.len() < slots as usize;
-        self.requests.insert(request, QueuedRequest { placed: now, sender, had_slot });
+        let queued = QueuedRequest { placed: now, renewed: now, sender, had_slot };
+        self.requests.insert(request, queued);
+    }
+
+    /// Takes in the record of a request that was placed earlier, unless there is one.
+    pub fn adopt(&mut self, request: u64, placed: Duration, sender: Option<IpAddr>, now: Duration) {
+        let queued = QueuedRequest { placed, renewed: now, sender, had_slot: false };
+        self.requests.entry(request).or_insert(queued);
+    }
+
+    /// Updates the records of a sender by what it reports. Returns the number of dropped ones.
+    pub fn reconcile(
+        &mut self,
+        sender: Option<IpAddr>,
+        state: &mut impl FnMut(u64, Duration) -> ReportedState,
+        now: Duration,
+    ) -> usize {
+        let before = self.requests.len();
+        self.requests.retain(|id, queued| {
+            if queued.sender != sender {
+                return true;
+            }
+            let state = state(*id, queued.placed);
+            if matches!(state, ReportedState::Renewed { .. }) {
+                queued.renewed = now;
+            }
+            state != ReportedState::Ended
+        });
+        before - self.requests.len()
+    }
+
+    /// All records.
+    pub fn records(
+        &self,
+        upstream: &UpstreamName,
+        age_ms: impl Fn(Duration) -> u32,
+    ) -> Vec<(Option<IpAddr>, RequestRecord)> {
+        let record = |(request, queued): (&u64, &QueuedRequest)| {
+            let record = RequestRecord {
+                request: *request,
+                upstream: upstream.clone(),
+                age_ms: age_ms(queued.placed),
+                tokens: 0,
+                cached_tokens: 0,
+                prefill_tokens: 0,
+                has_first_token: false,
+            };
+            (queued.sender, record)
+        };
+        self.requests.iter().map(record).collect()
     }
 
     /// Records a response, `took` after the request was sent. Requests that had to wait are
@@ -101,9 +152,9 @@
         }
     }
 
-    /// Records the end of a request, whatever the reason.
-    pub fn remove_request(&mut self, request: u64) {
-        self.requests.remove(&request);
+    /// Records the end of a request, whatever the reason. Returns whether it was known.
+    pub fn remove_request(&mut self, request: u64) -> bool {
+        self.requests.remove(&request).is_some()
     }
 
     /// Removes the requests of a dead box.
@@ -111,9 +162,12 @@
         self.requests.retain(|_, queued| queued.sender != Some(sender));
     }
 
-    /// Drops requests whose ends were never reported.
+    /// Drops requests that their senders no longer confirm.
     pub fn expire(&mut self, now: Duration) {
-        self.requests.retain(|_, queued| now <= queued.placed + STALE_REQUEST_AGE);
+        self.requests.retain(|_, queued| {
+            let lease = if queued.sender.is_some() { LEASE } else { OWN_LEASE };
+            now <= queued.renewed + lease
+        });
     }
 }
 
@@ -137,6 +191,10 @@
     pub zone: &'a ZoneName,
     /// The sending box; `None` for this one.
     pub sender: Option<IpAddr>,
+    /// Whether it may be sent again if it fails.
+    pub is_repeatable: bool,
+    /// The role in which this box decides.
+    pub role: Role,
 }
 
 /// Places a request and charges the workspace's share, or counts the request as refused. A request
@@ -161,13 +219,10 @@
             let wait_max = wait_max_by_share.min(remaining);
             let has_capacity = choice.running < registry.admission_limit(&choice.upstream) as usize;
             if has_capacity && choice.wait <= wait_max {
-                let choice = Choice { is_counted: true, ..choice };
-                registry.begin_plain(&choice.upstream, query.request, query.sender, now);
-                if let Some(workspace) = query.workspace {
-                    let counted = shares.begin(workspace, REQUEST_CHARGE, now);
-                    shares.remember(query.request, counted);
-                }
-                return Ok(choice);
+                return Ok(begin(registry, shares, query, choice, now));
+            }
+            if let Some(choice) = registry.plain_probe(query, now) {
+                return Ok(begin(registry, shares, query, choice, now));
             }
             (ChoiceError::Busy { wait: choice.wait }, wait_max)
         }
@@ -186,3 +241,19 @@
         alternative: None,
     })
 }
+
+/// Records a request at the chosen upstream, and charges its workspace.
+fn begin(
+    registry: &mut UpstreamRegistry,
+    shares: &mut Shares,
+    query: PlainQuery<'_>,
+    choice: Choice,
+    now: Duration,
+) -> Choice {
+    registry.begin_plain(&choice.upstream, query.request, query.sender, now);
+    if let Some(workspace) = query.workspace {
+        let counted = shares.begin(workspace, REQUEST_CHARGE, now);
+        shares.remember(query.request, counted);
+    }
+    Choice { is_counted: true, ..choice }
+}
--- a/src/placement/registry.rs
+++ b/src/placement/registry.rs
@@ -2,9 +2,11 @@
 
 mod backoff;
 mod cold;
+pub mod in_progress;
 mod index;
 pub mod learned;
 mod plain;
+mod probe;
 mod reachability;
 mod selection;
 
@@ -15,6 +17,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rustc_hash::FxHashMap;
+
 use crate::fleet::owners::EngineGroup;
 use crate::fleet::rollout::VersionFilter;
 use crate::names::ServiceName;
@@ -25,6 +29,7 @@
 use crate::placement::choice::SelectionCriteria;
 use crate::placement::engine::Engine;
 use crate::placement::engine::Placement;
+use crate::placement::registry::in_progress::EarlyEvent;
 use crate::placement::registry::index::Index;
 use crate::placement::speed::Speed;
 use crate::placement::tuning::Tuning;
@@ -47,6 +52,8 @@
     index: Index,
     /// Upstreams that may have unfinished requests placed on them.
     busy: BTreeSet<UpstreamName>,
+    /// What is known of requests before their records arrive.
+    early: FxHashMap<u64, (Duration, EarlyEvent)>,
     /// Upstreams that may be unreachable.
     unverified: BTreeSet<UpstreamName>,
     /// Upstreams that have requested a backoff from this box, whether listed or not.
@@ -69,6 +76,7 @@
             upstreams: BTreeMap::new(),
             index: Index::default(),
             busy: BTreeSet::new(),
+            early: FxHashMap::default(),
             unverified: BTreeSet::new(),
             backoffs: BTreeMap::new(),
             examined: Cell::new(0),
@@ -200,15 +208,23 @@
 
     /// Records a request sent to an upstream by another box, or by this one if `sender` is `None`.
     pub fn place(&mut self, name: &UpstreamName, placement: Placement<'_>, now: Duration) {
+        let Placement { request, sender, .. } = placement;
+        let early = self.early_event(request);
         let Some(upstream) = self.upstreams.get_mut(name) else { return };
+        upstream.record_activity(now);
+        if early == Some(EarlyEvent::Ended) {
+            return;
+        }
         self.busy.insert(name.clone());
         let Some(engine) = &mut upstream.engine else {
-            let Placement { request, sender, .. } = placement;
             upstream.plain.add_request(request, sender, upstream.listed.slots, now);
             return;
         };
         let speed = self.speeds.get(&upstream.listed.service).unwrap_or(&self.default_speed);
         engine.place(placement, speed, self.tuning, now);
+        if early == Some(EarlyEvent::FirstToken) {
+            engine.skip_prefill(request);
+        }
     }
 
     /// Records the first token of a request. `took` is the time since the request was sent; if it
@@ -223,13 +239,19 @@
         let Some(upstream) = self.upstreams.get_mut(name) else { return };
         let Some(engine) = &mut upstream.engine else {
             took.into_iter().for_each(|took| upstream.plain.record_response(request, took));
+            upstream.record_activity(now);
             return;
         };
         if !self.speeds.contains_key(&upstream.listed.service) {
             self.speeds.insert(upstream.listed.service.clone(), self.default_speed.clone());
         }
         let Some(speed) = self.speeds.get_mut(&upstream.listed.service) else { return };
+        if !engine.has_request(request) {
+            self.remember_early(request, EarlyEvent::FirstToken, now);
+            return;
+        }
         engine.record_first_token(request, took, speed, now);
+        upstream.record_activity(now);
     }
 
     pub fn tuning(&self) -> Tuning {
@@ -241,28 +263,39 @@
         self.speeds.get(service).unwrap_or(&self.default_speed)
     }
 
-    /// Removes a request that has ended.
-    pub fn remove_request(&mut self, name: &UpstreamName, request: u64) {
-        let Some(upstream) = self.upstreams.get_mut(name) else { return };
-        match &mut upstream.engine {
+    /// Removes a request that has ended. Returns whether there was a record of it.
+    pub fn remove_request(&mut self, name: &UpstreamName, request: u64) -> bool {
+        self.upstreams.get_mut(name).is_some_and(|upstream| match &mut upstream.engine {
             Some(engine) => engine.remove_request(request),
             None => upstream.plain.remove_request(request),
+        })
+    }
+
+    /// Removes a request that has ended. If there is no record of it, one that arrives soon is
+    /// ignored.
+    pub fn end_request(&mut self, name: &UpstreamName, request: u64, now: Duration) {
+        if !self.remove_request(name, request) {
+            self.remember_early(request, EarlyEvent::Ended, now);
         }
     }
 
     /// Removes a request that is not sent, wherever it was placed.
     pub fn withdraw(&mut self, request: u64, now: Duration) {
+        let mut is_known = false;
         for name in &self.busy {
             let Some(upstream) = self.upstreams.get_mut(name) else { continue };
-            match &mut upstream.engine {
+            is_known |= match &mut upstream.engine {
                 Some(engine) => {
                     let speed = self.speeds.get(&upstream.listed.service);
                     let speed = speed.unwrap_or(&self.default_speed);
-                    engine.withdraw(request, speed, self.tuning, now);
+                    engine.withdraw(request, speed, self.tuning, now)
                 }
                 None => upstream.plain.remove_request(request),
             }
         }
+        if !is_known {
+            self.remember_early(request, EarlyEvent::Ended, now);
+        }
     }
 
     /// Removes the requests of a dead box.
@@ -309,6 +342,7 @@
     /// Drops expired state.
     pub fn expire(&mut self, now: Duration) {
         self.expire_backoffs(now);
+        self.expire_early(now);
         let upstreams = &mut self.upstreams;
         self.busy.retain(|name| {
             let Some(upstream) = upstreams.get_mut(name) else { return false };
--- a/src/placement/registry/plain.rs
+++ b/src/placement/registry/plain.rs
@@ -45,6 +45,7 @@
         now: Duration,
     ) {
         if let Some(upstream) = self.upstreams.get_mut(name) {
+            upstream.record_activity(now);
             upstream.plain.add_request(request, sender, upstream.listed.slots, now);
             self.busy.insert(name.clone());
         }
--- a/src/placement/upstream.rs
+++ b/src/placement/upstream.rs
@@ -13,6 +13,7 @@
 use crate::placement::cold::Role;
 use crate::placement::engine::Engine;
 use crate::placement::plain::PlainQueue;
+use crate::placement::probe::Obstacle;
 use crate::placement::speed::Speed;
 use crate::placement::speed::Work;
 use crate::placement::tuning::Tuning;
@@ -87,6 +88,9 @@
     pub(super) plain: PlainQueue,
     /// Requests of this box at the upstream.
     outstanding: u32,
+    /// When any box last placed a request there or got a first token from it, as far as this one
+    /// knows.
+    last_active: Duration,
     response_time: f64,
     failures: u32,
     cooldown_until: Duration,
@@ -119,6 +123,7 @@
             engine,
             plain: PlainQueue::default(),
             outstanding: 0,
+            last_active: Duration::ZERO,
             response_time: 0.0,
             failures: 0,
             cooldown_until: Duration::ZERO,
@@ -133,6 +138,25 @@
         self.cooldown_until <= now && self.unverified.is_none()
     }
 
+    /// Records that a box has placed a request there or got a first token from it.
+    pub(super) fn record_activity(&mut self, now: Duration) {
+        self.last_active = now;
+    }
+
+    /// When any box last placed a request there or got a first token from it.
+    pub(super) fn last_active(&self) -> Duration {
+        self.last_active
+    }
+
+    /// What keeps requests away, apart from its listing, for a request that has been refused.
+    pub(super) fn obstacle(&self, speed: &Speed, now: Duration) -> Obstacle {
+        if now < self.cooldown_until {
+            return Obstacle::Cooldown;
+        }
+        let is_overdue = self.engine.as_ref().is_some_and(|e| e.is_overdue(speed, now));
+        if is_overdue { Obstacle::Overdue } else { Obstacle::Wait }
+    }
+
     /// Whether it may be unreachable.
     pub(super) fn is_unverified(&self) -> bool {
         self.unverified.is_some()
@@ -282,6 +306,7 @@
             prefill_tokens: plan.as_ref().map_or(0, |p| p.prefill_tokens),
             copied_tokens: plan.as_ref().map_or(0, |p| p.copied_tokens),
             is_counted: false,
+            is_probe: false,
             copy_from: plan.and_then(|p| p.copy_from),
             running: self.engine.as_ref().map_or(0, Engine::running),
             running_tokens: self.engine.as_ref().map_or(0, Engine::running_tokens),
--- a/src/proxy/engine_placement.rs
+++ b/src/proxy/engine_placement.rs
@@ -74,6 +74,9 @@
     pub role: Role,
     /// Identifies the attempt at the boxes that have recorded it.
     pub request: u64,
+    /// The boxes that have recorded it, if it is placed. In a small fleet all have, and this is
+    /// empty.
+    pub recorded_by: Vec<IpAddr>,
 }
 
 impl PlacementDecision {
@@ -87,22 +90,25 @@
     }
 }
 
+/// An owner's decision, and the other box that has recorded the placement.
+pub type OwnerDecision = (PlacementResult, Option<IpAddr>);
+
 /// Placement requests of this box that await the response of an owner.
 #[derive(Debug, Default)]
 pub struct OwnerRequests {
-    pending: Mutex<FxHashMap<u64, oneshot::Sender<PlacementResult>>>,
+    pending: Mutex<FxHashMap<u64, oneshot::Sender<OwnerDecision>>>,
     /// Boxes that did not respond, and until when they aren't asked.
     unresponsive: Mutex<FxHashMap<IpAddr, Duration>>,
 }
 
 impl OwnerRequests {
-    fn register(&self, request: u64) -> oneshot::Receiver<PlacementResult> {
+    fn register(&self, request: u64) -> oneshot::Receiver<OwnerDecision> {
         let (tx, rx) = oneshot::channel();
         self.pending.lock().expect("no panic under lock").insert(request, tx);
         rx
     }
 
-    fn take(&self, request: u64) -> Option<oneshot::Sender<PlacementResult>> {
+    fn take(&self, request: u64) -> Option<oneshot::Sender<OwnerDecision>> {
         self.pending.lock().expect("no panic under lock").remove(&request)
     }
 
@@ -201,7 +207,8 @@
             }
         }
     }
-    PlacementDecision { result, decided_by: hub.peers().own_ip(), role, request: query.request }
+    let (decided_by, request) = (hub.peers().own_ip(), query.request);
+    PlacementDecision { result, decided_by, role, request, recorded_by: Vec::new() }
 }
 
 /// Places a request by the incomplete state of this box, when neither owner nor standby responds.
@@ -209,7 +216,10 @@
     let role = Role::Unassigned;
     let result =
         hub.admit(PlacementQuery { is_last_group: true, purpose: Purpose::Place, role, ..query });
+    let mut recorded_by = Vec::new();
     if let Ok(choice) = &result {
+        let owners = hub.peers().owners().owners_of_hash(upstream::name_hash(&choice.upstream));
+        recorded_by.extend(owners.into_iter().flat_map(GroupOwners::boxes));
         // Without the workspace: its usage is sent by `report_share_usage`.
         notify_owners(
             hub,
@@ -217,7 +227,8 @@
             &placed_message(&PlacementQuery { workspace: None, ..query }, choice),
         );
     }
-    PlacementDecision { result, decided_by: hub.peers().own_ip(), role, request: query.request }
+    let (decided_by, request) = (hub.peers().own_ip(), query.request);
+    PlacementDecision { result, decided_by, role, request, recorded_by }
 }
 
 /// Has a request placed by the owner of a group of engines or its standby; `None` if neither
@@ -240,6 +251,7 @@
                 decided_by: ip,
                 role,
                 request: query.request,
+                recorded_by: group_owners.boxes().collect(),
             });
         }
         if hub.owner_requests().is_unresponsive(ip, hub.now()) {
@@ -252,16 +264,26 @@
             group,
         ));
         match request_decision(hub, ip, request, &message).await {
-            Some(Ok(choice)) if is_stale_choice(hub, ip, &choice, query.version_filter) => {
+            Some((Ok(choice), other))
+                if is_stale_choice(hub, ip, &choice, query.version_filter) =>
+            {
                 notices::resend(hub, &choice.upstream, ip);
+                withdraw(hub, request, other.into_iter());
             }
             // The backoff began while this box waited for the owner.
-            Some(Ok(choice)) if hub.is_backing_off(&choice.upstream) => {
-                withdraw(hub, request, group_owners.boxes());
+            Some((Ok(choice), other)) if hub.is_backing_off(&choice.upstream) => {
+                withdraw(hub, request, group_owners.boxes().chain(other));
                 continue;
             }
-            Some(result) => {
-                return Some(PlacementDecision { result, decided_by: ip, role, request });
+            Some((result, other)) => {
+                let recorded_by = [ip].into_iter().chain(other).collect();
+                return Some(PlacementDecision {
+                    result,
+                    decided_by: ip,
+                    role,
+                    request,
+                    recorded_by,
+                });
             }
             None => info!(hub.log(), "owner did not respond"; "ip" => %ip, "group" => %group),
         }
@@ -280,7 +302,9 @@
 /// Cancels a placement here and at the boxes that may have recorded it.
 pub fn withdraw(hub: &Hub, request: u64, from: impl Iterator<Item = IpAddr>) {
     hub.withdraw(request);
-    hub.peers().send_batched(from, &Message::Withdrawn { request });
+    let (from, now): (Vec<IpAddr>, _) = (from.collect(), hub.now());
+    hub.own_requests(|own| own.touch(from.iter().copied(), now));
+    hub.peers().send_batched(from.into_iter(), &Message::Withdrawn { request });
 }
 
 /// Finds an engine outside of a group that has cached some of a prompt: the prompt's home engine
@@ -324,6 +348,7 @@
         source: query.source,
         purpose: query.purpose,
         is_last_group: query.is_last_group,
+        is_repeatable: query.is_repeatable,
     }
 }
 
@@ -364,7 +389,7 @@
     ip: IpAddr,
     request: u64,
     message: &Message,
-) -> Option<PlacementResult> {
+) -> Option<OwnerDecision> {
     let requests = hub.owner_requests();
     let mut response = requests.register(request);
     let _pending = PendingGuard { requests, request };
@@ -400,30 +425,34 @@
         is_last_group: message.is_last_group,
         role: group_owners
             .map_or(Role::Unassigned, |group_owners| group_owners.role(hub.peers().own_ip())),
+        is_repeatable: message.is_repeatable,
     };
     let result = hub.admit(query);
     let request = message.request;
+    let mut recorded_by = None;
     if let Ok(choice) = &result
         && let Some(group_owners) = group_owners
     {
         notify_other_owner(hub, &query, choice, group_owners);
+        recorded_by = group_owners.other(hub.peers().own_ip());
     }
-    hub.peers().send_now(from, &Message::PlacementResponse(PlacementResponse { request, result }));
+    let response = PlacementResponse { request, result, recorded_by };
+    hub.peers().send_now(from, &Message::PlacementResponse(response));
 }
 
 /// Delivers an owner's response to the task that awaits it. If no task does any longer, the request
 /// isn't sent, so its placement is cancelled.
 pub fn handle_response(hub: &Hub, response: PlacementResponse, from: IpAddr) {
-    let PlacementResponse { request, result } = response;
+    let PlacementResponse { request, result, recorded_by } = response;
     let upstream = result.as_ref().ok().map(|choice| choice.upstream.clone());
     let pending = hub.owner_requests().take(request);
-    if pending.is_some_and(|tx| tx.send(result).is_ok()) {
+    if pending.is_some_and(|tx| tx.send((result, recorded_by)).is_ok()) {
         return;
     }
     let group_owners =
         upstream.and_then(|u| hub.peers().owners().owners_of_hash(upstream::name_hash(&u)));
     let standby = group_owners.into_iter().flat_map(GroupOwners::boxes).filter(|ip| *ip != from);
-    withdraw(hub, request, standby.chain([from]));
+    withdraw(hub, request, standby.chain([from]).chain(recorded_by));
 }
 
 /// Sends a placement to the other one of a group's owner and standby. The workspace is left out:
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -15,6 +15,8 @@
 use tokio::time::Instant;
 
 use crate::clock::Clock;
+use crate::fleet::in_progress::received::ReceivedReports;
+use crate::fleet::in_progress::table::RequestTable;
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
 use crate::placement::admit;
@@ -60,6 +62,8 @@
     log: Logger,
     in_flight: Arc<AtomicUsize>,
     owner_requests: OwnerRequests,
+    own_requests: Mutex<RequestTable>,
+    received_reports: Mutex<ReceivedReports>,
     suspects: Suspects,
     rollouts: RolloutState,
     probe_requested: Notify,
@@ -100,6 +104,7 @@
             shares: Shares::new(cfg.share_window),
             plain_shares: Shares::new(cfg.share_window),
         };
+        let own_requests = RequestTable::new(peers.own_ip(), peers.incarnation());
         let hub = Arc::new(Hub {
             inner: Mutex::new(inner),
             header_adapter,
@@ -111,6 +116,8 @@
             log,
             in_flight: Arc::default(),
             owner_requests: OwnerRequests::default(),
+            own_requests: Mutex::new(own_requests),
+            received_reports: Mutex::default(),
             suspects: Suspects::default(),
             rollouts: RolloutState::new(cfg.exposure),
             probe_requested: Notify::new(),
@@ -350,6 +357,16 @@
         &self.owner_requests
     }
 
+    /// Accesses this box's requests in progress.
+    pub fn own_requests<T>(&self, f: impl FnOnce(&mut RequestTable) -> T) -> T {
+        f(&mut self.own_requests.lock().expect("no panic under lock"))
+    }
+
+    /// Accesses the reports of other boxes on their requests in progress.
+    pub fn received_reports<T>(&self, f: impl FnOnce(&mut ReceivedReports) -> T) -> T {
+        f(&mut self.received_reports.lock().expect("no panic under lock"))
+    }
+
     /// Requests suspected of crashing upstreams.
     pub fn suspects(&self) -> &Suspects {
         &self.suspects
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -190,6 +190,8 @@
     pub purpose: Purpose,
     /// Whether this is the last group that is asked.
     pub is_last_group: bool,
+    /// Whether the request may be sent again if it fails.
+    pub is_repeatable: bool,
 }
 
 /// An owner's decision on a [`PlacementRequest`] or a [`PlainPlacementRequest`].
@@ -199,6 +201,8 @@
     pub request: u64,
     /// The chosen upstream, or why none is chosen.
     pub result: Result<Choice, Denial>,
+    /// The other box that records the placement, if there is one.
+    pub recorded_by: Option<IpAddr>,
 }
 
 /// Tokens that a workspace requested and was granted at one box since the box's last report.
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -17,6 +17,7 @@
 pub mod history;
 pub mod http_client;
 pub mod hub;
+pub mod in_progress;
 pub mod listener;
 pub mod message;
 pub mod notices;
@@ -173,6 +174,7 @@
     tokio::spawn(warm_up::run_at_start(hub.clone(), deps.engine_client.clone()));
     tokio::spawn(warm_up::run_for_own_groups(hub.clone(), deps.engine_client));
     tokio::spawn(engine_placement::report_share_usage(hub.clone()));
+    tokio::spawn(in_progress::run(hub.clone()));
     tokio::spawn(rollouts::run(hub.clone(), deps.rollout_reporter));
     tokio::spawn(suspects::catch_up(hub.clone()));
     tokio::spawn(suspects::save(hub.clone(), deps.suspect_store.clone()));
@@ -250,6 +252,7 @@
                 owners.groups_of(hub.peers().own_ip()).map(|(group, _)| group).collect();
             hold_cold_engines(&hub, &new_groups, &groups);
             groups = new_groups;
+            in_progress::owners_changed(&hub);
             info!(hub.log(), "engine owners changed"; "boxes" => hub.peers().live_count() + 1,
                 "engines" => engines, "kept" => owners.groups_of(hub.peers().own_ip()).count());
         }
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -153,6 +153,11 @@
         self.me.ip()
     }
 
+    /// Distinguishes the starts of this process.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     pub fn zone(&self) -> &ZoneName {
         &self.zone
     }
--- a/src/proxy/placed_request.rs
+++ b/src/proxy/placed_request.rs
@@ -1,5 +1,6 @@
 //! Requests in progress, as this box's trackers of upstreams and its counters record them.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -9,17 +10,18 @@
 
 use slog::info;
 
+use crate::fleet::in_progress::table::OwnRequest;
 use crate::fleet::rollout::regression::ResponseOutcome;
-use crate::names::ServiceName;
 use crate::names::UpstreamName;
 use crate::names::VersionName;
 use crate::names::WorkspaceName;
 use crate::placement::backoff::SlowStartSlot;
 use crate::placement::choice::Choice;
+use crate::placement::upstream;
 use crate::placement::upstream::Health;
 use crate::proxy::adapter::Prompt;
-use crate::proxy::engine_placement;
 use crate::proxy::hub::Hub;
+use crate::proxy::in_progress;
 use crate::proxy::message::Message;
 use crate::proxy::plain_placement;
 use crate::proxy::request::RequestContext;
@@ -59,7 +61,6 @@
     request: u64,
     sent_at: Duration,
     expected_first_token: Duration,
-    service: ServiceName,
     is_engine: bool,
     /// When the upstream was started, if that was known when the request was placed.
     started_at_ms: Option<u64>,
@@ -79,8 +80,13 @@
 }
 
 impl PlacedRequest {
-    /// Records the attempt with id `request` at the upstream of `choice`.
-    pub fn new(ctx: &RequestContext, choice: &Choice, request: u64) -> PlacedRequest {
+    /// Records the attempt at the upstream of `choice`, which the boxes `recorded_by` have recorded.
+    pub fn new(
+        ctx: &RequestContext,
+        choice: &Choice,
+        request: u64,
+        recorded_by: &[IpAddr],
+    ) -> PlacedRequest {
         let RequestContext { hub, service, workspace, .. } = ctx;
         let now = hub.now();
         let (slow_start_slot, started_at_ms, version) = hub.with_registry(|registry| {
@@ -93,6 +99,7 @@
         let judged_response = version
             .as_ref()
             .and_then(|version| hub.rollouts().judged_response(service, version, &ctx.route.name));
+        in_progress::begin(hub, request, own_request(ctx, choice), recorded_by);
         let charge = ctx.head.prompt.as_ref().map(Prompt::charge);
         PlacedRequest {
             hub: hub.clone(),
@@ -100,7 +107,6 @@
             request,
             sent_at: now,
             expected_first_token: choice.first_token,
-            service: service.clone(),
             is_engine: ctx.head.prompt.is_some(),
             started_at_ms: started_at_ms.flatten(),
             version,
@@ -173,7 +179,7 @@
         let (upstream, request) = (self.upstream.clone(), self.request);
         let took_ms = u32::try_from(took.as_millis()).unwrap_or(u32::MAX);
         let message = Message::FirstToken { upstream, request, took_ms };
-        self.notify_owners(&message);
+        in_progress::record_first_token(&self.hub, self.request, &message);
         if !self.is_engine {
             return None;
         }
@@ -185,14 +191,6 @@
         Some(timing)
     }
 
-    /// Sends a message to the boxes that track the upstream.
-    fn notify_owners(&self, message: &Message) {
-        match self.is_engine {
-            true => engine_placement::notify_owners(&self.hub, &self.upstream, message),
-            false => plain_placement::notify_owners(&self.hub, &self.service, message),
-        }
-    }
-
     /// Records how the upstream handles the request, before the request has ended.
     pub fn record_health(&self, health: Health) {
         let now = self.hub.now();
@@ -227,14 +225,31 @@
         });
         if !self.may_run {
             self.hub.withdraw(self.request);
-            self.notify_owners(&Message::Withdrawn { request: self.request });
+            let message = Message::Withdrawn { request: self.request };
+            in_progress::end(&self.hub, self.request, &message);
             return;
         }
         if self.health.is_none() && !self.has_first_token.load(Ordering::Relaxed) {
             self.record_outcome(JudgedResponse::awaited(now.saturating_sub(self.sent_at)));
         }
-        self.hub.with_registry(|registry| registry.remove_request(&self.upstream, self.request));
+        self.hub.with_registry(|registry| registry.end_request(&self.upstream, self.request, now));
         let (upstream, request) = (self.upstream.clone(), self.request);
-        self.notify_owners(&Message::Ended { upstream, request });
+        in_progress::end(&self.hub, request, &Message::Ended { upstream, request });
+    }
+}
+
+/// The request as other boxes record it.
+fn own_request(ctx: &RequestContext, choice: &Choice) -> OwnRequest {
+    let upstream = choice.upstream.clone();
+    let Some(prompt) = &ctx.head.prompt else {
+        let owner_hash = plain_placement::owner_hash(&ctx.service);
+        return OwnRequest { upstream, owner_hash, tokens: 0, cached_tokens: 0, prefill_tokens: 0 };
+    };
+    OwnRequest {
+        owner_hash: upstream::name_hash(&upstream),
+        upstream,
+        tokens: prompt.tokens.saturating_add(prompt.output_tokens_max),
+        cached_tokens: prompt.tokens.saturating_sub(choice.prefill_tokens),
+        prefill_tokens: choice.prefill_tokens,
     }
 }
--- a/src/proxy/plain_placement.rs
+++ b/src/proxy/plain_placement.rs
@@ -48,11 +48,18 @@
     pub latency_target_ms: u32,
     /// How long the request has already waited, in milliseconds.
     pub waited_ms: u32,
+    /// Whether the request may be sent again if it fails.
+    pub is_repeatable: bool,
+}
+
+/// The hash by which the owners of a plain service are found.
+pub fn owner_hash(service: &str) -> u64 {
+    xxh3_64(service.as_bytes())
 }
 
 /// The boxes that count the requests of a plain service; `None` if each box does.
 pub fn owners(hub: &Hub, service: &str) -> Option<GroupOwners> {
-    hub.peers().owners().owners_of_hash(xxh3_64(service.as_bytes()))
+    hub.peers().owners().owners_of_hash(owner_hash(service))
 }
 
 /// Places a request, or says why it isn't placed; `None` if neither owner nor standby responds.
@@ -61,10 +68,11 @@
     if hub.peers().owners().is_empty() {
         let role = Role::Peer { boxes: hub.peers().known_count(), draw: hub.peers().own_draw("") };
         return Some(PlacementDecision {
-            result: place_and_broadcast(hub, query),
+            result: place_and_broadcast(hub, PlainQuery { role, ..query }),
             decided_by: me,
             role,
             request,
+            recorded_by: Vec::new(),
         });
     }
     let owners = owners(hub, query.service)?;
@@ -72,10 +80,11 @@
         let role = owners.role(ip);
         if ip == me {
             return Some(PlacementDecision {
-                result: place_here(hub, query, owners),
+                result: place_here(hub, PlainQuery { role, ..query }, owners),
                 decided_by: me,
                 role,
                 request,
+                recorded_by: owners.boxes().collect(),
             });
         }
         if hub.owner_requests().is_unresponsive(ip, hub.now()) {
@@ -85,18 +94,26 @@
         let message =
             Message::PlainPlacementRequest(placement_request(&PlainQuery { request, ..query }));
         match engine_placement::request_decision(hub, ip, request, &message).await {
-            Some(Ok(choice))
+            Some((Ok(choice), other))
                 if engine_placement::is_stale_choice(hub, ip, &choice, query.version_filter) =>
             {
                 notices::resend(hub, &choice.upstream, ip);
+                engine_placement::withdraw(hub, request, other.into_iter());
             }
             // The backoff began while this box waited for the owner.
-            Some(Ok(choice)) if hub.is_backing_off(&choice.upstream) => {
-                engine_placement::withdraw(hub, request, owners.boxes());
+            Some((Ok(choice), other)) if hub.is_backing_off(&choice.upstream) => {
+                engine_placement::withdraw(hub, request, owners.boxes().chain(other));
                 continue;
             }
-            Some(result) => {
-                return Some(PlacementDecision { result, decided_by: ip, role, request });
+            Some((result, other)) => {
+                let recorded_by = [ip].into_iter().chain(other).collect();
+                return Some(PlacementDecision {
+                    result,
+                    decided_by: ip,
+                    role,
+                    request,
+                    recorded_by,
+                });
             }
             None => {
                 info!(hub.log(), "owner did not respond"; "ip" => %ip, "service" => query.service)
@@ -110,6 +127,8 @@
 
 /// Places a request on behalf of another box, and responds to it.
 pub fn handle_request(hub: &Hub, message: &PlainPlacementRequest, from: IpAddr) {
+    let group_owners = owners(hub, &message.service);
+    let own_ip = hub.peers().own_ip();
     let query = PlainQuery {
         request: message.request,
         service: &message.service,
@@ -120,15 +139,16 @@
         waited: Duration::from_millis(message.waited_ms.into()),
         zone: &message.zone,
         sender: Some(from),
+        is_repeatable: message.is_repeatable,
+        role: group_owners.map_or(Role::Unassigned, |owners| owners.role(own_ip)),
     };
-    let result = match owners(hub, &message.service) {
-        Some(owners) => place_here(hub, query, owners),
-        None => hub.admit_plain(query),
+    let (result, recorded_by) = match group_owners {
+        Some(owners) => (place_here(hub, query, owners), owners.other(own_ip)),
+        None => (hub.admit_plain(query), None),
     };
-    hub.peers().send_now(
-        from,
-        &Message::PlacementResponse(PlacementResponse { request: message.request, result }),
-    );
+    let recorded_by = recorded_by.filter(|_| result.is_ok());
+    let response = PlacementResponse { request: message.request, result, recorded_by };
+    hub.peers().send_now(from, &Message::PlacementResponse(response));
 }
 
 /// Sends a message to the boxes that count the requests of a plain service. In a small fleet, all
@@ -169,6 +189,7 @@
         version_filter: query.version_filter,
         latency_target_ms: engine_placement::duration_ms(query.target_latency),
         waited_ms: engine_placement::duration_ms(query.waited),
+        is_repeatable: query.is_repeatable,
     }
 }
 
--- a/src/proxy/proxy_metrics.rs
+++ b/src/proxy/proxy_metrics.rs
@@ -45,6 +45,9 @@
     reached_anyway: Counter<u64>,
     held_back: Counter<u64>,
     suspended: Counter<u64>,
+    half_open_probes: Counter<u64>,
+    requests_corrected: Counter<u64>,
+    in_progress_faults: Counter<u64>,
 }
 
 impl ProxyMetrics {
@@ -77,6 +80,9 @@
             withheld: meter.u64_counter("frostdyke_requests_withheld").build(),
             reached_anyway: meter.u64_counter("frostdyke_requests_reached_anyway").build(),
             upstreams_restarted: meter.u64_counter("frostdyke_upstreams_restarted").build(),
+            half_open_probes: meter.u64_counter("frostdyke_half_open_probes").build(),
+            requests_corrected: meter.u64_counter("frostdyke_requests_corrected").build(),
+            in_progress_faults: meter.u64_counter("frostdyke_in_progress_faults").build(),
             metrics,
         }
     }
@@ -212,6 +218,23 @@
         self.reached_anyway.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a request that is sent to an upstream although its believed wait is too long.
+    pub fn half_open_probe(&self) {
+        self.half_open_probes.add(1, &[]);
+    }
+
+    /// Counts records of requests in progress that a report of their sender has corrected.
+    pub fn requests_corrected(&self, how: &'static str, count: usize) {
+        if count != 0 {
+            self.requests_corrected.add(count as u64, &[KeyValue::new("how", how)]);
+        }
+    }
+
+    /// Counts a report or record of requests in progress that is ignored.
+    pub fn in_progress_fault(&self, fault: &'static str) {
+        self.in_progress_faults.add(1, &[KeyValue::new("fault", fault)]);
+    }
+
     /// Counts a suspension of the machine.
     pub fn suspended(&self) {
         self.suspended.add(1, &[]);
--- a/src/proxy/state_updates.rs
+++ b/src/proxy/state_updates.rs
@@ -17,6 +17,7 @@
 use crate::proxy::adapter::StoreUpdate;
 use crate::proxy::engine_placement;
 use crate::proxy::hub::Hub;
+use crate::proxy::in_progress;
 use crate::proxy::message::Message;
 use crate::proxy::notices;
 use crate::proxy::rollouts;
@@ -96,7 +97,8 @@
             sender: by,
         } => {
             let prompt = Prompt::from(&prompt);
-            let sender = Some(by.unwrap_or(sender));
+            // A request of this box may have been placed by another one.
+            let sender = Some(by.unwrap_or(sender)).filter(|ip| *ip != hub.peers().own_ip());
             let placement = Placement {
                 request,
                 prompt: &prompt,
@@ -135,7 +137,7 @@
             });
         }
         Message::Ended { upstream, request } => {
-            hub.with_registry(|registry| registry.remove_request(&upstream, request));
+            hub.with_registry(|registry| registry.end_request(&upstream, request, now));
         }
         Message::Withdrawn { request } => hub.withdraw(request),
         Message::Unreachable { upstream } => {
@@ -164,11 +166,10 @@
         }
         Message::Suspects(all) => suspects::merge_reports(hub, &all),
         Message::SuspectCleared { fingerprint } => suspects::clear(hub, &fingerprint),
-        Message::InProgress(_)
-        | Message::UnknownRequests(_)
-        | Message::RequestRecords(_)
-        | Message::Queued { .. }
-        | Message::Headroom(_) => {}
+        Message::InProgress(report) => in_progress::handle_report(hub, &report, sender),
+        Message::UnknownRequests(ids) => in_progress::handle_unknown(hub, &ids, sender),
+        Message::RequestRecords(records) => in_progress::handle_records(hub, &records, sender),
+        Message::Queued { .. } | Message::Headroom(_) => {}
         // Handled by `Peers`.
         Message::Heartbeat(_)
         | Message::PlacementRequest(_)
--- a/src/proxy/upstream_selection.rs
+++ b/src/proxy/upstream_selection.rs
@@ -24,6 +24,7 @@
 use crate::proxy::plain_placement;
 use crate::proxy::refusal::Refusal;
 use crate::proxy::request::RequestContext;
+use crate::proxy::routing_table::Repeat;
 
 /// Retry time for callers when no upstream is available; listings reappear within seconds.
 pub(super) const NO_UPSTREAM_RETRY: Duration = Duration::from_millis(500);
@@ -50,7 +51,7 @@
             Ok(choice) => choice,
             Err(denial) => return Err(self.refusal(denial.cause, denial.wait_max)),
         };
-        let placed = PlacedRequest::new(self, &choice, decision.request);
+        let placed = PlacedRequest::new(self, &choice, decision.request, &decision.recorded_by);
         Ok((choice, placed))
     }
 
@@ -98,6 +99,7 @@
             purpose: Purpose::PlaceIfCached,
             is_last_group: false,
             role: Role::Unassigned,
+            is_repeatable: self.route.repeat != Repeat::Never,
         };
         engine_placement::place(&self.hub, query).await
     }
@@ -116,6 +118,8 @@
             waited: self.hub.now().saturating_sub(self.arrived),
             zone: self.hub.peers().zone(),
             sender: None,
+            is_repeatable: self.route.repeat != Repeat::Never,
+            role: Role::Unassigned,
         };
         match plain_placement::place(&self.hub, query).await {
             Some(decision) if !decision.has_no_upstream() => decision,
@@ -143,6 +147,7 @@
             decided_by: self.hub.peers().own_ip(),
             role: Role::Unassigned,
             request,
+            recorded_by: Vec::new(),
         }
     }
 
@@ -193,6 +198,9 @@
     }
 
     fn log_placed(&self, choice: &Choice, decision: &PlacementDecision) {
+        if choice.is_probe {
+            self.hub.metrics().half_open_probe();
+        }
         info!(self.hub.log(), "placed"; "id" => &self.head.id, "route" => &self.route.name,
             "workspace" => self.workspace.as_ref().map(WorkspaceName::as_str),
             "upstream" => choice.upstream.as_str(), "prompt" => self.head.prompt.as_ref().map_or(0, |p| p.tokens),
@@ -201,7 +209,7 @@
             "copied" => choice.copied_tokens, "running" => choice.running,
             "running_tokens" => choice.running_tokens, "wait_ms" => choice.wait.as_millis() as u64,
             "expected_ms" => choice.first_token.as_millis() as u64,
-            "by" => %decision.decided_by, "as" => decision.role.code(),
+            "by" => %decision.decided_by, "as" => decision.role.code(), "probe" => choice.is_probe,
             "version" => self.hub.version(), "try" => self.tried.len() + 1);
     }
 }
--- a/tests/fleet_placement.rs
+++ b/tests/fleet_placement.rs
@@ -207,6 +207,7 @@
                 purpose: Purpose::Place,
                 is_last_group: is_last_group || !has_owners,
                 role: Role::Owner,
+                is_repeatable: true,
             };
             let result = admit::admit(&mut registry, &mut shares, query, now);
             let placement_request = placement_request(&query, &boxes[sender_box]);
@@ -219,6 +220,7 @@
                     &Message::PlacementResponse(PlacementResponse {
                         request,
                         result: result.clone(),
+                        recorded_by: result.is_ok().then_some(owned.standby).flatten(),
                     }),
                 );
                 // The standby receives a copy of the request.
@@ -296,6 +298,7 @@
         source: None,
         purpose: query.purpose,
         is_last_group: query.is_last_group,
+        is_repeatable: query.is_repeatable,
     })
 }
 
--- a/tests/proxy_admit.rs
+++ b/tests/proxy_admit.rs
@@ -100,6 +100,7 @@
             purpose: Purpose::Place,
             is_last_group,
             role: Role::Owner,
+            is_repeatable: true,
         };
         admit::admit(&mut self.registry, &mut self.shares, query, NOW)
     }
