Count connections to upstreams by why they are opened and closed

Cause: most requests open a new connection, and nothing shows why. Change: counters by cause of opening and closing, reused connections, and a log line every five seconds while any are opened. Ruled out: nothing yet; the counts are to show the cause.

--- a/src/placement/registry.rs
+++ b/src/placement/registry.rs
@@ -236,6 +236,12 @@
         self.tuning
     }
 
+    /// Whether upstreams like this one are preferred by boxes with an idle connection to them.
+    pub fn prefers_connected(&self, name: &UpstreamName) -> bool {
+        let slots = self.upstreams.get(name).map(|u| u.listed.slots);
+        slots.is_some_and(|slots| self.tuning.small_batch.prefers_connected(slots))
+    }
+
     /// Estimated speed of a service's engines.
     pub fn speed(&self, service: &str) -> &Speed {
         self.speeds.get(service).unwrap_or(&self.default_speed)
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -30,6 +30,7 @@
 use crate::proxy::adapter::EngineClient;
 use crate::proxy::adapter::HeaderAdapter;
 use crate::proxy::capacity;
+use crate::proxy::connection_reuse::ReuseRule;
 use crate::proxy::engine_placement::OwnerRequests;
 use crate::proxy::message::Message;
 use crate::proxy::peers::Peers;
@@ -395,6 +396,12 @@
         ConnectionQuota::new(QuotaInputs { connections, admission_limit, boxes, draw }, is_placed)
     }
 
+    /// Which idle connections to an upstream a request may use.
+    pub fn reuse_rule(&self, upstream: &UpstreamName, is_once_only: bool) -> ReuseRule {
+        let prefers_connected = self.read(|view| view.registry().prefers_connected(upstream));
+        ReuseRule::new(is_once_only, prefers_connected)
+    }
+
     /// Whether this box backs off from an upstream, or the upstream's slow start after a backoff
     /// admits no more requests for now.
     pub fn is_backing_off(&self, upstream: &UpstreamName) -> bool {
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -11,6 +11,7 @@
 pub mod capacity;
 pub mod connection_limiter;
 pub mod connection_rejecter;
+pub mod connection_reuse;
 pub mod digests;
 pub mod engine_placement;
 pub mod gossip;
@@ -75,6 +76,7 @@
 use crate::proxy::adapter::SuspectStore;
 use crate::proxy::capacity::StreamLimiter;
 use crate::proxy::connection_limiter::ConnectionLimiter;
+use crate::proxy::connection_reuse::ConnectionLog;
 use crate::proxy::hub::Hub;
 use crate::proxy::peers::Peers;
 use crate::proxy::proxy_metrics::ProxyMetrics;
@@ -216,6 +218,7 @@
 
 async fn run_housekeeping(hub: Arc<Hub>, store_due: watch::Sender<bool>) {
     let mut limiter = StreamLimiter::new(hub.streams_max());
+    let mut connection_log = ConnectionLog::default();
     let mut rejected = 0;
     let mut not_ready_until = Instant::now();
     let mut groups: BTreeSet<EngineGroup> = BTreeSet::new();
@@ -240,6 +243,7 @@
                 "streams_max" => hub.streams_max(), "in_flight" => hub.in_flight(),
                 "turned_away" => rejected);
         }
+        connection_log.log_if_due(&hub);
         gossip::send_gossip(&hub);
         hub.change(view::View::expire);
         hub.suspects().expire(hub.now());
--- a/src/proxy/proxy_metrics.rs
+++ b/src/proxy/proxy_metrics.rs
@@ -12,6 +12,9 @@
 use crate::names::WorkspaceName;
 use crate::placement::share::TokenCounts;
 use crate::proxy::adapter::Notice;
+use crate::proxy::connection_reuse::CloseCause;
+use crate::proxy::connection_reuse::ConnectionCounts;
+use crate::proxy::connection_reuse::OpenCause;
 use crate::proxy::hub::Hub;
 use crate::proxy::placed_request::FirstTokenTiming;
 use crate::proxy::view::View;
@@ -123,6 +126,7 @@
         });
         gauge("frostdyke_suspects", |hub| hub.suspects().read(|q| q.len() as u64));
         self.register_share_gauges(hub);
+        self.register_connection_counters(hub);
         gauge("frostdyke_upstreams_in_doubt", |hub| {
             hub.read(|v| v.registry().unverified_count() as u64)
         });
@@ -151,6 +155,38 @@
         gauge("frostdyke_share_begun_tokens", |tokens| tokens.admitted);
     }
 
+    /// Registers the counters of connections to upstreams: opened and closed by cause, and reused.
+    fn register_connection_counters(&self, hub: &Arc<Hub>) {
+        let counter = |name: &'static str, read: fn(&ConnectionCounts) -> Vec<(&str, u64)>| {
+            let hub: Weak<Hub> = Arc::downgrade(hub);
+            // The meter keeps the callback.
+            let _ = (self.metrics.meter().u64_observable_counter(name))
+                .with_callback(move |observer| {
+                    let Some(hub) = hub.upgrade() else { return };
+                    for (cause, count) in read(hub.upstream_connections().counts()) {
+                        observer.observe(count, &[KeyValue::new("cause", cause.to_owned())]);
+                    }
+                })
+                .build();
+        };
+        counter("frostdyke_upstream_connections_opened", |counts| {
+            OpenCause::ALL.map(|cause| (cause.code(), counts.opened_for(cause))).to_vec()
+        });
+        counter("frostdyke_upstream_connections_closed", |counts| {
+            CloseCause::ALL.map(|cause| (cause.code(), counts.closed_for(cause))).to_vec()
+        });
+        let hub: Weak<Hub> = Arc::downgrade(hub);
+        // The meter keeps the callback.
+        let _ = (self.metrics.meter())
+            .u64_observable_counter("frostdyke_upstream_connections_reused")
+            .with_callback(move |observer| {
+                if let Some(hub) = hub.upgrade() {
+                    observer.observe(hub.upstream_connections().counts().reused_count(), &[]);
+                }
+            })
+            .build();
+    }
+
     /// Counts the tokens charged to a workspace for a request that has returned its first token.
     pub fn workspace_begun(&self, workspace: &WorkspaceName, tokens: u64) {
         let label = KeyValue::new("workspace", workspace.as_str().to_owned());
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -30,6 +30,7 @@
 use crate::proxy::adapter::UpstreamRequestInfo;
 use crate::proxy::adapter::Verdict;
 use crate::proxy::admission;
+use crate::proxy::connection_reuse::ReuseRule;
 use crate::proxy::hub::Hub;
 use crate::proxy::notices;
 use crate::proxy::notices::ReceivedNotice;
@@ -357,12 +358,12 @@
         self.tried.push(choice.upstream.clone());
         let req = self.request_for(choice, resume_after);
         let began = Instant::now();
-        let is_once_only = self.route.repeat == Repeat::Never;
+        let reuse_rule = self.reuse_rule(choice);
         let connections = self.hub.upstream_connections().clone();
         let quota =
             self.hub.connection_quota(&choice.upstream, self.connections_max, choice.is_counted);
         let withheld = || notices::reason_to_withhold(&self.hub, &placed);
-        let result = connections.send(choice.addr, quota, is_once_only, req, withheld).await;
+        let result = connections.send(choice.addr, quota, reuse_rule, req, withheld).await;
         let mut resp = match result {
             Ok(resp) => resp,
             Err(e) if e.is_unsent() => {
@@ -402,6 +403,12 @@
         self.classify_response(resp, placed, verdict, began)
     }
 
+    /// Which idle connections to the chosen upstream this request may use.
+    fn reuse_rule(&self, choice: &Choice) -> ReuseRule {
+        let is_once_only = self.route.repeat == Repeat::Never;
+        self.hub.reuse_rule(&choice.upstream, is_once_only)
+    }
+
     fn classify_response(
         &self,
         resp: Response<UpstreamBody>,
--- a/src/proxy/upstream_connections.rs
+++ b/src/proxy/upstream_connections.rs
@@ -32,6 +32,11 @@
 use tokio::task::AbortHandle;
 
 use crate::clock::Clock;
+use crate::proxy::connection_reuse;
+use crate::proxy::connection_reuse::CloseCause;
+use crate::proxy::connection_reuse::ConnectionCounts;
+use crate::proxy::connection_reuse::OpenCause;
+use crate::proxy::connection_reuse::ReuseRule;
 use crate::proxy::notices::WithholdReason;
 use crate::util;
 
@@ -50,17 +55,6 @@
 /// response shortly after a complete one; within this time it is noticed and the connection closed.
 const REUSE_DELAY: Duration = Duration::from_millis(6);
 
-/// Fraction of the keep-alive timeout announced by an upstream for which idle connections are
-/// reused.
-const KEEP_ALIVE_FRACTION: f64 = 0.6;
-
-/// Time for which an idle connection is reused if the upstream announces no keep-alive timeout.
-const KEEP_ALIVE_DEFAULT: Duration = Duration::from_secs(4);
-
-/// Maximum idle time of a connection that is reused for a request that must not run twice. After a
-/// longer time, the upstream may be closing it, and a request lost in that may have run.
-const ONCE_ONLY_IDLE_MAX: Duration = Duration::from_millis(1000);
-
 /// Maximum number of idle connections per upstream.
 const IDLE_CONNECTIONS_MAX: usize = 32;
 
@@ -176,6 +170,7 @@
 #[derive(Debug)]
 pub struct UpstreamConnections {
     clock: Arc<Clock>,
+    counts: ConnectionCounts,
     by_addr: Mutex<HashMap<SocketAddr, PerUpstream>>,
 }
 
@@ -217,7 +212,8 @@
     tx: SendRequest<Full<Bytes>>,
     /// `None` once the connection has ended.
     driver: Option<Driver>,
-    idle_max: Duration,
+    /// The timeout of idle connections that the upstream last announced on it.
+    announced: Option<Duration>,
     open_count: OpenCount,
     opened_at_ms: u64,
     /// Whether the intended upstream has responded on it.
@@ -233,7 +229,7 @@
     driver: Arc<Mutex<Option<Driver>>>,
     watcher: AbortHandle,
     idle_since: Duration,
-    idle_max: Duration,
+    announced: Option<Duration>,
     open_count: OpenCount,
     opened_at_ms: u64,
     is_authentic: bool,
@@ -244,10 +240,13 @@
 struct OpenCount {
     connections: Arc<UpstreamConnections>,
     addr: SocketAddr,
+    /// Why it is closed if it is dropped now.
+    close_cause: CloseCause,
 }
 
 impl Drop for OpenCount {
     fn drop(&mut self) {
+        self.connections.counts.closed(self.close_cause);
         let mut by_addr = self.connections.by_addr.lock().expect("no panic under lock");
         if let Some(upstream) = by_addr.get_mut(&self.addr) {
             upstream.open = upstream.open.saturating_sub(1);
@@ -258,8 +257,16 @@
 impl BusyConnection {
     /// Keeps the connection for the next request, unless it has ended.
     fn keep_idle(self) {
-        let BusyConnection { tx, driver, idle_max, open_count, opened_at_ms, is_authentic, .. } =
-            self;
+        let BusyConnection {
+            tx,
+            driver,
+            announced,
+            mut open_count,
+            opened_at_ms,
+            is_authentic,
+            ..
+        } = self;
+        open_count.close_cause = CloseCause::ByUpstream;
         let Some(driver) = driver else { return };
         let driver = Arc::new(Mutex::new(Some(driver)));
         let watched = driver.clone();
@@ -277,7 +284,7 @@
                 driver,
                 watcher,
                 idle_since,
-                idle_max,
+                announced,
                 open_count,
                 opened_at_ms,
                 is_authentic,
@@ -312,8 +319,8 @@
             tx,
             driver,
             watcher,
-            idle_max,
-            open_count,
+            announced,
+            mut open_count,
             opened_at_ms,
             is_authentic,
             ..
@@ -321,10 +328,13 @@
         watcher.abort();
         let driver = driver.lock().expect("no panic under lock").take();
         let restart_flag = Arc::default();
+        if is_usable {
+            open_count.close_cause = CloseCause::Unfinished;
+        }
         is_usable.then(|| BusyConnection {
             tx,
             driver,
-            idle_max,
+            announced,
             open_count,
             opened_at_ms,
             is_authentic,
@@ -332,8 +342,11 @@
         })
     }
 
-    fn close(self) {
-        drop(self.into_busy());
+    fn close(mut self, cause: CloseCause) {
+        self.watcher.abort();
+        if !self.tx.is_closed() {
+            self.open_count.close_cause = cause;
+        }
     }
 }
 
@@ -356,9 +369,7 @@
     /// announces in `headers`.
     pub fn keep(self, headers: &HeaderMap) {
         let mut conn = self.conn;
-        if let Some(timeout) = keep_alive_timeout(headers) {
-            conn.idle_max = timeout.mul_f64(KEEP_ALIVE_FRACTION);
-        }
+        conn.announced = keep_alive_timeout(headers).or(conn.announced);
         conn.keep_idle();
     }
 }
@@ -382,7 +393,13 @@
 impl UpstreamConnections {
     /// A set without connections.
     pub fn new(clock: Arc<Clock>) -> Arc<UpstreamConnections> {
-        Arc::new(UpstreamConnections { clock, by_addr: Mutex::default() })
+        let (counts, by_addr) = (ConnectionCounts::default(), Mutex::default());
+        Arc::new(UpstreamConnections { clock, counts, by_addr })
+    }
+
+    /// Connections opened, reused and closed since the start.
+    pub fn counts(&self) -> &ConnectionCounts {
+        &self.counts
     }
 
     /// Closes all idle connections.
@@ -392,23 +409,22 @@
             by_addr.values_mut().flat_map(|upstream| std::mem::take(&mut upstream.idle)).collect();
         // Dropping an `OpenCount` takes the lock.
         drop(by_addr);
-        idle.into_iter().for_each(IdleConnection::close);
+        idle.into_iter().for_each(|idle| idle.close(CloseCause::Expired));
     }
 
-    /// Sends a request. `is_once_only`, for one that must not run twice, reuses only connections
-    /// that are almost certainly alive. `withheld` is called right before the send, since
+    /// Sends a request, on an idle connection if `reuse_rule` permits it. `withheld` is called right before the send, since
     /// connecting takes time.
     pub async fn send(
         self: &Arc<UpstreamConnections>,
         addr: SocketAddr,
         quota: ConnectionQuota,
-        is_once_only: bool,
+        reuse_rule: ReuseRule,
         req: Request<Full<Bytes>>,
         withheld: impl FnOnce() -> Option<WithholdReason>,
     ) -> Result<Response<UpstreamBody>, Error> {
-        let mut conn = match self.take_idle(addr, is_once_only) {
-            Some(conn) => conn,
-            None => self.connect(addr, quota).await?,
+        let mut conn = match self.take_idle(addr, reuse_rule) {
+            Ok(conn) => conn,
+            Err(cause) => self.connect(addr, quota, cause).await?,
         };
         if let Some(reason) = withheld() {
             conn.keep_idle();
@@ -434,7 +450,8 @@
         self: &Arc<UpstreamConnections>,
         addr: SocketAddr,
     ) -> Result<(), Error> {
-        self.connect(addr, ConnectionQuota { open_max: u32::MAX, kept_max: 1 }).await?.keep_idle();
+        let quota = ConnectionQuota { open_max: u32::MAX, kept_max: 1 };
+        self.connect(addr, quota, OpenCause::Probe).await?.keep_idle();
         Ok(())
     }
 
@@ -463,7 +480,7 @@
             flag.waker.wake();
         }
         let count = old.len() + busy.len();
-        old.into_iter().for_each(IdleConnection::close);
+        old.into_iter().for_each(|idle| idle.close(CloseCause::Gone));
         count
     }
 
@@ -481,39 +498,53 @@
         for (addr, upstream) in by_addr.iter_mut() {
             let is_gone = gone.contains(addr);
             let is_old = |c: &mut IdleConnection| {
-                is_gone || c.tx.is_closed() || c.idle_max <= c.idle_time(now)
+                is_gone
+                    || c.tx.is_closed()
+                    || connection_reuse::idle_max(c.announced) <= c.idle_time(now)
             };
-            old.extend(upstream.idle.extract_if(.., is_old));
+            let cause = if is_gone { CloseCause::Gone } else { CloseCause::Expired };
+            old.extend(upstream.idle.extract_if(.., is_old).map(|idle| (idle, cause)));
         }
         by_addr.retain(|_, u| u.open != 0 || !u.idle.is_empty());
         // Dropping an `OpenCount` takes the lock.
         drop(by_addr);
-        old.into_iter().for_each(IdleConnection::close);
+        old.into_iter().for_each(|(idle, cause)| idle.close(cause));
     }
 
     /// Takes the connection that was idle for the shortest time of at least [`REUSE_DELAY`]: it is
-    /// the most likely to be alive.
-    fn take_idle(&self, addr: SocketAddr, is_once_only: bool) -> Option<BusyConnection> {
+    /// the most likely to be alive. Otherwise returns why one has to be opened.
+    fn take_idle(
+        &self,
+        addr: SocketAddr,
+        reuse_rule: ReuseRule,
+    ) -> Result<BusyConnection, OpenCause> {
+        let mut has_closed = false;
         loop {
             let mut by_addr = self.by_addr.lock().expect("no panic under lock");
-            let idle = &mut by_addr.get_mut(&addr)?.idle;
+            let Some(upstream) = by_addr.get_mut(&addr) else { return Err(OpenCause::NoneOpen) };
+            let (open, idle) = (upstream.open, &mut upstream.idle);
             let now = self.clock.now();
-            let at = idle.iter().rposition(|c| REUSE_DELAY <= c.idle_time(now))?;
-            let idle_max = if is_once_only {
-                idle[at].idle_max.min(ONCE_ONLY_IDLE_MAX)
-            } else {
-                idle[at].idle_max
+            let Some(at) = idle.iter().rposition(|c| REUSE_DELAY <= c.idle_time(now)) else {
+                return Err(match (has_closed, open, idle.is_empty()) {
+                    (true, ..) => OpenCause::Closed,
+                    (_, 0, _) => OpenCause::NoneOpen,
+                    (.., true) => OpenCause::InUse,
+                    (.., false) => OpenCause::JustUsed,
+                });
             };
             // The others were idle even longer; they stay for requests that can be retried.
-            if idle[at].is_usable() && idle_max <= idle[at].idle_time(now) {
-                return None;
+            let idle_time = idle[at].idle_time(now);
+            if idle[at].is_usable() && !reuse_rule.permits(idle_time, idle[at].announced) {
+                return Err(OpenCause::IdleTooLong);
             }
             let connection = idle.remove(at);
             // Dropping an `OpenCount` takes the lock.
             drop(by_addr);
             if let Some(conn) = connection.into_busy() {
-                return Some(conn);
+                self.counts.reused();
+                return Ok(conn);
             }
+            has_closed = true;
         }
     }
 
@@ -525,15 +556,17 @@
             return;
         }
         drop(by_addr);
-        connection.close();
+        connection.close(CloseCause::Surplus);
     }
 
     async fn connect(
         self: &Arc<UpstreamConnections>,
         addr: SocketAddr,
         quota: ConnectionQuota,
+        cause: OpenCause,
     ) -> Result<BusyConnection, Error> {
-        let open_count = self.count_open(addr, quota).ok_or(Error::LimitReached)?;
+        let mut open_count = self.count_open(addr, quota).ok_or(Error::LimitReached)?;
+        self.counts.opened(cause);
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr))
             .await
             .map_err(|_| Error::ConnectTimeout)?
@@ -544,11 +577,11 @@
             .await
             .map_err(|e| Error::Connect(std::io::Error::other(e)))?;
         let (opened_at_ms, restart_flag) = (util::unix_millis(), Arc::default());
-        let (driver, idle_max) = (Some(driver), KEEP_ALIVE_DEFAULT);
+        open_count.close_cause = CloseCause::Unfinished;
         Ok(BusyConnection {
             tx,
-            driver,
-            idle_max,
+            driver: Some(driver),
+            announced: None,
             open_count,
             opened_at_ms,
             is_authentic: false,
@@ -568,7 +601,7 @@
         }
         upstream.kept_max = quota.kept_max;
         upstream.open += 1;
-        Some(OpenCount { connections: self.clone(), addr })
+        Some(OpenCount { connections: self.clone(), addr, close_cause: CloseCause::Unconnected })
     }
 }
 
