--- a/src/placement/admit.rs
+++ b/src/placement/admit.rs
@@ -71,6 +71,10 @@
     pub sender: Option<IpAddr>,
     /// An engine that may not be chosen but has part of the prompt cached.
     pub source: Option<CopySource>,
+    /// Whether the request must not run twice.
+    pub is_once_only: bool,
+    /// Short hashes of engines to which the sending box has an idle connection for the request.
+    pub connected: &'a [u16],
     pub purpose: Purpose,
     /// Whether no further group of engines will be asked.
     pub is_last_group: bool,
@@ -118,6 +122,7 @@
         version_filter: query.version_filter,
         zone: query.zone,
         source: query.source,
+        connected: query.connected,
         role: query.role,
     };
     if query.purpose == Purpose::Lookup {
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -43,6 +43,8 @@
     pub zone: Option<&'a ZoneName>,
     /// An engine that may not be chosen but has part of the prompt cached.
     pub source: Option<CopySource>,
+    /// Short hashes of engines to which the sending box has an idle connection.
+    pub connected: &'a [u16],
     /// The role in which this box decides, which matters for cold engines.
     pub role: Role,
 }
@@ -66,6 +68,7 @@
             version_filter: VersionFilter::Any,
             zone: None,
             source: None,
+            connected: &[],
             role: Role::Unassigned,
         }
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -7,6 +7,7 @@
 pub mod cache;
 pub mod choice;
 pub mod cold;
+pub mod connected;
 pub mod engine;
 pub mod plain;
 pub mod registry;
--- a/src/placement/registry/selection.rs
+++ b/src/placement/registry/selection.rs
@@ -8,6 +8,7 @@
 use crate::placement::choice::ChoiceError;
 use crate::placement::choice::CopySource;
 use crate::placement::choice::SelectionCriteria;
+use crate::placement::connected;
 use crate::placement::registry::UpstreamRegistry;
 use crate::placement::speed::Work;
 use crate::placement::upstream::Context;
@@ -73,6 +74,7 @@
             .min_by(|a, b| a.cost.total_cmp(&b.cost))
             .filter(is_within_wait_max);
         if let Some(best) = best {
+            let best = self.prefer_connected(&candidates, best, criteria);
             return Ok(best.upstream.choice(best.plan));
         }
         let shortest = candidates.iter().map(Candidate::wait).min();
@@ -115,6 +117,29 @@
         usable.iter().zip(&cached).filter_map(candidate).collect()
     }
 
+    /// Among the engines that would serve as well as the best one, one to which the sending box has
+    /// an idle connection; the best one if there is none.
+    fn prefer_connected<'a, 'b>(
+        &self,
+        candidates: &'a [Candidate<'b>],
+        best: &'a Candidate<'b>,
+        criteria: SelectionCriteria<'_>,
+    ) -> &'a Candidate<'b> {
+        let small_batch = self.tuning.small_batch;
+        let is_connected = |c: &Candidate<'_>| {
+            small_batch.prefers_connected(c.upstream.listed.slots)
+                && connected::is_named(criteria.connected, c.upstream.hash)
+        };
+        let Some(best_plan) = &best.plan else { return best };
+        if criteria.connected.is_empty() || is_connected(best) {
+            return best;
+        }
+        let serves_as_well =
+            |c: &&Candidate<'_>| c.plan.as_ref().is_some_and(|plan| plan.serves_as_well(best_plan));
+        let equal = candidates.iter().filter(|c| is_connected(c)).filter(serves_as_well);
+        equal.min_by(|a, b| a.cost.total_cmp(&b.cost)).unwrap_or(best)
+    }
+
     /// The engine with the most of a prompt cached. One that is leaving gets no requests, but
     /// remains a copy source while it is there.
     fn source(
--- a/src/placement/upstream.rs
+++ b/src/placement/upstream.rs
@@ -11,6 +11,7 @@
 use crate::placement::choice::Choice;
 use crate::placement::choice::CopySource;
 use crate::placement::cold::Role;
+use crate::placement::connected;
 use crate::placement::engine::Engine;
 use crate::placement::plain::PlainQueue;
 use crate::placement::speed::Speed;
@@ -57,6 +58,16 @@
     home_bonus: Duration,
 }
 
+impl PrefillPlan {
+    /// Whether the engine would compute and copy no more than another, and begin at most
+    /// [`connected::EQUAL_WAIT_MAX`] later.
+    pub(super) fn serves_as_well(&self, other: &PrefillPlan) -> bool {
+        self.prefill_tokens <= other.prefill_tokens
+            && self.copied_tokens <= other.copied_tokens
+            && self.wait <= other.wait + connected::EQUAL_WAIT_MAX
+    }
+}
+
 /// Inputs of the cost besides the request and the upstream.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Context<'a> {
--- a/src/proxy/connection_reuse.rs
+++ b/src/proxy/connection_reuse.rs
@@ -156,6 +156,8 @@
 pub struct ConnectionCounts {
     opened: [AtomicU64; OpenCause::ALL.len()],
     closed: [AtomicU64; CloseCause::ALL.len()],
+    /// The last announced timeout of idle connections, in seconds.
+    announced_s: AtomicU64,
     reused: AtomicU64,
 }
 
@@ -172,6 +174,15 @@
         self.reused.fetch_add(1, Ordering::Relaxed);
     }
 
+    pub(super) fn announced(&self, timeout: Duration) {
+        self.announced_s.store(timeout.as_secs(), Ordering::Relaxed);
+    }
+
+    /// The last announced timeout of idle connections, in seconds; zero if none was announced.
+    pub fn announced_s(&self) -> u64 {
+        self.announced_s.load(Ordering::Relaxed)
+    }
+
     /// Connections opened for a cause.
     pub fn opened_for(&self, cause: OpenCause) -> u64 {
         self.opened[cause as usize].load(Ordering::Relaxed)
@@ -212,6 +223,6 @@
         let by_cause = OpenCause::ALL.map(|c| format!("{}:{}", c.code(), counts.opened_for(c)));
         let closed = CloseCause::ALL.map(|c| format!("{}:{}", c.code(), counts.closed_for(c)));
         info!(hub.log(), "connections to upstreams"; "reused" => counts.reused_count(),
-            "opened" => by_cause.join(","), "closed" => closed.join(","));
+            "announced_s" => counts.announced_s(), "opened" => by_cause.join(","), "closed" => closed.join(","));
     }
 }
--- a/src/proxy/engine_placement.rs
+++ b/src/proxy/engine_placement.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
+use slog::debug;
 use slog::info;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -25,6 +26,7 @@
 use crate::placement::choice::ChoiceError;
 use crate::placement::choice::CopySource;
 use crate::placement::cold::Role;
+use crate::placement::connected;
 use crate::placement::upstream;
 use crate::proxy::adapter::Prompt;
 use crate::proxy::aligned_timer;
@@ -190,6 +192,8 @@
 /// Places a request by this box's own state, and broadcasts the result. Used in small fleets.
 fn place_and_broadcast(hub: &Hub, query: PlacementQuery<'_>) -> PlacementDecision {
     let role = Role::Peer { boxes: hub.peers().known_count(), draw: hub.peers().own_draw("") };
+    let connected = hub.connected(None, query.is_once_only);
+    let query = PlacementQuery { connected: &connected, ..query };
     let result =
         hub.admit(PlacementQuery { is_last_group: true, purpose: Purpose::Place, role, ..query });
     match &result {
@@ -228,6 +232,8 @@
     group: EngineGroup,
     group_owners: GroupOwners,
 ) -> Option<PlacementDecision> {
+    let connected = hub.connected(Some(group), query.is_once_only);
+    let query = PlacementQuery { connected: &connected, ..query };
     for ip in group_owners.boxes() {
         let role = group_owners.role(ip);
         if ip == hub.peers().own_ip() {
@@ -324,6 +330,7 @@
         source: query.source,
         purpose: query.purpose,
         is_last_group: query.is_last_group,
+        connected: query.connected.to_vec(),
     }
 }
 
@@ -396,6 +403,8 @@
         zone: Some(&message.zone),
         sender: Some(from),
         source: message.source,
+        is_once_only: false,
+        connected: valid_connected(hub, message, from),
         purpose: message.purpose,
         is_last_group: message.is_last_group,
         role: group_owners
@@ -411,6 +420,17 @@
     hub.peers().send_now(from, &Message::PlacementResponse(PlacementResponse { request, result }));
 }
 
+/// The engines that the asking box names as connected; none if there are too many.
+fn valid_connected<'a>(hub: &Hub, message: &'a PlacementRequest, from: IpAddr) -> &'a [u16] {
+    if connected::is_valid(&message.connected) {
+        return &message.connected;
+    }
+    debug!(hub.log(), "list of connected engines ignored"; "ip" => %from,
+        "count" => message.connected.len());
+    hub.metrics().connected_ignored();
+    &[]
+}
+
 /// Delivers an owner's response to the task that awaits it. If no task does any longer, the request
 /// isn't sent, so its placement is cancelled.
 pub fn handle_response(hub: &Hub, response: PlacementResponse, from: IpAddr) {
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use crate::clock::Clock;
+use crate::fleet::owners::EngineGroup;
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
 use crate::placement::admit;
@@ -402,6 +403,14 @@
         ReuseRule::new(is_once_only, prefers_connected)
     }
 
+    /// Short hashes of engines of a group to which this box has an idle connection for a request.
+    pub fn connected(&self, group: Option<EngineGroup>, is_once_only: bool) -> Vec<u16> {
+        if !self.read(|view| view.registry().tuning().small_batch.prefer_connected) {
+            return Vec::new();
+        }
+        self.upstream_connections.connected(group, ReuseRule::new(is_once_only, true))
+    }
+
     /// Whether this box backs off from an upstream, or the upstream's slow start after a backoff
     /// admits no more requests for now.
     pub fn is_backing_off(&self, upstream: &UpstreamName) -> bool {
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -190,6 +190,8 @@
     pub purpose: Purpose,
     /// Whether this is the last group that is asked.
     pub is_last_group: bool,
+    /// Short hashes of engines of the group to which the asking box has an idle connection.
+    pub connected: Vec<u16>,
 }
 
 /// An owner's decision on a [`PlacementRequest`] or a [`PlainPlacementRequest`].
--- a/src/proxy/proxy_metrics.rs
+++ b/src/proxy/proxy_metrics.rs
@@ -48,6 +48,7 @@
     reached_anyway: Counter<u64>,
     held_back: Counter<u64>,
     suspended: Counter<u64>,
+    connected_ignored: Counter<u64>,
 }
 
 impl ProxyMetrics {
@@ -80,6 +81,7 @@
             withheld: meter.u64_counter("frostdyke_requests_withheld").build(),
             reached_anyway: meter.u64_counter("frostdyke_requests_reached_anyway").build(),
             upstreams_restarted: meter.u64_counter("frostdyke_upstreams_restarted").build(),
+            connected_ignored: meter.u64_counter("frostdyke_connected_lists_ignored").build(),
             metrics,
         }
     }
@@ -253,6 +255,11 @@
         self.suspended.add(1, &[]);
     }
 
+    /// Counts a list of connected engines that is too long.
+    pub fn connected_ignored(&self) {
+        self.connected_ignored.add(1, &[]);
+    }
+
     /// Counts a request that is held back from now on, by how this box learned of it.
     pub fn held_back(&self, by: &'static str) {
         self.held_back.add(1, &[KeyValue::new("by", by)]);
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -26,11 +26,11 @@
 use crate::names::WorkspaceName;
 use crate::placement::choice::Choice;
 use crate::placement::upstream::Health;
+use crate::placement::upstream::name_hash;
 use crate::proxy::adapter::RequestHead;
 use crate::proxy::adapter::UpstreamRequestInfo;
 use crate::proxy::adapter::Verdict;
 use crate::proxy::admission;
-use crate::proxy::connection_reuse::ReuseRule;
 use crate::proxy::hub::Hub;
 use crate::proxy::notices;
 use crate::proxy::notices::ReceivedNotice;
@@ -48,6 +48,7 @@
 use crate::proxy::suspects;
 use crate::proxy::suspects::BrokenRequest;
 use crate::proxy::upstream_connections;
+use crate::proxy::upstream_connections::Target;
 use crate::proxy::upstream_connections::UpstreamBody;
 use crate::proxy::upstream_selection::NO_UPSTREAM_RETRY;
 use crate::proxy::upstream_selection::OVERLOAD_RETRY_MIN;
@@ -358,12 +359,19 @@
         self.tried.push(choice.upstream.clone());
         let req = self.request_for(choice, resume_after);
         let began = Instant::now();
-        let reuse_rule = self.reuse_rule(choice);
         let connections = self.hub.upstream_connections().clone();
-        let quota =
-            self.hub.connection_quota(&choice.upstream, self.connections_max, choice.is_counted);
+        let target = Target {
+            addr: choice.addr,
+            name_hash: name_hash(&choice.upstream),
+            quota: self.hub.connection_quota(
+                &choice.upstream,
+                self.connections_max,
+                choice.is_counted,
+            ),
+            reuse_rule: self.hub.reuse_rule(&choice.upstream, self.is_once_only()),
+        };
         let withheld = || notices::reason_to_withhold(&self.hub, &placed);
-        let result = connections.send(choice.addr, quota, reuse_rule, req, withheld).await;
+        let result = connections.send(target, req, withheld).await;
         let mut resp = match result {
             Ok(resp) => resp,
             Err(e) if e.is_unsent() => {
@@ -403,10 +411,9 @@
         self.classify_response(resp, placed, verdict, began)
     }
 
-    /// Which idle connections to the chosen upstream this request may use.
-    fn reuse_rule(&self, choice: &Choice) -> ReuseRule {
-        let is_once_only = self.route.repeat == Repeat::Never;
-        self.hub.reuse_rule(&choice.upstream, is_once_only)
+    /// Whether the request must not run twice.
+    pub fn is_once_only(&self) -> bool {
+        self.route.repeat == Repeat::Never
     }
 
     fn classify_response(
--- a/src/proxy/upstream_connections.rs
+++ b/src/proxy/upstream_connections.rs
@@ -32,6 +32,9 @@
 use tokio::task::AbortHandle;
 
 use crate::clock::Clock;
+use crate::fleet::owners::EngineGroup;
+use crate::placement::connected;
+use crate::placement::connected::CONNECTED_MAX;
 use crate::proxy::connection_reuse;
 use crate::proxy::connection_reuse::CloseCause;
 use crate::proxy::connection_reuse::ConnectionCounts;
@@ -166,6 +169,17 @@
     }
 }
 
+/// Where and how to send a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Target {
+    pub addr: SocketAddr,
+    /// The hash of the upstream's name.
+    pub name_hash: u64,
+    pub quota: ConnectionQuota,
+    /// Which idle connections may be used.
+    pub reuse_rule: ReuseRule,
+}
+
 /// The connections to all upstreams.
 #[derive(Debug)]
 pub struct UpstreamConnections {
@@ -176,6 +190,8 @@
 
 #[derive(Debug, Default)]
 struct PerUpstream {
+    /// The hash of the name of the upstream that a request was last sent to at this address.
+    name_hash: Option<u64>,
     open: u32,
     /// Open connections up to which one is kept after a request.
     kept_max: u32,
@@ -369,7 +385,10 @@
     /// announces in `headers`.
     pub fn keep(self, headers: &HeaderMap) {
         let mut conn = self.conn;
-        conn.announced = keep_alive_timeout(headers).or(conn.announced);
+        if let Some(timeout) = keep_alive_timeout(headers) {
+            conn.announced = Some(timeout);
+            conn.open_count.connections.counts.announced(timeout);
+        }
         conn.keep_idle();
     }
 }
@@ -412,16 +431,15 @@
         idle.into_iter().for_each(|idle| idle.close(CloseCause::Expired));
     }
 
-    /// Sends a request, on an idle connection if `reuse_rule` permits it. `withheld` is called right before the send, since
+    /// Sends a request, on an idle connection if the reuse rule permits it. `withheld` is called right before the send, since
     /// connecting takes time.
     pub async fn send(
         self: &Arc<UpstreamConnections>,
-        addr: SocketAddr,
-        quota: ConnectionQuota,
-        reuse_rule: ReuseRule,
+        target: Target,
         req: Request<Full<Bytes>>,
         withheld: impl FnOnce() -> Option<WithholdReason>,
     ) -> Result<Response<UpstreamBody>, Error> {
+        let Target { addr, name_hash, quota, reuse_rule } = target;
         let mut conn = match self.take_idle(addr, reuse_rule) {
             Ok(conn) => conn,
             Err(cause) => self.connect(addr, quota, cause).await?,
@@ -433,7 +451,7 @@
         let response = conn.tx.send_request(req);
         tokio::pin!(response);
         let (driver, restart_flag) = (&mut conn.driver, &conn.restart_flag);
-        self.register_busy(addr, conn.opened_at_ms, restart_flag);
+        self.register_busy(addr, name_hash, conn.opened_at_ms, restart_flag);
         let resp = std::future::poll_fn(|cx| {
             if restart_flag.is_set(cx) {
                 return Poll::Ready(Err(Error::Restarted));
@@ -455,9 +473,31 @@
         Ok(())
     }
 
-    fn register_busy(&self, addr: SocketAddr, opened_at_ms: u64, restart_flag: &Arc<RestartFlag>) {
+    /// Short hashes of the upstreams of a group to which there is an idle connection that a request
+    /// under `reuse_rule` may use, at most [`CONNECTED_MAX`].
+    pub fn connected(&self, group: Option<EngineGroup>, reuse_rule: ReuseRule) -> Vec<u16> {
+        let now = self.clock.now();
+        let by_addr = self.by_addr.lock().expect("no panic under lock");
+        let in_group = |hash: &u64| group.is_none_or(|group| group.contains(*hash));
+        let is_usable = |c: &IdleConnection| {
+            !c.tx.is_closed() && reuse_rule.permits(c.idle_time(now), c.announced)
+        };
+        let upstreams = by_addr.values().filter(|u| u.idle.iter().any(is_usable));
+        let hashes = upstreams.filter_map(|u| u.name_hash).filter(in_group);
+        hashes.take(CONNECTED_MAX).map(connected::short_hash).collect()
+    }
+
+    fn register_busy(
+        &self,
+        addr: SocketAddr,
+        name_hash: u64,
+        opened_at_ms: u64,
+        restart_flag: &Arc<RestartFlag>,
+    ) {
         let mut by_addr = self.by_addr.lock().expect("no panic under lock");
-        let busy = &mut by_addr.entry(addr).or_default().busy;
+        let upstream = by_addr.entry(addr).or_default();
+        upstream.name_hash = Some(name_hash);
+        let busy = &mut upstream.busy;
         busy.retain(|(_, flag)| flag.strong_count() != 0);
         busy.push((opened_at_ms, Arc::downgrade(restart_flag)));
     }
--- a/src/proxy/upstream_selection.rs
+++ b/src/proxy/upstream_selection.rs
@@ -95,6 +95,8 @@
             zone: None,
             sender: None,
             source: None,
+            is_once_only: self.is_once_only(),
+            connected: &[],
             purpose: Purpose::PlaceIfCached,
             is_last_group: false,
             role: Role::Unassigned,
--- a/tests/fleet_placement.rs
+++ b/tests/fleet_placement.rs
@@ -204,6 +204,8 @@
                 zone: None,
                 sender: None,
                 source,
+                is_once_only: false,
+                connected: &[],
                 purpose: Purpose::Place,
                 is_last_group: is_last_group || !has_owners,
                 role: Role::Owner,
@@ -296,6 +298,7 @@
         source: None,
         purpose: query.purpose,
         is_last_group: query.is_last_group,
+        connected: Vec::new(),
     })
 }
 
--- a/tests/proxy_admit.rs
+++ b/tests/proxy_admit.rs
@@ -97,6 +97,8 @@
             zone: None,
             sender: None,
             source: None,
+            is_once_only: false,
+            connected: &[],
             purpose: Purpose::Place,
             is_last_group,
             role: Role::Owner,
