Reuse connections to upstreams until shortly before their announced timeout

Cause: in a trial, three quarters of the connections were opened because idle ones had expired: requests that must not run twice used them for one second, the others for six tenths of the announced timeout, and a pair of a box and an engine has a request every few seconds. Conclusion: a request whose connection closes without an answer still counts as one that may have run.

--- a/src/proxy/connection_reuse.rs
+++ b/src/proxy/connection_reuse.rs
@@ -23,50 +23,46 @@
 /// longer time, the upstream may be closing it, and a request lost in that may have run.
 const ONCE_ONLY_IDLE_MAX: Duration = Duration::from_millis(1000);
 
-/// A request that must not run twice arrives at least this long before the announced timeout of its
-/// connection. Upstreams announce whole seconds, which may be rounded up by nearly one; the rest is
-/// for the transit and for pauses of both processes.
-const ONCE_ONLY_MARGIN: Duration = Duration::from_millis(1500);
+/// A request arrives at least this long before the announced timeout of its connection. Upstreams
+/// announce whole seconds, which may be rounded up by nearly one; the rest is for the transit and
+/// for pauses of both processes.
+const ANNOUNCED_MARGIN: Duration = Duration::from_millis(1500);
 
 /// Which idle connections a request may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReuseRule {
-    /// All that the upstream keeps open.
-    Repeatable,
-    /// For a request that must not run twice: those that have been idle only briefly.
-    OnceOnly,
-    /// The same, and those for which the upstream has announced a timeout that is far away.
-    OnceOnlyAnnounced,
+pub struct ReuseRule {
+    /// Whether the request must not run twice.
+    pub is_once_only: bool,
+    /// Whether an announced timeout is relied on, except for [`ANNOUNCED_MARGIN`].
+    pub trusts_announced: bool,
 }
 
 impl ReuseRule {
-    /// The rule for a request that must not run twice (`is_once_only`) or may be retried.
-    pub fn new(is_once_only: bool, trusts_announced: bool) -> ReuseRule {
-        match (is_once_only, trusts_announced) {
-            (false, _) => ReuseRule::Repeatable,
-            (true, false) => ReuseRule::OnceOnly,
-            (true, true) => ReuseRule::OnceOnlyAnnounced,
-        }
-    }
-
     /// Whether a connection may be used that was idle for `idle_time` and whose upstream has
     /// `announced` a timeout.
     pub fn permits(self, idle_time: Duration, announced: Option<Duration>) -> bool {
-        let once_only = match self {
-            ReuseRule::Repeatable => Duration::MAX,
-            ReuseRule::OnceOnly => ONCE_ONLY_IDLE_MAX,
-            ReuseRule::OnceOnlyAnnounced => {
-                let safe = announced.map(|timeout| timeout.saturating_sub(ONCE_ONLY_MARGIN));
-                ONCE_ONLY_IDLE_MAX.max(safe.unwrap_or_default())
-            }
-        };
-        idle_time < idle_max(announced).min(once_only)
+        idle_time < self.idle_max(announced) && idle_time < self.once_only_max(announced)
+    }
+
+    /// How long a connection is kept idle, by the timeout that its upstream has announced.
+    pub fn idle_max(self, announced: Option<Duration>) -> Duration {
+        let Some(timeout) = announced else { return KEEP_ALIVE_DEFAULT };
+        timeout.mul_f64(KEEP_ALIVE_FRACTION).max(self.trusted(announced))
     }
-}
 
-/// How long a connection is kept idle, by the timeout that its upstream has announced.
-pub fn idle_max(announced: Option<Duration>) -> Duration {
-    announced.map_or(KEEP_ALIVE_DEFAULT, |timeout| timeout.mul_f64(KEEP_ALIVE_FRACTION))
+    fn once_only_max(self, announced: Option<Duration>) -> Duration {
+        if self.is_once_only {
+            ONCE_ONLY_IDLE_MAX.max(self.trusted(announced))
+        } else {
+            Duration::MAX
+        }
+    }
+
+    /// The part of an announced timeout that is relied on.
+    fn trusted(self, announced: Option<Duration>) -> Duration {
+        let timeout = announced.filter(|_| self.trusts_announced).unwrap_or_default();
+        timeout.saturating_sub(ANNOUNCED_MARGIN)
+    }
 }
 
 /// Why a connection is opened.
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -399,8 +399,8 @@
 
     /// Which idle connections to an upstream a request may use.
     pub fn reuse_rule(&self, upstream: &UpstreamName, is_once_only: bool) -> ReuseRule {
-        let prefers_connected = self.read(|view| view.registry().prefers_connected(upstream));
-        ReuseRule::new(is_once_only, prefers_connected)
+        let trusts_announced = self.read(|view| view.registry().prefers_connected(upstream));
+        ReuseRule { is_once_only, trusts_announced }
     }
 
     /// Short hashes of engines of a group to which this box has an idle connection for a request.
@@ -408,7 +408,8 @@
         if !self.read(|view| view.registry().tuning().small_batch.prefer_connected) {
             return Vec::new();
         }
-        self.upstream_connections.connected(group, ReuseRule::new(is_once_only, true))
+        let reuse_rule = ReuseRule { is_once_only, trusts_announced: true };
+        self.upstream_connections.connected(group, reuse_rule)
     }
 
     /// Whether this box backs off from an upstream, or the upstream's slow start after a backoff
--- a/src/proxy/upstream_connections.rs
+++ b/src/proxy/upstream_connections.rs
@@ -35,7 +35,6 @@
 use crate::fleet::owners::EngineGroup;
 use crate::placement::connected;
 use crate::placement::connected::CONNECTED_MAX;
-use crate::proxy::connection_reuse;
 use crate::proxy::connection_reuse::CloseCause;
 use crate::proxy::connection_reuse::ConnectionCounts;
 use crate::proxy::connection_reuse::OpenCause;
@@ -192,6 +191,8 @@
 struct PerUpstream {
     /// The hash of the name of the upstream that a request was last sent to at this address.
     name_hash: Option<u64>,
+    /// See [`ReuseRule`].
+    trusts_announced: bool,
     open: u32,
     /// Open connections up to which one is kept after a request.
     kept_max: u32,
@@ -439,7 +440,7 @@
         req: Request<Full<Bytes>>,
         withheld: impl FnOnce() -> Option<WithholdReason>,
     ) -> Result<Response<UpstreamBody>, Error> {
-        let Target { addr, name_hash, quota, reuse_rule } = target;
+        let Target { addr, quota, reuse_rule, .. } = target;
         let mut conn = match self.take_idle(addr, reuse_rule) {
             Ok(conn) => conn,
             Err(cause) => self.connect(addr, quota, cause).await?,
@@ -451,7 +452,7 @@
         let response = conn.tx.send_request(req);
         tokio::pin!(response);
         let (driver, restart_flag) = (&mut conn.driver, &conn.restart_flag);
-        self.register_busy(addr, name_hash, conn.opened_at_ms, restart_flag);
+        self.register_busy(target, conn.opened_at_ms, restart_flag);
         let resp = std::future::poll_fn(|cx| {
             if restart_flag.is_set(cx) {
                 return Poll::Ready(Err(Error::Restarted));
@@ -482,21 +483,17 @@
         let is_usable = |c: &IdleConnection| {
             !c.tx.is_closed() && reuse_rule.permits(c.idle_time(now), c.announced)
         };
-        let upstreams = by_addr.values().filter(|u| u.idle.iter().any(is_usable));
-        let hashes = upstreams.filter_map(|u| u.name_hash).filter(in_group);
+        let in_group = by_addr.values().filter(|u| u.name_hash.as_ref().is_some_and(in_group));
+        let upstreams = in_group.filter(|u| u.idle.iter().any(is_usable));
+        let hashes = upstreams.filter_map(|u| u.name_hash);
         hashes.take(CONNECTED_MAX).map(connected::short_hash).collect()
     }
 
-    fn register_busy(
-        &self,
-        addr: SocketAddr,
-        name_hash: u64,
-        opened_at_ms: u64,
-        restart_flag: &Arc<RestartFlag>,
-    ) {
+    fn register_busy(&self, target: Target, opened_at_ms: u64, restart_flag: &Arc<RestartFlag>) {
         let mut by_addr = self.by_addr.lock().expect("no panic under lock");
-        let upstream = by_addr.entry(addr).or_default();
-        upstream.name_hash = Some(name_hash);
+        let upstream = by_addr.entry(target.addr).or_default();
+        upstream.name_hash = Some(target.name_hash);
+        upstream.trusts_announced = target.reuse_rule.trusts_announced;
         let busy = &mut upstream.busy;
         busy.retain(|(_, flag)| flag.strong_count() != 0);
         busy.push((opened_at_ms, Arc::downgrade(restart_flag)));
@@ -537,10 +534,10 @@
         let mut by_addr = self.by_addr.lock().expect("no panic under lock");
         for (addr, upstream) in by_addr.iter_mut() {
             let is_gone = gone.contains(addr);
+            let trusts_announced = upstream.trusts_announced;
+            let reuse_rule = ReuseRule { is_once_only: false, trusts_announced };
             let is_old = |c: &mut IdleConnection| {
-                is_gone
-                    || c.tx.is_closed()
-                    || connection_reuse::idle_max(c.announced) <= c.idle_time(now)
+                is_gone || c.tx.is_closed() || reuse_rule.idle_max(c.announced) <= c.idle_time(now)
             };
             let cause = if is_gone { CloseCause::Gone } else { CloseCause::Expired };
             old.extend(upstream.idle.extract_if(.., is_old).map(|idle| (idle, cause)));
