Bound the bytes that a box holds for callers and upstreams

Cause: whatever a box holds for a slow reader or sender counts against its memory, and nothing bounded it. Change: bodies being read, requests that wait, buffered answers and the unread rest of answers are counted against [memory] held-share of the box's memory. Bodies are not read from 0.7 of it on, answers from 0.9; holders without progress give way from half of it on, the sooner the more is held, and the slowest at the bound: 503 not run, broken, or a cut connection. A time limit of our own for bodies that an engine doesn't take: the kernel's time for unacknowledged bytes ends them, and a test holds that to ten seconds; they count as possibly run.

--- a/src/proxy/admission.rs
+++ b/src/proxy/admission.rs
@@ -11,6 +11,9 @@
 
 use crate::names::WorkspaceName;
 use crate::proxy::adapter::RequestHead;
+use crate::proxy::held_bytes::HoldKind;
+use crate::proxy::held_tracker::HeldBody;
+use crate::proxy::held_tracker::Hold;
 use crate::proxy::hub::Hub;
 use crate::proxy::refusal::Refusal;
 use crate::proxy::request::RequestContext;
@@ -60,6 +63,7 @@
         unsent_guard: Some(hub.track_unsent()),
         stream_guard: None,
         first_token: None,
+        hold: hub.held().map(|held| held.hold(HoldKind::Body)),
     })
 }
 
@@ -79,12 +83,20 @@
     }
 }
 
-/// Reads a request's body, which the caller must send by the request's deadline.
-pub async fn read_body(hub: &Hub, body: Incoming, deadline: Duration) -> Result<Bytes, Refusal> {
+/// Reads a request's body, which the caller must send by the request's deadline. What is received
+/// is counted by `hold`.
+pub async fn read_body(
+    hub: &Hub,
+    body: Incoming,
+    deadline: Duration,
+    hold: Option<&Hold>,
+) -> Result<Bytes, Refusal> {
     let max = hub.table().map_or(0, |t| t.limits.body_bytes);
     let remaining = deadline.saturating_sub(hub.now());
+    let body = HeldBody::new(body, HoldKind::Body, hold);
     web::read_body(body, max, remaining).await.map_err(|fault| match fault {
         BodyError::TooLong => Refusal::BodyTooLong,
+        BodyError::Truncated if hold.is_some_and(Hold::gave_way) => Refusal::BoxBusy,
         BodyError::Truncated => Refusal::BodyCut,
     })
 }
--- /dev/null
+++ b/src/proxy/held_bytes.rs
@@ -0,0 +1,177 @@
+//! The bytes that this box holds for callers and upstreams, counted against one bound.
+//!
+//! While much is held, holders that make no progress give way, the sooner the more is held; from a
+//! higher fraction on, sources aren't read. At the bound, the slowest holder gives way at once.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Fraction of the bound from which on no further bytes of request bodies are read. The rest is for
+/// the answers to requests that run already.
+const BODY_PRESSURE: f64 = 0.7;
+
+/// Fraction of the bound from which on no further bytes of buffered answers are read either.
+const ANSWER_PRESSURE: f64 = 0.9;
+
+/// Fraction of the bound from which on holders without progress give way. It is less than
+/// [`BODY_PRESSURE`], so that holders that are stalled don't keep new requests out.
+const STALL_PRESSURE: f64 = 0.5;
+
+/// Time without progress after which a holder gives way at [`STALL_PRESSURE`]; upstreams cut an
+/// answer off that stays unread for some seconds.
+const STALL_MAX: Duration = Duration::from_millis(1500);
+
+/// The same from [`BODY_PRESSURE`] on. Healthy callers and upstreams take or send bytes every few
+/// round trips, and a box that may use only part of a core is paused for up to a tenth of a second.
+const STALL_MIN: Duration = Duration::from_millis(250);
+
+/// What bytes are held for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum HoldKind {
+    /// A request's body that is still being read. Gives way as not run.
+    Body,
+    /// A request that waits to be sent. Gives way as not run.
+    Unsent,
+    /// A request that has been sent and may have run; its body is kept for a retry. Doesn't give
+    /// way: its upstream is at work, and its end is bounded by its deadline.
+    Sent,
+    /// An answer that is buffered until it is complete. Gives way as broken.
+    Answer,
+    /// Bytes of an answer that its caller doesn't read. Gives way by closing the caller's
+    /// connection.
+    Unread,
+}
+
+impl HoldKind {
+    /// All kinds.
+    pub const ALL: [HoldKind; 5] =
+        [HoldKind::Body, HoldKind::Unsent, HoldKind::Sent, HoldKind::Answer, HoldKind::Unread];
+
+    /// The kind as a word for logs and metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            HoldKind::Body => "body",
+            HoldKind::Unsent => "unsent",
+            HoldKind::Sent => "sent",
+            HoldKind::Answer => "answer",
+            HoldKind::Unread => "unread",
+        }
+    }
+
+    fn may_give_way(self) -> bool {
+        self != HoldKind::Sent
+    }
+
+    fn pressure(self) -> f64 {
+        match self {
+            HoldKind::Body => BODY_PRESSURE,
+            HoldKind::Answer => ANSWER_PRESSURE,
+            HoldKind::Unsent | HoldKind::Sent | HoldKind::Unread => 1.0,
+        }
+    }
+}
+
+/// Identifies a holder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct HolderId(u64);
+
+/// A holder that must give way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GaveWay {
+    pub id: HolderId,
+    pub kind: HoldKind,
+    pub bytes: usize,
+    /// Time since its last progress.
+    pub stalled: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Holder {
+    kind: HoldKind,
+    bytes: usize,
+    progressed_at: Duration,
+}
+
+/// All holders of bytes.
+#[derive(Debug)]
+pub struct HeldBytes {
+    bound: usize,
+    total: usize,
+    next_id: u64,
+    holders: BTreeMap<HolderId, Holder>,
+}
+
+impl HeldBytes {
+    /// No holders, with a bound for the bytes of all.
+    pub fn new(bound: usize) -> HeldBytes {
+        HeldBytes { bound, total: 0, next_id: 0, holders: BTreeMap::new() }
+    }
+
+    /// The bytes held.
+    pub fn total(&self) -> usize {
+        self.total
+    }
+
+    /// The largest number of bytes that may be held.
+    pub fn bound(&self) -> usize {
+        self.bound
+    }
+
+    /// Adds a holder without bytes.
+    pub fn begin(&mut self, kind: HoldKind, now: Duration) -> HolderId {
+        let id = HolderId(self.next_id);
+        self.next_id += 1;
+        self.holders.insert(id, Holder { kind, bytes: 0, progressed_at: now });
+        id
+    }
+
+    /// Sets how much a holder holds, and for what. A change is progress. Has no effect for a holder
+    /// that has given way.
+    pub fn set(&mut self, id: HolderId, kind: HoldKind, bytes: usize, now: Duration) {
+        let Some(holder) = self.holders.get_mut(&id) else { return };
+        if (holder.kind, holder.bytes) != (kind, bytes) {
+            holder.progressed_at = now;
+        }
+        self.total = self.total - holder.bytes + bytes;
+        (holder.kind, holder.bytes) = (kind, bytes);
+    }
+
+    /// Removes a holder, if it hasn't given way.
+    pub fn end(&mut self, id: HolderId) {
+        if let Some(holder) = self.holders.remove(&id) {
+            self.total -= holder.bytes;
+        }
+    }
+
+    /// Whether a source of this kind may be read further.
+    pub fn may_read(&self, kind: HoldKind) -> bool {
+        (self.total as f64) < self.bound as f64 * kind.pressure()
+    }
+
+    /// Removes and returns a holder that must give way now, if any: the one that has made no
+    /// progress for the longest time, if that is longer than holders may stall now.
+    pub fn take_slowest(&mut self, now: Duration) -> Option<GaveWay> {
+        let stall_max = self.stall_max()?;
+        let can = self.holders.iter().filter(|(_, h)| h.kind.may_give_way() && h.bytes != 0);
+        // Among those that are equally slow, the one that holds the most.
+        let (id, holder) = can.min_by_key(|(_, h)| (h.progressed_at, usize::MAX - h.bytes))?;
+        let stalled = now.saturating_sub(holder.progressed_at);
+        if stalled < stall_max {
+            return None;
+        }
+        let slowest = GaveWay { id: *id, kind: holder.kind, bytes: holder.bytes, stalled };
+        self.end(slowest.id);
+        Some(slowest)
+    }
+
+    /// How long a holder may make no progress now; `None` while little is held.
+    fn stall_max(&self) -> Option<Duration> {
+        let held = self.total as f64 / self.bound.max(1) as f64;
+        if 1.0 < held {
+            return Some(Duration::ZERO);
+        }
+        let pressure = (held - STALL_PRESSURE) / (BODY_PRESSURE - STALL_PRESSURE);
+        let cut = (STALL_MAX - STALL_MIN).mul_f64(pressure.clamp(0.0, 1.0));
+        (0.0 <= pressure).then_some(STALL_MAX - cut)
+    }
+}
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -33,6 +33,7 @@
 use crate::proxy::capacity;
 use crate::proxy::connection_reuse::ReuseRule;
 use crate::proxy::engine_placement::OwnerRequests;
+use crate::proxy::held_tracker::HeldTracker;
 use crate::proxy::message::Message;
 use crate::proxy::peers::Peers;
 use crate::proxy::placed_request::CountGuard;
@@ -73,6 +74,7 @@
     rejected: AtomicUsize,
     connections: Arc<AtomicUsize>,
     connections_max: usize,
+    held: Option<Arc<HeldTracker>>,
     late_max: Duration,
 }
 
@@ -102,11 +104,14 @@
             shares: Shares::new(cfg.share_window),
             plain_shares: Shares::new(cfg.share_window),
         };
+        let held_bound = (cfg.memory_bytes as f64 * cfg.held_share) as usize;
         let hub = Arc::new(Hub {
             inner: Mutex::new(inner),
             header_adapter,
             engine_client,
             upstream_connections: UpstreamConnections::new(clock.clone()),
+            held: (held_bound != 0)
+                .then(|| HeldTracker::new(held_bound, clock.clone(), metrics.clone(), log.clone())),
             clock,
             peers,
             metrics,
@@ -225,6 +230,11 @@
         self.rejected.load(Ordering::Relaxed)
     }
 
+    /// Tracks the bytes held for callers and upstreams; `None` if they are not bounded.
+    pub fn held(&self) -> Option<&Arc<HeldTracker>> {
+        self.held.as_ref()
+    }
+
     /// Counts a caller's connection until the guard is dropped.
     pub fn track_connection(&self) -> CountGuard {
         CountGuard::new(self.connections.clone())
--- a/src/proxy/listener.rs
+++ b/src/proxy/listener.rs
@@ -25,6 +25,7 @@
 use crate::proxy::connection_limiter::AdmittedConnection;
 use crate::proxy::connection_limiter::ConnectionLimiter;
 use crate::proxy::connection_rejecter::ConnectionRejecter;
+use crate::proxy::held_tracker::HeldIo;
 use crate::proxy::hub::Hub;
 use crate::proxy::refusal;
 use crate::proxy::refusal::Refusal;
@@ -123,7 +124,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(head_read_timeout(&limits))
         .max_buf_size(limits.head_bytes.max(HEAD_BUF_MIN))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(HeldIo::new(stream, hub.held().cloned())), service);
     tokio::pin!(connection);
     // Errors are ignored: the caller disconnected or didn't send valid HTTP.
     let _ = tokio::select! {
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -15,6 +15,8 @@
 pub mod digests;
 pub mod engine_placement;
 pub mod gossip;
+pub mod held_bytes;
+pub mod held_tracker;
 pub mod history;
 pub mod http_client;
 pub mod hub;
@@ -244,6 +246,7 @@
                 "turned_away" => rejected);
         }
         connection_log.log_if_due(&hub);
+        hub.held().iter().for_each(|held| held.check());
         gossip::send_gossip(&hub);
         hub.change(view::View::expire);
         hub.suspects().expire(hub.now());
--- a/src/proxy/proxy_metrics.rs
+++ b/src/proxy/proxy_metrics.rs
@@ -49,6 +49,7 @@
     held_back: Counter<u64>,
     suspended: Counter<u64>,
     connected_ignored: Counter<u64>,
+    gave_way: Counter<u64>,
 }
 
 impl ProxyMetrics {
@@ -82,6 +83,7 @@
             reached_anyway: meter.u64_counter("frostdyke_requests_reached_anyway").build(),
             upstreams_restarted: meter.u64_counter("frostdyke_upstreams_restarted").build(),
             connected_ignored: meter.u64_counter("frostdyke_connected_lists_ignored").build(),
+            gave_way: meter.u64_counter("frostdyke_holders_gave_way").build(),
             metrics,
         }
     }
@@ -110,6 +112,7 @@
         gauge("frostdyke_proxy_streams_max", |hub| hub.streams_max() as u64);
         gauge("frostdyke_proxy_turned_away", |hub| hub.rejected() as u64);
         gauge("frostdyke_proxy_connections", |hub| hub.connections() as u64);
+        gauge("frostdyke_held_bytes", |hub| hub.held().map_or(0, |held| held.total() as u64));
         gauge("frostdyke_boxes_alive", |hub| hub.peers().live_count() as u64 + 1);
         gauge("frostdyke_groups_kept", |hub| {
             hub.peers().owners().groups_of(hub.peers().own_ip()).count() as u64
@@ -255,6 +258,11 @@
         self.suspended.add(1, &[]);
     }
 
+    /// Counts a holder of bytes that gave way, by what it held them for.
+    pub fn gave_way(&self, kind: &'static str) {
+        self.gave_way.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Counts a list of connected engines that is too long.
     pub fn connected_ignored(&self) {
         self.connected_ignored.add(1, &[]);
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::future::OptionFuture;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
@@ -31,6 +32,9 @@
 use crate::proxy::adapter::UpstreamRequestInfo;
 use crate::proxy::adapter::Verdict;
 use crate::proxy::admission;
+use crate::proxy::held_bytes::HoldKind;
+use crate::proxy::held_tracker::HeldBody;
+use crate::proxy::held_tracker::Hold;
 use crate::proxy::hub::Hub;
 use crate::proxy::notices;
 use crate::proxy::notices::ReceivedNotice;
@@ -104,6 +108,8 @@
     pub broken_sends: u32,
     /// The expected and the actual time of the first token, once it has arrived.
     pub first_token: Option<FirstTokenTiming>,
+    /// Counts the request's body, if such bytes are bounded.
+    pub hold: Option<Hold>,
     /// Counts the request until the whole response has been passed on.
     pub in_flight_guard: CountGuard,
     /// Counts the request until it is sent for the first time.
@@ -160,10 +166,11 @@
         Ok(ctx) => ctx,
         Err((cause, id)) => return refuse(&hub, &id, cause),
     };
-    match admission::read_body(&hub, body, ctx.deadline).await {
+    match admission::read_body(&hub, body, ctx.deadline, ctx.hold.as_ref()).await {
         Ok(body) => ctx.body = body,
         Err(cause) => return ctx.refuse(cause),
     }
+    ctx.set_held(HoldKind::Unsent);
     if ctx.route.streaming {
         ctx.stream_guard = hub.try_track_stream();
         if ctx.stream_guard.is_none() {
@@ -184,8 +191,11 @@
 impl RequestContext {
     async fn respond_to_caller(mut self) -> Response<Body> {
         let timed_out = self.hub.clock().clone().sleep_until(self.deadline);
+        let gave_way = OptionFuture::from(self.hold.as_ref().map(Hold::wait_gave_way));
         let result = tokio::select! {
             biased;
+            // Only a request that was never sent gives way.
+            Some(()) = gave_way => Err(Refusal::BoxBusy),
             result = self.send_until_response() => result,
             () = timed_out => Err(Refusal::TimedOut),
         };
@@ -195,6 +205,11 @@
         }
     }
 
+    /// Counts the request's body as held for this purpose.
+    fn set_held(&self, kind: HoldKind) {
+        self.hold.iter().for_each(|hold| hold.set(kind, self.body.len()));
+    }
+
     /// Time until the deadline.
     fn remaining(&self) -> Duration {
         self.deadline.saturating_sub(self.hub.now())
@@ -370,7 +385,13 @@
             ),
             reuse_rule: self.hub.reuse_rule(&choice.upstream, self.is_once_only()),
         };
-        let withheld = || notices::reason_to_withhold(&self.hub, &placed);
+        let withheld = || {
+            let reason = notices::reason_to_withhold(&self.hub, &placed);
+            if reason.is_none() {
+                self.set_held(HoldKind::Sent);
+            }
+            reason
+        };
         let result = connections.send(target, req, withheld).await;
         let mut resp = match result {
             Ok(resp) => resp,
@@ -524,7 +545,9 @@
         let UpstreamResponse { resp, placed } = response;
         let (head, mut body) = resp.into_parts();
         let remaining = self.remaining();
-        match web::read_body(&mut body, BUFFERED_RESPONSE_MAX_BYTES, remaining).await {
+        let hold = self.hub.held().map(|held| held.hold(HoldKind::Answer));
+        let counted = HeldBody::new(&mut body, HoldKind::Answer, hold.as_ref());
+        match web::read_body(counted, BUFFERED_RESPONSE_MAX_BYTES, remaining).await {
             Ok(bytes) => {
                 body.keep(&head.headers);
                 placed.close(None);
@@ -538,6 +561,9 @@
                     "content" => %self.fingerprint(), "upstream" => placed.upstream().as_str(),
                     "error" => %fault);
                 match fault {
+                    BodyError::Truncated if hold.is_some_and(|hold| hold.gave_way()) => {
+                        placed.close(None);
+                    }
                     BodyError::Truncated if !self.remaining().is_zero() => {
                         self.record_break(placed, false);
                     }
--- a/src/proxy/settings.rs
+++ b/src/proxy/settings.rs
@@ -42,6 +42,9 @@
     pub descriptors: usize,
     /// `[box] memory-mb`: memory that the process may use; zero for no limit.
     pub memory_bytes: usize,
+    /// `[memory] held-share`: fraction of the memory that may be held for callers and upstreams;
+    /// zero for no bound.
+    pub held_share: f64,
     /// `[store] address`: the address of the platform's store.
     pub store: SocketAddr,
     /// `[store] watch-s`: how long a watch waits for a change.
@@ -84,6 +87,7 @@
         is_first_start: reader.optional("box", "first-start", false),
         descriptors: reader.optional("box", "descriptors", 4096),
         memory_bytes: reader.optional::<usize>("box", "memory-mb", 0) << 20,
+        held_share: reader.optional("memory", "held-share", 0.0),
         store: reader.address("store", "address"),
         store_watch: Duration::from_secs_f64(reader.optional(
             "store",
--- /dev/null
+++ b/tests/proxy_held_bytes.rs
@@ -0,0 +1,324 @@
+//! Bytes that a box holds for slow callers and upstreams: what is read on, and who gives way.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::Bytes;
+use frostdyke::clock::Clock;
+use frostdyke::clock::SinceBoot;
+use frostdyke::metrics::Metrics;
+use frostdyke::proxy::connection_reuse::ReuseRule;
+use frostdyke::proxy::held_bytes::HeldBytes;
+use frostdyke::proxy::held_bytes::HoldKind;
+use frostdyke::proxy::held_bytes::HolderId;
+use frostdyke::proxy::held_tracker::HeldBody;
+use frostdyke::proxy::held_tracker::HeldIo;
+use frostdyke::proxy::held_tracker::HeldTracker;
+use frostdyke::proxy::proxy_metrics::ProxyMetrics;
+use frostdyke::proxy::upstream_connections::ConnectionQuota;
+use frostdyke::proxy::upstream_connections::Target;
+use frostdyke::proxy::upstream_connections::UpstreamConnections;
+use frostdyke::web;
+use frostdyke::web::BodyError;
+use http::Request;
+use http_body_util::Full;
+use hyper::body::Body;
+use hyper::body::Frame;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use slog::Discard;
+use slog::Logger;
+use slog::o;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+
+const BOUND: usize = 1000;
+
+fn millis(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn hold(held: &mut HeldBytes, kind: HoldKind, bytes: usize, now: Duration) -> HolderId {
+    let id = held.begin(kind, now);
+    held.set(id, kind, bytes, now);
+    id
+}
+
+/// Without a pause of the sources, the bound is reached although every holder is quick.
+#[test]
+fn sources_pause_before_the_bound_and_bodies_before_answers() {
+    let mut held = HeldBytes::new(BOUND);
+    hold(&mut held, HoldKind::Body, 699, millis(0));
+    assert!(held.may_read(HoldKind::Body) && held.may_read(HoldKind::Answer));
+    hold(&mut held, HoldKind::Unread, 1, millis(0));
+    assert!(!held.may_read(HoldKind::Body) && held.may_read(HoldKind::Answer));
+    hold(&mut held, HoldKind::Answer, 200, millis(0));
+    assert!(!held.may_read(HoldKind::Answer));
+    assert_eq!(held.take_slowest(millis(10)), None, "none is slow");
+}
+
+/// A quick holder must not give way for a slow one, however much it holds.
+#[test]
+fn the_slowest_gives_way_at_the_bound() {
+    let mut held = HeldBytes::new(BOUND);
+    let slow = hold(&mut held, HoldKind::Unread, 10, millis(0));
+    hold(&mut held, HoldKind::Answer, 900, millis(100));
+    hold(&mut held, HoldKind::Unsent, 91, millis(50));
+    let first = held.take_slowest(millis(100)).expect("there is too much");
+    assert_eq!((first.id, first.kind, first.bytes), (slow, HoldKind::Unread, 10));
+    assert_eq!(first.stalled, millis(100));
+    assert_eq!((held.total(), held.take_slowest(millis(100))), (991, None));
+}
+
+/// Holders that all wait for each other would stop all sources for good.
+#[test]
+fn a_holder_without_progress_gives_way_while_sources_pause() {
+    let mut held = HeldBytes::new(BOUND);
+    let stalled = hold(&mut held, HoldKind::Body, 400, millis(0));
+    let moving = hold(&mut held, HoldKind::Body, 350, millis(0));
+    for ms in (50..250).step_by(50) {
+        held.set(moving, HoldKind::Body, 350 + ms as usize, millis(ms));
+        assert_eq!(held.take_slowest(millis(ms)), None);
+    }
+    assert_eq!(held.take_slowest(millis(250)).map(|g| g.id), Some(stalled));
+    assert!(held.may_read(HoldKind::Body), "the sources are read again");
+    assert_eq!(held.take_slowest(millis(260)), None, "the other one moves");
+}
+
+/// While little is held, a caller may take its time; the more is held, the less.
+#[test]
+fn holders_may_stall_the_longer_the_less_is_held() {
+    let stalls_for = |bytes| {
+        let mut held = HeldBytes::new(BOUND);
+        hold(&mut held, HoldKind::Unread, bytes, millis(0));
+        (0..10_000).find(|ms| held.take_slowest(millis(*ms)).is_some())
+    };
+    assert_eq!(stalls_for(499), None);
+    let times = [500, 550, 600, 650, 700, 900, 1001].map(|bytes| stalls_for(bytes).expect("it is"));
+    assert!(times.is_sorted_by(|a, b| b <= a), "{times:?}");
+    assert_eq!((times[0], times[5], times[6]), (1500, 250, 0));
+}
+
+/// A request that was sent may have run: cutting it off gains only its body, and loses the run.
+#[test]
+fn a_sent_request_does_not_give_way() {
+    let mut held = HeldBytes::new(BOUND);
+    let sent = hold(&mut held, HoldKind::Unsent, 900, millis(0));
+    held.set(sent, HoldKind::Sent, 900, millis(1));
+    let body = hold(&mut held, HoldKind::Body, 200, millis(5_000));
+    assert_eq!(held.take_slowest(millis(5_000)).map(|g| g.id), Some(body));
+    assert_eq!(held.take_slowest(millis(50_000)), None);
+    assert_eq!((held.total(), held.may_read(HoldKind::Body)), (900, false));
+}
+
+/// A holder that has given way may still report bytes, or end, before it learns of it.
+#[test]
+fn a_holder_that_has_given_way_counts_no_more() {
+    let mut held = HeldBytes::new(BOUND);
+    let id = hold(&mut held, HoldKind::Body, 2_000, millis(0));
+    assert_eq!(held.take_slowest(millis(0)).map(|g| g.id), Some(id));
+    held.set(id, HoldKind::Body, 4_000, millis(1));
+    held.end(id);
+    held.end(id);
+    assert_eq!(held.total(), 0);
+}
+
+/// Nothing may leak: a count that only grows stops all sources in the end.
+#[test]
+fn the_count_returns_to_zero() {
+    let mut rng = SmallRng::seed_from_u64(3);
+    let mut held = HeldBytes::new(BOUND);
+    let mut ids = Vec::new();
+    for step in 0..10_000 {
+        let now = millis(step);
+        let kind = HoldKind::ALL[rng.random_range(0..HoldKind::ALL.len())];
+        match rng.random_range(0..3) {
+            0 => ids.push(held.begin(kind, now)),
+            1 if !ids.is_empty() => {
+                let id = ids[rng.random_range(0..ids.len())];
+                held.set(id, kind, rng.random_range(0..300), now);
+            }
+            2 if !ids.is_empty() => held.end(ids.swap_remove(rng.random_range(0..ids.len()))),
+            _ => {}
+        }
+        while held.take_slowest(now).is_some() {}
+    }
+    ids.into_iter().for_each(|id| held.end(id));
+    assert_eq!(held.total(), 0);
+}
+
+/// Many callers read nothing while others read: those that read are served in full and nearly as
+/// fast as alone, and the bound holds.
+#[test]
+fn many_callers_read_nothing_while_others_read() {
+    const BOUND: usize = 4 << 20;
+    const CHUNK: usize = 2 << 10;
+    const ANSWER: usize = 64 << 10;
+    const STEP: Duration = Duration::from_millis(10);
+    // Of each eight streams, five are never read. Those that are read take a chunk every 10 ms.
+    let serve = |slow_of_8: usize| {
+        let mut held = HeldBytes::new(BOUND);
+        let mut streams: Vec<(HolderId, bool, usize, usize)> = Vec::new();
+        let (mut begun, mut served, mut cut_readers, mut peak, mut paused) = (0, 0, 0, 0, 0);
+        for step in 0..2_000u32 {
+            let now = STEP * step;
+            for n in 0..8 {
+                // A request's body comes first, and it is not read while too much is held.
+                if !held.may_read(HoldKind::Body) {
+                    paused += usize::from(slow_of_8 <= n);
+                    continue;
+                }
+                begun += usize::from(slow_of_8 <= n);
+                streams.push((held.begin(HoldKind::Unread, now), slow_of_8 <= n, 0, 0));
+            }
+            for (id, reads, received, pending) in &mut streams {
+                // A stream's next chunk is read once the one before is written.
+                if (*reads || *pending < 4 * CHUNK) && *received < ANSWER {
+                    *received += CHUNK;
+                    *pending += CHUNK;
+                }
+                held.set(*id, HoldKind::Unread, *pending, now);
+                if *reads {
+                    *pending -= CHUNK;
+                    held.set(*id, HoldKind::Unread, *pending, now);
+                }
+            }
+            peak = peak.max(held.total());
+            while let Some(slowest) = held.take_slowest(now) {
+                let at = streams.iter().position(|s| s.0 == slowest.id).expect("it is known");
+                cut_readers += usize::from(streams.swap_remove(at).1);
+            }
+            streams.retain(|(id, reads, received, _)| {
+                let is_done = *reads && *received == ANSWER;
+                if is_done {
+                    held.end(*id);
+                    served += 1;
+                }
+                !is_done
+            });
+        }
+        (begun, served, cut_readers, peak, paused)
+    };
+    let (begun, served, cut, peak, paused) = serve(5);
+    println!("begun {begun}, served {served}, cut {cut}, peak {peak}, paused {paused}");
+    assert_eq!(cut, 0, "those who read are never cut");
+    assert!(peak <= BOUND + 8 * CHUNK, "{peak}");
+    // All but those that still run at the end.
+    assert!(begun - served <= 3 * (ANSWER / CHUNK + 1), "{served} of {begun}");
+    assert!(5_400 <= begun, "nine in ten begin at once: {begun} of 6,000, {paused} paused");
+}
+
+fn tracker() -> Arc<HeldTracker> {
+    let clock = Clock::new(Box::new(SinceBoot));
+    let metrics = ProxyMetrics::new(Metrics::new().expect("no metrics yet"));
+    HeldTracker::new(BOUND, clock, metrics, Logger::root(Discard, o!()))
+}
+
+/// A body whose sender sends `left` times 100 bytes, and then nothing.
+struct StallingBody {
+    left: usize,
+}
+
+impl Body for StallingBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        if self.left == 0 {
+            return Poll::Pending;
+        }
+        self.left -= 1;
+        Poll::Ready(Some(Ok(Frame::data(Bytes::from_static(&[0; 100])))))
+    }
+}
+
+/// A caller that stops sending a long body keeps memory from those who send; it must get a status
+/// that says "not run" while it is still connected.
+#[tokio::test]
+async fn a_body_that_stalls_gives_way_and_its_bytes_are_released() {
+    let tracker = tracker();
+    let hold = tracker.hold(HoldKind::Body);
+    let body = HeldBody::new(StallingBody { left: 6 }, HoldKind::Body, Some(&hold));
+    let (read, ()) = tokio::join!(web::read_body(body, 10_000, Duration::from_secs(30)), async {
+        while !hold.gave_way() {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            tracker.check();
+        }
+    });
+    assert_eq!(read, Err(BodyError::Truncated));
+    assert_eq!(tracker.total(), 0);
+}
+
+/// A source that sends faster than the box can pass on must wait, not fail.
+#[tokio::test]
+async fn a_body_waits_while_too_much_is_held_and_is_read_after() {
+    let tracker = tracker();
+    let other = tracker.hold(HoldKind::Unsent);
+    other.set(HoldKind::Sent, 800);
+    let read = tokio::spawn({
+        let hold = tracker.hold(HoldKind::Body);
+        async move {
+            let body = Full::new(Bytes::from_static(b"abc"));
+            let body = HeldBody::new(body, HoldKind::Body, Some(&hold));
+            web::read_body(body, 10_000, Duration::from_secs(30)).await
+        }
+    });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert!(!read.is_finished());
+    drop(other);
+    assert_eq!(read.await.expect("no panic"), Ok(Bytes::from_static(b"abc")));
+    assert_eq!(tracker.total(), 0);
+}
+
+/// An unread answer is memory of the box; the connection of a caller that reads nothing is closed,
+/// so that its upstream's connection is free.
+#[tokio::test]
+async fn a_caller_that_reads_nothing_is_cut_off() {
+    let tracker = tracker();
+    // Takes a few bytes, and then nothing.
+    let (io, _caller) = tokio::io::duplex(100);
+    let mut io = HeldIo::new(io, Some(tracker.clone()));
+    let answer = [0; 900];
+    let write = io.write_all(&answer);
+    tokio::pin!(write);
+    let written = loop {
+        tokio::select! {
+            written = &mut write => break written,
+            () = tokio::time::sleep(Duration::from_millis(50)) => tracker.check(),
+        }
+    };
+    let e = written.expect_err("the caller doesn't read");
+    assert_eq!(e.kind(), io::ErrorKind::ConnectionAborted);
+    assert_eq!(tracker.total(), 0);
+}
+
+/// An engine that accepts a request and doesn't read its body would keep the body in memory until
+/// the deadline. Some of it was written, so it may have run.
+#[tokio::test]
+async fn a_body_that_the_engine_does_not_take_ends_after_some_seconds() {
+    let connections = UpstreamConnections::new(Clock::new(Box::new(SinceBoot)));
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let target = Target {
+        addr: listener.local_addr().expect("it is bound"),
+        name_hash: 1,
+        quota: ConnectionQuota { open_max: 1, kept_max: 1 },
+        reuse_rule: ReuseRule { is_once_only: true, trusts_announced: true },
+    };
+    let body = Full::new(Bytes::from(vec![0; 32 << 20]));
+    let req = Request::post("/x").body(body).expect("it is valid");
+    let sent = tokio::time::timeout(Duration::from_secs(10), async {
+        let (sent, _engine) =
+            tokio::join!(connections.send(target, req, || None), listener.accept());
+        sent.map(|_| ())
+    });
+    let e = sent.await.expect("it ends in time").expect_err("there is no answer");
+    assert!(!e.is_unsent(), "{e}");
+}
