--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -17,6 +17,7 @@
 use crate::clock::Clock;
 use crate::fleet::in_progress::received::ReceivedReports;
 use crate::fleet::in_progress::table::RequestTable;
+use crate::fleet::owners::EngineGroup;
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
 use crate::placement::admit;
@@ -32,7 +33,9 @@
 use crate::proxy::adapter::EngineClient;
 use crate::proxy::adapter::HeaderAdapter;
 use crate::proxy::capacity;
+use crate::proxy::connection_reuse::ReuseRule;
 use crate::proxy::engine_placement::OwnerRequests;
+use crate::proxy::held_tracker::HeldTracker;
 use crate::proxy::message::Message;
 use crate::proxy::peers::Peers;
 use crate::proxy::placed_request::CountGuard;
@@ -75,6 +78,7 @@
     rejected: AtomicUsize,
     connections: Arc<AtomicUsize>,
     connections_max: usize,
+    held: Option<Arc<HeldTracker>>,
     late_max: Duration,
 }
 
@@ -105,11 +109,14 @@
             plain_shares: Shares::new(cfg.share_window),
         };
         let own_requests = RequestTable::new(peers.own_ip(), peers.incarnation());
+        let held_bound = (cfg.memory_bytes as f64 * cfg.held_share) as usize;
         let hub = Arc::new(Hub {
             inner: Mutex::new(inner),
             header_adapter,
             engine_client,
             upstream_connections: UpstreamConnections::new(clock.clone()),
+            held: (held_bound != 0)
+                .then(|| HeldTracker::new(held_bound, clock.clone(), metrics.clone(), log.clone())),
             clock,
             peers,
             metrics,
@@ -230,6 +237,11 @@
         self.rejected.load(Ordering::Relaxed)
     }
 
+    /// Tracks the bytes held for callers and upstreams; `None` if they are not bounded.
+    pub fn held(&self) -> Option<&Arc<HeldTracker>> {
+        self.held.as_ref()
+    }
+
     /// Counts a caller's connection until the guard is dropped.
     pub fn track_connection(&self) -> CountGuard {
         CountGuard::new(self.connections.clone())
@@ -412,6 +424,21 @@
         ConnectionQuota::new(QuotaInputs { connections, admission_limit, boxes, draw }, is_placed)
     }
 
+    /// Which idle connections to an upstream a request may use.
+    pub fn reuse_rule(&self, upstream: &UpstreamName, is_once_only: bool) -> ReuseRule {
+        let trusts_announced = self.read(|view| view.registry().prefers_connected(upstream));
+        ReuseRule { is_once_only, trusts_announced }
+    }
+
+    /// Short hashes of engines of a group to which this box has an idle connection for a request.
+    pub fn connected(&self, group: Option<EngineGroup>, is_once_only: bool) -> Vec<u16> {
+        if !self.read(|view| view.registry().tuning().small_batch.prefer_connected) {
+            return Vec::new();
+        }
+        let reuse_rule = ReuseRule { is_once_only, trusts_announced: true };
+        self.upstream_connections.connected(group, reuse_rule)
+    }
+
     /// Whether this box backs off from an upstream, or the upstream's slow start after a backoff
     /// admits no more requests for now.
     pub fn is_backing_off(&self, upstream: &UpstreamName) -> bool {
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -192,6 +192,8 @@
     pub is_last_group: bool,
     /// Whether the request may be sent again if it fails.
     pub is_repeatable: bool,
+    /// Short hashes of engines of the group to which the asking box has an idle connection.
+    pub connected: Vec<u16>,
 }
 
 /// An owner's decision on a [`PlacementRequest`] or a [`PlainPlacementRequest`].
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -11,9 +11,12 @@
 pub mod capacity;
 pub mod connection_limiter;
 pub mod connection_rejecter;
+pub mod connection_reuse;
 pub mod digests;
 pub mod engine_placement;
 pub mod gossip;
+pub mod held_bytes;
+pub mod held_tracker;
 pub mod history;
 pub mod http_client;
 pub mod hub;
@@ -76,6 +79,7 @@
 use crate::proxy::adapter::SuspectStore;
 use crate::proxy::capacity::StreamLimiter;
 use crate::proxy::connection_limiter::ConnectionLimiter;
+use crate::proxy::connection_reuse::ConnectionLog;
 use crate::proxy::hub::Hub;
 use crate::proxy::peers::Peers;
 use crate::proxy::proxy_metrics::ProxyMetrics;
@@ -218,6 +222,7 @@
 
 async fn run_housekeeping(hub: Arc<Hub>, store_due: watch::Sender<bool>) {
     let mut limiter = StreamLimiter::new(hub.streams_max());
+    let mut connection_log = ConnectionLog::default();
     let mut rejected = 0;
     let mut not_ready_until = Instant::now();
     let mut groups: BTreeSet<EngineGroup> = BTreeSet::new();
@@ -242,6 +247,8 @@
                 "streams_max" => hub.streams_max(), "in_flight" => hub.in_flight(),
                 "turned_away" => rejected);
         }
+        connection_log.log_if_due(&hub);
+        hub.held().iter().for_each(|held| held.check());
         gossip::send_gossip(&hub);
         hub.change(view::View::expire);
         hub.suspects().expire(hub.now());
--- a/src/proxy/proxy_metrics.rs
+++ b/src/proxy/proxy_metrics.rs
@@ -12,6 +12,9 @@
 use crate::names::WorkspaceName;
 use crate::placement::share::TokenCounts;
 use crate::proxy::adapter::Notice;
+use crate::proxy::connection_reuse::CloseCause;
+use crate::proxy::connection_reuse::ConnectionCounts;
+use crate::proxy::connection_reuse::OpenCause;
 use crate::proxy::hub::Hub;
 use crate::proxy::placed_request::FirstTokenTiming;
 use crate::proxy::view::View;
@@ -48,6 +51,8 @@
     half_open_probes: Counter<u64>,
     requests_corrected: Counter<u64>,
     in_progress_faults: Counter<u64>,
+    connected_ignored: Counter<u64>,
+    gave_way: Counter<u64>,
 }
 
 impl ProxyMetrics {
@@ -83,6 +88,8 @@
             half_open_probes: meter.u64_counter("frostdyke_half_open_probes").build(),
             requests_corrected: meter.u64_counter("frostdyke_requests_corrected").build(),
             in_progress_faults: meter.u64_counter("frostdyke_in_progress_faults").build(),
+            connected_ignored: meter.u64_counter("frostdyke_connected_lists_ignored").build(),
+            gave_way: meter.u64_counter("frostdyke_holders_gave_way").build(),
             metrics,
         }
     }
@@ -111,6 +118,7 @@
         gauge("frostdyke_proxy_streams_max", |hub| hub.streams_max() as u64);
         gauge("frostdyke_proxy_turned_away", |hub| hub.rejected() as u64);
         gauge("frostdyke_proxy_connections", |hub| hub.connections() as u64);
+        gauge("frostdyke_held_bytes", |hub| hub.held().map_or(0, |held| held.total() as u64));
         gauge("frostdyke_boxes_alive", |hub| hub.peers().live_count() as u64 + 1);
         gauge("frostdyke_groups_kept", |hub| {
             hub.peers().owners().groups_of(hub.peers().own_ip()).count() as u64
@@ -129,6 +137,7 @@
         });
         gauge("frostdyke_suspects", |hub| hub.suspects().read(|q| q.len() as u64));
         self.register_share_gauges(hub);
+        self.register_connection_counters(hub);
         gauge("frostdyke_upstreams_in_doubt", |hub| {
             hub.read(|v| v.registry().unverified_count() as u64)
         });
@@ -157,6 +166,38 @@
         gauge("frostdyke_share_begun_tokens", |tokens| tokens.admitted);
     }
 
+    /// Registers the counters of connections to upstreams: opened and closed by cause, and reused.
+    fn register_connection_counters(&self, hub: &Arc<Hub>) {
+        let counter = |name: &'static str, read: fn(&ConnectionCounts) -> Vec<(&str, u64)>| {
+            let hub: Weak<Hub> = Arc::downgrade(hub);
+            // The meter keeps the callback.
+            let _ = (self.metrics.meter().u64_observable_counter(name))
+                .with_callback(move |observer| {
+                    let Some(hub) = hub.upgrade() else { return };
+                    for (cause, count) in read(hub.upstream_connections().counts()) {
+                        observer.observe(count, &[KeyValue::new("cause", cause.to_owned())]);
+                    }
+                })
+                .build();
+        };
+        counter("frostdyke_upstream_connections_opened", |counts| {
+            OpenCause::ALL.map(|cause| (cause.code(), counts.opened_for(cause))).to_vec()
+        });
+        counter("frostdyke_upstream_connections_closed", |counts| {
+            CloseCause::ALL.map(|cause| (cause.code(), counts.closed_for(cause))).to_vec()
+        });
+        let hub: Weak<Hub> = Arc::downgrade(hub);
+        // The meter keeps the callback.
+        let _ = (self.metrics.meter())
+            .u64_observable_counter("frostdyke_upstream_connections_reused")
+            .with_callback(move |observer| {
+                if let Some(hub) = hub.upgrade() {
+                    observer.observe(hub.upstream_connections().counts().reused_count(), &[]);
+                }
+            })
+            .build();
+    }
+
     /// Counts the tokens charged to a workspace for a request that has returned its first token.
     pub fn workspace_begun(&self, workspace: &WorkspaceName, tokens: u64) {
         let label = KeyValue::new("workspace", workspace.as_str().to_owned());
@@ -240,6 +281,16 @@
         self.suspended.add(1, &[]);
     }
 
+    /// Counts a holder of bytes that gave way, by what it held them for.
+    pub fn gave_way(&self, kind: &'static str) {
+        self.gave_way.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Counts a list of connected engines that is too long.
+    pub fn connected_ignored(&self) {
+        self.connected_ignored.add(1, &[]);
+    }
+
     /// Counts a request that is held back from now on, by how this box learned of it.
     pub fn held_back(&self, by: &'static str) {
         self.held_back.add(1, &[KeyValue::new("by", by)]);
--- a/src/proxy/upstream_selection.rs
+++ b/src/proxy/upstream_selection.rs
@@ -96,6 +96,7 @@
             zone: None,
             sender: None,
             source: None,
+            connected: &[],
             purpose: Purpose::PlaceIfCached,
             is_last_group: false,
             role: Role::Unassigned,
--- a/tests/fleet_half_open.rs
+++ b/tests/fleet_half_open.rs
@@ -104,6 +104,7 @@
             source: None,
             purpose: Purpose::Place,
             is_last_group: true,
+            connected: &[],
             role: self.role,
             is_repeatable: self.is_repeatable,
         };
--- a/tests/fleet_in_progress.rs
+++ b/tests/fleet_in_progress.rs
@@ -722,6 +722,7 @@
         source: None,
         purpose: Purpose::Place,
         is_last_group: false,
+        connected: Vec::new(),
         is_repeatable: true,
     })
 }
--- a/tests/fleet_placement.rs
+++ b/tests/fleet_placement.rs
@@ -204,6 +204,7 @@
                 zone: None,
                 sender: None,
                 source,
+                connected: &[],
                 purpose: Purpose::Place,
                 is_last_group: is_last_group || !has_owners,
                 role: Role::Owner,
@@ -299,6 +300,7 @@
         purpose: query.purpose,
         is_last_group: query.is_last_group,
         is_repeatable: query.is_repeatable,
+        connected: Vec::new(),
     })
 }
 
--- a/tests/proxy_admit.rs
+++ b/tests/proxy_admit.rs
@@ -97,6 +97,7 @@
             zone: None,
             sender: None,
             source: None,
+            connected: &[],
             purpose: Purpose::Place,
             is_last_group,
             role: Role::Owner,
