Placement: an engine's own speed as a level that lasts and a deviation that fades

Cause: the factor of an engine forgot half in 1.5 s of samples, began anew with each owner and held an old slowness as long as the engine got nothing. With engines of two speeds, predictions were off and slow engines got what they couldn't finish in time.

Ruled out: one filter with a longer memory (takes moments of slowness for a slow engine or a slow engine for moments); a level without what the service's measurements have in common (service and levels drift apart without bound, since one averages and the other is robust); levels relative to the box's own estimate of the service (a new owner's estimate differs, so they are handed on relative to the configured speed).

Change: where the settings ask for it, a Kalman filter of two parts per engine; levels are reported with what is learned of engines and adopted where known better, with the engine's instance and version; impossible ones are counted and change nothing. An engine whose first token would be late is chosen only if no other is sooner. A gauge of levels, one log line when an engine becomes slow or normal.

--- a/src/placement/admit.rs
+++ b/src/placement/admit.rs
@@ -113,6 +113,7 @@
         excluded: query.excluded,
         wait_max: remaining,
         wait_max_idle: idle.saturating_sub(query.waited),
+        first_token_target: Some(query.target_latency.saturating_sub(query.waited)),
         any_engine: share_used <= ANY_ENGINE_SHARE_MAX,
         group: query.group,
         version_filter: query.version_filter,
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -33,6 +33,8 @@
     pub wait_max: Duration,
     /// The longest acceptable wait where they are idle; never less than `wait_max`.
     pub wait_max_idle: Duration,
+    /// When the first token is due; `None` if at no particular time.
+    pub first_token_target: Option<Duration>,
     /// Whether any engine with an acceptable wait will do, or only the one with the lowest cost.
     pub any_engine: bool,
     /// The engines that may be chosen; `None` allows all of the service.
@@ -61,6 +63,7 @@
             excluded,
             wait_max,
             wait_max_idle: wait_max,
+            first_token_target: None,
             any_engine: true,
             group: None,
             version_filter: VersionFilter::Any,
--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -10,6 +10,8 @@
 use crate::placement::cache::PrefixCache;
 use crate::placement::cold::ColdStart;
 use crate::placement::cold::Role;
+use crate::placement::engine_speed::EngineSpeed;
+use crate::placement::engine_speed::Measurement;
 use crate::placement::speed::SlowdownFactor;
 use crate::placement::speed::Speed;
 use crate::placement::speed::Work;
@@ -80,6 +82,8 @@
     load: f64,
     load_updated: Duration,
     slowdown: SlowdownFactor,
+    /// Replaces `slowdown` where engines of one service differ much.
+    own_speed: Option<EngineSpeed>,
     cold_start: ColdStart,
 }
 
@@ -115,6 +119,7 @@
             load: 0.0,
             load_updated: Duration::ZERO,
             slowdown: SlowdownFactor::default(),
+            own_speed: None,
             cold_start: ColdStart::default(),
         }
     }
@@ -123,8 +128,31 @@
         self.limits
     }
 
-    pub fn prefill_seconds(&self, work: Work, speed: &Speed) -> f64 {
-        speed.prefill_seconds(work) * self.slowdown.get()
+    /// Starts to estimate the engine's own speed, with no knowledge of it.
+    pub fn start_own_speed(&mut self) {
+        self.own_speed = Some(EngineSpeed::default());
+    }
+
+    /// Forgets what was learned of another instance or version.
+    pub fn reset_own_speed(&mut self) {
+        self.own_speed = self.own_speed.map(|_| EngineSpeed::default());
+    }
+
+    pub fn own_speed(&self) -> Option<&EngineSpeed> {
+        self.own_speed.as_ref()
+    }
+
+    pub fn own_speed_mut(&mut self) -> Option<&mut EngineSpeed> {
+        self.own_speed.as_mut()
+    }
+
+    pub fn prefill_seconds(&self, work: Work, speed: &Speed, now: Duration) -> f64 {
+        speed.prefill_seconds(work) * self.speed_factor(now)
+    }
+
+    /// How many times as long as its service's engines this one takes now.
+    fn speed_factor(&self, now: Duration) -> f64 {
+        self.own_speed.map_or_else(|| self.slowdown.get(), |own| own.factor(now))
     }
 
     /// Tokens at the head of a prompt that the engine has cached.
@@ -169,13 +197,16 @@
 
     /// Time to finish all prefills sent so far.
     pub fn backlog(&self, speed: &Speed, now: Duration) -> Duration {
-        let now = now.as_secs_f64();
-        let Some(end) = self.prefill_spans(speed, now).last().map(|span| span.end) else {
+        if self.pending.is_empty() {
+            return Duration::ZERO;
+        }
+        let (factor, now) = (self.speed_factor(now), now.as_secs_f64());
+        let Some(end) = self.prefill_spans(speed, factor, now).last().map(|span| span.end) else {
             return Duration::ZERO;
         };
         // If the next first token is late, the delay is expected to last as long again.
         let due = self
-            .prefill_spans(speed, f64::MIN)
+            .prefill_spans(speed, factor, f64::MIN)
             .next()
             .map_or(now, |span| span.end + speed.fixed_seconds());
         let late = now - due - OVERDUE_SLACK.as_secs_f64();
@@ -184,23 +215,29 @@
 
     /// Prefill work that has been sent and is not done yet.
     fn remaining_work(&self, speed: &Speed, now: Duration) -> Work {
-        let now = now.as_secs_f64();
-        let remaining = self.prefill_spans(speed, now).map(|PrefillSpan { begin, end, work }| {
-            let seconds = (end - begin).max(f64::MIN_POSITIVE);
-            work.scaled(((end - now) / seconds).clamp(0.0, 1.0))
-        });
+        let (factor, now) = (self.speed_factor(now), now.as_secs_f64());
+        let remaining =
+            self.prefill_spans(speed, factor, now).map(|PrefillSpan { begin, end, work }| {
+                let seconds = (end - begin).max(f64::MIN_POSITIVE);
+                work.scaled(((end - now) / seconds).clamp(0.0, 1.0))
+            });
         remaining.fold(Work::default(), Work::plus)
     }
 
     /// The predicted prefill periods of all prompts without a first token: one after the other,
     /// starting at the end of the last completed prefill.
-    fn prefill_spans(&self, speed: &Speed, now: f64) -> impl Iterator<Item = PrefillSpan> {
+    fn prefill_spans(
+        &self,
+        speed: &Speed,
+        factor: f64,
+        now: f64,
+    ) -> impl Iterator<Item = PrefillSpan> {
         // A prompt without a token by now ended its prefill at this time at the earliest.
         let earliest = now - speed.fixed_seconds() - OVERDUE_SLACK.as_secs_f64();
         let mut end = self.last_prefill_end;
         self.pending.iter().map(move |r| {
             let begin = end.max((r.placed + r.copy_time).as_secs_f64());
-            end = (begin + self.prefill_seconds(r.work, speed)).max(earliest);
+            end = (begin + speed.prefill_seconds(r.work) * factor).max(earliest);
             PrefillSpan { begin, end, work: r.work }
         })
     }
@@ -220,7 +257,7 @@
         }
         let work = Work::prefill(prompt.tokens.saturating_sub(prefill_tokens), prefill_tokens);
         let work_with_backlog = self.remaining_work(speed, now).plus(work);
-        self.load = self.load(tuning, now) + self.prefill_seconds(work, speed);
+        self.load = self.load(tuning, now) + self.prefill_seconds(work, speed, now);
         self.load_updated = now;
         let tokens = u64::from(prompt.tokens) + u64::from(prompt.output_tokens_max);
         self.cache.insert(&prompt.parts);
@@ -281,40 +318,53 @@
     }
 
     /// Records the first token of a request, `took` after it was sent, and updates the speed
-    /// estimates of the engine and its service.
+    /// estimates of the engine and its service. Returns whether the engine has become slow, or
+    /// normal again.
     pub fn record_first_token(
         &mut self,
         request: u64,
         took: Option<Duration>,
         speed: &mut Speed,
         now: Duration,
-    ) {
-        let Some(at) = self.pending.iter().position(|r| r.request == request) else { return };
-        let Some(prefill) = self.pending.remove(at) else { return };
+    ) -> bool {
+        let Some(at) = self.pending.iter().position(|r| r.request == request) else { return false };
+        let Some(prefill) = self.pending.remove(at) else { return false };
         let placed = prefill.placed;
-        self.learn(&prefill, took.unwrap_or(now.saturating_sub(placed)), speed, now);
+        let took = took.unwrap_or(now.saturating_sub(placed));
+        let has_changed = self.learn(&prefill, took, speed, now);
         // Engines prefill in order: a request sent well before this one is prefilled too, or was
         // abandoned by a box that could no longer report it.
         self.pending.retain(|r| placed < r.placed + IN_ORDER_SLACK);
         self.last_prefill_end =
             self.last_prefill_end.max(now.as_secs_f64() - speed.fixed_seconds());
+        has_changed
     }
 
+    /// Returns whether the engine has become slow, or normal again.
     fn learn(
         &mut self,
         prefill: &PendingPrefill,
         took: Duration,
         speed: &mut Speed,
         now: Duration,
-    ) {
+    ) -> bool {
         if !prefill.had_slot {
-            return;
+            return false;
         }
         let took = took.saturating_sub(prefill.copy_time).as_secs_f64();
         let expected = speed.prefill_seconds(prefill.work_with_backlog);
-        let slowdown = self.slowdown.get();
-        self.slowdown.update(expected, took - speed.fixed_seconds(), now);
-        speed.update(prefill.work_with_backlog.scaled(slowdown), took, now);
+        let factor = self.speed_factor(now);
+        let prefill_took = took - speed.fixed_seconds();
+        let has_changed = match &mut self.own_speed {
+            None => {
+                self.slowdown.update(expected, prefill_took, now);
+                false
+            }
+            Some(own) => Measurement::new(expected, prefill_took)
+                .is_some_and(|measured| own.update(measured, speed.common_error(), now)),
+        };
+        speed.update(prefill.work_with_backlog.scaled(factor), took, now);
+        has_changed
     }
 
     /// Records the end of a request, whatever the reason.
@@ -328,7 +378,8 @@
     /// Removes a request that is not sent, including its prefill.
     pub fn withdraw(&mut self, request: u64, speed: &Speed, tuning: Tuning, now: Duration) {
         if let Some(work) = self.pending.iter().find(|r| r.request == request).map(|r| r.work) {
-            self.load = (self.load(tuning, now) - self.prefill_seconds(work, speed)).max(0.0);
+            let seconds = self.prefill_seconds(work, speed, now);
+            self.load = (self.load(tuning, now) - seconds).max(0.0);
             self.load_updated = now;
         }
         self.remove_request(request);
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -8,6 +8,7 @@
 pub mod choice;
 pub mod cold;
 pub mod engine;
+pub mod engine_speed;
 pub mod plain;
 pub mod registry;
 pub mod share;
--- a/src/placement/registry.rs
+++ b/src/placement/registry.rs
@@ -4,6 +4,7 @@
 mod cold;
 mod index;
 pub mod learned;
+pub mod own_speed;
 mod plain;
 mod reachability;
 mod selection;
@@ -33,6 +34,9 @@
 use crate::proxy::adapter::UpstreamListing;
 use crate::proxy::routing_table::EngineLimits;
 
+/// Limit on the engines remembered for a log line each.
+const SLOW_CHANGES_MAX: usize = 64;
+
 /// All upstreams known to this box.
 #[derive(Debug)]
 pub struct UpstreamRegistry {
@@ -53,6 +57,8 @@
     backoffs: BTreeMap<UpstreamName, Backoff>,
     /// Upstreams examined by selections so far.
     examined: Cell<u64>,
+    /// Engines that have become slow, or normal again, since this was last read.
+    slow_changes: BTreeSet<UpstreamName>,
     /// Zones whose upstreams get no requests.
     closed_zones: BTreeSet<ZoneName>,
     /// Versions being rolled out, by service.
@@ -72,6 +78,7 @@
             unverified: BTreeSet::new(),
             backoffs: BTreeMap::new(),
             examined: Cell::new(0),
+            slow_changes: BTreeSet::new(),
             closed_zones: BTreeSet::new(),
             rollout_targets: BTreeMap::new(),
         }
@@ -79,16 +86,21 @@
 
     /// Adds or updates an upstream. `limits` is set for engines.
     pub fn upsert(&mut self, listed: UpstreamListing, limits: Option<EngineLimits>) {
+        let tuning = self.tuning;
         if let Some(known) = self.upstreams.get_mut(&listed.name) {
             self.index.remove(known);
+            let is_other = known.listed.version != listed.version
+                || known.listed.started_at_ms != listed.started_at_ms;
             known.listed = listed;
             if known.engine.is_none() {
-                known.engine = limits.map(Engine::new);
+                known.engine = limits.map(|limits| new_engine(limits, tuning));
+            } else if is_other && let Some(engine) = &mut known.engine {
+                engine.reset_own_speed();
             }
             self.index.add(known);
             return;
         }
-        let engine = limits.map(Engine::new);
+        let engine = limits.map(|limits| new_engine(limits, tuning));
         let upstream = Upstream::new(listed, engine);
         self.index.add(&upstream);
         self.upstreams.insert(upstream.listed.name.clone(), upstream);
@@ -229,7 +241,10 @@
             self.speeds.insert(upstream.listed.service.clone(), self.default_speed.clone());
         }
         let Some(speed) = self.speeds.get_mut(&upstream.listed.service) else { return };
-        engine.record_first_token(request, took, speed, now);
+        let has_changed = engine.record_first_token(request, took, speed, now);
+        if has_changed && self.slow_changes.len() < SLOW_CHANGES_MAX {
+            self.slow_changes.insert(name.clone());
+        }
     }
 
     pub fn tuning(&self) -> Tuning {
@@ -366,3 +381,11 @@
         if available.is_empty() { open } else { available }
     }
 }
+
+fn new_engine(limits: EngineLimits, tuning: Tuning) -> Engine {
+    let mut engine = Engine::new(limits);
+    if tuning.small_batch.estimates_own_speed(limits.slots) {
+        engine.start_own_speed();
+    }
+    engine
+}
--- a/src/placement/registry/learned.rs
+++ b/src/placement/registry/learned.rs
@@ -8,6 +8,7 @@
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
 use crate::placement::registry::UpstreamRegistry;
+use crate::placement::registry::own_speed::OwnSpeedReport;
 use crate::placement::speed::Speed;
 use crate::placement::upstream::Upstream;
 use crate::proxy::adapter::PromptPart;
@@ -21,6 +22,8 @@
     pub speeds: Vec<(ServiceName, Speed)>,
     /// Upstreams that have announced that they are draining.
     pub draining: Vec<DrainNotice>,
+    /// The speed of single engines.
+    pub own_speeds: Vec<OwnSpeedReport>,
 }
 
 /// The prompt parts that an engine is believed to have cached.
@@ -48,7 +51,8 @@
             }
             None => self.upstreams.values().filter_map(cached).collect(),
         };
-        LearnedReport { cached, speeds: speeds.collect(), draining: Vec::new() }
+        let speeds = speeds.collect();
+        LearnedReport { cached, speeds, ..LearnedReport::default() }
     }
 
     /// Merges what another box has learned of the engines.
--- a/src/placement/registry/selection.rs
+++ b/src/placement/registry/selection.rs
@@ -1,5 +1,6 @@
 //! Selects the engine for a request.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use crate::fleet::owners::EngineGroup;
@@ -40,12 +41,23 @@
     plan: Option<PrefillPlan>,
     /// Cost of sending the request there, in seconds.
     cost: f64,
+    /// How much later than due the first token is expected, in seconds; zero where the engines' own
+    /// speeds aren't estimated.
+    late_by: f64,
 }
 
 impl Candidate<'_> {
     fn wait(&self) -> Duration {
         self.plan.as_ref().map_or(Duration::ZERO, |p| p.wait)
     }
+
+    /// Engines that produce the first token in time come first, by cost. The others follow, by cost
+    /// and lateness.
+    fn cmp(&self, other: &Candidate<'_>) -> Ordering {
+        let is_late = |c: &Candidate<'_>| 0.0 < c.late_by;
+        let cost = |c: &Candidate<'_>| c.cost + c.late_by;
+        is_late(self).cmp(&is_late(other)).then(cost(self).total_cmp(&cost(other)))
+    }
 }
 
 impl UpstreamRegistry {
@@ -70,7 +82,7 @@
         let best = candidates
             .iter()
             .filter(|c| !any_engine || is_within_wait_max(c))
-            .min_by(|a, b| a.cost.total_cmp(&b.cost))
+            .min_by(|a, b| a.cmp(b))
             .filter(is_within_wait_max);
         if let Some(best) = best {
             return Ok(best.upstream.choice(best.plan));
@@ -92,7 +104,12 @@
         let Some(prompt) = criteria.prompt else {
             return usable
                 .iter()
-                .map(|u| Candidate { upstream: u, plan: None, cost: u.cost(None, cx) })
+                .map(|u| Candidate {
+                    upstream: u,
+                    plan: None,
+                    cost: u.cost(None, cx),
+                    late_by: 0.0,
+                })
                 .collect();
         };
         // Looked up once: cache entries are spread over memory, and there are many engines.
@@ -110,7 +127,11 @@
             let home_bonus = rank.map_or(Duration::ZERO, |n| HOME_BONUSES[n].min(bonus_max));
             let plan = u.plan(prompt, *cached, source, home_bonus, cx);
             let cost = u.cost(plan.as_ref(), cx);
-            Some(Candidate { upstream: u, plan, cost })
+            let target = criteria.first_token_target.filter(|_| u.has_own_speed());
+            let late_by = target.zip(plan.as_ref()).map_or(0.0, |(target, plan)| {
+                plan.first_token().saturating_sub(target).as_secs_f64()
+            });
+            Some(Candidate { upstream: u, plan, cost, late_by })
         };
         usable.iter().zip(&cached).filter_map(candidate).collect()
     }
--- a/src/placement/speed.rs
+++ b/src/placement/speed.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::placement::engine_speed::CommonError;
 use crate::placement::tuning::Tuning;
 
 /// Number of estimates: seconds per thousand tokens, per million pairs and per prompt, and the
@@ -47,6 +48,9 @@
 /// Limit on the ratio of measured to expected time in one measurement of a single engine.
 const SLOWDOWN_MAX: f64 = 8.0;
 
+/// Tokens of the prompt by which speeds are compared.
+const REFERENCE_TOKENS: u32 = 1000;
+
 /// Work of an engine before a first token.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Work {
@@ -103,6 +107,9 @@
     /// When the drift was last applied.
     #[serde(skip)]
     updated: Duration,
+    /// See [`CommonError`].
+    #[serde(skip)]
+    common_error: CommonError,
 }
 
 impl Speed {
@@ -124,9 +131,22 @@
             initial_seconds,
             samples: 0,
             updated: Duration::ZERO,
+            common_error: CommonError::default(),
         }
     }
 
+    /// The logarithm of the time to prefill a prompt by that of an engine with the configured speed.
+    pub fn by_configured_ln(&self) -> f64 {
+        let units = Work::prefill(0, REFERENCE_TOKENS).units();
+        let [now, initial] =
+            [self.seconds_per_unit, self.initial_seconds].map(|s| dot(&s, &units) - s[FIXED_INDEX]);
+        (now / initial).ln()
+    }
+
+    pub fn common_error(&mut self) -> &mut CommonError {
+        &mut self.common_error
+    }
+
     /// Seconds of prefill, without the fixed time.
     pub fn prefill_seconds(&self, work: Work) -> f64 {
         self.expected(work) - self.fixed_seconds()
@@ -175,7 +195,8 @@
             other.seconds_per_unit.iter().enumerate().all(|(n, seconds)| is_bounded(n, *seconds))
                 && other.covariance.iter().flatten().all(|c| c.is_finite());
         if is_sane && self.samples < other.samples {
-            *self = Speed { updated: self.updated, initial_seconds, ..other.clone() };
+            let Speed { updated, common_error, .. } = *self;
+            *self = Speed { updated, common_error, initial_seconds, ..other.clone() };
         }
     }
 
--- a/src/placement/upstream.rs
+++ b/src/placement/upstream.rs
@@ -57,6 +57,15 @@
     home_bonus: Duration,
 }
 
+impl PrefillPlan {
+    /// Expected time to the first token.
+    pub(super) fn first_token(&self) -> Duration {
+        self.backlog
+            + self.copy_time
+            + Duration::from_secs_f64(self.prefill_seconds + self.first_token_overhead)
+    }
+}
+
 /// Inputs of the cost besides the request and the upstream.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Context<'a> {
@@ -232,8 +241,11 @@
             wait: engine.wait(speed, tuning, now),
             backlog: engine.backlog(speed, now),
             prefill_tokens,
-            prefill_seconds: engine
-                .prefill_seconds(Work::prefill(cached + copied_tokens, prefill_tokens), speed),
+            prefill_seconds: engine.prefill_seconds(
+                Work::prefill(cached + copied_tokens, prefill_tokens),
+                speed,
+                now,
+            ),
             first_token_overhead: speed.fixed_seconds(),
             copied_tokens,
             copy_time: if copied_tokens == 0 {
@@ -246,6 +258,11 @@
         })
     }
 
+    /// Whether the engine's own speed is estimated.
+    pub(super) fn has_own_speed(&self) -> bool {
+        self.engine.as_ref().is_some_and(|engine| engine.own_speed().is_some())
+    }
+
     /// The cost of sending a request here, in seconds; lower is better.
     pub(super) fn cost(&self, plan: Option<&PrefillPlan>, cx: Context<'_>) -> f64 {
         let tuning = cx.tuning;
@@ -269,11 +286,7 @@
 
     /// The choice of this upstream with the given plan.
     pub(super) fn choice(&self, plan: Option<PrefillPlan>) -> Choice {
-        let first_token = plan.as_ref().map_or(Duration::ZERO, |p| {
-            p.backlog
-                + p.copy_time
-                + Duration::from_secs_f64(p.prefill_seconds + p.first_token_overhead)
-        });
+        let first_token = plan.as_ref().map_or(Duration::ZERO, PrefillPlan::first_token);
         Choice {
             upstream: self.listed.name.clone(),
             addr: self.listed.addr,
--- a/src/proxy/box_api.rs
+++ b/src/proxy/box_api.rs
@@ -181,7 +181,11 @@
     }
 
     fn learned(&self, group: Option<EngineGroup>) -> Response<Bytes> {
-        postcard_response(&self.hub.read(|view| view.learned(group)))
+        let now = self.hub.now();
+        postcard_response(&self.hub.read(|view| LearnedReport {
+            own_speeds: view.registry().own_speeds(group, now),
+            ..view.learned(group)
+        }))
     }
 }
 
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -32,6 +32,7 @@
 use crate::proxy::capacity;
 use crate::proxy::engine_placement::OwnerRequests;
 use crate::proxy::message::Message;
+use crate::proxy::own_speeds;
 use crate::proxy::peers::Peers;
 use crate::proxy::placed_request::CountGuard;
 use crate::proxy::proxy_metrics::ProxyMetrics;
@@ -276,6 +277,7 @@
     /// Applies a report on the engines; the box counts as warm from then on.
     pub fn warm_up(&self, learned: &LearnedReport) {
         self.with_registry(|registry| registry.apply_learned(learned));
+        own_speeds::adopt(self, &learned.own_speeds);
         self.change(|view, now| {
             learned.draining.iter().for_each(|draining| _ = view.apply_draining(draining, now));
         });
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -20,6 +20,7 @@
 pub mod listener;
 pub mod message;
 pub mod notices;
+mod own_speeds;
 pub mod peers;
 pub mod placed_request;
 pub mod plain_placement;
@@ -243,6 +244,7 @@
         gossip::send_gossip(&hub);
         hub.change(view::View::expire);
         hub.suspects().expire(hub.now());
+        own_speeds::log_changes(&hub);
         let engines = hub.read(|view| view.registry().engine_count());
         if hub.peers().refresh(engines) {
             let owners = hub.peers().owners();
--- a/src/proxy/proxy_metrics.rs
+++ b/src/proxy/proxy_metrics.rs
@@ -10,9 +10,11 @@
 
 use crate::metrics::Metrics;
 use crate::names::WorkspaceName;
+use crate::placement::registry::own_speed::AdoptedSpeeds;
 use crate::placement::share::TokenCounts;
 use crate::proxy::adapter::Notice;
 use crate::proxy::hub::Hub;
+use crate::proxy::own_speeds;
 use crate::proxy::placed_request::FirstTokenTiming;
 use crate::proxy::view::View;
 
@@ -45,6 +47,7 @@
     reached_anyway: Counter<u64>,
     held_back: Counter<u64>,
     suspended: Counter<u64>,
+    own_speeds: Counter<u64>,
 }
 
 impl ProxyMetrics {
@@ -77,6 +80,7 @@
             withheld: meter.u64_counter("frostdyke_requests_withheld").build(),
             reached_anyway: meter.u64_counter("frostdyke_requests_reached_anyway").build(),
             upstreams_restarted: meter.u64_counter("frostdyke_upstreams_restarted").build(),
+            own_speeds: meter.u64_counter("frostdyke_engine_speeds_reported").build(),
             metrics,
         }
     }
@@ -123,6 +127,7 @@
         });
         gauge("frostdyke_suspects", |hub| hub.suspects().read(|q| q.len() as u64));
         self.register_share_gauges(hub);
+        self.register_engine_gauge(hub);
         gauge("frostdyke_upstreams_in_doubt", |hub| {
             hub.read(|v| v.registry().unverified_count() as u64)
         });
@@ -151,6 +156,35 @@
         gauge("frostdyke_share_begun_tokens", |tokens| tokens.admitted);
     }
 
+    /// Registers the gauge of the levels of engines' own speeds, with one series per engine of the
+    /// groups that this box owns or stands by for.
+    fn register_engine_gauge(&self, hub: &Arc<Hub>) {
+        let hub: Weak<Hub> = Arc::downgrade(hub);
+        // The meter keeps the callback.
+        let _ = (self.metrics.meter().f64_observable_gauge("frostdyke_engine_speed_factor"))
+            .with_callback(move |observer| {
+                let Some(hub) = hub.upgrade() else { return };
+                for (upstream, factor) in own_speeds::level_factors(&hub) {
+                    let label = KeyValue::new("upstream", upstream.as_str().to_owned());
+                    observer.observe(factor, &[label]);
+                }
+            })
+            .build();
+    }
+
+    /// Counts reported levels of engines' own speeds, by what became of them.
+    pub fn own_speeds_adopted(&self, counts: AdoptedSpeeds) {
+        let AdoptedSpeeds { adopted, kept, other_instance, out_of_bounds } = counts;
+        for (result, count) in [
+            ("adopted", adopted),
+            ("kept", kept),
+            ("other-instance", other_instance),
+            ("out-of-bounds", out_of_bounds),
+        ] {
+            self.own_speeds.add(count, &[KeyValue::new("result", result)]);
+        }
+    }
+
     /// Counts the tokens charged to a workspace for a request that has returned its first token.
     pub fn workspace_begun(&self, workspace: &WorkspaceName, tokens: u64) {
         let label = KeyValue::new("workspace", workspace.as_str().to_owned());
--- a/src/proxy/warm_up.rs
+++ b/src/proxy/warm_up.rs
@@ -20,6 +20,7 @@
 use crate::proxy::box_api;
 use crate::proxy::hub::Hub;
 use crate::proxy::notices;
+use crate::proxy::own_speeds;
 use crate::proxy::view::View;
 
 /// Interval between checks for a box that has the state.
@@ -102,7 +103,7 @@
                 hub.warm_up(&learned);
                 return;
             }
-            Ok(_) => {}
+            Ok(learned) => own_speeds::adopt(&hub, &learned.own_speeds),
             Err(e) => {
                 debug!(hub.log(), "could not fetch engine state from box"; "addr" => %addr,
                     "error" => %e)
