--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -9,6 +9,7 @@
 pub mod cold;
 pub mod connected;
 pub mod engine;
+pub mod engine_speed;
 pub mod plain;
 pub mod probe;
 pub mod registry;
--- a/src/proxy/proxy_metrics.rs
+++ b/src/proxy/proxy_metrics.rs
@@ -10,12 +10,14 @@
 
 use crate::metrics::Metrics;
 use crate::names::WorkspaceName;
+use crate::placement::registry::own_speed::AdoptedSpeeds;
 use crate::placement::share::TokenCounts;
 use crate::proxy::adapter::Notice;
 use crate::proxy::connection_reuse::CloseCause;
 use crate::proxy::connection_reuse::ConnectionCounts;
 use crate::proxy::connection_reuse::OpenCause;
 use crate::proxy::hub::Hub;
+use crate::proxy::own_speeds;
 use crate::proxy::placed_request::FirstTokenTiming;
 use crate::proxy::view::View;
 
@@ -53,6 +55,7 @@
     in_progress_faults: Counter<u64>,
     connected_ignored: Counter<u64>,
     gave_way: Counter<u64>,
+    own_speeds: Counter<u64>,
 }
 
 impl ProxyMetrics {
@@ -90,6 +93,7 @@
             in_progress_faults: meter.u64_counter("frostdyke_in_progress_faults").build(),
             connected_ignored: meter.u64_counter("frostdyke_connected_lists_ignored").build(),
             gave_way: meter.u64_counter("frostdyke_holders_gave_way").build(),
+            own_speeds: meter.u64_counter("frostdyke_engine_speeds_reported").build(),
             metrics,
         }
     }
@@ -138,6 +142,7 @@
         gauge("frostdyke_suspects", |hub| hub.suspects().read(|q| q.len() as u64));
         self.register_share_gauges(hub);
         self.register_connection_counters(hub);
+        self.register_engine_gauge(hub);
         gauge("frostdyke_upstreams_in_doubt", |hub| {
             hub.read(|v| v.registry().unverified_count() as u64)
         });
@@ -198,6 +203,35 @@
             .build();
     }
 
+    /// Registers the gauge of the levels of engines' own speeds, with one series per engine of the
+    /// groups that this box owns or stands by for.
+    fn register_engine_gauge(&self, hub: &Arc<Hub>) {
+        let hub: Weak<Hub> = Arc::downgrade(hub);
+        // The meter keeps the callback.
+        let _ = (self.metrics.meter().f64_observable_gauge("frostdyke_engine_speed_factor"))
+            .with_callback(move |observer| {
+                let Some(hub) = hub.upgrade() else { return };
+                for (upstream, factor) in own_speeds::level_factors(&hub) {
+                    let label = KeyValue::new("upstream", upstream.as_str().to_owned());
+                    observer.observe(factor, &[label]);
+                }
+            })
+            .build();
+    }
+
+    /// Counts reported levels of engines' own speeds, by what became of them.
+    pub fn own_speeds_adopted(&self, counts: AdoptedSpeeds) {
+        let AdoptedSpeeds { adopted, kept, other_instance, out_of_bounds } = counts;
+        for (result, count) in [
+            ("adopted", adopted),
+            ("kept", kept),
+            ("other-instance", other_instance),
+            ("out-of-bounds", out_of_bounds),
+        ] {
+            self.own_speeds.add(count, &[KeyValue::new("result", result)]);
+        }
+    }
+
     /// Counts the tokens charged to a workspace for a request that has returned its first token.
     pub fn workspace_begun(&self, workspace: &WorkspaceName, tokens: u64) {
         let label = KeyValue::new("workspace", workspace.as_str().to_owned());
