Held bytes are bounded only where the deployment names slow readers

The template gave every deployment the bound. Settings: [memory] features, filled with the deployment's contracts; without it held-share applies alone.

--- a/src/proxy/settings.rs
+++ b/src/proxy/settings.rs
@@ -21,6 +21,9 @@
 /// Default of [`Settings::exposure`].
 const EXPOSURE_DEFAULT: f64 = 0.1;
 
+/// Name of the feature of deployments whose callers and upstreams may be slow to read.
+const SLOW_READERS_FEATURE: &str = "pressure";
+
 /// Settings of the proxy.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -87,7 +90,7 @@
         is_first_start: reader.optional("box", "first-start", false),
         descriptors: reader.optional("box", "descriptors", 4096),
         memory_bytes: reader.optional::<usize>("box", "memory-mb", 0) << 20,
-        held_share: reader.optional("memory", "held-share", 0.0),
+        held_share: held_share(&mut reader),
         store: reader.address("store", "address"),
         store_watch: Duration::from_secs_f64(reader.optional(
             "store",
@@ -142,6 +145,13 @@
     }
 }
 
+/// The fraction applies only if `[memory] features` lists [`SLOW_READERS_FEATURE`] or is absent.
+fn held_share(reader: &mut Reader) -> f64 {
+    let share = reader.optional("memory", "held-share", 0.0);
+    let features = reader.optional("memory", "features", SLOW_READERS_FEATURE.to_owned());
+    if features.split(',').any(|f| f.trim() == SLOW_READERS_FEATURE) { share } else { 0.0 }
+}
+
 fn seeds(reader: &mut Reader) -> Vec<SocketAddr> {
     let text: String = reader.optional("peers", "seeds", String::new());
     let mut seeds = Vec::new();
