--- a/src/proxy/held_bytes.rs
+++ b/src/proxy/held_bytes.rs
@@ -25,6 +25,10 @@
 /// round trips, and a box that may use only part of a core is paused for up to a tenth of a second.
 const STALL_MIN: Duration = Duration::from_millis(250);
 
+/// Time for which a request's body isn't read at most; after that the caller is better served by
+/// another box. It covers a short burst, and is a small part of what callers wait for an answer.
+pub const BODY_PAUSE_MAX: Duration = Duration::from_millis(250);
+
 /// What bytes are held for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum HoldKind {
@@ -143,6 +147,13 @@
         }
     }
 
+    /// Removes and returns a holder that gives way by itself.
+    pub fn take(&mut self, id: HolderId, now: Duration) -> Option<GaveWay> {
+        let Holder { kind, bytes, progressed_at } = *self.holders.get(&id)?;
+        self.end(id);
+        Some(GaveWay { id, kind, bytes, stalled: now.saturating_sub(progressed_at) })
+    }
+
     /// Whether a source of this kind may be read further.
     pub fn may_read(&self, kind: HoldKind) -> bool {
         (self.total as f64) < self.bound as f64 * kind.pressure()
@@ -159,9 +170,8 @@
         if stalled < stall_max {
             return None;
         }
-        let slowest = GaveWay { id: *id, kind: holder.kind, bytes: holder.bytes, stalled };
-        self.end(slowest.id);
-        Some(slowest)
+        let id = *id;
+        self.take(id, now)
     }
 
     /// How long a holder may make no progress now; `None` while little is held.
--- a/src/proxy/held_tracker.rs
+++ b/src/proxy/held_tracker.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::task::Context;
@@ -23,9 +24,11 @@
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
+use tokio::time::Instant;
 use tokio::time::Sleep;
 
 use crate::clock::Clock;
+use crate::proxy::held_bytes::BODY_PAUSE_MAX;
 use crate::proxy::held_bytes::GaveWay;
 use crate::proxy::held_bytes::HeldBytes;
 use crate::proxy::held_bytes::HoldKind;
@@ -86,19 +89,27 @@
         loop {
             let mut inner = self.inner.lock().expect("no panic under lock");
             let Some(gave_way) = inner.held.take_slowest(self.clock.now()) else { return };
-            let flag = inner.flags.remove(&gave_way.id);
-            let (held, bound) = (inner.held.total(), inner.held.bound());
-            drop(inner);
-            self.report(gave_way, held, bound);
-            if let Some(flag) = flag {
-                flag.is_set.store(true, Ordering::Relaxed);
-                flag.waker.wake();
-            }
+            self.notify(inner, gave_way);
+        }
+    }
+
+    /// Makes a holder give way that has waited for too long itself.
+    fn give_up(&self, id: HolderId) {
+        let mut inner = self.inner.lock().expect("no panic under lock");
+        if let Some(gave_way) = inner.held.take(id, self.clock.now()) {
+            self.notify(inner, gave_way);
         }
     }
 
-    fn report(&self, gave_way: GaveWay, held: usize, bound: usize) {
-        let GaveWay { kind, bytes, stalled, .. } = gave_way;
+    fn notify(&self, mut inner: MutexGuard<'_, Inner>, gave_way: GaveWay) {
+        let GaveWay { id, kind, bytes, stalled } = gave_way;
+        let flag = inner.flags.remove(&id);
+        let (held, bound) = (inner.held.total(), inner.held.bound());
+        drop(inner);
+        if let Some(flag) = flag {
+            flag.is_set.store(true, Ordering::Relaxed);
+            flag.waker.wake();
+        }
         info!(self.log, "holder of bytes gave way"; "kind" => kind.code(), "bytes" => bytes,
             "stalled_ms" => stalled.as_millis() as u64, "held" => held, "bound" => bound);
         self.metrics.gave_way(kind.code());
@@ -167,12 +178,14 @@
     hold: Option<&'a Hold>,
     received: usize,
     pause: Option<Pin<Box<Sleep>>>,
+    /// Since when the body isn't read.
+    paused_since: Option<Instant>,
 }
 
 impl<'a, B> HeldBody<'a, B> {
     /// Counts what is received of `body`; without `hold`, the body is passed on as it is.
     pub fn new(body: B, kind: HoldKind, hold: Option<&'a Hold>) -> HeldBody<'a, B> {
-        HeldBody { body, kind, hold, received: 0, pause: None }
+        HeldBody { body, kind, hold, received: 0, pause: None, paused_since: None }
     }
 }
 
@@ -196,10 +209,16 @@
             return Poll::Ready(Some(Err(io::Error::from(io::ErrorKind::OutOfMemory).into())));
         }
         while !hold.may_read(this.kind) {
+            let paused_since = *this.paused_since.get_or_insert_with(Instant::now);
             let pause = this.pause.get_or_insert_with(|| Box::pin(tokio::time::sleep(RETRY_PAUSE)));
             ready!(pause.as_mut().poll(cx));
             this.pause = None;
+            if this.kind == HoldKind::Body && BODY_PAUSE_MAX <= paused_since.elapsed() {
+                hold.tracker.give_up(hold.id);
+                return Poll::Ready(Some(Err(io::Error::from(io::ErrorKind::OutOfMemory).into())));
+            }
         }
+        this.paused_since = None;
         let frame = ready!(Pin::new(&mut this.body).poll_frame(cx));
         if let Some(Ok(frame)) = &frame {
             this.received += frame.data_ref().map_or(0, Buf::remaining);
--- a/tests/proxy_held_bytes.rs
+++ b/tests/proxy_held_bytes.rs
@@ -6,6 +6,7 @@
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use frostdyke::clock::Clock;
@@ -278,6 +279,23 @@
     assert_eq!(tracker.total(), 0);
 }
 
+/// If only requests that run hold memory, no holder gives way; a caller whose body isn't read must
+/// be refused in time to try another box.
+#[tokio::test]
+async fn a_body_that_may_not_be_read_is_refused_early() {
+    let tracker = tracker();
+    let other = tracker.hold(HoldKind::Unsent);
+    other.set(HoldKind::Sent, 800);
+    let hold = tracker.hold(HoldKind::Body);
+    let body = Full::new(Bytes::from_static(b"abc"));
+    let body = HeldBody::new(body, HoldKind::Body, Some(&hold));
+    let started = Instant::now();
+    let read = web::read_body(body, 10_000, Duration::from_secs(30)).await;
+    assert_eq!(read, Err(BodyError::Truncated));
+    assert!(hold.gave_way() && started.elapsed() < Duration::from_secs(5));
+    assert_eq!(tracker.total(), 800);
+}
+
 /// An unread answer is memory of the box; the connection of a caller that reads nothing is closed,
 /// so that its upstream's connection is free.
 #[tokio::test]
