Let a body that waits outlast one that has stalled

Change: a body may pause for 500 ms, twice as long. A test of its own; the tests with a tracker run on a paused clock. Ruled out: refusing bodies at once under pressure, which turns short bursts away.

--- a/src/proxy/held_bytes.rs
+++ b/src/proxy/held_bytes.rs
@@ -26,8 +26,9 @@
 const STALL_MIN: Duration = Duration::from_millis(250);
 
 /// Time for which a request's body isn't read at most; after that the caller is better served by
-/// another box. It covers a short burst, and is a small part of what callers wait for an answer.
-pub const BODY_PAUSE_MAX: Duration = Duration::from_millis(250);
+/// another box. Longer than [`STALL_MIN`] and the interval at which holders are checked, so that
+/// holders that have stalled give way before one that only waits.
+pub const BODY_PAUSE_MAX: Duration = Duration::from_millis(500);
 
 /// What bytes are held for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/tests/proxy_held_bytes.rs
+++ b/tests/proxy_held_bytes.rs
@@ -6,11 +6,11 @@
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
-use std::time::Instant;
 
 use bytes::Bytes;
 use frostdyke::clock::Clock;
 use frostdyke::clock::SinceBoot;
+use frostdyke::clock::TimeSource;
 use frostdyke::metrics::Metrics;
 use frostdyke::proxy::connection_reuse::ReuseRule;
 use frostdyke::proxy::held_bytes::HeldBytes;
@@ -37,6 +37,7 @@
 use slog::o;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 
 const BOUND: usize = 1000;
 
@@ -214,8 +215,17 @@
     assert!(5_400 <= begun, "nine in ten begin at once: {begun} of 6,000, {paused} paused");
 }
 
+/// The time of the runtime, which the tests pause.
+struct RuntimeTime(Instant);
+
+impl TimeSource for RuntimeTime {
+    fn now(&self) -> Duration {
+        self.0.elapsed()
+    }
+}
+
 fn tracker() -> Arc<HeldTracker> {
-    let clock = Clock::new(Box::new(SinceBoot));
+    let clock = Clock::new(Box::new(RuntimeTime(Instant::now())));
     let metrics = ProxyMetrics::new(Metrics::new().expect("no metrics yet"));
     HeldTracker::new(BOUND, clock, metrics, Logger::root(Discard, o!()))
 }
@@ -243,7 +253,7 @@
 
 /// A caller that stops sending a long body keeps memory from those who send; it must get a status
 /// that says "not run" while it is still connected.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_body_that_stalls_gives_way_and_its_bytes_are_released() {
     let tracker = tracker();
     let hold = tracker.hold(HoldKind::Body);
@@ -259,7 +269,7 @@
 }
 
 /// A source that sends faster than the box can pass on must wait, not fail.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_body_waits_while_too_much_is_held_and_is_read_after() {
     let tracker = tracker();
     let other = tracker.hold(HoldKind::Unsent);
@@ -279,9 +289,38 @@
     assert_eq!(tracker.total(), 0);
 }
 
+/// A caller that only waits for the box must not give way to one that has stopped sending.
+#[tokio::test(start_paused = true)]
+async fn a_body_that_has_stalled_gives_way_before_one_that_waits() {
+    let tracker = tracker();
+    let (stalled, waiting) = (tracker.hold(HoldKind::Body), tracker.hold(HoldKind::Body));
+    let slow = HeldBody::new(StallingBody { left: 8 }, HoldKind::Body, Some(&stalled));
+    let quick = Full::new(Bytes::from_static(b"abc"));
+    let quick = HeldBody::new(quick, HoldKind::Body, Some(&waiting));
+    let max = Duration::from_secs(30);
+    let checks = async {
+        // The longest interval of a box that is healthy.
+        let mut interval = tokio::time::interval(Duration::from_millis(100));
+        while !stalled.gave_way() {
+            interval.tick().await;
+            tracker.check();
+        }
+    };
+    let (slow, quick, ()) = tokio::join!(
+        web::read_body(slow, 10_000, max),
+        async {
+            tokio::task::yield_now().await;
+            web::read_body(quick, 10_000, max).await
+        },
+        checks
+    );
+    assert_eq!(slow, Err(BodyError::Truncated));
+    assert_eq!(quick, Ok(Bytes::from_static(b"abc")));
+}
+
 /// If only requests that run hold memory, no holder gives way; a caller whose body isn't read must
 /// be refused in time to try another box.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_body_that_may_not_be_read_is_refused_early() {
     let tracker = tracker();
     let other = tracker.hold(HoldKind::Unsent);
@@ -298,7 +337,7 @@
 
 /// An unread answer is memory of the box; the connection of a caller that reads nothing is closed,
 /// so that its upstream's connection is free.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_caller_that_reads_nothing_is_cut_off() {
     let tracker = tracker();
     // Takes a few bytes, and then nothing.
