Requests in progress are handed on with a group

Cause: a box that comes to own a group begins without counts until all senders have noticed, up to a second or two, and places on full engines meanwhile.

Change: `LearnedReport` names the requests in progress, their senders and what is still to be read. They may have ended on the way, so they last for a second unless the sender confirms them.

--- a/src/placement/engine/records.rs
+++ b/src/placement/engine/records.rs
@@ -50,13 +50,13 @@
         ended.len()
     }
 
-    /// Takes in the record of a request that was placed earlier, unless there is one.
+    /// Takes in the record of a request that was placed earlier, or renews the one that there is.
     pub fn adopt(
         &mut self,
         record: &RequestRecord,
         placed: Duration,
         sender: Option<IpAddr>,
-        now: Duration,
+        renewed: Duration,
     ) -> Result<(), RecordFault> {
         let &RequestRecord { request, tokens, cached_tokens, prefill_tokens, .. } = record;
         let tokens = u64::from(tokens);
@@ -64,11 +64,12 @@
         if self.limits.memory_tokens < tokens || tokens < prompt_tokens {
             return Err(RecordFault::InvalidAmount);
         }
-        if self.requests.contains_key(&request) {
+        if let Some(known) = self.requests.get_mut(&request) {
+            known.renewed = known.renewed.max(renewed);
             return Ok(());
         }
         let running =
-            RunningRequest { placed, renewed: now, sender, tokens, cached_tokens, prefill_tokens };
+            RunningRequest { placed, renewed, sender, tokens, cached_tokens, prefill_tokens };
         self.requests.insert(request, running);
         self.running_tokens += tokens;
         if record.has_first_token {
--- a/src/placement/plain.rs
+++ b/src/placement/plain.rs
@@ -95,10 +95,17 @@
         self.requests.insert(request, queued);
     }
 
-    /// Takes in the record of a request that was placed earlier, unless there is one.
-    pub fn adopt(&mut self, request: u64, placed: Duration, sender: Option<IpAddr>, now: Duration) {
-        let queued = QueuedRequest { placed, renewed: now, sender, had_slot: false };
-        self.requests.entry(request).or_insert(queued);
+    /// Takes in the record of a request that was placed earlier, or renews the one that there is.
+    pub fn adopt(
+        &mut self,
+        request: u64,
+        placed: Duration,
+        sender: Option<IpAddr>,
+        renewed: Duration,
+    ) {
+        let queued = QueuedRequest { placed, renewed, sender, had_slot: false };
+        let known = self.requests.entry(request).or_insert(queued);
+        known.renewed = known.renewed.max(renewed);
     }
 
     /// Updates the records of a sender by what it reports. Returns the number of dropped ones.
--- a/src/placement/registry/in_progress.rs
+++ b/src/placement/registry/in_progress.rs
@@ -5,6 +5,7 @@
 
 use crate::fleet::in_progress::AGE_MAX;
 use crate::fleet::in_progress::AGE_SLACK;
+use crate::fleet::in_progress::LEASE;
 use crate::fleet::in_progress::RequestRecord;
 use crate::fleet::in_progress::ShortId;
 use crate::fleet::in_progress::received::ListedRequests;
@@ -15,6 +16,10 @@
 /// since the record may be on its way from another box than the sender.
 const EARLY_RETENTION: Duration = Duration::from_secs(1);
 
+/// The record of a request that was handed on by another tracking box is dropped unless its sender
+/// confirms it within this time, in which each sender reports.
+const CONFIRM_LEARNED_WITHIN: Duration = Duration::from_millis(1000);
+
 /// Why a record isn't taken in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RecordFault {
@@ -97,13 +102,35 @@
         Reconciliation { dropped, unknown: unknown.into_iter().collect() }
     }
 
-    /// Takes the record of a request in progress in, unless there is one already. `sender` is
+    /// Takes the record of a request in progress in, or renews the one that there is. `sender` is
     /// `None` for this box.
     pub fn adopt_request(
         &mut self,
         record: &RequestRecord,
         sender: Option<IpAddr>,
         now: Duration,
+    ) -> Result<(), RecordFault> {
+        self.adopt(record, sender, now, now)
+    }
+
+    /// Takes in the record of a request that another tracking box knows. It may have ended since,
+    /// so its sender must confirm it soon.
+    pub fn adopt_learned_request(
+        &mut self,
+        record: &RequestRecord,
+        sender: IpAddr,
+        now: Duration,
+    ) -> Result<(), RecordFault> {
+        let renewed = now.saturating_sub(LEASE - CONFIRM_LEARNED_WITHIN);
+        self.adopt(record, Some(sender), renewed, now)
+    }
+
+    fn adopt(
+        &mut self,
+        record: &RequestRecord,
+        sender: Option<IpAddr>,
+        renewed: Duration,
+        now: Duration,
     ) -> Result<(), RecordFault> {
         let age = Duration::from_millis(record.age_ms.into());
         if AGE_MAX < age {
@@ -116,8 +143,8 @@
         }
         let placed = now.saturating_sub(age);
         match &mut upstream.engine {
-            Some(engine) => engine.adopt(record, placed, sender, now)?,
-            None => upstream.plain.adopt(record.request, placed, sender, now),
+            Some(engine) => engine.adopt(record, placed, sender, renewed)?,
+            None => upstream.plain.adopt(record.request, placed, sender, renewed),
         }
         self.busy.insert(name.clone());
         Ok(())
--- a/src/placement/registry/learned.rs
+++ b/src/placement/registry/learned.rs
@@ -1,14 +1,19 @@
 //! What a box has learned of engines, as sent to a box that starts to track them.
 
+use std::net::IpAddr;
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::fleet::draining::DrainNotice;
+use crate::fleet::in_progress::RequestRecord;
 use crate::fleet::owners::EngineGroup;
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
 use crate::placement::registry::UpstreamRegistry;
 use crate::placement::speed::Speed;
+use crate::placement::upstream;
 use crate::placement::upstream::Upstream;
 use crate::proxy::adapter::PromptPart;
 
@@ -21,6 +26,15 @@
     pub speeds: Vec<(ServiceName, Speed)>,
     /// Upstreams that have announced that they are draining.
     pub draining: Vec<DrainNotice>,
+    /// Requests in progress at the engines.
+    pub requests: Vec<LearnedRequest>,
+}
+
+/// A request in progress, and the box that sends it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LearnedRequest {
+    pub sender: IpAddr,
+    pub record: RequestRecord,
 }
 
 /// The prompt parts that an engine is believed to have cached.
@@ -48,7 +62,30 @@
             }
             None => self.upstreams.values().filter_map(cached).collect(),
         };
-        LearnedReport { cached, speeds: speeds.collect(), draining: Vec::new() }
+        LearnedReport {
+            cached,
+            speeds: speeds.collect(),
+            draining: Vec::new(),
+            requests: Vec::new(),
+        }
+    }
+
+    /// Reports the requests in progress at all engines, or at those in a group. `own_ip` is this
+    /// box, which sends some of them.
+    pub fn learned_requests(
+        &self,
+        group: Option<EngineGroup>,
+        own_ip: IpAddr,
+        now: Duration,
+    ) -> Vec<LearnedRequest> {
+        let is_of_group = |name: &&UpstreamName| {
+            group.is_none_or(|group| group.contains(upstream::name_hash(name)))
+        };
+        let records = self.busy.iter().filter(is_of_group).filter(|name| self.is_engine(name));
+        records
+            .flat_map(|name| self.records(name, now))
+            .map(|(sender, record)| LearnedRequest { sender: sender.unwrap_or(own_ip), record })
+            .collect()
     }
 
     /// Merges what another box has learned of the engines.
--- a/src/proxy/box_api.rs
+++ b/src/proxy/box_api.rs
@@ -181,7 +181,11 @@
     }
 
     fn learned(&self, group: Option<EngineGroup>) -> Response<Bytes> {
-        postcard_response(&self.hub.read(|view| view.learned(group)))
+        let (own_ip, now) = (self.hub.peers().own_ip(), self.hub.now());
+        postcard_response(&self.hub.read(|view| LearnedReport {
+            requests: view.registry().learned_requests(group, own_ip, now),
+            ..view.learned(group)
+        }))
     }
 }
 
--- a/src/proxy/in_progress.rs
+++ b/src/proxy/in_progress.rs
@@ -14,6 +14,7 @@
 use crate::fleet::in_progress::RequestRecord;
 use crate::fleet::in_progress::ShortId;
 use crate::fleet::in_progress::table::OwnRequest;
+use crate::placement::registry::learned::LearnedRequest;
 use crate::proxy::aligned_timer;
 use crate::proxy::hub::Hub;
 use crate::proxy::message::Message;
@@ -151,6 +152,19 @@
     }
 }
 
+/// Takes in the requests in progress that another tracking box knows. This box knows its own.
+pub fn handle_learned(hub: &Hub, requests: &[LearnedRequest]) {
+    let (now, own_ip) = (hub.now(), hub.peers().own_ip());
+    for LearnedRequest { sender, record } in requests.iter().filter(|r| r.sender != own_ip) {
+        let adopted =
+            hub.with_registry(|registry| registry.adopt_learned_request(record, *sender, now));
+        match adopted {
+            Ok(()) => hub.metrics().requests_corrected("handed-on", 1),
+            Err(fault) => hub.metrics().in_progress_fault(fault.code()),
+        }
+    }
+}
+
 /// Takes in records of requests that another box has in progress.
 pub fn handle_records(hub: &Hub, records: &[RequestRecord], sender: IpAddr) {
     let now = hub.now();
--- a/src/proxy/warm_up.rs
+++ b/src/proxy/warm_up.rs
@@ -19,6 +19,7 @@
 use crate::proxy::aligned_timer;
 use crate::proxy::box_api;
 use crate::proxy::hub::Hub;
+use crate::proxy::in_progress;
 use crate::proxy::notices;
 use crate::proxy::view::View;
 
@@ -45,6 +46,7 @@
             continue;
         }
         if let Some(learned) = fetch_from_box(&hub).await {
+            in_progress::handle_learned(&hub, &learned.requests);
             hub.warm_up(&learned);
             return;
         }
@@ -98,11 +100,13 @@
     let other = owners.boxes().find(|ip| *ip != own_ip).and_then(|ip| hub.peers().addr_of(ip));
     if let Some(addr) = other {
         match box_api::fetch_learned(addr, Some(group)).await {
-            Ok(learned) if learned.cached.iter().any(|k| !k.parts.is_empty()) => {
-                hub.warm_up(&learned);
-                return;
+            Ok(learned) => {
+                in_progress::handle_learned(&hub, &learned.requests);
+                if learned.cached.iter().any(|k| !k.parts.is_empty()) {
+                    hub.warm_up(&learned);
+                    return;
+                }
             }
-            Ok(_) => {}
             Err(e) => {
                 debug!(hub.log(), "could not fetch engine state from box"; "addr" => %addr,
                     "error" => %e)
--- a/tests/fleet_in_progress.rs
+++ b/tests/fleet_in_progress.rs
@@ -1105,3 +1105,29 @@
     assert_eq!(adopt(record), Ok(()));
     assert_eq!(pair.running(), 2);
 }
+
+/// A box that comes to own a group places requests before all senders have noticed.
+#[test]
+fn requests_in_progress_are_handed_on_with_a_group() {
+    let mut pair = Pair::new();
+    (0..3).for_each(|n| pair.begin(id(n), 9_000));
+    pair.tracker.record_first_token(&engine(0), id(0), None, millis(9_100));
+    place(&mut pair.tracker, &engine(0), id(9), None, millis(9_200));
+    let handed_on = pair.tracker.learned_requests(None, ip(TRACKER), millis(10_000));
+    let mut next = registry(1);
+    for learned in &handed_on {
+        let adopted = next.adopt_learned_request(&learned.record, learned.sender, millis(10_010));
+        assert_eq!(adopted, Ok(()));
+    }
+    let records = next.records(&engine(0), millis(10_010));
+    assert_eq!(records.len(), 4);
+    assert_eq!(records.iter().filter(|(_, record)| record.has_first_token).count(), 1);
+    assert!(records.iter().any(|(by, r)| *by == Some(ip(TRACKER)) && r.request == id(9)));
+    // Only one of them is confirmed; the others may have ended while they were handed on.
+    let record = pair.sender.record(id(1), millis(10_100)).expect("it is in progress");
+    assert_eq!(next.adopt_request(&record, Some(ip(SENDER)), millis(10_110)), Ok(()));
+    next.expire(millis(11_000));
+    assert_eq!(next.running(&engine(0)), 4);
+    next.expire(millis(11_020));
+    assert_eq!(next.running(&engine(0)), 1);
+}
