--- a/src/proxy/box_api.rs
+++ b/src/proxy/box_api.rs
@@ -181,9 +181,10 @@
     }
 
     fn learned(&self, group: Option<EngineGroup>) -> Response<Bytes> {
-        let now = self.hub.now();
+        let (own_ip, now) = (self.hub.peers().own_ip(), self.hub.now());
         postcard_response(&self.hub.read(|view| LearnedReport {
             own_speeds: view.registry().own_speeds(group, now),
+            requests: view.registry().learned_requests(group, own_ip, now),
             ..view.learned(group)
         }))
     }
