--- a/src/placement/admit.rs
+++ b/src/placement/admit.rs
@@ -23,6 +23,7 @@
 use crate::placement::tuning::Tuning;
 use crate::placement::upstream::COPY_TOKENS_MIN;
 use crate::proxy::adapter::Prompt;
+use crate::proxy::routing_table::Rank;
 
 /// While the engines are saturated, a workspace that exceeds its share by this fraction is admitted
 /// only where it need not wait at all.
@@ -31,7 +32,10 @@
 /// A workspace that has used less than this fraction of its share may go to any free engine. Other
 /// workspaces stay with the engines that have their prompt parts cached, because copying or
 /// recomputing those parts reduces the capacity of all.
-const ANY_ENGINE_SHARE_MAX: f64 = 0.85;
+pub const ANY_ENGINE_SHARE_MAX: f64 = 0.85;
+
+/// The target latency divided by this is the wait that costs a caller nothing.
+const FREE_WAIT_DIVISOR: u32 = 8;
 
 /// What the owner of the engines, or their standby, is asked to do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -55,6 +59,8 @@
     pub prompt: &'a Prompt,
     /// The workspace that is charged; `None` for requests without one.
     pub workspace: Option<&'a WorkspaceName>,
+    /// Goes before requests of the same workspace with a lower rank.
+    pub rank: Rank,
     /// Engines that may not be chosen.
     pub excluded: &'a [UpstreamName],
     /// The route's target for the time to the first token.
@@ -93,6 +99,23 @@
     pub may_try_other_groups: bool,
     /// A group that has announced free capacity, to be asked next.
     pub alternative: Option<EngineGroup>,
+    /// How long it takes until a request like this one would begin, if that is known.
+    pub retry_after: Option<Duration>,
+}
+
+impl Denial {
+    /// The denial of a request on which there is no decision in time.
+    pub fn overloaded() -> Denial {
+        Denial {
+            cause: ChoiceError::Full,
+            share_used: 0.0,
+            wait_max: Duration::ZERO,
+            source: None,
+            may_try_other_groups: false,
+            alternative: None,
+            retry_after: None,
+        }
+    }
 }
 
 /// Places a request and charges the workspace's share, or counts the request as refused.
@@ -102,10 +125,25 @@
     query: PlacementQuery<'_>,
     now: Duration,
 ) -> Result<Choice, Denial> {
-    let PlacementQuery { request, prompt, sender, .. } = query;
+    admit_with_limit(registry, shares, query, Duration::MAX, now)
+}
+
+/// Like [`admit`], but while the engines are saturated, only workspaces that have used little of
+/// their share may wait longer than `backlog_max` at an engine. An engine's backlog can't be
+/// reordered: one workspace that fills it up makes all others wait.
+pub fn admit_with_limit(
+    registry: &mut UpstreamRegistry,
+    shares: &mut Shares,
+    query: PlacementQuery<'_>,
+    backlog_max: Duration,
+    now: Duration,
+) -> Result<Choice, Denial> {
+    let prompt = query.prompt;
     let charge = prompt.charge();
     let share_used = query.workspace.map_or(0.0, |w| shares.share_used(w, charge, now));
     let (busy, idle) = wait_limits(registry.tuning(), query.target_latency, share_used);
+    let any_engine = share_used <= ANY_ENGINE_SHARE_MAX;
+    let busy = if any_engine { busy } else { busy.min(backlog_max) };
     let remaining = busy.saturating_sub(query.waited);
     let criteria = SelectionCriteria {
         service: query.service,
@@ -113,7 +151,7 @@
         excluded: query.excluded,
         wait_max: remaining,
         wait_max_idle: idle.saturating_sub(query.waited),
-        any_engine: share_used <= ANY_ENGINE_SHARE_MAX,
+        any_engine,
         group: query.group,
         version_filter: query.version_filter,
         zone: query.zone,
@@ -129,6 +167,7 @@
             source,
             may_try_other_groups: true,
             alternative: None,
+            retry_after: None,
         });
     }
     let cause = match registry.choose(criteria, now) {
@@ -143,34 +182,15 @@
                 source,
                 may_try_other_groups: true,
                 alternative: None,
+                retry_after: None,
             });
         }
-        Ok(choice) => {
-            let choice = Choice { is_counted: query.role != Role::Unassigned, ..choice };
-            let Choice { prefill_tokens, copied_tokens, .. } = choice;
-            let placement = Placement {
-                request,
-                prompt,
-                prefill_tokens,
-                copied_tokens,
-                sender,
-                decided_by: Some(query.role),
-            };
-            registry.place(&choice.upstream, placement, now);
-            if let Some(workspace) = query.workspace {
-                let counted = shares.begin(workspace, charge, now);
-                shares.remember(request, counted);
-            }
-            return Ok(choice);
-        }
+        Ok(choice) => return Ok(record(registry, shares, query, choice, now)),
         Err(cause) => cause,
     };
     let may_try_other_groups = !query.is_last_group && share_used <= 1.0;
-    if let Some(workspace) = query.workspace
-        && !may_try_other_groups
-    {
-        let counted = shares.refuse(workspace, charge, now);
-        shares.remember(request, counted);
+    if !may_try_other_groups {
+        count_refused(shares, query, now);
     }
     let source =
         if may_try_other_groups { registry.best_cached_source(criteria, now) } else { None };
@@ -181,15 +201,82 @@
         source,
         may_try_other_groups,
         alternative: None,
+        retry_after: None,
     })
 }
 
+/// Places a request that has waited in a queue on any engine with a wait of at most `wait_max`. If
+/// there is none, nothing is counted: the request keeps waiting.
+pub fn place_queued(
+    registry: &mut UpstreamRegistry,
+    shares: &mut Shares,
+    query: PlacementQuery<'_>,
+    wait_max: Duration,
+    now: Duration,
+) -> Result<Choice, ChoiceError> {
+    let any = SelectionCriteria::any(query.service, Some(query.prompt), query.excluded, wait_max);
+    let criteria = SelectionCriteria {
+        group: query.group,
+        version_filter: query.version_filter,
+        zone: query.zone,
+        source: query.source,
+        role: query.role,
+        ..any
+    };
+    let choice = registry.choose(criteria, now)?;
+    Ok(record(registry, shares, query, choice, now))
+}
+
+/// Counts the tokens of a request as refused, unless it is placed later on.
+pub fn count_refused(shares: &mut Shares, query: PlacementQuery<'_>, now: Duration) {
+    if let Some(workspace) = query.workspace {
+        let counted = shares.refuse(workspace, query.prompt.charge(), now);
+        shares.remember(query.request, counted);
+    }
+}
+
+/// Records a placement, and charges the workspace's share.
+fn record(
+    registry: &mut UpstreamRegistry,
+    shares: &mut Shares,
+    query: PlacementQuery<'_>,
+    choice: Choice,
+    now: Duration,
+) -> Choice {
+    let choice = Choice { is_counted: query.role != Role::Unassigned, ..choice };
+    let placement = Placement {
+        request: query.request,
+        prompt: query.prompt,
+        prefill_tokens: choice.prefill_tokens,
+        copied_tokens: choice.copied_tokens,
+        sender: query.sender,
+        decided_by: Some(query.role),
+    };
+    registry.place(&choice.upstream, placement, now);
+    if let Some(workspace) = query.workspace {
+        let counted = shares.begin(workspace, query.prompt.charge(), now);
+        shares.remember(query.request, counted);
+    }
+    choice
+}
+
 /// Whether the choice would prefill enough shared tokens to make a copy worthwhile.
 fn is_copy_worthwhile(prompt: &Prompt, choice: &Choice) -> bool {
     let own = prompt.parts.last().map_or(prompt.tokens, |own| own.tokens);
     COPY_TOKENS_MIN <= choice.prefill_tokens.saturating_sub(own)
 }
 
+/// Returns how long a request may wait in a queue. A workspace beyond its share may wait less, but
+/// always as long as costs its caller nothing: one that is refused in the end would have been
+/// better off with a refusal at once.
+pub fn queue_limit(tuning: Tuning, target_latency: Duration, share_used: f64) -> Duration {
+    let within = target_latency.mul_f64(tuning.wait_share);
+    if share_used <= 1.0 {
+        return within;
+    }
+    within.div_f64(share_used).max(target_latency / FREE_WAIT_DIVISOR).min(within)
+}
+
 /// Returns the longest acceptable wait for an engine where the engines are saturated, and where
 /// they are idle. The wait is limited, not the time to the first token, so that long prompts are
 /// refused no more often than short ones. As the engines saturate, a workspace beyond its share may
--- a/src/placement/plain.rs
+++ b/src/placement/plain.rs
@@ -184,5 +184,6 @@
         source: None,
         may_try_other_groups: false,
         alternative: None,
+        retry_after: None,
     })
 }
--- a/src/placement/registry.rs
+++ b/src/placement/registry.rs
@@ -5,6 +5,7 @@
 mod index;
 pub mod learned;
 mod plain;
+mod queueing;
 mod reachability;
 mod selection;
 
--- a/src/placement/share.rs
+++ b/src/placement/share.rs
@@ -183,6 +183,11 @@
         recent.share_used(workspace, tokens, recent.fair_level(workspace, tokens))
     }
 
+    /// The tokens that a workspace was granted in the recent window.
+    pub fn recently_admitted(&mut self, workspace: &WorkspaceName, now: Duration) -> u64 {
+        self.recent.sums(now).admitted(workspace)
+    }
+
     fn count(
         &mut self,
         workspace: &WorkspaceName,
--- a/src/proxy/admission.rs
+++ b/src/proxy/admission.rs
@@ -9,13 +9,14 @@
 use hyper::body::Incoming;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::names::WorkspaceName;
 use crate::proxy::adapter::RequestHead;
 use crate::proxy::hub::Hub;
 use crate::proxy::refusal::Refusal;
 use crate::proxy::request::RequestContext;
+use crate::proxy::routing_table::Rank;
 use crate::proxy::routing_table::Route;
 use crate::proxy::routing_table::RoutingTable;
+use crate::proxy::routing_table::Workspace;
 use crate::web;
 use crate::web::BodyError;
 
@@ -35,6 +36,8 @@
     let path = parts.uri.path();
     let route = table.route(&head.host, path).ok_or_else(|| fail(Refusal::NoRoute))?.clone();
     let workspace = workspace(&table, &route, &head).map_err(fail)?;
+    let rank = Rank { workspace: workspace.map_or(0, |w| w.rank), route: route.rank };
+    let workspace = workspace.map(|w| w.name.clone());
     let split_draw = xxh3_64(head.id.as_bytes());
     let service = route.target(split_draw).ok_or_else(|| fail(Refusal::NoRoute))?.clone();
     let connections_max = table.service(&service).map_or(u32::MAX, |s| s.max_connections);
@@ -48,6 +51,7 @@
         route,
         service,
         workspace,
+        rank,
         body: Bytes::new(),
         fingerprint: OnceLock::new(),
         arrived,
@@ -63,17 +67,17 @@
     })
 }
 
-fn workspace(
-    table: &RoutingTable,
+fn workspace<'a>(
+    table: &'a RoutingTable,
     route: &Route,
     head: &RequestHead,
-) -> Result<Option<WorkspaceName>, Refusal> {
+) -> Result<Option<&'a Workspace>, Refusal> {
     if !table.has_keys() {
         return Ok(None);
     }
     let known = head.key.as_deref().and_then(|key| table.workspace(key));
     match known {
-        Some(workspace) => Ok(Some(workspace.name.clone())),
+        Some(workspace) => Ok(Some(workspace)),
         None if route.anonymous => Ok(None),
         None => Err(Refusal::UnknownKey),
     }
--- a/src/proxy/engine_placement.rs
+++ b/src/proxy/engine_placement.rs
@@ -34,6 +34,9 @@
 use crate::proxy::message::PlacementResponse;
 use crate::proxy::message::ShareUsage;
 use crate::proxy::notices;
+use crate::proxy::placement_queue;
+use crate::proxy::placement_queue::NoDecision;
+use crate::proxy::placement_queue::OwnerDecision;
 
 /// How long to wait for an owner's response: several round trips within a region, plus the pauses
 /// of a healthy box under load.
@@ -74,6 +77,8 @@
     pub role: Role,
     /// Identifies the attempt at the boxes that have recorded it.
     pub request: u64,
+    /// How long the request was in the queue of that box.
+    pub queued: Duration,
 }
 
 impl PlacementDecision {
@@ -90,20 +95,54 @@
 /// Placement requests of this box that await the response of an owner.
 #[derive(Debug, Default)]
 pub struct OwnerRequests {
-    pending: Mutex<FxHashMap<u64, oneshot::Sender<PlacementResult>>>,
+    pending: Mutex<FxHashMap<u64, PendingRequest>>,
     /// Boxes that did not respond, and until when they aren't asked.
     unresponsive: Mutex<FxHashMap<IpAddr, Duration>>,
 }
 
+/// A placement request that awaits the response of an owner.
+#[derive(Debug)]
+struct PendingRequest {
+    /// `None` once the response has been delivered.
+    tx: Option<oneshot::Sender<PlacementResult>>,
+    /// When the owner reported that it has queued the request, and within which time it decides.
+    queued: Option<(Instant, Duration)>,
+}
+
 impl OwnerRequests {
-    fn register(&self, request: u64) -> oneshot::Receiver<PlacementResult> {
+    /// Registers a request that is sent to an owner.
+    pub fn register(&self, request: u64) -> oneshot::Receiver<PlacementResult> {
         let (tx, rx) = oneshot::channel();
-        self.pending.lock().expect("no panic under lock").insert(request, tx);
+        let pending = PendingRequest { tx: Some(tx), queued: None };
+        self.pending.lock().expect("no panic under lock").insert(request, pending);
         rx
     }
 
-    fn take(&self, request: u64) -> Option<oneshot::Sender<PlacementResult>> {
-        self.pending.lock().expect("no panic under lock").remove(&request)
+    /// Delivers the response to the task that awaits it. Returns whether there is one.
+    pub fn deliver(&self, request: u64, result: PlacementResult) -> bool {
+        let mut pending = self.pending.lock().expect("no panic under lock");
+        let tx = pending.get_mut(&request).and_then(|pending| pending.tx.take());
+        tx.is_some_and(|tx| tx.send(result).is_ok())
+    }
+
+    /// Records that the owner has queued a request, and decides within this time. Returns whether a
+    /// task still awaits the decision.
+    pub fn set_queued(&self, request: u64, within: Duration) -> bool {
+        let mut pending = self.pending.lock().expect("no panic under lock");
+        let Some(pending) = pending.get_mut(&request) else { return false };
+        pending.queued.get_or_insert((Instant::now(), within));
+        true
+    }
+
+    /// When the owner reported that it has queued a request, and within which time it decides.
+    pub fn queued(&self, request: u64) -> Option<(Instant, Duration)> {
+        self.pending.lock().expect("no panic under lock").get(&request)?.queued
+    }
+
+    /// Forgets a request. Returns whether it was still undecided.
+    pub fn forget(&self, request: u64) -> bool {
+        let pending = self.pending.lock().expect("no panic under lock").remove(&request);
+        pending.is_some_and(|pending| pending.tx.is_some())
     }
 
     /// Records that a box did not respond, or decided from stale state.
@@ -120,18 +159,6 @@
     }
 }
 
-/// Removes a pending request when the task that awaits its response is dropped.
-struct PendingGuard<'a> {
-    requests: &'a OwnerRequests,
-    request: u64,
-}
-
-impl Drop for PendingGuard<'_> {
-    fn drop(&mut self) {
-        self.requests.take(self.request);
-    }
-}
-
 /// Places a request, or says why it isn't placed.
 pub async fn place(hub: &Arc<Hub>, query: PlacementQuery<'_>) -> PlacementDecision {
     let owners = hub.peers().owners();
@@ -201,7 +228,13 @@
             }
         }
     }
-    PlacementDecision { result, decided_by: hub.peers().own_ip(), role, request: query.request }
+    PlacementDecision {
+        result,
+        decided_by: hub.peers().own_ip(),
+        role,
+        request: query.request,
+        queued: Duration::ZERO,
+    }
 }
 
 /// Places a request by the incomplete state of this box, when neither owner nor standby responds.
@@ -217,7 +250,13 @@
             &placed_message(&PlacementQuery { workspace: None, ..query }, choice),
         );
     }
-    PlacementDecision { result, decided_by: hub.peers().own_ip(), role, request: query.request }
+    PlacementDecision {
+        result,
+        decided_by: hub.peers().own_ip(),
+        role,
+        request: query.request,
+        queued: Duration::ZERO,
+    }
 }
 
 /// Has a request placed by the owner of a group of engines or its standby; `None` if neither
@@ -228,18 +267,21 @@
     group: EngineGroup,
     group_owners: GroupOwners,
 ) -> Option<PlacementDecision> {
+    let began = hub.now();
     for ip in group_owners.boxes() {
+        // The first box may have queued the request for a while.
+        let waited = query.waited + hub.now().saturating_sub(began);
+        let query = PlacementQuery { waited, ..query };
         let role = group_owners.role(ip);
         if ip == hub.peers().own_ip() {
-            let result = hub.admit(PlacementQuery { role, ..query });
-            if let Ok(choice) = &result {
-                notify_other_owner(hub, &query, choice, group_owners);
-            }
+            let query = PlacementQuery { role, ..query };
+            let (result, queued) = placement_queue::admit_here(hub, query, group_owners).await;
             return Some(PlacementDecision {
                 result,
                 decided_by: ip,
                 role,
                 request: query.request,
+                queued,
             });
         }
         if hub.owner_requests().is_unresponsive(ip, hub.now()) {
@@ -252,18 +294,30 @@
             group,
         ));
         match request_decision(hub, ip, request, &message).await {
-            Some(Ok(choice)) if is_stale_choice(hub, ip, &choice, query.version_filter) => {
+            Ok(OwnerDecision { result: Ok(choice), .. })
+                if is_stale_choice(hub, ip, &choice, query.version_filter) =>
+            {
                 notices::resend(hub, &choice.upstream, ip);
             }
             // The backoff began while this box waited for the owner.
-            Some(Ok(choice)) if hub.is_backing_off(&choice.upstream) => {
+            Ok(OwnerDecision { result: Ok(choice), .. })
+                if hub.is_backing_off(&choice.upstream) =>
+            {
                 withdraw(hub, request, group_owners.boxes());
                 continue;
             }
-            Some(result) => {
-                return Some(PlacementDecision { result, decided_by: ip, role, request });
+            Ok(OwnerDecision { result, queued }) => {
+                return Some(PlacementDecision { result, decided_by: ip, role, request, queued });
+            }
+            // It has answered that it would decide; the decision may have been lost.
+            Err(NoDecision::Undecided) => {
+                info!(hub.log(), "owner did not decide"; "ip" => %ip, "group" => %group);
+                withdraw(hub, request, group_owners.boxes());
+                continue;
+            }
+            Err(NoDecision::Unresponsive) => {
+                info!(hub.log(), "owner did not respond"; "ip" => %ip, "group" => %group)
             }
-            None => info!(hub.log(), "owner did not respond"; "ip" => %ip, "group" => %group),
         }
         withdraw(hub, request, group_owners.boxes());
         hub.owner_requests().mark_unresponsive(ip, hub.now());
@@ -316,6 +370,7 @@
         service: ServiceName::from(query.service),
         prompt: query.prompt.into(),
         workspace: query.workspace.cloned(),
+        rank: query.rank,
         zone: hub.peers().zone().clone(),
         excluded: excluded_in(query, group),
         version_filter: query.version_filter,
@@ -358,25 +413,20 @@
     is_stale
 }
 
-/// Asks another box to place a request; `None` if it doesn't respond in time.
+/// Asks another box to place a request.
 pub async fn request_decision(
     hub: &Hub,
     ip: IpAddr,
     request: u64,
     message: &Message,
-) -> Option<PlacementResult> {
+) -> Result<OwnerDecision, NoDecision> {
     let requests = hub.owner_requests();
-    let mut response = requests.register(request);
-    let _pending = PendingGuard { requests, request };
+    let response = requests.register(request);
     hub.peers().send_now(ip, message);
-    let deadline = Instant::now() + OWNER_RESPONSE_TIMEOUT;
-    if let Ok(result) = tokio::time::timeout_at(deadline, &mut response).await {
-        return result.ok();
-    }
-    if deadline.elapsed() < STALL_THRESHOLD {
-        return None;
-    }
-    tokio::time::timeout(OWNER_RESPONSE_TIMEOUT, response).await.ok()?.ok()
+    let withdraw = || hub.peers().send_now(ip, &Message::Withdrawn { request });
+    let (timeout, stall_threshold) = (OWNER_RESPONSE_TIMEOUT, STALL_THRESHOLD);
+    placement_queue::await_decision(requests, request, response, timeout, stall_threshold, withdraw)
+        .await
 }
 
 /// Places a request on behalf of another box, and responds to it.
@@ -388,6 +438,7 @@
         service: &message.service,
         prompt: &prompt,
         workspace: message.workspace.as_ref(),
+        rank: message.rank,
         excluded: &message.excluded,
         version_filter: message.version_filter,
         target_latency: Duration::from_millis(message.latency_target_ms.into()),
@@ -401,7 +452,7 @@
         role: group_owners
             .map_or(Role::Unassigned, |group_owners| group_owners.role(hub.peers().own_ip())),
     };
-    let result = hub.admit(query);
+    let Some(result) = placement_queue::admit_for_box(hub, query, from) else { return };
     let request = message.request;
     if let Ok(choice) = &result
         && let Some(group_owners) = group_owners
@@ -416,8 +467,7 @@
 pub fn handle_response(hub: &Hub, response: PlacementResponse, from: IpAddr) {
     let PlacementResponse { request, result } = response;
     let upstream = result.as_ref().ok().map(|choice| choice.upstream.clone());
-    let pending = hub.owner_requests().take(request);
-    if pending.is_some_and(|tx| tx.send(result).is_ok()) {
+    if hub.owner_requests().deliver(request, result) {
         return;
     }
     let group_owners =
@@ -428,7 +478,7 @@
 
 /// Sends a placement to the other one of a group's owner and standby. The workspace is left out:
 /// its usage is sent by [`report_share_usage`].
-fn notify_other_owner(
+pub fn notify_other_owner(
     hub: &Hub,
     query: &PlacementQuery<'_>,
     choice: &Choice,
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use crate::clock::Clock;
+use crate::fleet::owners::EngineGroup;
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
 use crate::placement::admit;
@@ -23,10 +24,15 @@
 use crate::placement::choice::Choice;
 use crate::placement::choice::ChoiceError;
 use crate::placement::choice::SelectionCriteria;
+use crate::placement::cold::Role;
 use crate::placement::plain;
 use crate::placement::registry::UpstreamRegistry;
 use crate::placement::registry::learned::LearnedReport;
 use crate::placement::share::Shares;
+use crate::placement::waiting::Admission;
+use crate::placement::waiting::Answer;
+use crate::placement::waiting::Outcome;
+use crate::placement::waiting::WaitingRequests;
 use crate::proxy::adapter::EngineClient;
 use crate::proxy::adapter::HeaderAdapter;
 use crate::proxy::capacity;
@@ -34,6 +40,8 @@
 use crate::proxy::message::Message;
 use crate::proxy::peers::Peers;
 use crate::proxy::placed_request::CountGuard;
+use crate::proxy::placement_queue;
+use crate::proxy::placement_queue::Recipient;
 use crate::proxy::proxy_metrics::ProxyMetrics;
 use crate::proxy::retry_budget::RetryBudget;
 use crate::proxy::rollouts::RolloutState;
@@ -60,6 +68,7 @@
     log: Logger,
     in_flight: Arc<AtomicUsize>,
     owner_requests: OwnerRequests,
+    queue_changed: Notify,
     suspects: Suspects,
     rollouts: RolloutState,
     probe_requested: Notify,
@@ -80,6 +89,8 @@
     shares: Shares,
     /// Shares at plain services, counted in requests.
     plain_shares: Shares,
+    /// Requests that wait for engines for which this box decides.
+    waiting: WaitingRequests<Recipient>,
 }
 
 impl Hub {
@@ -99,6 +110,7 @@
             budget: RetryBudget::new(cfg.repeats),
             shares: Shares::new(cfg.share_window),
             plain_shares: Shares::new(cfg.share_window),
+            waiting: WaitingRequests::default(),
         };
         let hub = Arc::new(Hub {
             inner: Mutex::new(inner),
@@ -111,6 +123,7 @@
             log,
             in_flight: Arc::default(),
             owner_requests: OwnerRequests::default(),
+            queue_changed: Notify::new(),
             suspects: Suspects::default(),
             rollouts: RolloutState::new(cfg.exposure),
             probe_requested: Notify::new(),
@@ -297,6 +310,7 @@
         let result = f(&mut inner.view, self.now());
         let changes = inner.view.take_changes();
         let reaches_store = inner.view.reaches_store();
+        self.examine_queue(&inner);
         drop(inner);
         for change in changes {
             self.report_change(&change, reaches_store);
@@ -330,6 +344,57 @@
         inner.view.registry_mut().withdraw(request, now);
         inner.shares.revert(request, now);
         inner.plain_shares.revert(request, now);
+        let queued = inner.waiting.withdraw(request, now);
+        self.examine_queue(&inner);
+        drop(inner);
+        if let Some(queued) = queued {
+            placement_queue::log_end(self, request, None, Outcome::Withdrawn, queued);
+        }
+    }
+
+    /// Places a request by the state known to this box, or queues it if it can begin in time.
+    pub fn admit_or_queue(
+        &self,
+        query: PlacementQuery<'_>,
+        recipient: Recipient,
+    ) -> Admission<Recipient> {
+        let now = self.now();
+        let mut inner = self.inner.lock().expect("no panic under lock");
+        let Inner { view, shares, waiting, .. } = &mut *inner;
+        let admission = waiting.admit(view.registry_mut(), shares, query, recipient, now);
+        if matches!(admission, Admission::Queued { .. }) {
+            self.queue_changed.notify_one();
+        }
+        admission
+    }
+
+    /// Places the waiting requests that can begin, and denies those that can't in time. `role` is
+    /// this box's role for a group of engines, if it has one.
+    pub fn dispatch_queued(
+        &self,
+        role: impl Fn(EngineGroup) -> Option<Role>,
+    ) -> Vec<Answer<Recipient>> {
+        let now = self.now();
+        let mut inner = self.inner.lock().expect("no panic under lock");
+        let Inner { view, shares, waiting, .. } = &mut *inner;
+        waiting.dispatch(view.registry_mut(), shares, role, now)
+    }
+
+    /// The number of requests that wait for engines.
+    pub fn waiting_count(&self) -> usize {
+        self.inner.lock().expect("no panic under lock").waiting.len()
+    }
+
+    /// Waits until requests may leave the queue, or one has been queued.
+    pub async fn queue_changed(&self) {
+        self.queue_changed.notified().await;
+    }
+
+    /// Has waiting requests examined, since the state of engines has changed.
+    fn examine_queue(&self, inner: &Inner) {
+        if !inner.waiting.is_empty() {
+            self.queue_changed.notify_one();
+        }
     }
 
     /// Places a request for a plain service by the counts of this box.
@@ -414,7 +479,10 @@
 
     /// Accesses the state of the upstreams.
     pub fn with_registry<T>(&self, f: impl FnOnce(&mut UpstreamRegistry) -> T) -> T {
-        f(self.inner.lock().expect("no panic under lock").view.registry_mut())
+        let mut inner = self.inner.lock().expect("no panic under lock");
+        let result = f(inner.view.registry_mut());
+        self.examine_queue(&inner);
+        result
     }
 
     fn report_change(&self, change: &Change, reaches_store: bool) {
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -31,6 +31,7 @@
 use crate::proxy::adapter::PromptPart;
 use crate::proxy::adapter::UpstreamListing;
 use crate::proxy::plain_placement::PlainPlacementRequest;
+use crate::proxy::routing_table::Rank;
 
 /// A message from one box to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -174,6 +175,8 @@
     pub prompt: PromptMessage,
     /// The workspace that is charged.
     pub workspace: Option<WorkspaceName>,
+    /// Which of several waiting requests goes first.
+    pub rank: Rank,
     /// The availability zone of the asking box.
     pub zone: ZoneName,
     /// Engines that may not be chosen.
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -22,6 +22,7 @@
 pub mod notices;
 pub mod peers;
 pub mod placed_request;
+pub mod placement_queue;
 pub mod plain_placement;
 pub mod proxy_metrics;
 pub mod reachability;
@@ -173,6 +174,7 @@
     tokio::spawn(warm_up::run_at_start(hub.clone(), deps.engine_client.clone()));
     tokio::spawn(warm_up::run_for_own_groups(hub.clone(), deps.engine_client));
     tokio::spawn(engine_placement::report_share_usage(hub.clone()));
+    tokio::spawn(placement_queue::run(hub.clone()));
     tokio::spawn(rollouts::run(hub.clone(), deps.rollout_reporter));
     tokio::spawn(suspects::catch_up(hub.clone()));
     tokio::spawn(suspects::save(hub.clone(), deps.suspect_store.clone()));
--- a/src/proxy/plain_placement.rs
+++ b/src/proxy/plain_placement.rs
@@ -28,6 +28,7 @@
 use crate::proxy::message::Message;
 use crate::proxy::message::PlacementResponse;
 use crate::proxy::notices;
+use crate::proxy::placement_queue::OwnerDecision;
 
 /// Asks the owner of a plain service to place a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -65,6 +66,7 @@
             decided_by: me,
             role,
             request,
+            queued: Duration::ZERO,
         });
     }
     let owners = owners(hub, query.service)?;
@@ -76,6 +78,7 @@
                 decided_by: me,
                 role,
                 request,
+                queued: Duration::ZERO,
             });
         }
         if hub.owner_requests().is_unresponsive(ip, hub.now()) {
@@ -85,20 +88,22 @@
         let message =
             Message::PlainPlacementRequest(placement_request(&PlainQuery { request, ..query }));
         match engine_placement::request_decision(hub, ip, request, &message).await {
-            Some(Ok(choice))
+            Ok(OwnerDecision { result: Ok(choice), .. })
                 if engine_placement::is_stale_choice(hub, ip, &choice, query.version_filter) =>
             {
                 notices::resend(hub, &choice.upstream, ip);
             }
             // The backoff began while this box waited for the owner.
-            Some(Ok(choice)) if hub.is_backing_off(&choice.upstream) => {
+            Ok(OwnerDecision { result: Ok(choice), .. })
+                if hub.is_backing_off(&choice.upstream) =>
+            {
                 engine_placement::withdraw(hub, request, owners.boxes());
                 continue;
             }
-            Some(result) => {
-                return Some(PlacementDecision { result, decided_by: ip, role, request });
+            Ok(OwnerDecision { result, queued }) => {
+                return Some(PlacementDecision { result, decided_by: ip, role, request, queued });
             }
-            None => {
+            Err(_) => {
                 info!(hub.log(), "owner did not respond"; "ip" => %ip, "service" => query.service)
             }
         }
--- a/src/proxy/proxy_metrics.rs
+++ b/src/proxy/proxy_metrics.rs
@@ -11,6 +11,7 @@
 use crate::metrics::Metrics;
 use crate::names::WorkspaceName;
 use crate::placement::share::TokenCounts;
+use crate::placement::waiting::Outcome;
 use crate::proxy::adapter::Notice;
 use crate::proxy::hub::Hub;
 use crate::proxy::placed_request::FirstTokenTiming;
@@ -45,6 +46,9 @@
     reached_anyway: Counter<u64>,
     held_back: Counter<u64>,
     suspended: Counter<u64>,
+    queued: Counter<u64>,
+    left_queue: Counter<u64>,
+    queue_waits: Histogram<f64>,
 }
 
 impl ProxyMetrics {
@@ -77,6 +81,9 @@
             withheld: meter.u64_counter("frostdyke_requests_withheld").build(),
             reached_anyway: meter.u64_counter("frostdyke_requests_reached_anyway").build(),
             upstreams_restarted: meter.u64_counter("frostdyke_upstreams_restarted").build(),
+            queued: meter.u64_counter("frostdyke_queue_entered").build(),
+            left_queue: meter.u64_counter("frostdyke_queue_left").build(),
+            queue_waits: histogram("frostdyke_queue_seconds"),
             metrics,
         }
     }
@@ -109,6 +116,7 @@
         gauge("frostdyke_groups_kept", |hub| {
             hub.peers().owners().groups_of(hub.peers().own_ip()).count() as u64
         });
+        gauge("frostdyke_queue_length", |hub| hub.waiting_count() as u64);
         gauge("frostdyke_configuration_version", Hub::version);
         gauge("frostdyke_store_reached", |hub| u64::from(hub.read(View::reaches_store)));
         gauge("frostdyke_upstreams", |hub| hub.read(|v| v.registry().listed().count() as u64));
@@ -212,6 +220,18 @@
         self.reached_anyway.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a request that waits in this box's queue.
+    pub fn queued(&self) {
+        self.queued.add(1, &[]);
+    }
+
+    /// Counts a request that leaves this box's queue, and records how long it waited.
+    pub fn left_queue(&self, outcome: Outcome, queued: Duration) {
+        let labels = [KeyValue::new("outcome", outcome.code())];
+        self.left_queue.add(1, &labels);
+        self.queue_waits.record(queued.as_secs_f64(), &labels);
+    }
+
     /// Counts a suspension of the machine.
     pub fn suspended(&self) {
         self.suspended.add(1, &[]);
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -41,6 +41,7 @@
 use crate::proxy::refusal::Refusal;
 use crate::proxy::response_body;
 use crate::proxy::response_body::Body;
+use crate::proxy::routing_table::Rank;
 use crate::proxy::routing_table::Repeat;
 use crate::proxy::routing_table::Route;
 use crate::proxy::stream_relay;
@@ -84,6 +85,8 @@
     pub connections_max: u32,
     /// The workspace that it is charged to.
     pub workspace: Option<WorkspaceName>,
+    /// Which of several waiting requests goes first.
+    pub rank: Rank,
     /// The body.
     pub body: Bytes,
     /// Computed on first use by [`RequestContext::fingerprint`].
@@ -194,7 +197,7 @@
     }
 
     /// Time until the deadline.
-    fn remaining(&self) -> Duration {
+    pub(super) fn remaining(&self) -> Duration {
         self.deadline.saturating_sub(self.hub.now())
     }
 
--- a/src/proxy/routing_table.rs
+++ b/src/proxy/routing_table.rs
@@ -48,6 +48,9 @@
     pub max_upstreams: u32,
     /// Whether requests need no key.
     pub anonymous: bool,
+    /// 0 is the highest.
+    #[serde(default)]
+    pub rank: u8,
 }
 
 /// What may be sent again after a failure that leaves open whether the request ran.
@@ -89,6 +92,16 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Workspace {
     pub name: WorkspaceName,
+    /// 0 is the highest.
+    #[serde(default)]
+    pub rank: u8,
+}
+
+/// Which of several requests goes first, where not all can; 0 is the highest.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rank {
+    pub workspace: u8,
+    pub route: u8,
 }
 
 /// Limits on what callers may send, and the capacity of the fleet.
--- a/src/proxy/state_updates.rs
+++ b/src/proxy/state_updates.rs
@@ -19,6 +19,7 @@
 use crate::proxy::hub::Hub;
 use crate::proxy::message::Message;
 use crate::proxy::notices;
+use crate::proxy::placement_queue;
 use crate::proxy::rollouts;
 use crate::proxy::suspects;
 use crate::proxy::view::View;
@@ -154,6 +155,9 @@
         Message::PlacementResponse(response) => {
             engine_placement::handle_response(hub, response, sender)
         }
+        Message::Queued { request, within_ms } => {
+            placement_queue::handle_queued(hub, request, within_ms, sender);
+        }
         Message::ShareUsage(all) => hub.shares(|shares| {
             for usage in &all {
                 shares.add_remote(&usage.workspace, usage.tokens, now);
@@ -167,7 +171,6 @@
         Message::InProgress(_)
         | Message::UnknownRequests(_)
         | Message::RequestRecords(_)
-        | Message::Queued { .. }
         | Message::Headroom(_) => {}
         // Handled by `Peers`.
         Message::Heartbeat(_)
--- a/src/proxy/upstream_selection.rs
+++ b/src/proxy/upstream_selection.rs
@@ -16,6 +16,7 @@
 use crate::placement::choice::ChoiceError;
 use crate::placement::choice::SelectionCriteria;
 use crate::placement::cold::Role;
+use crate::placement::drain;
 use crate::placement::plain::PlainQuery;
 use crate::proxy::adapter::Prompt;
 use crate::proxy::engine_placement;
@@ -48,7 +49,7 @@
         }
         let choice = match decision.result {
             Ok(choice) => choice,
-            Err(denial) => return Err(self.refusal(denial.cause, denial.wait_max)),
+            Err(denial) => return Err(self.refusal(&denial)),
         };
         let placed = PlacedRequest::new(self, &choice, decision.request);
         Ok((choice, placed))
@@ -87,6 +88,7 @@
             service: &self.service,
             prompt,
             workspace: self.workspace.as_ref(),
+            rank: self.rank,
             excluded: &excluded,
             target_latency: self.route.aim,
             waited: self.hub.now().saturating_sub(self.arrived),
@@ -136,6 +138,7 @@
             source: None,
             may_try_other_groups: false,
             alternative: None,
+            retry_after: None,
         };
         let result = self.hub.choose(criteria).map_err(denial);
         PlacementDecision {
@@ -143,6 +146,7 @@
             decided_by: self.hub.peers().own_ip(),
             role: Role::Unassigned,
             request,
+            queued: Duration::ZERO,
         }
     }
 
@@ -161,9 +165,14 @@
         Some(remaining.max(OVERLOAD_RETRY_MIN))
     }
 
-    /// The refusal of a request that isn't placed and could have waited for up to `wait_max`.
-    fn refusal(&self, cause: ChoiceError, wait_max: Duration) -> Refusal {
-        match cause {
+    /// The refusal of a request that isn't placed.
+    fn refusal(&self, denial: &Denial) -> Refusal {
+        if let Some(wait) = denial.retry_after {
+            let draw = xxh3_64(self.head.id.as_bytes());
+            let retry_after = drain::retry_after(wait, draw, self.remaining());
+            return Refusal::Overloaded { retry_after };
+        }
+        match denial.cause {
             ChoiceError::NoUpstream => {
                 let retry_after = self.min_backoff_remaining().unwrap_or(NO_UPSTREAM_RETRY);
                 Refusal::NoUpstream { retry_after }
@@ -172,7 +181,7 @@
                 Refusal::Overloaded { retry_after: NO_UPSTREAM_RETRY }
             }
             ChoiceError::Busy { wait } => {
-                let excess = wait.saturating_sub(wait_max);
+                let excess = wait.saturating_sub(denial.wait_max);
                 Refusal::Overloaded { retry_after: excess.max(OVERLOAD_RETRY_MIN) }
             }
         }
@@ -189,7 +198,8 @@
             "share_used" => (denial.share_used * 100.0).round() / 100.0,
             "wait_ms" => wait, "wait_max_ms" => denial.wait_max.as_millis() as u64,
             "by" => %decision.decided_by, "as" => decision.role.code(),
-            "tried" => self.tried.len(), "version" => self.hub.version());
+            "queued_ms" => decision.queued.as_millis() as u64, "tried" => self.tried.len(),
+            "version" => self.hub.version());
     }
 
     fn log_placed(&self, choice: &Choice, decision: &PlacementDecision) {
@@ -202,6 +212,7 @@
             "running_tokens" => choice.running_tokens, "wait_ms" => choice.wait.as_millis() as u64,
             "expected_ms" => choice.first_token.as_millis() as u64,
             "by" => %decision.decided_by, "as" => decision.role.code(),
+            "queued_ms" => decision.queued.as_millis() as u64,
             "version" => self.hub.version(), "try" => self.tried.len() + 1);
     }
 }
--- a/tests/fleet_placement.rs
+++ b/tests/fleet_placement.rs
@@ -31,6 +31,7 @@
 use frostdyke::proxy::message::PlacementRequest;
 use frostdyke::proxy::message::PlacementResponse;
 use frostdyke::proxy::routing_table::EngineLimits;
+use frostdyke::proxy::routing_table::Rank;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -196,6 +197,7 @@
                 service: "llm",
                 prompt: &prompt,
                 workspace: None,
+                rank: Rank::default(),
                 excluded: &[],
                 version_filter: VersionFilter::Any,
                 target_latency: Duration::from_secs_f64(LATENCY_TARGET_S),
@@ -288,6 +290,7 @@
         service: ServiceName::from(query.service),
         prompt: query.prompt.into(),
         workspace: None,
+        rank: Rank::default(),
         zone: sender_box.zone.clone(),
         excluded: Vec::new(),
         version_filter: VersionFilter::Any,
--- a/tests/proxy_admit.rs
+++ b/tests/proxy_admit.rs
@@ -27,6 +27,7 @@
 use frostdyke::proxy::adapter::PromptPart;
 use frostdyke::proxy::adapter::UpstreamListing;
 use frostdyke::proxy::routing_table::EngineLimits;
+use frostdyke::proxy::routing_table::Rank;
 
 const LIMITS: EngineLimits =
     EngineLimits { slots: 64, memory_tokens: 500_000, copied_per_s: 400_000, cold: None };
@@ -89,6 +90,7 @@
             service: "llm",
             prompt: &prompt,
             workspace: Some(&name(workspace)),
+            rank: Rank::default(),
             excluded: &[],
             version_filter: VersionFilter::Any,
             target_latency: LATENCY_TARGET,
--- /dev/null
+++ b/tests/proxy_queue.rs
@@ -0,0 +1,640 @@
+//! Requests that wait at the owner of a group of engines with few slots. Load: one workspace asks
+//! for six times its share while twenty small ones ask for little. The owner's part runs without a
+//! network on a model of ten engines; the asking box's part on a paused clock.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use frostdyke::fleet::owners::EngineGroup;
+use frostdyke::fleet::rollout::VersionFilter;
+use frostdyke::names::ServiceName;
+use frostdyke::names::UpstreamName;
+use frostdyke::names::VersionName;
+use frostdyke::names::WorkspaceName;
+use frostdyke::names::ZoneName;
+use frostdyke::placement::admit::Denial;
+use frostdyke::placement::admit::PlacementQuery;
+use frostdyke::placement::admit::Purpose;
+use frostdyke::placement::choice::Choice;
+use frostdyke::placement::choice::ChoiceError;
+use frostdyke::placement::cold::Role;
+use frostdyke::placement::drain;
+use frostdyke::placement::engine::Placement;
+use frostdyke::placement::queue::LENGTH_MAX;
+use frostdyke::placement::queue::PlacementQueue;
+use frostdyke::placement::queue::Pushed;
+use frostdyke::placement::queue::QueuedRequest;
+use frostdyke::placement::registry::UpstreamRegistry;
+use frostdyke::placement::share::Shares;
+use frostdyke::placement::tuning::SmallBatch;
+use frostdyke::placement::tuning::Tuning;
+use frostdyke::placement::waiting::Admission;
+use frostdyke::placement::waiting::Answer;
+use frostdyke::placement::waiting::Outcome;
+use frostdyke::placement::waiting::WaitingRequests;
+use frostdyke::proxy::adapter::Prompt;
+use frostdyke::proxy::adapter::PromptPart;
+use frostdyke::proxy::adapter::UpstreamListing;
+use frostdyke::proxy::engine_placement::OwnerRequests;
+use frostdyke::proxy::placement_queue;
+use frostdyke::proxy::placement_queue::NoDecision;
+use frostdyke::proxy::placement_queue::OwnerDecision;
+use frostdyke::proxy::routing_table::EngineLimits;
+use frostdyke::proxy::routing_table::Rank;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const ENGINES: u8 = 10;
+const LIMITS: EngineLimits =
+    EngineLimits { slots: 16, memory_tokens: 400_000, copied_per_s: 400_000, cold: None };
+const LATENCY_TARGET: Duration = Duration::from_millis(1000);
+const NOW: Duration = Duration::from_secs(10);
+
+/// Delay until the owner is notified of a first token or an end.
+const NOTICE_MS: u64 = 20;
+
+/// From the first token to the end of a stream.
+const STREAM_MS: u64 = 900;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn name(n: u64) -> WorkspaceName {
+    WorkspaceName::from(&*format!("w{n}"))
+}
+
+fn tuning(queue: bool, prefill_share: f64) -> Tuning {
+    let small_batch = SmallBatch { slots_max: 16, queue, ..SmallBatch::default() };
+    Tuning { small_batch, prefill_share, ..Tuning::default() }
+}
+
+fn prompt(request: u64, tokens: u32) -> Prompt {
+    let parts = vec![PromptPart { id: 1_000_000 + request, tokens }];
+    Prompt { tokens, output_tokens_max: 40, parts }
+}
+
+/// The owner of a group of ten engines. Decisions are sent to no one; the reply is the request.
+struct Owner {
+    registry: UpstreamRegistry,
+    shares: Shares,
+    waiting: WaitingRequests<u64>,
+    role: Option<Role>,
+}
+
+impl Owner {
+    fn new(tuning: Tuning) -> Owner {
+        let mut registry = UpstreamRegistry::new(ZoneName::from("a"), tuning);
+        for n in 1..=ENGINES {
+            let listed = UpstreamListing {
+                name: UpstreamName::from(&*format!("e{n}")),
+                service: ServiceName::from("llm"),
+                addr: ([127, 0, 0, n], 80).into(),
+                zone: ZoneName::from("a"),
+                version: VersionName::from("v1"),
+                slots: LIMITS.slots,
+                started_at_ms: None,
+                leaving: false,
+                cold_for: None,
+            };
+            registry.upsert(listed, Some(LIMITS));
+        }
+        let (shares, waiting) = (Shares::new(ms(4000)), WaitingRequests::default());
+        Owner { registry, shares, waiting, role: Some(Role::Owner) }
+    }
+
+    fn request(&mut self, request: u64, of: u64, tokens: u32, now: Duration) -> Admission<u64> {
+        let prompt = prompt(request, tokens);
+        let query = PlacementQuery {
+            request,
+            service: "llm",
+            prompt: &prompt,
+            workspace: Some(&name(of)),
+            rank: Rank::default(),
+            excluded: &[],
+            version_filter: VersionFilter::Any,
+            target_latency: LATENCY_TARGET,
+            waited: Duration::ZERO,
+            group: Some(EngineGroup::default()),
+            zone: None,
+            sender: None,
+            source: None,
+            purpose: Purpose::Place,
+            is_last_group: true,
+            role: Role::Owner,
+        };
+        self.waiting.admit(&mut self.registry, &mut self.shares, query, request, now)
+    }
+
+    fn dispatch(&mut self, now: Duration) -> Vec<Answer<u64>> {
+        let role = self.role;
+        self.waiting.dispatch(&mut self.registry, &mut self.shares, |_| role, now)
+    }
+
+    /// Fills all slots with requests of no workspace that never end.
+    fn fill_slots(&mut self, now: Duration) {
+        for n in 0..u64::from(ENGINES) * u64::from(LIMITS.slots) {
+            let upstream = UpstreamName::from(&*format!("e{}", 1 + n % u64::from(ENGINES)));
+            self.place(&upstream, 500_000 + n, now);
+            self.registry.record_first_token(&upstream, 500_000 + n, None, now);
+        }
+    }
+
+    fn place(&mut self, upstream: &UpstreamName, request: u64, now: Duration) {
+        let prompt = prompt(request, 100);
+        let placement = Placement {
+            request,
+            prompt: &prompt,
+            prefill_tokens: 100,
+            copied_tokens: 0,
+            sender: None,
+            decided_by: None,
+        };
+        self.registry.place(upstream, placement, now);
+    }
+
+    /// Ends one of the requests with which the slots were filled.
+    fn free_slot(&mut self, n: u64) {
+        let upstream = UpstreamName::from(&*format!("e{}", 1 + n % u64::from(ENGINES)));
+        self.registry.remove_request(&upstream, 500_000 + n);
+    }
+
+    /// An owner whose slots are all taken, with a queued request of workspace 1.
+    fn with_queued(request: u64, now: Duration) -> Owner {
+        let mut owner = Owner::new(tuning(true, 0.7));
+        owner.fill_slots(now - ms(500));
+        let admission = owner.request(request, 1, 1_000, now);
+        assert!(matches!(admission, Admission::Queued { .. }), "{admission:?}");
+        owner
+    }
+}
+
+#[derive(Debug, Default)]
+struct Measured {
+    small_tries: u64,
+    small_refused: u64,
+    large_tries: u64,
+    large_served: u64,
+    queued: u64,
+    expired: u64,
+    /// Engine milliseconds while requests waited, and those spent on prompts.
+    engine_ms: u64,
+    prefill_ms: u64,
+    /// Longest delay of an answer beyond the deadline.
+    latest: Duration,
+    worst_small: f64,
+}
+
+enum Event {
+    First(UpstreamName, u64, u64),
+    End(UpstreamName, u64),
+}
+
+/// Plays the load for eight seconds in steps of a millisecond. The large workspace sends `large`
+/// requests a second.
+fn play(tuning: Tuning, large: f64) -> Measured {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut owner = Owner::new(tuning);
+    let mut free_at: BTreeMap<UpstreamName, f64> = BTreeMap::new();
+    let mut events: BTreeMap<(u64, u64), Event> = BTreeMap::new();
+    let mut tokens_of: BTreeMap<u64, u32> = BTreeMap::new();
+    let mut deadlines: BTreeMap<u64, Duration> = BTreeMap::new();
+    let mut small = [(0u64, 0u64); 20];
+    let mut measured = Measured::default();
+    let (mut request, mut last_dispatch, mut has_changed) = (0, 0, false);
+    for t in 1_000..9_000u64 {
+        let now = ms(t);
+        let mut placed: Vec<(UpstreamName, u64)> = Vec::new();
+        let due: Vec<(u64, u64)> = events.range(..=(t, u64::MAX)).map(|(k, _)| *k).collect();
+        for key in due {
+            has_changed = true;
+            match events.remove(&key).expect("just seen") {
+                Event::First(upstream, request, took) => {
+                    owner.registry.record_first_token(&upstream, request, Some(ms(took)), now)
+                }
+                Event::End(upstream, request) => owner.registry.remove_request(&upstream, request),
+            }
+        }
+        let mut arrivals = Vec::new();
+        for workspace in 1..=20 {
+            if rng.random_bool(0.002) {
+                arrivals.push((workspace, rng.random_range(300..3_000)));
+            }
+        }
+        if rng.random_bool(large / 1000.0) {
+            arrivals.push((0, rng.random_range(2_000..10_000)));
+        }
+        for (workspace, tokens) in arrivals {
+            request += 1;
+            tokens_of.insert(request, tokens);
+            let is_measured = 3_000 <= t && t < 8_000;
+            if is_measured && workspace == 0 {
+                measured.large_tries += 1;
+            }
+            if is_measured && workspace != 0 {
+                small[workspace as usize - 1].0 += 1;
+            }
+            match owner.request(request, workspace, tokens, now) {
+                Admission::Decided(Ok(choice), _) => {
+                    placed.push((choice.upstream, request));
+                    measured.large_served += u64::from(is_measured && workspace == 0);
+                }
+                Admission::Decided(Err(denial), _) => {
+                    if tuning.small_batch.queue {
+                        assert!(denial.retry_after.is_some(), "{denial:?}");
+                    }
+                    if is_measured && workspace != 0 {
+                        small[workspace as usize - 1].1 += 1;
+                    }
+                }
+                Admission::Queued { within, displaced } => {
+                    measured.queued += u64::from(is_measured);
+                    deadlines.insert(request, now + within);
+                    if let Some(answer) = displaced {
+                        assert!(answer.result.is_err());
+                        deadlines.remove(&answer.query.request);
+                        if is_measured && answer.query.workspace != Some(name(0)) {
+                            measured.small_refused += 1;
+                        }
+                    }
+                    has_changed = true;
+                }
+            }
+        }
+        let since = t - last_dispatch;
+        if 15 <= since || (has_changed && 4 <= since) {
+            (last_dispatch, has_changed) = (t, false);
+            for answer in owner.dispatch(now) {
+                let request = answer.query.request;
+                let deadline = deadlines.remove(&request).expect("only queued ones are answered");
+                measured.latest = measured.latest.max(now.saturating_sub(deadline));
+                let is_large = answer.query.workspace == Some(name(0));
+                let is_measured = 3_000 <= t && t < 8_000;
+                match answer.result {
+                    Ok(choice) => {
+                        placed.push((choice.upstream, request));
+                        measured.large_served += u64::from(is_measured && is_large);
+                    }
+                    Err(_) if is_measured => {
+                        measured.expired += 1;
+                        measured.small_refused += u64::from(!is_large);
+                    }
+                    Err(_) => {}
+                }
+            }
+        }
+        for (upstream, request) in placed {
+            let tokens = f64::from(tokens_of[&request]);
+            // As in the settings: time per token, per pair of tokens, and per prompt.
+            let prefill_ms = tokens / 51.1 + tokens * tokens / 2e6 * 0.323 + 6.0;
+            let free = free_at.entry(upstream.clone()).or_default();
+            *free = free.max(t as f64) + prefill_ms;
+            let first = *free as u64 + 50;
+            let notified = first + NOTICE_MS;
+            events.insert(
+                (notified, 2 * request),
+                Event::First(upstream.clone(), request, first - t),
+            );
+            events.insert((notified + STREAM_MS, 2 * request + 1), Event::End(upstream, request));
+        }
+        if 3_000 <= t && t < 8_000 && (!owner.waiting.is_empty() || !tuning.small_batch.queue) {
+            measured.engine_ms += u64::from(ENGINES);
+            measured.prefill_ms +=
+                free_at.values().filter(|free| (t as f64) < **free).count() as u64;
+        }
+    }
+    measured.small_tries = small.iter().map(|(tries, _)| tries).sum();
+    measured.small_refused += small.iter().map(|(_, refused)| refused).sum::<u64>();
+    measured.worst_small =
+        small.iter().map(|(t, r)| *r as f64 / (*t).max(1) as f64).fold(0.0, f64::max);
+    assert!(deadlines.values().all(|deadline| ms(8_980) <= *deadline), "all are answered");
+    measured
+}
+
+/// Small workspaces were refused in 14 to 31 of 100 tries while another asked for six times its
+/// share, and engines had no prompt for a third of the time.
+#[test]
+fn six_times_its_share_of_one_workspace_refuses_no_small_ones_and_leaves_no_engine_idle() {
+    for prefill_share in [1.0, 0.7] {
+        let before = play(tuning(false, prefill_share), 320.0);
+        let after = play(tuning(true, prefill_share), 320.0);
+        println!("reading share {prefill_share}\nbefore {before:?}\nafter {after:?}");
+        let refused = after.small_refused as f64 / after.small_tries as f64;
+        assert!(refused < 0.03, "{refused}");
+        // Engines may read prompts for only this part of their time.
+        let used = after.prefill_ms as f64 / after.engine_ms as f64 / prefill_share;
+        assert!(0.8 < used, "{used}");
+        // What the small ones gain is little, so the large one loses little.
+        let large = after.large_served as f64 / before.large_served as f64;
+        assert!(0.95 < large, "{large}");
+        assert!(after.latest <= ms(15), "{:?}", after.latest);
+    }
+}
+
+fn queued(
+    request: u64,
+    workspace: u64,
+    route: u8,
+    tokens: u64,
+    deadline: Duration,
+) -> QueuedRequest<()> {
+    QueuedRequest {
+        request,
+        workspace: name(workspace),
+        rank: Rank { workspace: 0, route },
+        tokens,
+        work: tokens as f64 / 50_000.0,
+        queued_at: NOW,
+        deadline,
+        item: (),
+    }
+}
+
+fn is_queued<T>(pushed: &Pushed<T>) -> bool {
+    matches!(pushed, Pushed::Queued { .. })
+}
+
+/// Within a workspace the route's rank goes first, then the deadline; by arrival, a batch job sent
+/// first would delay a chat.
+#[test]
+fn within_a_workspace_rank_goes_first_and_then_the_deadline() {
+    let mut queue = PlacementQueue::new(10.0, NOW);
+    for (request, route, left) in [(1, 1, 400), (2, 0, 500), (3, 1, 300), (4, 0, 450)] {
+        let deadline = NOW + ms(left);
+        let pushed = queue.push(queued(request, 1, route, 100, deadline), 0, ms(700), NOW);
+        assert!(is_queued(&pushed));
+    }
+    let mut order = Vec::new();
+    while let Some(next) = queue.next(1).first().copied() {
+        order.push(next);
+        queue.remove(next).expect("it waits");
+    }
+    assert_eq!(order, [4, 2, 3, 1]);
+}
+
+/// The workspace that was granted least goes next, whatever it queued; a rank is a head start and
+/// not a privilege.
+#[test]
+fn workspaces_go_by_what_they_were_granted() {
+    let mut queue = PlacementQueue::new(10.0, NOW);
+    let deadline = NOW + ms(700);
+    for (request, workspace, granted) in [(1, 1, 50_000), (2, 1, 50_000), (3, 2, 1_000)] {
+        let pushed =
+            queue.push(queued(request, workspace, 0, 1_000, deadline), granted, ms(700), NOW);
+        assert!(is_queued(&pushed));
+    }
+    let low =
+        QueuedRequest { rank: Rank { workspace: 2, route: 0 }, ..queued(4, 3, 0, 100, deadline) };
+    assert!(is_queued(&queue.push(low, 0, ms(700), NOW)));
+    assert_eq!(queue.next(4), [3, 4, 1, 2]);
+    queue.set_granted(&name(2), 90_000);
+    assert_eq!(queue.next(4), [4, 1, 2, 3]);
+}
+
+/// A request that is kept waiting and then refused costs its caller more than one refused at once.
+#[test]
+fn a_request_that_would_not_begin_in_time_is_refused_at_once() {
+    let mut queue = PlacementQueue::new(1.0, NOW);
+    let mut waits = Vec::new();
+    for request in 1..=20 {
+        let next = queued(request, 1, 0, 5_000, NOW + ms(450));
+        waits.push(queue.estimated_wait(&next, 0, NOW));
+        if let Pushed::Refused(refused) = queue.push(next, 0, ms(700), NOW) {
+            assert!(ms(450) < queue.estimated_wait(&refused, 0, NOW));
+        }
+    }
+    assert_eq!(queue.len(), 5, "a tenth of a second each: {waits:?}");
+    assert!(waits.is_sorted());
+    // One of a workspace that was granted less goes before them.
+    assert!(queue.estimated_wait(&queued(30, 2, 0, 5_000, NOW + ms(450)), 0, NOW) <= ms(500));
+    let late = queued(31, 2, 0, 5_000, NOW);
+    assert!(!is_queued(&queue.push(late, 0, ms(700), NOW)), "its time is up");
+}
+
+/// One large workspace could otherwise fill the queue up.
+#[test]
+fn when_the_queue_is_full_the_last_request_of_the_largest_workspace_gives_way() {
+    let mut queue = PlacementQueue::new(1000.0, NOW);
+    let mut request = 0;
+    for _ in 0..LENGTH_MAX {
+        request += 1;
+        let next = queued(request, 1, 0, 100, NOW + ms(300) + Duration::from_micros(request));
+        assert!(is_queued(&queue.push(next, 9_000, ms(700), NOW)));
+    }
+    let another = queued(1_000, 1, 0, 100, NOW + ms(600));
+    assert!(!is_queued(&queue.push(another, 9_000, ms(700), NOW)), "it is the last itself");
+    for small in 2..20 {
+        let next = queued(1_000 + small, small, 0, 100, NOW + ms(300));
+        let Pushed::Queued { displaced: Some(displaced) } = queue.push(next, 0, ms(700), NOW)
+        else {
+            panic!("a small workspace is queued, and another gives way");
+        };
+        assert_eq!((displaced.workspace, displaced.request), (name(1), request));
+        request -= 1;
+        assert_eq!(queue.len(), LENGTH_MAX);
+    }
+}
+
+/// Callers that were refused together would come back together, or too late, or wait for longer
+/// than they honour.
+#[test]
+fn the_time_to_come_back_is_spread_and_bounded() {
+    let remaining = ms(3_000);
+    let spread: Vec<Duration> =
+        (0..8).map(|n| drain::retry_after(ms(400), u64::MAX / 8 * n, remaining)).collect();
+    assert!(spread.is_sorted_by(|a, b| a < b), "{spread:?}");
+    assert!(spread.iter().all(|after| (ms(300)..=ms(500)).contains(after)), "{spread:?}");
+    assert_eq!(drain::retry_after(Duration::ZERO, 0, remaining), ms(100));
+    assert_eq!(drain::retry_after(Duration::MAX, u64::MAX, remaining), ms(1_000));
+}
+
+/// A queue that was measured as slow would otherwise refuse for ever after.
+#[test]
+fn the_drain_rate_recovers_while_nothing_waits() {
+    let mut rate = drain::DrainRate::new(7.0, NOW);
+    assert!(rate.per_s(NOW + ms(2_000)) < 0.5, "nothing drains");
+    rate.record(0.0, false, NOW + ms(2_000));
+    rate.record(0.0, true, NOW + ms(7_000));
+    assert!(6.5 < rate.per_s(NOW + ms(7_000)));
+}
+
+/// Services whose engines have many slots, and requests of boxes without the setting, are decided
+/// as before.
+#[test]
+fn nothing_waits_where_the_setting_does_not_call_for_it() {
+    let mut off = Owner::new(tuning(false, 0.7));
+    off.fill_slots(NOW - ms(500));
+    assert!(matches!(off.request(1, 1, 1_000, NOW), Admission::Decided(Err(_), 1)));
+    let few = SmallBatch { slots_max: LIMITS.slots - 1, queue: true, ..SmallBatch::default() };
+    let mut many_slots = Owner::new(Tuning { small_batch: few, ..Tuning::default() });
+    many_slots.fill_slots(NOW - ms(500));
+    assert!(matches!(many_slots.request(1, 1, 1_000, NOW), Admission::Decided(Err(_), 1)));
+    assert!(off.waiting.is_empty() && many_slots.waiting.is_empty());
+}
+
+/// A request whose entry is forgotten would leave its caller without a word.
+#[test]
+fn every_request_is_answered_by_its_deadline() {
+    let mut owner = Owner::with_queued(1, NOW);
+    assert!(owner.dispatch(NOW + ms(690)).is_empty());
+    let answers = owner.dispatch(NOW + ms(700));
+    let [Answer { reply: 1, result: Err(denial), outcome: Outcome::Expired, .. }] = &answers[..]
+    else {
+        panic!("{answers:?}")
+    };
+    assert!(denial.retry_after.is_some());
+    assert!(owner.waiting.is_empty());
+}
+
+/// An engine that is free while requests wait is used.
+#[test]
+fn a_waiting_request_is_placed_as_soon_as_a_slot_is_free() {
+    let mut owner = Owner::with_queued(1, NOW);
+    assert!(owner.dispatch(NOW + ms(15)).is_empty());
+    owner.free_slot(3);
+    let answers = owner.dispatch(NOW + ms(20));
+    let [Answer { result: Ok(choice), outcome: Outcome::Served, queued, .. }] = &answers[..] else {
+        panic!("{answers:?}")
+    };
+    assert_eq!((choice.upstream.as_str(), *queued), ("e4", ms(20)));
+}
+
+/// The caller leaves: its entry would take an engine's slot for nothing.
+#[test]
+fn a_withdrawn_request_is_not_placed() {
+    let mut owner = Owner::with_queued(1, NOW);
+    assert_eq!(owner.waiting.withdraw(1, NOW + ms(10)), Some(ms(10)));
+    assert_eq!(owner.waiting.withdraw(1, NOW + ms(10)), None);
+    owner.free_slot(3);
+    assert!(owner.dispatch(NOW + ms(20)).is_empty());
+}
+
+/// A doubled datagram would be queued and placed twice.
+#[test]
+fn a_doubled_request_waits_once() {
+    let mut owner = Owner::with_queued(1, NOW);
+    let again = owner.request(1, 1, 1_000, NOW + ms(30));
+    assert!(matches!(again, Admission::Queued { within, .. } if within == ms(670)), "{again:?}");
+    assert_eq!(owner.waiting.len(), 1);
+    (0..20).for_each(|n| owner.free_slot(n));
+    assert_eq!(owner.dispatch(NOW + ms(40)).len(), 1);
+}
+
+/// A former owner's entries would wait for placements that it may no longer make.
+#[test]
+fn a_former_owner_refuses_all_that_wait() {
+    let mut owner = Owner::with_queued(1, NOW);
+    owner.role = None;
+    let answers = owner.dispatch(NOW + ms(15));
+    let [Answer { result: Err(denial), outcome: Outcome::Disowned, .. }] = &answers[..] else {
+        panic!("{answers:?}")
+    };
+    assert_eq!(denial.retry_after, Some(ms(100)));
+    assert!(owner.waiting.is_empty());
+}
+
+/// Two boxes that both own the group and have requests waiting: what one places counts at the other
+/// as soon as that is notified, so that no slot is given twice for longer.
+#[test]
+fn two_owners_don_t_give_the_same_slot_twice() {
+    let (mut one, mut two) = (Owner::with_queued(1, NOW), Owner::with_queued(2, NOW));
+    one.free_slot(3);
+    two.free_slot(3);
+    let answers = one.dispatch(NOW + ms(15));
+    let [Answer { result: Ok(Choice { upstream, .. }), .. }] = &answers[..] else {
+        panic!("{answers:?}")
+    };
+    two.place(upstream, 1, NOW + ms(35));
+    assert!(two.dispatch(NOW + ms(35)).is_empty(), "the slot is taken");
+    assert_eq!(two.waiting.len(), 1);
+}
+
+/// An owner that restarts has no queue; the asking box asks anew, and that is decided.
+#[test]
+fn an_owner_without_memory_decides_a_request_that_it_had_queued() {
+    let mut owner = Owner::with_queued(1, NOW);
+    owner.waiting = WaitingRequests::default();
+    assert!(owner.dispatch(NOW + ms(800)).is_empty());
+    let again = owner.request(1, 1, 1_000, NOW + ms(800));
+    assert!(matches!(again, Admission::Queued { .. }), "{again:?}");
+}
+
+const TIMEOUT: Duration = Duration::from_millis(40);
+
+/// What happens to one request at the asking box, which withdraws it `withdrawals` times.
+async fn await_decision(
+    requests: &OwnerRequests,
+    withdrawals: &Cell<u32>,
+) -> Result<OwnerDecision, NoDecision> {
+    let response = requests.register(1);
+    let withdraw = || withdrawals.set(withdrawals.get() + 1);
+    placement_queue::await_decision(requests, 1, response, TIMEOUT, ms(10), withdraw).await
+}
+
+fn denied() -> Result<Choice, Denial> {
+    Err(Denial { cause: ChoiceError::Full, ..Denial::overloaded() })
+}
+
+/// The decision on a queued request comes later than any box would otherwise wait.
+#[tokio::test(start_paused = true)]
+async fn the_asking_box_waits_for_the_decision_on_a_queued_request() {
+    let (requests, withdrawals) = (OwnerRequests::default(), Cell::new(0));
+    let owner = async {
+        tokio::time::sleep(ms(5)).await;
+        assert!(requests.set_queued(1, ms(300)));
+        tokio::time::sleep(ms(250)).await;
+        assert!(requests.deliver(1, denied()));
+    };
+    let (decision, ()) = tokio::join!(await_decision(&requests, &withdrawals), owner);
+    let decision = decision.expect("it is decided");
+    assert_eq!((decision.result, decision.queued, withdrawals.get()), (denied(), ms(250), 0));
+}
+
+/// The message that a request is queued is lost: the owner counts as unresponsive, as it does
+/// without a queue, and its late decision finds no task.
+#[tokio::test(start_paused = true)]
+async fn a_lost_notice_of_queuing_is_silence() {
+    let (requests, withdrawals) = (OwnerRequests::default(), Cell::new(0));
+    let decision = await_decision(&requests, &withdrawals).await;
+    assert_eq!(decision, Err(NoDecision::Unresponsive));
+    assert!(!requests.set_queued(1, ms(300)), "a late notice is answered with a withdrawal");
+    assert!(!requests.deliver(1, denied()), "a late decision is withdrawn");
+}
+
+/// The decision is lost, or the owner dies before it: the wait ends, the entry is withdrawn, and the
+/// box that has answered doesn't count as unresponsive.
+#[tokio::test(start_paused = true)]
+async fn a_lost_decision_ends_the_wait_after_its_time() {
+    let (requests, withdrawals) = (OwnerRequests::default(), Cell::new(0));
+    let began = tokio::time::Instant::now();
+    let owner = async {
+        tokio::time::sleep(ms(5)).await;
+        assert!(requests.set_queued(1, ms(300)));
+        // A doubled notice doesn't prolong the wait.
+        tokio::time::sleep(ms(200)).await;
+        assert!(requests.set_queued(1, ms(300)));
+    };
+    let (decision, ()) = tokio::join!(await_decision(&requests, &withdrawals), owner);
+    assert_eq!((decision, withdrawals.get()), (Err(NoDecision::Undecided), 1));
+    assert!(began.elapsed() <= ms(5) + ms(300) + TIMEOUT + ms(2), "{:?}", began.elapsed());
+}
+
+/// The caller leaves while its request is queued: the owner is notified, or it would place the
+/// request on an engine for no one.
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_leaves_withdraws_its_queued_request() {
+    let (requests, withdrawals) = (OwnerRequests::default(), Cell::new(0));
+    let leaves = async {
+        assert!(requests.set_queued(1, ms(300)));
+        tokio::time::sleep(ms(100)).await;
+    };
+    tokio::select! {
+        biased;
+        _ = await_decision(&requests, &withdrawals) => panic!("there is no decision"),
+        () = leaves => {}
+    }
+    assert_eq!(withdrawals.get(), 1);
+    assert!(!requests.deliver(1, denied()), "a late decision is withdrawn");
+}
