--- a/src/proxy/proxy_metrics.rs
+++ b/src/proxy/proxy_metrics.rs
@@ -48,6 +48,7 @@
     suspended: Counter<u64>,
     queued: Counter<u64>,
     left_queue: Counter<u64>,
+    ranks_ignored: Counter<u64>,
     queue_waits: Histogram<f64>,
 }
 
@@ -83,6 +84,7 @@
             upstreams_restarted: meter.u64_counter("frostdyke_upstreams_restarted").build(),
             queued: meter.u64_counter("frostdyke_queue_entered").build(),
             left_queue: meter.u64_counter("frostdyke_queue_left").build(),
+            ranks_ignored: meter.u64_counter("frostdyke_ranks_ignored").build(),
             queue_waits: histogram("frostdyke_queue_seconds"),
             metrics,
         }
@@ -232,6 +234,11 @@
         self.queue_waits.record(queued.as_secs_f64(), &labels);
     }
 
+    /// Counts ranks of a configuration that are out of range.
+    pub fn ranks_ignored(&self, count: usize) {
+        self.ranks_ignored.add(count as u64, &[]);
+    }
+
     /// Counts a suspension of the machine.
     pub fn suspended(&self) {
         self.suspended.add(1, &[]);
--- a/src/proxy/routing_table.rs
+++ b/src/proxy/routing_table.rs
@@ -23,6 +23,9 @@
     keys: Option<HashMap<String, Workspace>>,
     /// Limits on what callers may send, and the capacity of the fleet.
     pub limits: Limits,
+    /// Ranks of the configuration that are out of range. They count as not given.
+    #[serde(default)]
+    pub ignored_ranks: usize,
 }
 
 /// Settings for requests to one host whose path begins with a prefix.
@@ -148,7 +151,7 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
-        RoutingTable { version, routes: by_host, services, keys, limits }
+        RoutingTable { version, routes: by_host, services, keys, limits, ignored_ranks: 0 }
     }
 
     /// Returns the route of a request: of its host's routes, the one with the longest matching
--- a/src/proxy/state_updates.rs
+++ b/src/proxy/state_updates.rs
@@ -27,7 +27,14 @@
 /// Applies an update from the store.
 pub fn apply_store_update(hub: &Hub, update: StoreUpdate) {
     match update {
-        StoreUpdate::Configuration(table) => hub.change(|view, now| view.configure(table, now)),
+        StoreUpdate::Configuration(table) => {
+            if table.ignored_ranks != 0 {
+                info!(hub.log(), "ranks out of range ignored"; "version" => table.version,
+                    "count" => table.ignored_ranks);
+                hub.metrics().ranks_ignored(table.ignored_ranks);
+            }
+            hub.change(|view, now| view.configure(table, now));
+        }
         StoreUpdate::InvalidConfiguration(fault) => {
             warn!(hub.log(), "configuration refused"; "fault" => fault);
         }
