Queue: predicted waits follow real ones, crashed engines aren't free

Change: the predicted wait is multiplied by a factor learnt from the real ones. Only available engines count as free.

--- a/src/placement/drain.rs
+++ b/src/placement/drain.rs
@@ -21,6 +21,45 @@
 /// come back together.
 const RETRY_SPREAD: [f64; 2] = [0.75, 1.25];
 
+/// Weight of the newest request in the correction of predicted waits.
+const CORRECTION_WEIGHT: f64 = 1.0 / 16.0;
+
+/// Largest factor by which predicted waits are corrected.
+const CORRECTION_MAX: f64 = 8.0;
+
+/// A request that was not served in time would have waited longer than its time, by this factor at
+/// least.
+const EXPIRED_FACTOR: f64 = 1.5;
+
+/// Difference between predicted and real wait that is of no importance.
+const CORRECTION_SLACK: Duration = Duration::from_millis(20);
+
+/// By how much requests wait longer than is predicted.
+#[derive(Clone, Copy, Debug)]
+pub struct Correction {
+    factor: f64,
+}
+
+impl Default for Correction {
+    fn default() -> Correction {
+        Correction { factor: 1.0 }
+    }
+}
+
+impl Correction {
+    pub fn apply(self, predicted: Duration) -> Duration {
+        Duration::try_from_secs_f64(predicted.as_secs_f64() * self.factor).unwrap_or(Duration::MAX)
+    }
+
+    /// Records how long a request was in the queue until it was served, or given up.
+    pub fn record(&mut self, predicted: Duration, waited: Duration, is_served: bool) {
+        let slack = CORRECTION_SLACK.as_secs_f64();
+        let ratio = (waited.as_secs_f64() + slack) / (predicted.as_secs_f64() + slack);
+        let ratio = if is_served { ratio } else { ratio.max(self.factor) * EXPIRED_FACTOR };
+        self.factor += (ratio.clamp(1.0, CORRECTION_MAX) - self.factor) * CORRECTION_WEIGHT;
+    }
+}
+
 /// Seconds of prefill that leave a queue in a second, because engines begin with them.
 #[derive(Clone, Copy, Debug)]
 pub struct DrainRate {
--- a/src/placement/queue.rs
+++ b/src/placement/queue.rs
@@ -10,6 +10,7 @@
 use crate::dispatch::ledger::VirtualTime;
 use crate::dispatch::order::VirtualTimeOrder;
 use crate::names::WorkspaceName;
+use crate::placement::drain::Correction;
 use crate::placement::drain::DrainRate;
 use crate::proxy::routing_table::Rank;
 
@@ -38,6 +39,8 @@
     pub queued_at: Duration,
     /// When it must begin.
     pub deadline: Duration,
+    /// The predicted wait as of when it was queued, without correction.
+    pub predicted: Duration,
     pub item: T,
 }
 
@@ -67,6 +70,7 @@
     rate: DrainRate,
     /// When an engine is expected to be free.
     free_at: Duration,
+    correction: Correction,
 }
 
 #[derive(Debug)]
@@ -99,6 +103,7 @@
             longest: Duration::ZERO,
             rate: DrainRate::new(capacity, now),
             free_at: Duration::ZERO,
+            correction: Correction::default(),
         }
     }
 
@@ -159,13 +164,20 @@
     }
 
     /// Estimated time until a request would begin: the work of those that go before it, at the rate
-    /// at which this queue drains. `granted` are the tokens that its workspace was granted.
+    /// at which this queue drains, corrected by how long others really waited, since some that
+    /// arrive later go before it. `granted` are the tokens that its workspace was granted.
     pub fn estimated_wait(
         &self,
         queued: &QueuedRequest<T>,
         granted: u64,
         now: Duration,
     ) -> Duration {
+        let drained = self.correction.apply(self.time_ahead_of(queued, granted, now));
+        self.engine_wait(now).saturating_add(drained)
+    }
+
+    /// Time in which the work ahead of a request drains.
+    fn time_ahead_of(&self, queued: &QueuedRequest<T>, granted: u64, now: Duration) -> Duration {
         let own = self.by_workspace.get(&queued.workspace);
         let ahead = own.into_iter().flat_map(|own| own.requests.range(..queued.position()));
         let (own_tokens, own_work) = ahead
@@ -179,8 +191,7 @@
             let part = (start - at) as f64 / other.tokens.max(1) as f64;
             Some(other.work * part.min(1.0))
         });
-        let drained = self.time_to_drain(own_work + others_work.sum::<f64>(), now);
-        self.engine_wait(now).saturating_add(drained)
+        self.time_to_drain(own_work + others_work.sum::<f64>(), now)
     }
 
     /// Queues a request if it is likely to begin in time. `longest` is the time for which a request
@@ -188,7 +199,7 @@
     /// most work gives way.
     pub fn push(
         &mut self,
-        queued: QueuedRequest<T>,
+        mut queued: QueuedRequest<T>,
         granted: u64,
         longest: Duration,
         now: Duration,
@@ -199,6 +210,8 @@
         }
         self.rate.record(0.0, self.is_empty(), now);
         self.longest = if self.is_empty() { longest } else { self.longest.max(longest) };
+        let ahead = self.time_ahead_of(&queued, granted, now);
+        queued.predicted = self.engine_wait(now).saturating_add(ahead);
         let request = queued.request;
         self.insert(queued, granted);
         let last = self.is_over_bound(now).then(|| self.last_of_largest()).flatten();
@@ -232,6 +245,7 @@
     pub fn remove_placed(&mut self, request: u64, now: Duration) -> Option<QueuedRequest<T>> {
         let queued = self.remove(request)?;
         self.rate.record(queued.work, false, now);
+        self.correction.record(queued.predicted, now.saturating_sub(queued.queued_at), true);
         Some(queued)
     }
 
@@ -239,7 +253,13 @@
     pub fn remove_expired(&mut self, now: Duration) -> Vec<QueuedRequest<T>> {
         let all = self.by_workspace.values().flat_map(|queue| queue.requests.values());
         let expired: Vec<u64> = all.filter(|q| q.deadline <= now).map(|q| q.request).collect();
-        expired.into_iter().filter_map(|request| self.remove(request)).collect()
+        let expired: Vec<QueuedRequest<T>> =
+            expired.into_iter().filter_map(|request| self.remove(request)).collect();
+        for queued in &expired {
+            let waited = now.saturating_sub(queued.queued_at);
+            self.correction.record(queued.predicted, waited, false);
+        }
+        expired
     }
 
     /// Takes out all requests.
--- a/src/placement/registry/queueing.rs
+++ b/src/placement/registry/queueing.rs
@@ -7,17 +7,18 @@
 use crate::placement::registry::UpstreamRegistry;
 
 impl UpstreamRegistry {
-    /// The number of engines of a group that accept requests and for which requests may be queued.
-    pub fn queueing_engines(&self, service: &str, group: EngineGroup) -> usize {
+    /// The number of available engines of a group for which requests may be queued.
+    pub fn queueing_engines(&self, service: &str, group: EngineGroup, now: Duration) -> usize {
         let small_batch = self.tuning.small_batch;
         if !small_batch.queue {
             return 0;
         }
-        let engines = self.accepting_engines(service, group);
+        let engines = self.available_engines(service, group, now);
         engines.filter(|engine| small_batch.queues(engine.limits().slots)).count()
     }
 
-    /// The shortest wait at any engine of a group that has a free slot; `None` if none has.
+    /// The shortest wait at any available engine of a group that has a free slot; `None` if none
+    /// has.
     pub fn shortest_wait(
         &self,
         service: &str,
@@ -26,18 +27,21 @@
     ) -> Option<Duration> {
         let speed = self.speed(service);
         let free = self
-            .accepting_engines(service, group)
+            .available_engines(service, group, now)
             .filter(|engine| engine.running() < engine.limits().slots as usize);
         free.map(|engine| engine.wait(speed, self.tuning, now)).min()
     }
 
-    fn accepting_engines(
+    /// Like the upstreams that a selection considers first: crashed engines have no backlog.
+    fn available_engines(
         &self,
         service: &str,
         group: EngineGroup,
+        now: Duration,
     ) -> impl Iterator<Item = &Engine> {
         let upstreams = self.index.of_service(service, Some(group));
         let upstreams = upstreams.filter_map(|name| self.upstreams.get(name));
-        upstreams.filter(|u| self.is_accepting(u)).filter_map(|u| u.engine.as_ref())
+        let accepting = upstreams.filter(|u| self.is_accepting(u));
+        accepting.filter(move |u| u.is_available(now)).filter_map(|u| u.engine.as_ref())
     }
 }
--- a/src/placement/waiting.rs
+++ b/src/placement/waiting.rs
@@ -190,7 +190,7 @@
         reply: T,
         now: Duration,
     ) -> Admission<T> {
-        let engines = query.group.map_or(0, |g| registry.queueing_engines(query.service, g));
+        let engines = query.group.map_or(0, |g| registry.queueing_engines(query.service, g, now));
         let Some(group) = query.group.filter(|_| engines != 0) else {
             return Admission::Decided(admit::admit(registry, shares, query, now), reply);
         };
@@ -328,6 +328,7 @@
         work,
         queued_at: now,
         deadline: now + within,
+        predicted: Duration::ZERO,
         item,
     };
     // Until it is placed, if it ever is. One that goes to another group is counted there.
--- a/tests/proxy_queue.rs
+++ b/tests/proxy_queue.rs
@@ -348,6 +348,7 @@
         work: tokens as f64 / 50_000.0,
         queued_at: NOW,
         deadline,
+        predicted: Duration::ZERO,
         item: (),
     }
 }
@@ -460,6 +461,22 @@
     assert!(6.5 < rate.per_s(NOW + ms(7_000)));
 }
 
+/// Requests that others overtook expired one after the other: the prediction has to learn from it,
+/// and to unlearn it.
+#[test]
+fn predicted_waits_follow_real_ones() {
+    let mut correction = drain::Correction::default();
+    for _ in 0..40 {
+        correction.record(ms(100), ms(300), false);
+    }
+    assert!(ms(250) < correction.apply(ms(100)), "{correction:?}");
+    assert!(correction.apply(ms(100)) <= ms(800), "{correction:?}");
+    for _ in 0..80 {
+        correction.record(ms(10), ms(10), true);
+    }
+    assert!(correction.apply(ms(100)) < ms(110), "{correction:?}");
+}
+
 /// Services whose engines have many slots, and requests of boxes without the setting, are decided
 /// as before.
 #[test]
@@ -501,6 +518,19 @@
     assert_eq!((choice.upstream.as_str(), *queued), ("e4", ms(20)));
 }
 
+/// A crashed engine has no backlog. While 35 of 140 were down, requests were refused at once at a
+/// believed wait of zero, since the queue's engines seemed free and yet took nothing.
+#[test]
+fn a_crashed_engine_is_not_taken_for_a_free_one() {
+    let mut owner = Owner::with_queued(1, NOW);
+    owner.free_slot(3);
+    let (group, crashed) = (EngineGroup::default(), UpstreamName::from("e4"));
+    assert!(owner.registry.shortest_wait("llm", group, NOW).is_some());
+    owner.registry.mark_unverified(&crashed, true, NOW);
+    assert_eq!(owner.registry.shortest_wait("llm", group, NOW), None);
+    assert!(owner.dispatch(NOW + ms(15)).is_empty());
+}
+
 /// The caller leaves: its entry would take an engine's slot for nothing.
 #[test]
 fn a_withdrawn_request_is_not_placed() {
