--- a/src/placement/registry.rs
+++ b/src/placement/registry.rs
@@ -8,6 +8,7 @@
 pub mod own_speed;
 mod plain;
 mod probe;
+mod queueing;
 mod reachability;
 mod selection;
 
--- a/src/proxy/plain_placement.rs
+++ b/src/proxy/plain_placement.rs
@@ -28,6 +28,7 @@
 use crate::proxy::message::Message;
 use crate::proxy::message::PlacementResponse;
 use crate::proxy::notices;
+use crate::proxy::placement_queue::OwnerDecision;
 
 /// Asks the owner of a plain service to place a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -73,6 +74,7 @@
             role,
             request,
             recorded_by: Vec::new(),
+            queued: Duration::ZERO,
         });
     }
     let owners = owners(hub, query.service)?;
@@ -85,6 +87,7 @@
                 role,
                 request,
                 recorded_by: owners.boxes().collect(),
+                queued: Duration::ZERO,
             });
         }
         if hub.owner_requests().is_unresponsive(ip, hub.now()) {
@@ -94,28 +97,31 @@
         let message =
             Message::PlainPlacementRequest(placement_request(&PlainQuery { request, ..query }));
         match engine_placement::request_decision(hub, ip, request, &message).await {
-            Some((Ok(choice), other))
+            Ok(OwnerDecision { result: Ok(choice), recorded_by, .. })
                 if engine_placement::is_stale_choice(hub, ip, &choice, query.version_filter) =>
             {
                 notices::resend(hub, &choice.upstream, ip);
-                engine_placement::withdraw(hub, request, other.into_iter());
+                engine_placement::withdraw(hub, request, recorded_by.into_iter());
             }
             // The backoff began while this box waited for the owner.
-            Some((Ok(choice), other)) if hub.is_backing_off(&choice.upstream) => {
-                engine_placement::withdraw(hub, request, owners.boxes().chain(other));
+            Ok(OwnerDecision { result: Ok(choice), recorded_by, .. })
+                if hub.is_backing_off(&choice.upstream) =>
+            {
+                engine_placement::withdraw(hub, request, owners.boxes().chain(recorded_by));
                 continue;
             }
-            Some((result, other)) => {
-                let recorded_by = [ip].into_iter().chain(other).collect();
+            Ok(OwnerDecision { result, queued, recorded_by }) => {
+                let recorded_by = [ip].into_iter().chain(recorded_by).collect();
                 return Some(PlacementDecision {
                     result,
                     decided_by: ip,
                     role,
                     request,
                     recorded_by,
+                    queued,
                 });
             }
-            None => {
+            Err(_) => {
                 info!(hub.log(), "owner did not respond"; "ip" => %ip, "service" => query.service)
             }
         }
--- a/src/proxy/proxy_metrics.rs
+++ b/src/proxy/proxy_metrics.rs
@@ -12,6 +12,7 @@
 use crate::names::WorkspaceName;
 use crate::placement::registry::own_speed::AdoptedSpeeds;
 use crate::placement::share::TokenCounts;
+use crate::placement::waiting::Outcome;
 use crate::proxy::adapter::Notice;
 use crate::proxy::connection_reuse::CloseCause;
 use crate::proxy::connection_reuse::ConnectionCounts;
@@ -56,6 +57,10 @@
     connected_ignored: Counter<u64>,
     gave_way: Counter<u64>,
     own_speeds: Counter<u64>,
+    queued: Counter<u64>,
+    left_queue: Counter<u64>,
+    ranks_ignored: Counter<u64>,
+    queue_waits: Histogram<f64>,
 }
 
 impl ProxyMetrics {
@@ -94,6 +99,10 @@
             connected_ignored: meter.u64_counter("frostdyke_connected_lists_ignored").build(),
             gave_way: meter.u64_counter("frostdyke_holders_gave_way").build(),
             own_speeds: meter.u64_counter("frostdyke_engine_speeds_reported").build(),
+            queued: meter.u64_counter("frostdyke_queue_entered").build(),
+            left_queue: meter.u64_counter("frostdyke_queue_left").build(),
+            ranks_ignored: meter.u64_counter("frostdyke_ranks_ignored").build(),
+            queue_waits: histogram("frostdyke_queue_seconds"),
             metrics,
         }
     }
@@ -127,6 +136,7 @@
         gauge("frostdyke_groups_kept", |hub| {
             hub.peers().owners().groups_of(hub.peers().own_ip()).count() as u64
         });
+        gauge("frostdyke_queue_length", |hub| hub.waiting_count() as u64);
         gauge("frostdyke_configuration_version", Hub::version);
         gauge("frostdyke_store_reached", |hub| u64::from(hub.read(View::reaches_store)));
         gauge("frostdyke_upstreams", |hub| hub.read(|v| v.registry().listed().count() as u64));
@@ -310,6 +320,23 @@
         self.in_progress_faults.add(1, &[KeyValue::new("fault", fault)]);
     }
 
+    /// Counts a request that waits in this box's queue.
+    pub fn queued(&self) {
+        self.queued.add(1, &[]);
+    }
+
+    /// Counts a request that leaves this box's queue, and records how long it waited.
+    pub fn left_queue(&self, outcome: Outcome, queued: Duration) {
+        let labels = [KeyValue::new("outcome", outcome.code())];
+        self.left_queue.add(1, &labels);
+        self.queue_waits.record(queued.as_secs_f64(), &labels);
+    }
+
+    /// Counts ranks of a configuration that are out of range.
+    pub fn ranks_ignored(&self, count: usize) {
+        self.ranks_ignored.add(count as u64, &[]);
+    }
+
     /// Counts a suspension of the machine.
     pub fn suspended(&self) {
         self.suspended.add(1, &[]);
--- a/src/proxy/state_updates.rs
+++ b/src/proxy/state_updates.rs
@@ -20,6 +20,7 @@
 use crate::proxy::in_progress;
 use crate::proxy::message::Message;
 use crate::proxy::notices;
+use crate::proxy::placement_queue;
 use crate::proxy::rollouts;
 use crate::proxy::suspects;
 use crate::proxy::view::View;
@@ -27,7 +28,14 @@
 /// Applies an update from the store.
 pub fn apply_store_update(hub: &Hub, update: StoreUpdate) {
     match update {
-        StoreUpdate::Configuration(table) => hub.change(|view, now| view.configure(table, now)),
+        StoreUpdate::Configuration(table) => {
+            if table.ignored_ranks != 0 {
+                info!(hub.log(), "ranks out of range ignored"; "version" => table.version,
+                    "count" => table.ignored_ranks);
+                hub.metrics().ranks_ignored(table.ignored_ranks);
+            }
+            hub.change(|view, now| view.configure(table, now));
+        }
         StoreUpdate::InvalidConfiguration(fault) => {
             warn!(hub.log(), "configuration refused"; "fault" => fault);
         }
@@ -156,6 +164,9 @@
         Message::PlacementResponse(response) => {
             engine_placement::handle_response(hub, response, sender)
         }
+        Message::Queued { request, within_ms } => {
+            placement_queue::handle_queued(hub, request, within_ms, sender);
+        }
         Message::ShareUsage(all) => hub.shares(|shares| {
             for usage in &all {
                 shares.add_remote(&usage.workspace, usage.tokens, now);
@@ -169,7 +180,7 @@
         Message::InProgress(report) => in_progress::handle_report(hub, &report, sender),
         Message::UnknownRequests(ids) => in_progress::handle_unknown(hub, &ids, sender),
         Message::RequestRecords(records) => in_progress::handle_records(hub, &records, sender),
-        Message::Queued { .. } | Message::Headroom(_) => {}
+        Message::Headroom(_) => {}
         // Handled by `Peers`.
         Message::Heartbeat(_)
         | Message::PlacementRequest(_)
--- a/tests/fleet_half_open.rs
+++ b/tests/fleet_half_open.rs
@@ -26,6 +26,7 @@
 use frostdyke::proxy::adapter::PromptPart;
 use frostdyke::proxy::adapter::UpstreamListing;
 use frostdyke::proxy::routing_table::EngineLimits;
+use frostdyke::proxy::routing_table::Rank;
 
 const LIMITS: EngineLimits =
     EngineLimits { slots: 4, memory_tokens: 500_000, copied_per_s: 400_000, cold: None };
@@ -105,6 +106,7 @@
             purpose: Purpose::Place,
             is_last_group: true,
             connected: &[],
+            rank: Rank::default(),
             role: self.role,
             is_repeatable: self.is_repeatable,
         };
--- a/tests/fleet_in_progress.rs
+++ b/tests/fleet_in_progress.rs
@@ -42,6 +42,7 @@
 use frostdyke::proxy::message::PlacementResponse;
 use frostdyke::proxy::plain_placement;
 use frostdyke::proxy::routing_table::EngineLimits;
+use frostdyke::proxy::routing_table::Rank;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -723,6 +724,7 @@
         purpose: Purpose::Place,
         is_last_group: false,
         connected: Vec::new(),
+        rank: Rank::default(),
         is_repeatable: true,
     })
 }
--- a/tests/proxy_engine_speed.rs
+++ b/tests/proxy_engine_speed.rs
@@ -30,6 +30,7 @@
 use frostdyke::proxy::adapter::PromptPart;
 use frostdyke::proxy::adapter::UpstreamListing;
 use frostdyke::proxy::routing_table::EngineLimits;
+use frostdyke::proxy::routing_table::Rank;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -211,6 +212,7 @@
         let prompt = Prompt { tokens, output_tokens_max: 200, parts };
         let query = PlacementQuery {
             connected: &[],
+            rank: Rank::default(),
             is_repeatable: true,
             request,
             service: "llm",
