Engines with a small batch have their own share of time for prefill

A step with 16 requests takes hardly longer than one with 6, so the decode half of an engine's time is used at a third of what it yields.

Change: [small-batch] reading-share, for engines with at most slots-max slots.

--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -175,12 +175,14 @@
     /// How long a request would wait here: for the prefill backlog, and for the pauses between
     /// prompts in which running requests proceed.
     pub fn wait(&self, speed: &Speed, tuning: Tuning, now: Duration) -> Duration {
-        self.backlog(speed, now)
-            .max(Duration::from_secs_f64(self.load(tuning, now) / tuning.prefill_share))
+        self.backlog(speed, now).max(Duration::from_secs_f64(
+            self.load(tuning, now) / tuning.prefill_share_of(self.limits.slots),
+        ))
     }
 
     fn load(&self, tuning: Tuning, now: Duration) -> f64 {
-        let drained = now.saturating_sub(self.load_updated).as_secs_f64() * tuning.prefill_share;
+        let drained = now.saturating_sub(self.load_updated).as_secs_f64()
+            * tuning.prefill_share_of(self.limits.slots);
         (self.load - drained).max(0.0)
     }
 
--- a/src/placement/tuning.rs
+++ b/src/placement/tuning.rs
@@ -37,10 +37,14 @@
 
 /// Decisions for services whose engines run only few requests at once. There, one long prompt is a
 /// large part of an engine's work, so waits differ much between engines.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct SmallBatch {
     /// An engine with at most this many slots has a small batch; zero if none has.
     pub slots_max: u32,
+    /// Replaces [`Tuning::prefill_share`], if set. A step of an engine with few running requests
+    /// takes hardly less time than one with all slots in use, so more prefill fills the slots and
+    /// costs running requests little.
+    pub prefill_share: Option<f64>,
     /// Requests that can't begin at once may wait in a queue at the owner.
     pub queue: bool,
     /// Each engine's own speed is estimated, and handed on with its ownership.
@@ -74,6 +78,14 @@
     }
 }
 
+impl Tuning {
+    /// The fraction of its time that an engine with this many slots may spend on prefill.
+    pub fn prefill_share_of(&self, slots: u32) -> f64 {
+        let own = self.small_batch.prefill_share.filter(|_| self.small_batch.applies(slots));
+        own.unwrap_or(self.prefill_share)
+    }
+}
+
 impl Default for Tuning {
     /// Values for the engines that the users describe; docs/DESIGN.md explains the weights.
     fn default() -> Tuning {
--- a/src/placement/waiting.rs
+++ b/src/placement/waiting.rs
@@ -204,7 +204,9 @@
             return Admission::Decided(admit::admit(registry, shares, query, now), reply);
         }
         let key = (ServiceName::from(query.service), group);
-        let capacity = engines as f64 * registry.tuning().prefill_share;
+        let tuning = registry.tuning();
+        let prefill_share = tuning.prefill_share_of(tuning.small_batch.slots_max);
+        let capacity = engines as f64 * prefill_share;
         let queue = self.queues.entry(key).or_insert_with(|| PlacementQueue::new(capacity, now));
         if let Some(queued) = queue.get(query.request) {
             // The same message has arrived twice.
--- a/src/proxy/settings.rs
+++ b/src/proxy/settings.rs
@@ -119,6 +119,7 @@
     let defaults = Tuning::default();
     let small_batch = SmallBatch {
         slots_max: reader.optional("small-batch", "slots-max", 0),
+        prefill_share: small_batch_prefill_share(reader),
         queue: reader.optional("small-batch", "queue", false),
         own_speed: reader.optional("small-batch", "own-speed", false),
         headroom: reader.optional("small-batch", "headroom", false),
@@ -152,6 +153,12 @@
     if features.split(',').any(|f| f.trim() == SLOW_READERS_FEATURE) { share } else { 0.0 }
 }
 
+/// Zero or a value beyond one leaves the share of all engines in force.
+fn small_batch_prefill_share(reader: &mut Reader) -> Option<f64> {
+    let share = reader.optional("small-batch", "reading-share", 0.0);
+    (0.0 < share && share <= 1.0).then_some(share)
+}
+
 fn seeds(reader: &mut Reader) -> Vec<SocketAddr> {
     let text: String = reader.optional("peers", "seeds", String::new());
     let mut seeds = Vec::new();
