Queue: the wait for an engine is corrected too

A request with nothing ahead of it was queued for the time until an engine is free, and workspaces that have used little of their share kept the engines busy.

Change: the factor learnt from real waits applies to the whole prediction.

Test proxy_queue (21): passed.

--- a/src/placement/queue.rs
+++ b/src/placement/queue.rs
@@ -172,12 +172,11 @@
         granted: u64,
         now: Duration,
     ) -> Duration {
-        let drained = self.correction.apply(self.time_ahead_of(queued, granted, now));
-        self.engine_wait(now).saturating_add(drained)
+        self.correction.apply(self.predicted_wait(queued, granted, now))
     }
 
-    /// Time in which the work ahead of a request drains.
-    fn time_ahead_of(&self, queued: &QueuedRequest<T>, granted: u64, now: Duration) -> Duration {
+    /// Time until an engine is free and the work ahead of a request has drained.
+    fn predicted_wait(&self, queued: &QueuedRequest<T>, granted: u64, now: Duration) -> Duration {
         let own = self.by_workspace.get(&queued.workspace);
         let ahead = own.into_iter().flat_map(|own| own.requests.range(..queued.position()));
         let (own_tokens, own_work) = ahead
@@ -191,7 +190,8 @@
             let part = (start - at) as f64 / other.tokens.max(1) as f64;
             Some(other.work * part.min(1.0))
         });
-        self.time_to_drain(own_work + others_work.sum::<f64>(), now)
+        let ahead = self.time_to_drain(own_work + others_work.sum::<f64>(), now);
+        self.engine_wait(now).saturating_add(ahead)
     }
 
     /// Queues a request if it is likely to begin in time. `longest` is the time for which a request
@@ -210,8 +210,7 @@
         }
         self.rate.record(0.0, self.is_empty(), now);
         self.longest = if self.is_empty() { longest } else { self.longest.max(longest) };
-        let ahead = self.time_ahead_of(&queued, granted, now);
-        queued.predicted = self.engine_wait(now).saturating_add(ahead);
+        queued.predicted = self.predicted_wait(&queued, granted, now);
         let request = queued.request;
         self.insert(queued, granted);
         let last = self.is_over_bound(now).then(|| self.last_of_largest()).flatten();
