--- a/src/fleet/owners.rs
+++ b/src/fleet/owners.rs
@@ -155,6 +155,11 @@
         self.groups.get(usize::try_from(group.prefix).ok()?).copied()
     }
 
+    /// Whether a group is one of this table, and not of one for another number of engines.
+    pub fn has_group(&self, group: EngineGroup) -> bool {
+        group.bits == self.bits && self.owners_of(group).is_some()
+    }
+
     /// Returns the groups that the box at `ip` owns or is the standby of, with their owners.
     pub fn groups_of(&self, ip: IpAddr) -> impl Iterator<Item = (EngineGroup, GroupOwners)> {
         let bits = self.bits;
@@ -169,6 +174,11 @@
         self.owners_of(self.group(hash))
     }
 
+    /// Returns all boxes that own a group.
+    pub fn owner_boxes(&self) -> BTreeSet<IpAddr> {
+        self.groups.iter().map(|owners| owners.owner).collect()
+    }
+
     /// Returns all boxes that own a group or are the standby of one.
     pub fn all_boxes(&self) -> BTreeSet<IpAddr> {
         self.groups.iter().flat_map(|owners| owners.boxes()).collect()
--- a/src/placement/admit.rs
+++ b/src/placement/admit.rs
@@ -41,6 +41,8 @@
     PlaceIfCached,
     /// Place the request.
     Place,
+    /// Place the request, or name a group with free capacity. No other one will be asked.
+    PlaceOrRedirect,
     /// Report which engine has the most of the prompt cached.
     Lookup,
 }
@@ -95,12 +97,33 @@
     pub alternative: Option<EngineGroup>,
 }
 
+/// What stands against placing a request in its group of engines.
+#[derive(Clone, Copy, Debug)]
+pub struct Obstacle<'a> {
+    /// The engine that would be chosen; `None` if there is none.
+    pub choice: Option<&'a Choice>,
+    /// The fraction of its share that the workspace would have used.
+    pub share_used: f64,
+}
+
 /// Places a request and charges the workspace's share, or counts the request as refused.
 pub fn admit(
     registry: &mut UpstreamRegistry,
     shares: &mut Shares,
     query: PlacementQuery<'_>,
     now: Duration,
+) -> Result<Choice, Denial> {
+    admit_or_redirect(registry, shares, query, now, |_, _| None)
+}
+
+/// Like [`admit`], but a request that would wait or be denied is denied with the group that
+/// `redirect` returns, and not counted as refused.
+pub fn admit_or_redirect(
+    registry: &mut UpstreamRegistry,
+    shares: &mut Shares,
+    query: PlacementQuery<'_>,
+    now: Duration,
+    redirect: impl FnOnce(&UpstreamRegistry, Obstacle<'_>) -> Option<EngineGroup>,
 ) -> Result<Choice, Denial> {
     let PlacementQuery { request, prompt, sender, .. } = query;
     let charge = prompt.charge();
@@ -131,20 +154,25 @@
             alternative: None,
         });
     }
-    let cause = match registry.choose(criteria, now) {
-        Ok(choice)
-            if query.purpose == Purpose::PlaceIfCached && is_copy_worthwhile(prompt, &choice) =>
-        {
-            let (cause, source) = (ChoiceError::NotCached, None);
-            return Err(Denial {
-                cause,
-                share_used,
-                wait_max: remaining,
-                source,
-                may_try_other_groups: true,
-                alternative: None,
-            });
-        }
+    let chosen = registry.choose(criteria, now);
+    if let Ok(choice) = &chosen
+        && query.purpose == Purpose::PlaceIfCached
+        && is_copy_worthwhile(prompt, choice)
+    {
+        let (cause, source) = (ChoiceError::NotCached, None);
+        return Err(Denial {
+            cause,
+            share_used,
+            wait_max: remaining,
+            source,
+            may_try_other_groups: true,
+            alternative: None,
+        });
+    }
+    let obstacle = Obstacle { choice: chosen.as_ref().ok(), share_used };
+    let alternative = if query.is_last_group { None } else { redirect(registry, obstacle) };
+    let cause = match chosen {
+        Ok(choice) if alternative.is_some() => ChoiceError::Busy { wait: choice.wait },
         Ok(choice) => {
             let choice = Choice { is_counted: query.role != Role::Unassigned, ..choice };
             let Choice { prefill_tokens, copied_tokens, .. } = choice;
@@ -165,7 +193,7 @@
         }
         Err(cause) => cause,
     };
-    let may_try_other_groups = !query.is_last_group && share_used <= 1.0;
+    let may_try_other_groups = !query.is_last_group && (share_used <= 1.0 || alternative.is_some());
     if let Some(workspace) = query.workspace
         && !may_try_other_groups
     {
@@ -180,7 +208,7 @@
         wait_max: remaining,
         source,
         may_try_other_groups,
-        alternative: None,
+        alternative,
     })
 }
 
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -9,6 +9,7 @@
 pub mod cold;
 pub mod engine;
 pub mod plain;
+pub mod redirect;
 pub mod registry;
 pub mod share;
 pub mod speed;
--- a/src/placement/registry.rs
+++ b/src/placement/registry.rs
@@ -2,6 +2,7 @@
 
 mod backoff;
 mod cold;
+mod headroom;
 mod index;
 pub mod learned;
 mod plain;
--- a/src/proxy/engine_placement.rs
+++ b/src/proxy/engine_placement.rs
@@ -25,9 +25,13 @@
 use crate::placement::choice::ChoiceError;
 use crate::placement::choice::CopySource;
 use crate::placement::cold::Role;
+use crate::placement::redirect;
+use crate::placement::redirect::Asked;
+use crate::placement::redirect::Attempts;
 use crate::placement::upstream;
 use crate::proxy::adapter::Prompt;
 use crate::proxy::aligned_timer;
+use crate::proxy::headroom;
 use crate::proxy::hub::Hub;
 use crate::proxy::message::Message;
 use crate::proxy::message::PlacementRequest;
@@ -48,9 +52,6 @@
 /// interval.
 const UNRESPONSIVE_FOR: Duration = Duration::from_millis(1000);
 
-/// Groups of engines tried for one request: its own and one more, which makes twenty engines.
-const GROUPS_PER_REQUEST_MAX: usize = 2;
-
 /// Interval at which owners report share usage to each other: a twentieth of the default window.
 const SHARE_REPORT_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -74,6 +75,8 @@
     pub role: Role,
     /// Identifies the attempt at the boxes that have recorded it.
     pub request: u64,
+    /// The last group with free capacity that was named and asked.
+    pub alternative: Option<EngineGroup>,
 }
 
 impl PlacementDecision {
@@ -138,30 +141,55 @@
     if owners.is_empty() {
         return place_and_broadcast(hub, query);
     }
+    let began = hub.now();
+    let target_latency = query.target_latency;
+    let (waited, has_headroom) = (query.waited, hub.headroom().is_enabled());
+    let passed = || waited + hub.now().saturating_sub(began);
+    let attempts = Attempts { count: 0, last: None, passed: waited, target_latency, has_headroom };
     let mut query = query;
-    let mut last_denied = None;
-    for n in 1..=GROUPS_PER_REQUEST_MAX {
-        let home = hub.read(|v| {
-            v.registry().home(query.service, query.prompt, query.version_filter, query.group)
-        });
-        let Some(group) = home.map(|hash| owners.group(hash)) else { break };
-        query.group = Some(group);
-        query.is_last_group = n == GROUPS_PER_REQUEST_MAX;
+    let (mut asked, mut returns_to_first) = (Vec::new(), false);
+    let mut denied: Option<PlacementDecision> = None;
+    let mut next = redirect::next_group(attempts);
+    while let Some(step) = next {
+        let by_hash = || {
+            hub.read(|v| {
+                redirect::group_by_hash(v.registry(), &owners, &query, &asked, returns_to_first)
+            })
+        };
+        let Some(group) = step.named.or_else(by_hash) else { break };
         let Some(group_owners) = owners.owners_of(group) else { break };
-        let Some(decision) = place_with_copy_source(hub, query, &owners, group, group_owners).await
-        else {
-            break;
+        query.group = Some(group);
+        query.purpose = step.purpose(query.purpose);
+        query.is_last_group = step.is_last();
+        asked.push(group);
+        headroom::record_step(hub, step.named, "asked");
+        let decision = place_with_copy_source(hub, query, &owners, group, group_owners).await;
+        let Some(decision) = decision else {
+            let last = Some(Asked::NoResponse(step));
+            let attempts = Attempts { count: asked.len(), last, passed: passed(), ..attempts };
+            next = redirect::next_group(attempts);
+            continue;
         };
+        let alternative = step.named.or(denied.and_then(|d| d.alternative));
+        let decision = PlacementDecision { alternative, ..decision };
         query.purpose = Purpose::Place;
-        match &decision.result {
-            Err(denial) if denial.may_try_other_groups => {
-                query.source = denial.source.or(query.source)
+        let denial = match &decision.result {
+            Ok(_) => {
+                headroom::record_step(hub, step.named, "placed");
+                return decision;
             }
-            _ => return decision,
+            Err(denial) => denial,
+        };
+        if denial.may_try_other_groups {
+            query.source = denial.source.or(query.source);
         }
-        last_denied = Some(decision);
+        returns_to_first = returns_to_first || redirect::was_acceptable(denial);
+        let last = Some(Asked::Denied(denial));
+        let attempts = Attempts { count: asked.len(), last, passed: passed(), ..attempts };
+        next = redirect::next_group(attempts);
+        denied = Some(decision);
     }
-    last_denied.unwrap_or_else(|| place_without_owner(hub, PlacementQuery { group: None, ..query }))
+    denied.unwrap_or_else(|| place_without_owner(hub, PlacementQuery { group: None, ..query }))
 }
 
 /// Places a request in a group of engines. If none of them has cached the shared part of the
@@ -201,7 +229,13 @@
             }
         }
     }
-    PlacementDecision { result, decided_by: hub.peers().own_ip(), role, request: query.request }
+    PlacementDecision {
+        result,
+        decided_by: hub.peers().own_ip(),
+        role,
+        request: query.request,
+        alternative: None,
+    }
 }
 
 /// Places a request by the incomplete state of this box, when neither owner nor standby responds.
@@ -217,7 +251,13 @@
             &placed_message(&PlacementQuery { workspace: None, ..query }, choice),
         );
     }
-    PlacementDecision { result, decided_by: hub.peers().own_ip(), role, request: query.request }
+    PlacementDecision {
+        result,
+        decided_by: hub.peers().own_ip(),
+        role,
+        request: query.request,
+        alternative: None,
+    }
 }
 
 /// Has a request placed by the owner of a group of engines or its standby; `None` if neither
@@ -231,7 +271,7 @@
     for ip in group_owners.boxes() {
         let role = group_owners.role(ip);
         if ip == hub.peers().own_ip() {
-            let result = hub.admit(PlacementQuery { role, ..query });
+            let result = headroom::admit(hub, PlacementQuery { role, ..query });
             if let Ok(choice) = &result {
                 notify_other_owner(hub, &query, choice, group_owners);
             }
@@ -240,6 +280,7 @@
                 decided_by: ip,
                 role,
                 request: query.request,
+                alternative: None,
             });
         }
         if hub.owner_requests().is_unresponsive(ip, hub.now()) {
@@ -261,7 +302,13 @@
                 continue;
             }
             Some(result) => {
-                return Some(PlacementDecision { result, decided_by: ip, role, request });
+                return Some(PlacementDecision {
+                    result,
+                    decided_by: ip,
+                    role,
+                    request,
+                    alternative: None,
+                });
             }
             None => info!(hub.log(), "owner did not respond"; "ip" => %ip, "group" => %group),
         }
@@ -401,7 +448,7 @@
         role: group_owners
             .map_or(Role::Unassigned, |group_owners| group_owners.role(hub.peers().own_ip())),
     };
-    let result = hub.admit(query);
+    let result = headroom::admit(hub, query);
     let request = message.request;
     if let Ok(choice) = &result
         && let Some(group_owners) = group_owners
--- /dev/null
+++ b/src/proxy/headroom.rs
@@ -0,0 +1,198 @@
+//! Announces the free capacity of this box's groups of engines to the other owners, and sends
+//! requests that can't begin at once to groups that have some.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rustc_hash::FxHashMap;
+use slog::debug;
+
+use crate::fleet::headroom;
+use crate::fleet::headroom::Announcer;
+use crate::fleet::headroom::Capacity;
+use crate::fleet::headroom::GroupHeadroom;
+use crate::fleet::headroom::HeadroomTable;
+use crate::fleet::headroom::TypicalRequest;
+use crate::fleet::owners::EngineGroup;
+use crate::fleet::owners::OwnerTable;
+use crate::names::ServiceName;
+use crate::placement::admit::PlacementQuery;
+use crate::placement::admit::Purpose;
+use crate::placement::choice::Choice;
+use crate::placement::redirect::Alternatives;
+use crate::placement::speed::Work;
+use crate::placement::tuning::SmallBatch;
+use crate::proxy::aligned_timer;
+use crate::proxy::engine_placement::PlacementResult;
+use crate::proxy::hub::Hub;
+use crate::proxy::message::Message;
+
+/// Interval at which this box checks whether its groups have got free capacity, or have none left.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Entries per message, so that it fits a datagram.
+const ENTRIES_PER_DATAGRAM_MAX: usize = 16;
+
+/// Free capacity that owners have announced to each other.
+#[derive(Debug)]
+pub struct HeadroomState {
+    is_enabled: bool,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    table: HeadroomTable,
+    announcer: Announcer,
+    /// What a request of each service takes, by those placed here.
+    typical: FxHashMap<ServiceName, TypicalRequest>,
+    rng: SmallRng,
+}
+
+impl HeadroomState {
+    pub fn new(small_batch: SmallBatch) -> HeadroomState {
+        let inner = Inner {
+            table: HeadroomTable::default(),
+            announcer: Announcer::default(),
+            typical: FxHashMap::default(),
+            rng: SmallRng::from_os_rng(),
+        };
+        let is_enabled = small_batch.announces_headroom(small_batch.slots_max);
+        HeadroomState { is_enabled, inner: Mutex::new(inner) }
+    }
+
+    /// Whether owners announce free capacity.
+    pub fn is_enabled(&self) -> bool {
+        self.is_enabled
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no panic under lock")
+    }
+}
+
+/// Places a request in its group by the state known to this box, or names another group that has
+/// announced free capacity.
+pub fn admit(hub: &Hub, query: PlacementQuery<'_>) -> PlacementResult {
+    let state = hub.headroom();
+    if !state.is_enabled || query.purpose == Purpose::Lookup {
+        return hub.admit(query);
+    }
+    let (owners, now) = (hub.peers().owners(), hub.now());
+    let is_unresponsive = |ip| hub.owner_requests().is_unresponsive(ip, now);
+    let result = hub.admit_or_redirect(query, |registry, obstacle| {
+        let Inner { table, rng, .. } = &mut *state.lock();
+        let mut alternatives = Alternatives {
+            headroom: table,
+            owners: &owners,
+            is_unresponsive: &is_unresponsive,
+            rng,
+        };
+        alternatives.claim(registry, &query, obstacle, now)
+    });
+    match &result {
+        Ok(choice) => record_placed(hub, &query, choice),
+        Err(denial) if denial.alternative.is_some() => hub.metrics().redirect("claimed"),
+        Err(_) => {}
+    }
+    result
+}
+
+/// Counts a step of a request that is sent to a named group.
+pub fn record_step(hub: &Hub, named: Option<EngineGroup>, step: &'static str) {
+    if named.is_some() {
+        hub.metrics().redirect(step);
+    }
+}
+
+/// Updates what a typical request of the service takes, if its groups announce free capacity.
+fn record_placed(hub: &Hub, query: &PlacementQuery<'_>, choice: &Choice) {
+    let state = hub.headroom();
+    if !state.lock().table.has_service(query.service) {
+        return;
+    }
+    let prompt = query.prompt;
+    let work =
+        Work::prefill(prompt.tokens.saturating_sub(choice.prefill_tokens), choice.prefill_tokens);
+    let seconds = hub.read(|view| view.registry().speed(query.service).prefill_seconds(work));
+    let tokens = u64::from(prompt.tokens) + u64::from(prompt.output_tokens_max);
+    let typical = &mut state.lock().typical;
+    let updated = TypicalRequest::add(typical.get(query.service).copied(), seconds, tokens);
+    match typical.get_mut(query.service) {
+        Some(known) => *known = updated,
+        None => _ = typical.insert(ServiceName::from(query.service), updated),
+    }
+}
+
+/// Applies announcements of another owner.
+pub fn receive(hub: &Hub, all: &[GroupHeadroom], from: IpAddr) {
+    let state = hub.headroom();
+    if !state.is_enabled {
+        return;
+    }
+    let (owners, now) = (hub.peers().owners(), hub.now());
+    let mut inner = state.lock();
+    let mut ignored = 0;
+    for announced in all {
+        if let Err(e) = inner.table.apply(announced, from, &owners, now) {
+            ignored += 1;
+            debug!(hub.log(), "announcement of free capacity ignored"; "from" => %from,
+                "group" => %announced.group, "requests" => announced.requests, "reason" => e.code());
+        }
+    }
+    drop(inner);
+    hub.metrics().headroom_announcements("received", all.len());
+    hub.metrics().headroom_announcements("ignored", ignored);
+}
+
+/// Announces the free capacity of this box's groups to all owners until the process ends.
+pub async fn announce(hub: Arc<Hub>) {
+    if !hub.headroom().is_enabled {
+        return;
+    }
+    loop {
+        aligned_timer::wait_for_tick(POLL_INTERVAL).await;
+        let owners = hub.peers().owners();
+        if !owners.is_empty() {
+            announce_due(&hub, &owners);
+        }
+    }
+}
+
+fn announce_due(hub: &Hub, owners: &OwnerTable) {
+    let (own_ip, now) = (hub.peers().own_ip(), hub.now());
+    let groups = owners.groups_of(own_ip).filter(|(_, group)| group.owner == own_ip);
+    let groups: Vec<EngineGroup> = groups.map(|(group, _)| group).collect();
+    let typical = hub.headroom().lock().typical.clone();
+    let typical = |service: &ServiceName| typical.get(service).copied();
+    let capacities: Vec<(EngineGroup, ServiceName, Capacity)> = hub.read(|view| {
+        let of_group = |group: &EngineGroup| {
+            let of_group = view.registry().headroom(*group, typical, now);
+            let group = *group;
+            of_group.into_iter().map(move |(service, capacity)| (group, service, capacity))
+        };
+        groups.iter().flat_map(of_group).collect()
+    });
+    let mut inner = hub.headroom().lock();
+    let Inner { table, announcer, .. } = &mut *inner;
+    table.expire(owners, now);
+    announcer.retain(|group| groups.contains(&group));
+    let offers = headroom::offers(table, announcer, &capacities, owners, now);
+    for offer in offers.iter().filter(|offer| offer.receiver == own_ip) {
+        // By this box's own table, so it can't be invalid.
+        let _ = offer.entries.iter().try_for_each(|e| table.apply(e, own_ip, owners, now));
+    }
+    drop(inner);
+    for offer in offers.iter().filter(|offer| offer.receiver != own_ip) {
+        for entries in offer.entries.chunks(ENTRIES_PER_DATAGRAM_MAX) {
+            let to = std::iter::once(offer.receiver);
+            hub.peers().send_batched(to, &Message::Headroom(entries.to_vec()));
+            hub.metrics().headroom_announcements("sent", entries.len());
+        }
+    }
+}
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -15,10 +15,12 @@
 use tokio::time::Instant;
 
 use crate::clock::Clock;
+use crate::fleet::owners::EngineGroup;
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
 use crate::placement::admit;
 use crate::placement::admit::Denial;
+use crate::placement::admit::Obstacle;
 use crate::placement::admit::PlacementQuery;
 use crate::placement::choice::Choice;
 use crate::placement::choice::ChoiceError;
@@ -31,6 +33,7 @@
 use crate::proxy::adapter::HeaderAdapter;
 use crate::proxy::capacity;
 use crate::proxy::engine_placement::OwnerRequests;
+use crate::proxy::headroom::HeadroomState;
 use crate::proxy::message::Message;
 use crate::proxy::peers::Peers;
 use crate::proxy::placed_request::CountGuard;
@@ -60,6 +63,7 @@
     log: Logger,
     in_flight: Arc<AtomicUsize>,
     owner_requests: OwnerRequests,
+    headroom: HeadroomState,
     suspects: Suspects,
     rollouts: RolloutState,
     probe_requested: Notify,
@@ -111,6 +115,7 @@
             log,
             in_flight: Arc::default(),
             owner_requests: OwnerRequests::default(),
+            headroom: HeadroomState::new(cfg.tuning.small_batch),
             suspects: Suspects::default(),
             rollouts: RolloutState::new(cfg.exposure),
             probe_requested: Notify::new(),
@@ -317,10 +322,20 @@
 
     /// Places a request by the state known to this box.
     pub fn admit(&self, query: PlacementQuery<'_>) -> Result<Choice, Denial> {
+        self.admit_or_redirect(query, |_, _| None)
+    }
+
+    /// Like [`Hub::admit`], but a request that would wait or be denied may be sent to the group
+    /// that `redirect` returns.
+    pub fn admit_or_redirect(
+        &self,
+        query: PlacementQuery<'_>,
+        redirect: impl FnOnce(&UpstreamRegistry, Obstacle<'_>) -> Option<EngineGroup>,
+    ) -> Result<Choice, Denial> {
         let now = self.now();
         let mut inner = self.inner.lock().expect("no panic under lock");
         let Inner { view, shares, .. } = &mut *inner;
-        admit::admit(view.registry_mut(), shares, query, now)
+        admit::admit_or_redirect(view.registry_mut(), shares, query, now, redirect)
     }
 
     /// Removes a request that isn't sent, and reverts what was charged for it.
@@ -350,6 +365,11 @@
         &self.owner_requests
     }
 
+    /// Free capacity that owners have announced to each other.
+    pub fn headroom(&self) -> &HeadroomState {
+        &self.headroom
+    }
+
     /// Requests suspected of crashing upstreams.
     pub fn suspects(&self) -> &Suspects {
         &self.suspects
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -14,6 +14,7 @@
 pub mod digests;
 pub mod engine_placement;
 pub mod gossip;
+pub mod headroom;
 pub mod history;
 pub mod http_client;
 pub mod hub;
@@ -173,6 +174,7 @@
     tokio::spawn(warm_up::run_at_start(hub.clone(), deps.engine_client.clone()));
     tokio::spawn(warm_up::run_for_own_groups(hub.clone(), deps.engine_client));
     tokio::spawn(engine_placement::report_share_usage(hub.clone()));
+    tokio::spawn(headroom::announce(hub.clone()));
     tokio::spawn(rollouts::run(hub.clone(), deps.rollout_reporter));
     tokio::spawn(suspects::catch_up(hub.clone()));
     tokio::spawn(suspects::save(hub.clone(), deps.suspect_store.clone()));
--- a/src/proxy/plain_placement.rs
+++ b/src/proxy/plain_placement.rs
@@ -65,6 +65,7 @@
             decided_by: me,
             role,
             request,
+            alternative: None,
         });
     }
     let owners = owners(hub, query.service)?;
@@ -76,6 +77,7 @@
                 decided_by: me,
                 role,
                 request,
+                alternative: None,
             });
         }
         if hub.owner_requests().is_unresponsive(ip, hub.now()) {
@@ -96,7 +98,13 @@
                 continue;
             }
             Some(result) => {
-                return Some(PlacementDecision { result, decided_by: ip, role, request });
+                return Some(PlacementDecision {
+                    result,
+                    decided_by: ip,
+                    role,
+                    request,
+                    alternative: None,
+                });
             }
             None => {
                 info!(hub.log(), "owner did not respond"; "ip" => %ip, "service" => query.service)
--- a/src/proxy/proxy_metrics.rs
+++ b/src/proxy/proxy_metrics.rs
@@ -45,6 +45,8 @@
     reached_anyway: Counter<u64>,
     held_back: Counter<u64>,
     suspended: Counter<u64>,
+    announcements: Counter<u64>,
+    redirects: Counter<u64>,
 }
 
 impl ProxyMetrics {
@@ -77,6 +79,8 @@
             withheld: meter.u64_counter("frostdyke_requests_withheld").build(),
             reached_anyway: meter.u64_counter("frostdyke_requests_reached_anyway").build(),
             upstreams_restarted: meter.u64_counter("frostdyke_upstreams_restarted").build(),
+            announcements: meter.u64_counter("frostdyke_headroom_announcements").build(),
+            redirects: meter.u64_counter("frostdyke_redirects").build(),
             metrics,
         }
     }
@@ -212,6 +216,18 @@
         self.reached_anyway.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts announcements of free capacity: `sent` (once for each receiver), `received`, or
+    /// `ignored` because they can't be right.
+    pub fn headroom_announcements(&self, kind: &'static str, count: usize) {
+        self.announcements.add(count as u64, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Counts a request on its way to another group with free capacity: `claimed` there by the
+    /// owner that names the group; `asked` and `placed` by the sender.
+    pub fn redirect(&self, step: &'static str) {
+        self.redirects.add(1, &[KeyValue::new("step", step)]);
+    }
+
     /// Counts a suspension of the machine.
     pub fn suspended(&self) {
         self.suspended.add(1, &[]);
--- a/src/proxy/state_updates.rs
+++ b/src/proxy/state_updates.rs
@@ -16,6 +16,7 @@
 use crate::proxy::adapter::Prompt;
 use crate::proxy::adapter::StoreUpdate;
 use crate::proxy::engine_placement;
+use crate::proxy::headroom;
 use crate::proxy::hub::Hub;
 use crate::proxy::message::Message;
 use crate::proxy::notices;
@@ -167,8 +168,8 @@
         Message::InProgress(_)
         | Message::UnknownRequests(_)
         | Message::RequestRecords(_)
-        | Message::Queued { .. }
-        | Message::Headroom(_) => {}
+        | Message::Queued { .. } => {}
+        Message::Headroom(all) => headroom::receive(hub, &all, sender),
         // Handled by `Peers`.
         Message::Heartbeat(_)
         | Message::PlacementRequest(_)
--- a/src/proxy/upstream_selection.rs
+++ b/src/proxy/upstream_selection.rs
@@ -143,6 +143,7 @@
             decided_by: self.hub.peers().own_ip(),
             role: Role::Unassigned,
             request,
+            alternative: None,
         }
     }
 
@@ -189,6 +190,7 @@
             "share_used" => (denial.share_used * 100.0).round() / 100.0,
             "wait_ms" => wait, "wait_max_ms" => denial.wait_max.as_millis() as u64,
             "by" => %decision.decided_by, "as" => decision.role.code(),
+            "alternative" => decision.alternative.map(|group| group.to_string()),
             "tried" => self.tried.len(), "version" => self.hub.version());
     }
 
@@ -202,6 +204,7 @@
             "running_tokens" => choice.running_tokens, "wait_ms" => choice.wait.as_millis() as u64,
             "expected_ms" => choice.first_token.as_millis() as u64,
             "by" => %decision.decided_by, "as" => decision.role.code(),
+            "alternative" => decision.alternative.map(|group| group.to_string()),
             "version" => self.hub.version(), "try" => self.tried.len() + 1);
     }
 }
