Headroom: bytes for a group don't grow with the fleet; no request is lost by a redirect

Cause: announcements took 33 % of the bytes of requests where all of 300 boxes are owners. A request that its group would have placed after a wait, of a workspace beyond its share or with little time left, was refused when the named group had filled up. Groups that only denied workspaces beyond their share announced no room.

Change: at most 16 receivers and those without room; amounts that merely change aren't announced; owners without room get offers anew after 100 ms; such a request returns to its first group.

--- a/src/fleet/headroom.rs
+++ b/src/fleet/headroom.rs
@@ -4,21 +4,23 @@
 //! requests come than it has announced. Each receiver counts what it uses of its part. All state is
 //! soft: an announcement that is lost or old means that nothing is sent there.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::time::Duration;
 
 use rand::Rng;
 use rustc_hash::FxHashMap;
-use rustc_hash::FxHashSet;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::fleet::owners::EngineGroup;
 use crate::fleet::owners::OwnerTable;
 use crate::names::ServiceName;
+use crate::util::mix_bits;
 
-/// Interval at which free capacity that has changed is announced.
-pub const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(200);
+/// The period that free capacity is counted for.
+pub const OFFER_PERIOD: Duration = Duration::from_millis(200);
 
 /// All free capacity is announced this often, so that receivers always have a valid announcement.
 pub const REFRESH_INTERVAL: Duration = Duration::from_millis(400);
@@ -33,8 +35,9 @@
 /// Timers that fire early by this much still count as on time.
 const TIMER_SLACK: Duration = Duration::from_millis(20);
 
-/// A change by this fraction of the last announcement is worth another one.
-const NOTICEABLE_CHANGE: f64 = 0.25;
+/// Owners to which a group is announced besides those without free capacity, so that the messages
+/// for a group don't grow with the number of boxes.
+const RECEIVERS_MAX: usize = 16;
 
 /// The most requests that an announcement may offer: more than the slots of a group of engines with
 /// small batches.
@@ -45,7 +48,7 @@
 pub struct GroupHeadroom {
     pub group: EngineGroup,
     pub service: ServiceName,
-    /// Requests that the receiver may send, and that could begin before the next announcement.
+    /// Requests that the receiver may send, and that could begin within [`OFFER_PERIOD`].
     pub requests: u16,
     /// Time until the first engine could begin another one, in milliseconds.
     pub wait_ms: u16,
@@ -54,19 +57,12 @@
 /// Free capacity of one of this box's own groups, before it is divided.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Capacity {
-    /// Requests that could begin before the next announcement.
+    /// Requests that could begin within [`OFFER_PERIOD`].
     pub requests: u16,
     /// Time until the first engine could begin another one.
     pub wait: Duration,
 }
 
-impl Capacity {
-    fn differs_noticeably(self, other: Capacity) -> bool {
-        let (new, old) = (f64::from(self.requests), f64::from(other.requests));
-        old * NOTICEABLE_CHANGE < (new - old).abs()
-    }
-}
-
 /// Why an announcement is ignored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum InvalidAnnouncement {
@@ -119,7 +115,7 @@
 #[derive(Debug, Default)]
 pub struct HeadroomTable {
     services: FxHashMap<ServiceName, ServiceHeadroom>,
-    /// When each of this box's groups last couldn't place a request.
+    /// When each of this box's groups last couldn't place a request of a workspace within its share.
     short_at: FxHashMap<EngineGroup, Duration>,
 }
 
@@ -178,7 +174,7 @@
             }
         }
         self.services.retain(|_, headroom| !headroom.groups.is_empty());
-        self.short_at.retain(|_, at| now.saturating_sub(*at) < ANNOUNCE_INTERVAL);
+        self.short_at.retain(|_, at| now.saturating_sub(*at) < OFFER_PERIOD);
     }
 
     /// Records that one of this box's groups couldn't place a request.
@@ -189,7 +185,7 @@
     /// Whether a group could recently not place a request. It is announced as being without free
     /// capacity, since what it has is for its own requests.
     fn is_short(&self, group: EngineGroup, now: Duration) -> bool {
-        self.short_at.get(&group).is_some_and(|at| now.saturating_sub(*at) < ANNOUNCE_INTERVAL)
+        self.short_at.get(&group).is_some_and(|at| now.saturating_sub(*at) < OFFER_PERIOD)
     }
 
     /// Whether any announcement of a service is known.
@@ -204,7 +200,7 @@
     }
 
     /// Owners that have announced a group of a service without free capacity.
-    pub fn owners_without_room(&self, service: &str, now: Duration) -> FxHashSet<IpAddr> {
+    pub fn owners_without_room(&self, service: &str, now: Duration) -> BTreeSet<IpAddr> {
         let announced = self.services.get(service).into_iter().flat_map(|h| h.groups.values());
         announced.filter(|a| a.offered == 0 && a.is_fresh(now)).map(|a| a.owner).collect()
     }
@@ -221,7 +217,7 @@
     ) -> Option<EngineGroup> {
         let headroom = self.services.get_mut(draw.service)?;
         let may_claim = |group: EngineGroup, a: &Announced| {
-            let reserved = if draw.leaves_half { a.offered.div_ceil(2) } else { 0 };
+            let reserved = if draw.leaves_half { a.offered / 2 } else { 0 };
             group != draw.avoided && reserved < a.unclaimed && is_usable(group, a.owner)
         };
         let is_claimable = |headroom: &ServiceHeadroom, group: EngineGroup| {
@@ -287,10 +283,24 @@
 }
 
 /// The last announcement of one of this box's own groups.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Announcement {
     capacity: Capacity,
+    /// The owners without free capacity at that time, which share the offer.
+    without_room: BTreeSet<IpAddr>,
+    /// When it was sent to all receivers.
     at: Duration,
+    /// When it was sent at all.
+    renewed_at: Duration,
+}
+
+/// Which receivers an announcement is due for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Due {
+    All,
+    /// Owners without free capacity, since they may have used up their offers, and these, which had
+    /// none before and have larger offers than others.
+    WithoutRoom(BTreeSet<IpAddr>),
 }
 
 /// Decides when the free capacity of this box's own groups is announced.
@@ -300,29 +310,39 @@
 }
 
 impl Announcer {
-    /// Whether to announce `capacity` now. `is_wanted` if some owner of the service has no free
-    /// capacity: offers are then renewed early, since they may have been used.
-    pub fn is_due(
+    /// Whether to announce `capacity` now. `without_room` are the owners of the service without free
+    /// capacity.
+    ///
+    /// Amounts that merely change aren't announced: owners with free capacity are offered little,
+    /// and the others often.
+    fn due(
         &mut self,
         group: EngineGroup,
         service: &ServiceName,
         capacity: Capacity,
-        is_wanted: bool,
+        without_room: &BTreeSet<IpAddr>,
         now: Duration,
-    ) -> bool {
-        let key = (group, service.clone());
-        let is_due = self.last.get(&key).is_none_or(|last| {
-            let age = now.saturating_sub(last.at) + TIMER_SLACK;
+    ) -> Option<Due> {
+        let age = |at| now.saturating_sub(at) + TIMER_SLACK;
+        let due = |last: &Announcement| {
             let has_room = capacity.requests != 0;
-            let is_urgent = has_room != (last.capacity.requests != 0) || (has_room && is_wanted);
-            REFRESH_INTERVAL <= age
-                || (capacity.differs_noticeably(last.capacity) && ANNOUNCE_INTERVAL <= age)
-                || (is_urgent && URGENT_INTERVAL <= age)
-        });
-        if is_due {
-            self.last.insert(key, Announcement { capacity, at: now });
-        }
-        is_due
+            let is_transition = has_room != (last.capacity.requests != 0);
+            if REFRESH_INTERVAL <= age(last.at)
+                || (is_transition && URGENT_INTERVAL <= age(last.renewed_at))
+            {
+                return Some(Due::All);
+            }
+            let is_wanted = has_room && !without_room.is_empty();
+            let is_renewed = is_wanted && URGENT_INTERVAL <= age(last.renewed_at);
+            is_renewed.then(|| Due::WithoutRoom(last.without_room.clone()))
+        };
+        let key = (group, service.clone());
+        let last = self.last.get(&key);
+        let due = last.map_or(Some(Due::All), due)?;
+        let at = last.filter(|_| due != Due::All).map_or(now, |last| last.at);
+        let without_room = without_room.clone();
+        self.last.insert(key, Announcement { capacity, without_room, at, renewed_at: now });
+        Some(due)
     }
 
     /// Forgets the groups that this box no longer owns.
@@ -338,7 +358,7 @@
     pub entries: Vec<GroupHeadroom>,
 }
 
-/// The announcements that are due, by receiver: all owners, this box among them.
+/// The announcements that are due, by receiver. This box may be one of them.
 pub fn offers(
     table: &HeadroomTable,
     announcer: &mut Announcer,
@@ -346,35 +366,41 @@
     owners: &OwnerTable,
     now: Duration,
 ) -> Vec<Offer> {
-    let mut without_room: FxHashMap<&ServiceName, FxHashSet<IpAddr>> = FxHashMap::default();
-    let mut due = Vec::new();
+    let mut without_room: FxHashMap<&ServiceName, BTreeSet<IpAddr>> = FxHashMap::default();
+    let mut entries: BTreeMap<IpAddr, Vec<GroupHeadroom>> = BTreeMap::new();
     for (group, service, capacity) in capacities {
         let requests = if table.is_short(*group, now) { 0 } else { capacity.requests };
         let capacity = Capacity { requests, ..*capacity };
         let without_room =
             without_room.entry(service).or_insert_with(|| table.owners_without_room(service, now));
-        if announcer.is_due(*group, service, capacity, !without_room.is_empty(), now) {
-            due.push((*group, service, capacity));
+        let Some(due) = announcer.due(*group, service, capacity, without_room, now) else {
+            continue;
+        };
+        let receivers = match due {
+            Due::All => receivers(*group, owners),
+            Due::WithoutRoom(before) => before,
+        };
+        let wait_ms = u16::try_from(capacity.wait.as_millis()).unwrap_or(u16::MAX);
+        for receiver in without_room.union(&receivers) {
+            let has_room = !without_room.contains(receiver);
+            let requests = offer(requests, receivers.len(), without_room.len(), has_room);
+            let (group, service) = (*group, service.clone());
+            let entry = GroupHeadroom { group, service, requests, wait_ms };
+            entries.entry(*receiver).or_default().push(entry);
         }
     }
-    if due.is_empty() {
-        return Vec::new();
+    entries.into_iter().map(|(receiver, entries)| Offer { receiver, entries }).collect()
+}
+
+/// The owners to which a group is announced in any case: all of them or, of many, as many as make
+/// two choices nearly as good.
+fn receivers(group: EngineGroup, owners: &OwnerTable) -> BTreeSet<IpAddr> {
+    let all = owners.owner_boxes();
+    if all.len() <= RECEIVERS_MAX {
+        return all;
     }
-    let receivers = owners.owner_boxes();
-    let offer_to = |receiver: IpAddr| {
-        let entry = |(group, service, capacity): &(EngineGroup, &ServiceName, Capacity)| {
-            let without_room = &without_room[service];
-            let has_room = !without_room.contains(&receiver);
-            GroupHeadroom {
-                group: *group,
-                service: (*service).clone(),
-                requests: offer(capacity.requests, receivers.len(), without_room.len(), has_room),
-                wait_ms: u16::try_from(capacity.wait.as_millis()).unwrap_or(u16::MAX),
-            }
-        };
-        Offer { receiver, entries: due.iter().map(entry).collect() }
-    };
-    receivers.iter().copied().map(offer_to).collect()
+    let start = mix_bits(*group.hash_range().end()) % all.len() as u64;
+    all.iter().cycle().skip(start as usize).take(RECEIVERS_MAX).copied().collect()
 }
 
 /// The part of a group's free capacity that one receiver is offered. Owners without free capacity
@@ -419,11 +445,11 @@
         }
     }
 
-    /// Requests that an engine could begin before the next announcement, if it has to wait first and
+    /// Requests that an engine could begin within [`OFFER_PERIOD`], if it has to wait first and
     /// may then spend `prefill_share` of its time on prefill. One that need not wait can begin one
     /// at least.
     pub fn count_in_interval(self, wait: Duration, prefill_share: f64) -> f64 {
-        let seconds = ANNOUNCE_INTERVAL.saturating_sub(wait).as_secs_f64() * prefill_share;
+        let seconds = OFFER_PERIOD.saturating_sub(wait).as_secs_f64() * prefill_share;
         let count = seconds / self.prefill_s.max(f64::MIN_POSITIVE);
         if wait.is_zero() { count.max(1.0) } else { count }
     }
--- a/src/placement/redirect.rs
+++ b/src/placement/redirect.rs
@@ -55,9 +55,12 @@
     ) -> Option<EngineGroup> {
         let avoided = query.group?;
         match obstacle.choice {
+            Some(_) if 1.0 < obstacle.share_used => return None,
             Some(choice) if !is_worth_moving(registry, query, choice) => return None,
             Some(_) => {}
-            None => self.headroom.mark_short(avoided, now),
+            // Workspaces beyond their share are denied while there is free capacity.
+            None if obstacle.share_used <= 1.0 => self.headroom.mark_short(avoided, now),
+            None => {}
         }
         if !self.headroom.has_room(query.service, avoided) {
             return None;
@@ -171,12 +174,14 @@
     }
     let named = denial.alternative;
     // Workspaces beyond their share get no third attempt.
-    let further = if GROUPS_MAX <= count || !may_ask_third || 1.0 < denial.share_used {
+    let further = if GROUPS_MAX <= count {
         Further::None
     } else if was_acceptable(denial) {
         Further::Any
-    } else {
+    } else if may_ask_third && denial.share_used <= 1.0 {
         Further::Named
+    } else {
+        Further::None
     };
     Some(NextGroup { named, further })
 }
@@ -203,8 +208,8 @@
     if asked.contains(&next) { Some(first) } else { Some(next) }
 }
 
-/// Whether an owner that has denied a request would have placed it, had no group with free capacity
-/// been known.
+/// Whether an owner that has named a group would otherwise have placed the request after a wait.
 pub fn was_acceptable(denial: &Denial) -> bool {
-    matches!(denial.cause, ChoiceError::Busy { wait } if wait <= denial.wait_max)
+    let is_short = matches!(denial.cause, ChoiceError::Busy { wait } if wait <= denial.wait_max);
+    is_short && denial.alternative.is_some()
 }
--- a/src/placement/registry/headroom.rs
+++ b/src/placement/registry/headroom.rs
@@ -50,7 +50,7 @@
         upstream.engine.as_ref().is_some_and(|e| small_batch.announces_headroom(e.limits().slots))
     }
 
-    /// How many requests an engine could begin before the next announcement, and when the first;
+    /// How many requests an engine could begin within an offer's period, and when the first;
     /// `None` if it can't begin any.
     fn capacity(
         &self,
