--- a/src/placement/admit.rs
+++ b/src/placement/admit.rs
@@ -45,6 +45,8 @@
     PlaceIfCached,
     /// Place the request.
     Place,
+    /// Place the request, or name a group with free capacity. No other one will be asked.
+    PlaceOrRedirect,
     /// Report which engine has the most of the prompt cached.
     Lookup,
 }
@@ -122,6 +124,15 @@
     }
 }
 
+/// What stands against placing a request in its group of engines.
+#[derive(Clone, Copy, Debug)]
+pub struct Obstacle<'a> {
+    /// The engine that would be chosen; `None` if there is none.
+    pub choice: Option<&'a Choice>,
+    /// The fraction of its share that the workspace would have used.
+    pub share_used: f64,
+}
+
 /// Places a request and charges the workspace's share, or counts the request as refused.
 pub fn admit(
     registry: &mut UpstreamRegistry,
@@ -129,18 +140,31 @@
     query: PlacementQuery<'_>,
     now: Duration,
 ) -> Result<Choice, Denial> {
-    admit_with_limit(registry, shares, query, Duration::MAX, now)
+    admit_or_redirect(registry, shares, query, now, |_, _| None)
+}
+
+/// Like [`admit`], but a request that would wait or be denied is denied with the group that
+/// `redirect` returns, and not counted as refused.
+pub fn admit_or_redirect(
+    registry: &mut UpstreamRegistry,
+    shares: &mut Shares,
+    query: PlacementQuery<'_>,
+    now: Duration,
+    redirect: impl FnOnce(&UpstreamRegistry, Obstacle<'_>) -> Option<EngineGroup>,
+) -> Result<Choice, Denial> {
+    admit_with_limit(registry, shares, query, Duration::MAX, now, redirect)
 }
 
-/// Like [`admit`], but while the engines are saturated, only workspaces that have used little of
-/// their share may wait longer than `backlog_max` at an engine. An engine's backlog can't be
-/// reordered: one workspace that fills it up makes all others wait.
+/// Like [`admit_or_redirect`], but while the engines are saturated, only workspaces that have used
+/// little of their share may wait longer than `backlog_max` at an engine. An engine's backlog can't
+/// be reordered: one workspace that fills it up makes all others wait.
 pub fn admit_with_limit(
     registry: &mut UpstreamRegistry,
     shares: &mut Shares,
     query: PlacementQuery<'_>,
     backlog_max: Duration,
     now: Duration,
+    redirect: impl FnOnce(&UpstreamRegistry, Obstacle<'_>) -> Option<EngineGroup>,
 ) -> Result<Choice, Denial> {
     let prompt = query.prompt;
     let charge = prompt.charge();
@@ -177,26 +201,32 @@
             retry_after: None,
         });
     }
-    let may_try_other_groups = !query.is_last_group && share_used <= 1.0;
+    let chosen = registry.choose(criteria, now);
+    if let Ok(choice) = &chosen
+        && query.purpose == Purpose::PlaceIfCached
+        && is_copy_worthwhile(prompt, choice)
+    {
+        let (cause, source) = (ChoiceError::NotCached, None);
+        return Err(Denial {
+            cause,
+            share_used,
+            wait_max: remaining,
+            source,
+            may_try_other_groups: true,
+            alternative: None,
+            retry_after: None,
+        });
+    }
+    let obstacle = Obstacle { choice: chosen.as_ref().ok(), share_used };
+    let alternative = if query.is_last_group { None } else { redirect(registry, obstacle) };
+    let may_try_by_hash =
+        !query.is_last_group && query.purpose != Purpose::PlaceOrRedirect && share_used <= 1.0;
+    let may_try_other_groups = may_try_by_hash || alternative.is_some();
     let probe = |registry: &UpstreamRegistry| {
         if may_try_other_groups { None } else { registry.probe(criteria, now) }
     };
-    let chosen = registry.choose(criteria, now);
     let cause = match chosen.or_else(|cause| probe(registry).ok_or(cause)) {
-        Ok(choice)
-            if query.purpose == Purpose::PlaceIfCached && is_copy_worthwhile(prompt, &choice) =>
-        {
-            let (cause, source) = (ChoiceError::NotCached, None);
-            return Err(Denial {
-                cause,
-                share_used,
-                wait_max: remaining,
-                source,
-                may_try_other_groups: true,
-                alternative: None,
-                retry_after: None,
-            });
-        }
+        Ok(choice) if alternative.is_some() => ChoiceError::Busy { wait: choice.wait },
         Ok(choice) => return Ok(record(registry, shares, query, choice, now)),
         Err(cause) => cause,
     };
@@ -211,7 +241,7 @@
         wait_max: remaining,
         source,
         may_try_other_groups,
-        alternative: None,
+        alternative,
         retry_after: None,
     })
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -14,6 +14,7 @@
 pub mod plain;
 pub mod probe;
 pub mod queue;
+pub mod redirect;
 pub mod registry;
 pub mod share;
 pub mod speed;
--- a/src/placement/registry.rs
+++ b/src/placement/registry.rs
@@ -2,6 +2,7 @@
 
 mod backoff;
 mod cold;
+mod headroom;
 pub mod in_progress;
 mod index;
 pub mod learned;
--- a/src/placement/waiting.rs
+++ b/src/placement/waiting.rs
@@ -14,6 +14,7 @@
 use crate::placement::admit;
 use crate::placement::admit::ANY_ENGINE_SHARE_MAX;
 use crate::placement::admit::Denial;
+use crate::placement::admit::Obstacle;
 use crate::placement::admit::PlacementQuery;
 use crate::placement::admit::Purpose;
 use crate::placement::choice::Choice;
@@ -195,13 +196,16 @@
         query: PlacementQuery<'_>,
         reply: T,
         now: Duration,
+        redirect: impl FnOnce(&UpstreamRegistry, Obstacle<'_>) -> Option<EngineGroup>,
     ) -> Admission<T> {
         let engines = query.group.map_or(0, |g| registry.queueing_engines(query.service, g, now));
         let Some(group) = query.group.filter(|_| engines != 0) else {
-            return Admission::Decided(admit::admit(registry, shares, query, now), reply);
+            let result = admit::admit_or_redirect(registry, shares, query, now, redirect);
+            return Admission::Decided(result, reply);
         };
         if query.purpose == Purpose::Lookup {
-            return Admission::Decided(admit::admit(registry, shares, query, now), reply);
+            let result = admit::admit_or_redirect(registry, shares, query, now, redirect);
+            return Admission::Decided(result, reply);
         }
         let key = (ServiceName::from(query.service), group);
         let tuning = registry.tuning();
@@ -213,7 +217,7 @@
             let within = queued.deadline.saturating_sub(now);
             return Admission::Queued { within, displaced: None };
         }
-        let denial = match place_at_once(queue, registry, shares, query, now) {
+        let denial = match place_at_once(queue, registry, shares, query, now, redirect) {
             Ok(choice) => return Admission::Decided(Ok(choice), reply),
             Err(denial) if !is_for_lack_of_room(&denial) => {
                 return Admission::Decided(Err(denial), reply);
@@ -262,7 +266,8 @@
 /// Whether a request was denied because all engines are busy, and no other group is to be asked. A
 /// workspace that has used much of its share waits here rather than go where nothing is cached.
 fn is_for_lack_of_room(denial: &Denial) -> bool {
-    (!denial.may_try_other_groups || ANY_ENGINE_SHARE_MAX < denial.share_used)
+    denial.alternative.is_none()
+        && (!denial.may_try_other_groups || ANY_ENGINE_SHARE_MAX < denial.share_used)
         && matches!(denial.cause, ChoiceError::Busy { .. } | ChoiceError::Full)
 }
 
@@ -273,6 +278,7 @@
     shares: &mut Shares,
     query: PlacementQuery<'_>,
     now: Duration,
+    redirect: impl FnOnce(&UpstreamRegistry, Obstacle<'_>) -> Option<EngineGroup>,
 ) -> Result<Choice, Denial> {
     if !queue.is_empty()
         && let Some(workspace) = query.workspace
@@ -280,18 +286,20 @@
         let share_used = shares.share_used(workspace, query.prompt.charge(), now);
         let granted = shares.recently_admitted(workspace, now);
         if ANY_ENGINE_SHARE_MAX < share_used && !queue.would_be_first(query.rank, granted) {
+            let obstacle = Obstacle { choice: None, share_used };
+            let alternative = if query.is_last_group { None } else { redirect(registry, obstacle) };
             return Err(Denial {
                 cause: ChoiceError::Busy { wait: queue.engine_wait(now) },
                 share_used,
                 wait_max: Duration::ZERO,
                 source: None,
-                may_try_other_groups: false,
-                alternative: None,
+                may_try_other_groups: alternative.is_some(),
+                alternative,
                 retry_after: None,
             });
         }
     }
-    let admitted = admit::admit_with_limit(registry, shares, query, BEGIN_WAIT_MAX, now);
+    let admitted = admit::admit_with_limit(registry, shares, query, BEGIN_WAIT_MAX, now, redirect);
     let denial = match admitted {
         Ok(choice) => return Ok(choice),
         Err(denial) => denial,
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -22,6 +22,7 @@
 use crate::names::UpstreamName;
 use crate::placement::admit;
 use crate::placement::admit::Denial;
+use crate::placement::admit::Obstacle;
 use crate::placement::admit::PlacementQuery;
 use crate::placement::choice::Choice;
 use crate::placement::choice::ChoiceError;
@@ -40,6 +41,7 @@
 use crate::proxy::capacity;
 use crate::proxy::connection_reuse::ReuseRule;
 use crate::proxy::engine_placement::OwnerRequests;
+use crate::proxy::headroom::HeadroomState;
 use crate::proxy::held_tracker::HeldTracker;
 use crate::proxy::message::Message;
 use crate::proxy::own_speeds;
@@ -76,6 +78,7 @@
     own_requests: Mutex<RequestTable>,
     received_reports: Mutex<ReceivedReports>,
     queue_changed: Notify,
+    headroom: HeadroomState,
     suspects: Suspects,
     rollouts: RolloutState,
     probe_requested: Notify,
@@ -138,6 +141,7 @@
             own_requests: Mutex::new(own_requests),
             received_reports: Mutex::default(),
             queue_changed: Notify::new(),
+            headroom: HeadroomState::new(cfg.tuning.small_batch),
             suspects: Suspects::default(),
             rollouts: RolloutState::new(cfg.exposure),
             probe_requested: Notify::new(),
@@ -351,10 +355,20 @@
 
     /// Places a request by the state known to this box.
     pub fn admit(&self, query: PlacementQuery<'_>) -> Result<Choice, Denial> {
+        self.admit_or_redirect(query, |_, _| None)
+    }
+
+    /// Like [`Hub::admit`], but a request that would wait or be denied may be sent to the group
+    /// that `redirect` returns.
+    pub fn admit_or_redirect(
+        &self,
+        query: PlacementQuery<'_>,
+        redirect: impl FnOnce(&UpstreamRegistry, Obstacle<'_>) -> Option<EngineGroup>,
+    ) -> Result<Choice, Denial> {
         let now = self.now();
         let mut inner = self.inner.lock().expect("no panic under lock");
         let Inner { view, shares, .. } = &mut *inner;
-        admit::admit(view.registry_mut(), shares, query, now)
+        admit::admit_or_redirect(view.registry_mut(), shares, query, now, redirect)
     }
 
     /// Removes a request that isn't sent, and reverts what was charged for it.
@@ -372,16 +386,18 @@
         }
     }
 
-    /// Places a request by the state known to this box, or queues it if it can begin in time.
+    /// Places a request by the state known to this box, or queues it if it can begin in time. One
+    /// that would wait or be denied may be sent to the group that `redirect` returns.
     pub fn admit_or_queue(
         &self,
         query: PlacementQuery<'_>,
         recipient: Recipient,
+        redirect: impl FnOnce(&UpstreamRegistry, Obstacle<'_>) -> Option<EngineGroup>,
     ) -> Admission<Recipient> {
         let now = self.now();
         let mut inner = self.inner.lock().expect("no panic under lock");
         let Inner { view, shares, waiting, .. } = &mut *inner;
-        let admission = waiting.admit(view.registry_mut(), shares, query, recipient, now);
+        let admission = waiting.admit(view.registry_mut(), shares, query, recipient, now, redirect);
         if matches!(admission, Admission::Queued { .. }) {
             self.queue_changed.notify_one();
         }
@@ -445,6 +461,11 @@
         f(&mut self.received_reports.lock().expect("no panic under lock"))
     }
 
+    /// Free capacity that owners have announced to each other.
+    pub fn headroom(&self) -> &HeadroomState {
+        &self.headroom
+    }
+
     /// Requests suspected of crashing upstreams.
     pub fn suspects(&self) -> &Suspects {
         &self.suspects
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -15,6 +15,7 @@
 pub mod digests;
 pub mod engine_placement;
 pub mod gossip;
+pub mod headroom;
 pub mod held_bytes;
 pub mod held_tracker;
 pub mod history;
@@ -182,6 +183,7 @@
     tokio::spawn(engine_placement::report_share_usage(hub.clone()));
     tokio::spawn(in_progress::run(hub.clone()));
     tokio::spawn(placement_queue::run(hub.clone()));
+    tokio::spawn(headroom::announce(hub.clone()));
     tokio::spawn(rollouts::run(hub.clone(), deps.rollout_reporter));
     tokio::spawn(suspects::catch_up(hub.clone()));
     tokio::spawn(suspects::save(hub.clone(), deps.suspect_store.clone()));
--- a/src/proxy/placement_queue.rs
+++ b/src/proxy/placement_queue.rs
@@ -22,6 +22,7 @@
 use crate::proxy::engine_placement::OwnerRequests;
 use crate::proxy::engine_placement::OwnerResponse;
 use crate::proxy::engine_placement::PlacementResult;
+use crate::proxy::headroom;
 use crate::proxy::hub::Hub;
 use crate::proxy::message::Message;
 use crate::proxy::message::PlacementResponse;
@@ -136,7 +137,7 @@
     from: IpAddr,
 ) -> Option<PlacementResult> {
     let request = query.request;
-    match hub.admit_or_queue(query, Recipient::Box(from)) {
+    match headroom::admit(hub, query, Recipient::Box(from)) {
         Admission::Decided(result, _) => Some(result),
         Admission::Queued { within, displaced } => {
             let within_ms = engine_placement::duration_ms(within);
@@ -155,7 +156,7 @@
     group_owners: GroupOwners,
 ) -> (PlacementResult, Duration) {
     let (tx, rx) = oneshot::channel();
-    let within = match hub.admit_or_queue(query, Recipient::Task(tx)) {
+    let within = match headroom::admit(hub, query, Recipient::Task(tx)) {
         Admission::Decided(result, _) => {
             if let Ok(choice) = &result {
                 engine_placement::notify_other_owner(hub, &query, choice, group_owners);
--- a/src/proxy/plain_placement.rs
+++ b/src/proxy/plain_placement.rs
@@ -75,6 +75,7 @@
             request,
             recorded_by: Vec::new(),
             queued: Duration::ZERO,
+            alternative: None,
         });
     }
     let owners = owners(hub, query.service)?;
@@ -88,6 +89,7 @@
                 request,
                 recorded_by: owners.boxes().collect(),
                 queued: Duration::ZERO,
+                alternative: None,
             });
         }
         if hub.owner_requests().is_unresponsive(ip, hub.now()) {
@@ -119,6 +121,7 @@
                     request,
                     recorded_by,
                     queued,
+                    alternative: None,
                 });
             }
             Err(_) => {
--- a/src/proxy/proxy_metrics.rs
+++ b/src/proxy/proxy_metrics.rs
@@ -61,6 +61,8 @@
     left_queue: Counter<u64>,
     ranks_ignored: Counter<u64>,
     queue_waits: Histogram<f64>,
+    announcements: Counter<u64>,
+    redirects: Counter<u64>,
 }
 
 impl ProxyMetrics {
@@ -103,6 +105,8 @@
             left_queue: meter.u64_counter("frostdyke_queue_left").build(),
             ranks_ignored: meter.u64_counter("frostdyke_ranks_ignored").build(),
             queue_waits: histogram("frostdyke_queue_seconds"),
+            announcements: meter.u64_counter("frostdyke_headroom_announcements").build(),
+            redirects: meter.u64_counter("frostdyke_redirects").build(),
             metrics,
         }
     }
@@ -337,6 +341,18 @@
         self.ranks_ignored.add(count as u64, &[]);
     }
 
+    /// Counts announcements of free capacity: `sent` (once for each receiver), `received`, or
+    /// `ignored` because they can't be right.
+    pub fn headroom_announcements(&self, kind: &'static str, count: usize) {
+        self.announcements.add(count as u64, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Counts a request on its way to another group with free capacity: `claimed` there by the
+    /// owner that names the group; `asked` and `placed` by the sender.
+    pub fn redirect(&self, step: &'static str) {
+        self.redirects.add(1, &[KeyValue::new("step", step)]);
+    }
+
     /// Counts a suspension of the machine.
     pub fn suspended(&self) {
         self.suspended.add(1, &[]);
--- a/src/proxy/state_updates.rs
+++ b/src/proxy/state_updates.rs
@@ -16,6 +16,7 @@
 use crate::proxy::adapter::Prompt;
 use crate::proxy::adapter::StoreUpdate;
 use crate::proxy::engine_placement;
+use crate::proxy::headroom;
 use crate::proxy::hub::Hub;
 use crate::proxy::in_progress;
 use crate::proxy::message::Message;
@@ -180,7 +181,7 @@
         Message::InProgress(report) => in_progress::handle_report(hub, &report, sender),
         Message::UnknownRequests(ids) => in_progress::handle_unknown(hub, &ids, sender),
         Message::RequestRecords(records) => in_progress::handle_records(hub, &records, sender),
-        Message::Headroom(_) => {}
+        Message::Headroom(all) => headroom::receive(hub, &all, sender),
         // Handled by `Peers`.
         Message::Heartbeat(_)
         | Message::PlacementRequest(_)
--- a/src/proxy/upstream_selection.rs
+++ b/src/proxy/upstream_selection.rs
@@ -153,6 +153,7 @@
             request,
             recorded_by: Vec::new(),
             queued: Duration::ZERO,
+            alternative: None,
         }
     }
 
@@ -204,6 +205,7 @@
             "share_used" => (denial.share_used * 100.0).round() / 100.0,
             "wait_ms" => wait, "wait_max_ms" => denial.wait_max.as_millis() as u64,
             "by" => %decision.decided_by, "as" => decision.role.code(),
+            "alternative" => decision.alternative.map(|group| group.to_string()),
             "queued_ms" => decision.queued.as_millis() as u64, "tried" => self.tried.len(),
             "version" => self.hub.version());
     }
@@ -221,6 +223,7 @@
             "running_tokens" => choice.running_tokens, "wait_ms" => choice.wait.as_millis() as u64,
             "expected_ms" => choice.first_token.as_millis() as u64,
             "by" => %decision.decided_by, "as" => decision.role.code(), "probe" => choice.is_probe,
+            "alternative" => decision.alternative.map(|group| group.to_string()),
             "queued_ms" => decision.queued.as_millis() as u64,
             "version" => self.hub.version(), "try" => self.tried.len() + 1);
     }
--- a/tests/proxy_queue.rs
+++ b/tests/proxy_queue.rs
@@ -128,7 +128,7 @@
             is_last_group: true,
             role: Role::Owner,
         };
-        self.waiting.admit(&mut self.registry, &mut self.shares, query, request, now)
+        self.waiting.admit(&mut self.registry, &mut self.shares, query, request, now, |_, _| None)
     }
 
     fn dispatch(&mut self, now: Duration) -> Vec<Answer<u64>> {
