--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -169,8 +169,12 @@
     /// How long a request would wait here: for the prefill backlog, and for the pauses between
     /// prompts in which running requests proceed.
     pub fn wait(&self, speed: &Speed, tuning: Tuning, now: Duration) -> Duration {
-        self.backlog(speed, now)
-            .max(Duration::from_secs_f64(self.load(tuning, now) / tuning.prefill_share))
+        self.wait_with_backlog(self.backlog(speed, now), tuning, now)
+    }
+
+    /// The same, with the result of [`Engine::backlog`].
+    pub fn wait_with_backlog(&self, backlog: Duration, tuning: Tuning, now: Duration) -> Duration {
+        backlog.max(Duration::from_secs_f64(self.load(tuning, now) / tuning.prefill_share))
     }
 
     fn load(&self, tuning: Tuning, now: Duration) -> f64 {
--- a/src/placement/upstream.rs
+++ b/src/placement/upstream.rs
@@ -237,9 +237,10 @@
         let gain = source.map_or(0, |s| s.cached.saturating_sub(cached));
         let copied_tokens = if gain < COPY_TOKENS_MIN { 0 } else { gain };
         let prefill_tokens = prompt.tokens - cached - copied_tokens;
+        let backlog = engine.backlog(speed, now);
         Some(PrefillPlan {
-            wait: engine.wait(speed, tuning, now),
-            backlog: engine.backlog(speed, now),
+            wait: engine.wait_with_backlog(backlog, tuning, now),
+            backlog,
             prefill_tokens,
             prefill_seconds: engine.prefill_seconds(
                 Work::prefill(cached + copied_tokens, prefill_tokens),
--- a/tests/proxy_engine_speed.rs
+++ b/tests/proxy_engine_speed.rs
@@ -2,6 +2,8 @@
 //! anew, and the first tokens that come in time with them.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use frostdyke::fleet::rollout::VersionFilter;
@@ -30,6 +32,10 @@
 use frostdyke::proxy::adapter::PromptPart;
 use frostdyke::proxy::adapter::UpstreamListing;
 use frostdyke::proxy::routing_table::EngineLimits;
+use frostdyke::proxy::routing_table::Limits;
+use frostdyke::proxy::routing_table::RoutingTable;
+use frostdyke::proxy::routing_table::Service;
+use frostdyke::proxy::view::View;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -360,6 +366,21 @@
     }
 }
 
+/// The service's estimate follows a mean and the levels a robust centre: if each made up for the
+/// other's error, both would leave their bounds.
+#[test]
+fn levels_and_service_do_not_drift_apart() {
+    let mut simulation = Simulation::new(3, TWO_SPEEDS, true);
+    let work = Work::prefill(0, 4_000);
+    simulation.run(20.0, 0.5);
+    let before = simulation.registry.speed("llm").prefill_seconds(work);
+    simulation.run(150.0, 0.5);
+    let after = simulation.registry.speed("llm").prefill_seconds(work);
+    let mean = simulation.mean_factor(|_| true);
+    assert!((0.85..1.25).contains(&mean), "mean factor {mean}");
+    assert!((0.8..1.25).contains(&(after / before)), "{before} s, then {after} s");
+}
+
 /// A deviation that lasts until the next measurement would keep requests, and so measurements, away.
 #[test]
 fn a_deviation_fades_without_measurements() {
@@ -442,6 +463,35 @@
     }
 }
 
+/// A restart that the store shows must reset the level; a change of the configuration must not.
+#[test]
+fn a_view_resets_the_level_at_a_restart_only() {
+    let mut view = View::new(UpstreamRegistry::new(ZoneName::from("zone-0"), tuning(true)));
+    let table = |version| {
+        let service =
+            Service { max_connections: 10, probe_path: String::new(), engine: Some(LIMITS) };
+        let services = HashMap::from([(ServiceName::from("llm"), service)]);
+        Arc::new(RoutingTable::new(version, Vec::new(), services, None, Limits::default()))
+    };
+    view.store_regained(START);
+    view.configure(table(1), START);
+    view.set_upstreams(vec![listing(0), listing(1)], START);
+    let (started_at_ms, version) = (Some(1_000), VersionName::from("v1"));
+    let level = LevelReport { level: 0.7, variance: 0.01 };
+    let reports = [0, 1].map(|n| {
+        let version = version.clone();
+        OwnSpeedReport { upstream: name(n), started_at_ms, version, level }
+    });
+    assert_eq!(view.registry_mut().adopt_own_speeds(&reports, START).adopted, 2);
+
+    view.configure(table(2), START);
+    view.set_upstream(listing(1), START);
+    view.set_upstream(UpstreamListing { started_at_ms: Some(2_000), ..listing(0) }, START);
+    assert_eq!(own_speed(view.registry(), 0), EngineSpeed::default());
+    assert!(1.9 < own_speed(view.registry(), 1).level_factor());
+    assert_eq!(view.registry_mut().adopt_own_speeds(&reports, START).other_instance, 1);
+}
+
 /// A faulty box would make others avoid or flood an engine.
 #[test]
 fn impossible_levels_are_refused() {
