--- a/tests/fleet_headroom.rs
+++ b/tests/fleet_headroom.rs
@@ -505,7 +505,8 @@
         let message = placement_request(query, group);
         // The standby receives about the same as the owner.
         self.count_bytes("requests", if result.is_ok() { 2 } else { 1 }, &message);
-        let response = PlacementResponse { request: query.request, result: result.clone() };
+        let response =
+            PlacementResponse { request: query.request, result: result.clone(), recorded_by: None };
         self.count_bytes("requests", 1, &Message::PlacementResponse(response));
         result
     }
@@ -816,6 +817,7 @@
 
 fn denial(share_used: f64, alternative: Option<EngineGroup>) -> Denial {
     Denial {
+        retry_after: None,
         cause: ChoiceError::Busy { wait: millis(900) },
         share_used,
         wait_max: millis(600),
