Two owners of a group know each other's placements, and one takes half

Cause: while owner tables differ, two boxes place requests on the same engines and each counts only its own: the free room is booked twice.

Change: a box that owns a group by its own table and receives a placement there that another box decided for a third one sends that box its placements too, and the senders notify it (`recorded_by` names all). The one of lower rendezvous rank takes at most half of the free room on each upstream for as long. The rank needs no claim in the message; the one that ranks higher owns the group once the tables agree.

--- a/src/fleet/owners.rs
+++ b/src/fleet/owners.rs
@@ -64,6 +64,12 @@
         first..=(first | (u64::MAX >> self.bits))
     }
 
+    /// Whether the box at `a` would own the group rather than the one at `b`, if both are known.
+    pub fn outranks(self, a: IpAddr, b: IpAddr) -> bool {
+        let rank = |ip: IpAddr| (self.rank(xxh3_64(ip.to_string().as_bytes())), ip);
+        rank(b) < rank(a)
+    }
+
     /// Returns the rendezvous rank of a box for the group, by the hash of its address.
     fn rank(self, hash: u64) -> u64 {
         mix_bits(hash ^ mix_bits((u64::from(self.bits) << (u64::BITS / 2)) ^ self.prefix))
--- a/src/placement/engine/records.rs
+++ b/src/placement/engine/records.rs
@@ -13,6 +13,8 @@
 use crate::placement::engine::RunningRequest;
 use crate::placement::registry::in_progress::RecordFault;
 use crate::placement::registry::in_progress::ReportedState;
+use crate::placement::registry::rivals;
+use crate::placement::registry::rivals::UNSEEN_FOR;
 use crate::placement::speed::Work;
 use crate::proxy::adapter::Prompt;
 
@@ -111,6 +113,22 @@
         self.requests.iter().map(record).collect()
     }
 
+    /// Whether there is room for another request in the half of the free room that a box may use
+    /// while another one places requests here too.
+    pub fn has_half_room(&self, prompt: &Prompt, now: Duration) -> bool {
+        if !self.has_room(prompt) {
+            return false;
+        }
+        let recent = self.requests.values().filter(|r| now < r.placed + UNSEEN_FOR);
+        let (requests, tokens) =
+            recent.fold((0, 0), |(requests, tokens), r| (requests + 1, tokens + r.tokens));
+        let needed = u64::from(prompt.tokens) + u64::from(prompt.output_tokens_max);
+        let free_slots = u64::from(self.limits.slots).saturating_sub(self.requests.len() as u64);
+        let free_tokens = self.limits.memory_tokens.saturating_sub(self.running_tokens);
+        rivals::is_within_half(free_slots, requests)
+            && tokens.saturating_add(needed * 2) <= free_tokens
+    }
+
     /// Whether there is a record of a request.
     pub fn has_request(&self, request: u64) -> bool {
         self.requests.contains_key(&request)
--- a/src/placement/plain.rs
+++ b/src/placement/plain.rs
@@ -24,6 +24,7 @@
 use crate::placement::cold::Role;
 use crate::placement::registry::UpstreamRegistry;
 use crate::placement::registry::in_progress::ReportedState;
+use crate::placement::registry::rivals::UNSEEN_FOR;
 use crate::placement::share::Shares;
 
 /// Processing time assumed until the first responses are measured, in seconds.
@@ -129,6 +130,11 @@
         before - self.requests.len()
     }
 
+    /// Requests placed within the last batch intervals, of which other deciders may not know.
+    pub fn recent(&self, now: Duration) -> usize {
+        self.requests.values().filter(|queued| now < queued.placed + UNSEEN_FOR).count()
+    }
+
     /// All records.
     pub fn records(
         &self,
@@ -224,7 +230,7 @@
                 .mul_f64(TARGET_LATENCY_SHARE)
                 .saturating_sub(query.waited + processing_time);
             let wait_max = wait_max_by_share.min(remaining);
-            let has_capacity = choice.running < registry.admission_limit(&choice.upstream) as usize;
+            let has_capacity = registry.has_plain_capacity(&choice.upstream, now);
             if has_capacity && choice.wait <= wait_max {
                 return Ok(begin(registry, shares, query, choice, now));
             }
--- a/src/placement/registry.rs
+++ b/src/placement/registry.rs
@@ -8,6 +8,7 @@
 mod plain;
 mod probe;
 mod reachability;
+pub mod rivals;
 mod selection;
 
 use std::cell::Cell;
@@ -31,6 +32,7 @@
 use crate::placement::engine::Placement;
 use crate::placement::registry::in_progress::EarlyEvent;
 use crate::placement::registry::index::Index;
+use crate::placement::registry::rivals::Rival;
 use crate::placement::speed::Speed;
 use crate::placement::tuning::Tuning;
 use crate::placement::upstream::Health;
@@ -54,6 +56,8 @@
     busy: BTreeSet<UpstreamName>,
     /// What is known of requests before their records arrive.
     early: FxHashMap<u64, (Duration, EarlyEvent)>,
+    /// Boxes that also place requests on upstreams of this box.
+    rivals: Vec<Rival>,
     /// Upstreams that may be unreachable.
     unverified: BTreeSet<UpstreamName>,
     /// Upstreams that have requested a backoff from this box, whether listed or not.
@@ -77,6 +81,7 @@
             index: Index::default(),
             busy: BTreeSet::new(),
             early: FxHashMap::default(),
+            rivals: Vec::new(),
             unverified: BTreeSet::new(),
             backoffs: BTreeMap::new(),
             examined: Cell::new(0),
--- a/src/placement/registry/plain.rs
+++ b/src/placement/registry/plain.rs
@@ -3,12 +3,15 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::names::UpstreamName;
 use crate::placement::choice::Choice;
 use crate::placement::choice::ChoiceError;
 use crate::placement::choice::SelectionCriteria;
 use crate::placement::plain;
 use crate::placement::registry::UpstreamRegistry;
+use crate::placement::registry::rivals;
 use crate::placement::upstream::Upstream;
 
 /// Response times within the same step count as equal.
@@ -51,6 +54,22 @@
         }
     }
 
+    /// Whether one more request may be placed at an upstream of a plain service.
+    pub(in crate::placement) fn has_plain_capacity(
+        &self,
+        name: &UpstreamName,
+        now: Duration,
+    ) -> bool {
+        let Some(upstream) = self.upstreams.get(name) else { return false };
+        let limit = self.admission_limit(name) as usize;
+        let free = limit.saturating_sub(upstream.plain.running());
+        let owner_hash = xxh3_64(upstream.listed.service.as_bytes());
+        if self.yields(owner_hash, now) {
+            return rivals::is_within_half(free as u64, upstream.plain.recent(now) as u64);
+        }
+        free != 0
+    }
+
     /// Requests that may be placed at an upstream at once by all boxes together.
     pub fn admission_limit(&self, name: &UpstreamName) -> u32 {
         let Some(upstream) = self.upstreams.get(name) else { return 0 };
--- a/src/placement/registry/selection.rs
+++ b/src/placement/registry/selection.rs
@@ -103,7 +103,7 @@
         let shared = prompt.tokens.saturating_sub(own);
         let bonus_max = Duration::from_secs_f64(speed.prefill_seconds(Work::prefill(0, shared)));
         let candidate = |(u, cached): (&&'a Upstream, &u32)| {
-            if !u.has_room(prompt) || !u.accepts(criteria.role, cx) {
+            if !self.has_own_room(u, prompt, now) || !u.accepts(criteria.role, cx) {
                 return None;
             }
             let rank = homes.iter().position(|home| home.is_some_and(|h| std::ptr::eq(h, *u)));
--- a/src/proxy/engine_placement.rs
+++ b/src/proxy/engine_placement.rs
@@ -29,6 +29,7 @@
 use crate::proxy::adapter::Prompt;
 use crate::proxy::aligned_timer;
 use crate::proxy::hub::Hub;
+use crate::proxy::in_progress;
 use crate::proxy::message::Message;
 use crate::proxy::message::PlacementRequest;
 use crate::proxy::message::PlacementResponse;
@@ -90,8 +91,8 @@
     }
 }
 
-/// An owner's decision, and the other box that has recorded the placement.
-pub type OwnerDecision = (PlacementResult, Option<IpAddr>);
+/// An owner's decision, and the other boxes that have recorded the placement.
+pub type OwnerDecision = (PlacementResult, Vec<IpAddr>);
 
 /// Placement requests of this box that await the response of an owner.
 #[derive(Debug, Default)]
@@ -243,15 +244,16 @@
         let role = group_owners.role(ip);
         if ip == hub.peers().own_ip() {
             let result = hub.admit(PlacementQuery { role, ..query });
-            if let Ok(choice) = &result {
-                notify_other_owner(hub, &query, choice, group_owners);
-            }
+            let others = match &result {
+                Ok(choice) => notify_other_deciders(hub, &query, choice, group_owners),
+                Err(_) => Vec::new(),
+            };
             return Some(PlacementDecision {
                 result,
                 decided_by: ip,
                 role,
                 request: query.request,
-                recorded_by: group_owners.boxes().collect(),
+                recorded_by: others,
             });
         }
         if hub.owner_requests().is_unresponsive(ip, hub.now()) {
@@ -429,13 +431,12 @@
     };
     let result = hub.admit(query);
     let request = message.request;
-    let mut recorded_by = None;
-    if let Ok(choice) = &result
-        && let Some(group_owners) = group_owners
-    {
-        notify_other_owner(hub, &query, choice, group_owners);
-        recorded_by = group_owners.other(hub.peers().own_ip());
-    }
+    let recorded_by = match (&result, group_owners) {
+        (Ok(choice), Some(group_owners)) => {
+            notify_other_deciders(hub, &query, choice, group_owners)
+        }
+        _ => Vec::new(),
+    };
     let response = PlacementResponse { request, result, recorded_by };
     hub.peers().send_now(from, &Message::PlacementResponse(response));
 }
@@ -446,25 +447,31 @@
     let PlacementResponse { request, result, recorded_by } = response;
     let upstream = result.as_ref().ok().map(|choice| choice.upstream.clone());
     let pending = hub.owner_requests().take(request);
-    if pending.is_some_and(|tx| tx.send((result, recorded_by)).is_ok()) {
-        return;
-    }
+    let unclaimed = match pending {
+        Some(tx) => tx.send((result, recorded_by)).err(),
+        None => Some((result, recorded_by)),
+    };
+    let Some((_, recorded_by)) = unclaimed else { return };
     let group_owners =
         upstream.and_then(|u| hub.peers().owners().owners_of_hash(upstream::name_hash(&u)));
     let standby = group_owners.into_iter().flat_map(GroupOwners::boxes).filter(|ip| *ip != from);
     withdraw(hub, request, standby.chain([from]).chain(recorded_by));
 }
 
-/// Sends a placement to the other one of a group's owner and standby. The workspace is left out:
-/// its usage is sent by [`report_share_usage`].
-fn notify_other_owner(
+/// Sends a placement to the other one of a group's owner and standby, and to boxes that also place
+/// requests there. Returns these boxes. The workspace is left out: its usage is sent by
+/// [`report_share_usage`].
+fn notify_other_deciders(
     hub: &Hub,
     query: &PlacementQuery<'_>,
     choice: &Choice,
     group_owners: GroupOwners,
-) {
+) -> Vec<IpAddr> {
+    let others =
+        in_progress::other_deciders(hub, upstream::name_hash(&choice.upstream), group_owners);
     let message = placed_message(&PlacementQuery { workspace: None, ..*query }, choice);
-    hub.peers().send_batched(group_owners.boxes(), &message);
+    hub.peers().send_batched(others.iter().copied(), &message);
+    others
 }
 
 fn placed_message(query: &PlacementQuery<'_>, choice: &Choice) -> Message {
--- a/src/proxy/in_progress.rs
+++ b/src/proxy/in_progress.rs
@@ -14,10 +14,14 @@
 use crate::fleet::in_progress::RequestRecord;
 use crate::fleet::in_progress::ShortId;
 use crate::fleet::in_progress::table::OwnRequest;
+use crate::fleet::owners::GroupOwners;
+use crate::names::UpstreamName;
 use crate::placement::registry::learned::LearnedRequest;
+use crate::placement::upstream;
 use crate::proxy::aligned_timer;
 use crate::proxy::hub::Hub;
 use crate::proxy::message::Message;
+use crate::proxy::plain_placement;
 
 /// Unknown requests asked for in one datagram.
 const UNKNOWN_MAX: usize = 200;
@@ -111,6 +115,45 @@
     });
 }
 
+/// The other boxes that record a placement on an upstream with this owner hash: the other one of
+/// owner and standby, and those that place requests there too.
+pub fn other_deciders(hub: &Hub, owner_hash: u64, group_owners: GroupOwners) -> Vec<IpAddr> {
+    let (now, own_ip) = (hub.now(), hub.peers().own_ip());
+    let mut others: Vec<IpAddr> = group_owners.boxes().filter(|ip| *ip != own_ip).collect();
+    let group = hub.peers().owners().group(owner_hash);
+    hub.read(|view| {
+        for ip in view.registry().rivals(group, now) {
+            if !others.contains(&ip) {
+                others.push(ip);
+            }
+        }
+    });
+    others
+}
+
+/// Records that another box has placed a request of a third one on an upstream, which this box may
+/// own by its own table.
+pub fn handle_placed(hub: &Hub, upstream: &UpstreamName, decided_by: IpAddr) {
+    let (owners, now, own_ip) = (hub.peers().owners(), hub.now(), hub.peers().own_ip());
+    let service = hub.read(|view| {
+        let registry = view.registry();
+        let service = registry.get(upstream).map(|listed| listed.service.clone());
+        service.filter(|_| !registry.is_engine(upstream))
+    });
+    let owner_hash = service.map_or_else(
+        || upstream::name_hash(upstream),
+        |service| plain_placement::owner_hash(&service),
+    );
+    let group = owners.group(owner_hash);
+    if owners.owners_of(group).is_none_or(|owned| owned.owner != own_ip) {
+        return;
+    }
+    if hub.with_registry(|registry| registry.record_rival(group, own_ip, decided_by, now)) {
+        info!(hub.log(), "another box places requests of an own group"; "ip" => %decided_by,
+            "group" => %group, "yields" => group.outranks(decided_by, own_ip));
+    }
+}
+
 /// Takes in a report of another box on its requests in progress.
 pub fn handle_report(hub: &Hub, report: &InProgressReport, sender: IpAddr) {
     let now = hub.now();
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -201,8 +201,8 @@
     pub request: u64,
     /// The chosen upstream, or why none is chosen.
     pub result: Result<Choice, Denial>,
-    /// The other box that records the placement, if there is one.
-    pub recorded_by: Option<IpAddr>,
+    /// Other boxes that record the placement.
+    pub recorded_by: Vec<IpAddr>,
 }
 
 /// Tokens that a workspace requested and was granted at one box since the box's last report.
--- a/src/proxy/plain_placement.rs
+++ b/src/proxy/plain_placement.rs
@@ -22,9 +22,11 @@
 use crate::placement::plain::PlainQuery;
 use crate::proxy::adapter::Prompt;
 use crate::proxy::engine_placement;
+use crate::proxy::engine_placement::OwnerDecision;
 use crate::proxy::engine_placement::PlacementDecision;
 use crate::proxy::engine_placement::PlacementResult;
 use crate::proxy::hub::Hub;
+use crate::proxy::in_progress;
 use crate::proxy::message::Message;
 use crate::proxy::message::PlacementResponse;
 use crate::proxy::notices;
@@ -79,13 +81,8 @@
     for ip in owners.boxes() {
         let role = owners.role(ip);
         if ip == me {
-            return Some(PlacementDecision {
-                result: place_here(hub, PlainQuery { role, ..query }, owners),
-                decided_by: me,
-                role,
-                request,
-                recorded_by: owners.boxes().collect(),
-            });
+            let (result, recorded_by) = place_here(hub, PlainQuery { role, ..query }, owners);
+            return Some(PlacementDecision { result, decided_by: me, role, request, recorded_by });
         }
         if hub.owner_requests().is_unresponsive(ip, hub.now()) {
             continue;
@@ -143,10 +140,9 @@
         role: group_owners.map_or(Role::Unassigned, |owners| owners.role(own_ip)),
     };
     let (result, recorded_by) = match group_owners {
-        Some(owners) => (place_here(hub, query, owners), owners.other(own_ip)),
-        None => (hub.admit_plain(query), None),
+        Some(owners) => place_here(hub, query, owners),
+        None => (hub.admit_plain(query), Vec::new()),
     };
-    let recorded_by = recorded_by.filter(|_| result.is_ok());
     let response = PlacementResponse { request: message.request, result, recorded_by };
     hub.peers().send_now(from, &Message::PlacementResponse(response));
 }
@@ -161,14 +157,14 @@
 }
 
 /// Places a request by this box's own counts, and sends the result to the other one of owner and
-/// standby.
-fn place_here(hub: &Hub, query: PlainQuery<'_>, owners: GroupOwners) -> PlacementResult {
+/// standby, and to boxes that also place requests there.
+fn place_here(hub: &Hub, query: PlainQuery<'_>, owners: GroupOwners) -> OwnerDecision {
     let result = hub.admit_plain(query);
-    if let Ok(choice) = &result {
-        let message = placed_message(&PlainQuery { workspace: None, ..query }, choice);
-        hub.peers().send_batched(owners.boxes(), &message);
-    }
-    result
+    let Ok(choice) = &result else { return (result, Vec::new()) };
+    let others = in_progress::other_deciders(hub, owner_hash(query.service), owners);
+    let message = placed_message(&PlainQuery { workspace: None, ..query }, choice);
+    hub.peers().send_batched(others.iter().copied(), &message);
+    (result, others)
 }
 
 fn place_and_broadcast(hub: &Hub, query: PlainQuery<'_>) -> PlacementResult {
--- a/src/proxy/state_updates.rs
+++ b/src/proxy/state_updates.rs
@@ -96,7 +96,7 @@
             workspace,
             sender: by,
         } => {
-            let prompt = Prompt::from(&prompt);
+            let (prompt, decided_by) = (Prompt::from(&prompt), sender);
             // A request of this box may have been placed by another one.
             let sender = Some(by.unwrap_or(sender)).filter(|ip| *ip != hub.peers().own_ip());
             let placement = Placement {
@@ -108,6 +108,9 @@
                 decided_by: None,
             };
             hub.with_registry(|registry| registry.place(&upstream, placement, now));
+            if by.is_some_and(|by| by != decided_by) {
+                in_progress::handle_placed(hub, &upstream, decided_by);
+            }
             let is_engine = hub.read(|view| view.registry().is_engine(&upstream));
             if !is_engine && let Some(workspace) = workspace {
                 hub.plain_shares(|shares| {
--- a/tests/fleet_in_progress.rs
+++ b/tests/fleet_in_progress.rs
@@ -30,6 +30,7 @@
 use frostdyke::names::VersionName;
 use frostdyke::names::ZoneName;
 use frostdyke::placement::admit::Purpose;
+use frostdyke::placement::choice::SelectionCriteria;
 use frostdyke::placement::engine::Placement;
 use frostdyke::placement::registry::UpstreamRegistry;
 use frostdyke::placement::registry::in_progress::RecordFault;
@@ -488,7 +489,11 @@
             return;
         }
         let choice = registry_choice(chosen);
-        let response = PlacementResponse { request, result: Ok(choice), recorded_by: other };
+        let response = PlacementResponse {
+            request,
+            result: Ok(choice),
+            recorded_by: other.into_iter().collect(),
+        };
         self.send(to, [ip(from)], &Message::PlacementResponse(response));
     }
 
@@ -1131,3 +1136,78 @@
     next.expire(millis(11_020));
     assert_eq!(next.running(&engine(0)), 1);
 }
+
+/// Two boxes that both own a group by their own tables place all they can, and learn of each
+/// other's placements a batch interval later. Returns the most requests at the engine.
+fn most_at_once(slots: u32, running: u64, are_known: bool) -> usize {
+    let limits = EngineLimits { slots, ..LIMITS };
+    let group = EngineGroup::default();
+    let owns = |n: usize| {
+        let mut registry = UpstreamRegistry::new(ZoneName::from("zone-0"), Tuning::default());
+        registry.upsert(listed(engine(0), "llm"), Some(limits));
+        (0..running).for_each(|n| place(&mut registry, &engine(0), id(n), None, millis(0)));
+        (0..running).for_each(|n| registry.record_first_token(&engine(0), id(n), None, millis(9)));
+        if are_known {
+            registry.record_rival(group, ip(n), ip(1 - n), millis(10_000));
+        }
+        registry
+    };
+    let mut registries = [owns(0), owns(1)];
+    let mut request = 1_000;
+    let mut most = 0;
+    for round in 0..5 {
+        let now = millis(10_000 + round * 20);
+        let mut new: [Vec<u64>; 2] = Default::default();
+        for (n, registry) in registries.iter_mut().enumerate() {
+            let small = Prompt { tokens: 10, output_tokens_max: 10, parts: Vec::new() };
+            let any = SelectionCriteria::any("llm", Some(&small), &[], Duration::MAX);
+            while registry.choose(any, now).is_ok() {
+                request += 1;
+                place(registry, &engine(0), id(request), None, now);
+                new[n].push(id(request));
+            }
+        }
+        most = most.max(running as usize + new[0].len() + new[1].len());
+        for n in 0..2 {
+            for request in &new[1 - n] {
+                place(&mut registries[n], &engine(0), *request, Some(ip(1 - n)), now);
+            }
+        }
+        most = most.max(registries[0].running(&engine(0)));
+    }
+    most
+}
+
+/// Both owners gave away the same free slots, all of them.
+#[test]
+fn two_owners_book_at_most_half_of_the_free_room_twice() {
+    for running in [0u64, 6, 8, 14, 15] {
+        let free = 16 - running as usize;
+        let most = most_at_once(16, running, true);
+        assert!(most <= 16 + free / 2, "{running} running: {most} at once");
+        assert!(16 <= most, "{running} running: room is left: {most}");
+        assert_eq!(most_at_once(16, running, false), 16 + free, "otherwise all are booked twice");
+    }
+}
+
+/// The box that will own the group once the tables agree isn't slowed down, and nothing is left
+/// over once the other one no longer places requests.
+#[test]
+fn only_the_lower_ranked_owner_yields_and_only_while_the_other_is_active() {
+    let group = EngineGroup::default();
+    assert_ne!(group.outranks(ip(0), ip(1)), group.outranks(ip(1), ip(0)));
+    let higher = if group.outranks(ip(0), ip(1)) { 0 } else { 1 };
+    let limits = EngineLimits { slots: 1, ..LIMITS };
+    for (n, has_room) in [(higher, true), (1 - higher, false)] {
+        let mut registry = UpstreamRegistry::new(ZoneName::from("zone-0"), Tuning::default());
+        registry.upsert(listed(engine(0), "llm"), Some(limits));
+        assert!(registry.record_rival(group, ip(n), ip(1 - n), millis(0)));
+        assert!(!registry.record_rival(group, ip(n), ip(1 - n), millis(100)));
+        let small = Prompt { tokens: 10, output_tokens_max: 10, parts: Vec::new() };
+        let any = SelectionCriteria::any("llm", Some(&small), &[], Duration::MAX);
+        assert_eq!(registry.choose(any, millis(200)).is_ok(), has_room);
+        assert_eq!(registry.rivals(group, millis(1_100)).collect::<Vec<_>>(), [ip(1 - n)]);
+        assert_eq!(registry.rivals(group, millis(1_200)).count(), 0);
+        assert!(registry.choose(any, millis(1_200)).is_ok());
+    }
+}
--- a/tests/fleet_placement.rs
+++ b/tests/fleet_placement.rs
@@ -220,7 +220,7 @@
                     &Message::PlacementResponse(PlacementResponse {
                         request,
                         result: result.clone(),
-                        recorded_by: result.is_ok().then_some(owned.standby).flatten(),
+                        recorded_by: owned.standby.into_iter().filter(|_| result.is_ok()).collect(),
                     }),
                 );
                 // The standby receives a copy of the request.
