Probes also where all engines of a service are in one group

Cause: only a request that no other group may take served as a probe; where a service's engines are all in one group, a request within its share never is one.

--- a/src/placement/admit.rs
+++ b/src/placement/admit.rs
@@ -135,11 +135,9 @@
         });
     }
     let may_try_other_groups = !query.is_last_group && share_used <= 1.0;
-    let probe = |registry: &UpstreamRegistry| {
-        if may_try_other_groups { None } else { registry.probe(criteria, now) }
-    };
     let chosen = registry.choose(criteria, now);
-    let cause = match chosen.or_else(|cause| probe(registry).ok_or(cause)) {
+    let probe = |cause| registry.probe(criteria, may_try_other_groups, now).ok_or(cause);
+    let cause = match chosen.or_else(probe) {
         Ok(choice)
             if query.purpose == Purpose::PlaceIfCached && is_copy_worthwhile(prompt, &choice) =>
         {
--- a/src/placement/registry/probe.rs
+++ b/src/placement/registry/probe.rs
@@ -22,9 +22,15 @@
 
 impl UpstreamRegistry {
     /// The engine that is due for a probe and has been without a request for the longest time.
-    pub fn probe(&self, criteria: SelectionCriteria<'_>, now: Duration) -> Option<Choice> {
+    pub fn probe(
+        &self,
+        criteria: SelectionCriteria<'_>,
+        may_try_other_groups: bool,
+        now: Duration,
+    ) -> Option<Choice> {
         let prompt = criteria.prompt?;
-        let prober = prober(criteria.role, criteria.is_repeatable)?;
+        let prober =
+            Prober { may_try_other_groups, ..prober(criteria.role, criteria.is_repeatable)? };
         let speed = self.speed(criteria.service);
         let zone = criteria.zone.unwrap_or(&self.zone);
         let cx = Context { speed, tuning: self.tuning, zone, now };
--- a/tests/fleet_half_open.rs
+++ b/tests/fleet_half_open.rs
@@ -64,6 +64,7 @@
     requests: u64,
     role: Role,
     is_repeatable: bool,
+    is_last_group: bool,
 }
 
 impl Decider {
@@ -76,6 +77,7 @@
             requests: 0,
             role: Role::Owner,
             is_repeatable: true,
+            is_last_group: true,
         }
     }
 
@@ -103,7 +105,7 @@
             sender: Some(SENDER),
             source: None,
             purpose: Purpose::Place,
-            is_last_group: true,
+            is_last_group: self.is_last_group,
             role: self.role,
             is_repeatable: self.is_repeatable,
         };
@@ -240,6 +242,17 @@
     assert!(decider.place(4_540).is_ok());
 }
 
+/// Where all engines of a service are in one group, no request ever comes that has tried others.
+#[test]
+fn a_request_that_other_groups_may_take_lets_others_go_first() {
+    let mut decider = Decider::new(1, EngineLimits { slots: 64, ..LIMITS });
+    while decider.place(0).is_ok() {}
+    decider.is_last_group = false;
+    decider.place(3_000).expect("none has come for long");
+    assert!(decider.place(3_600).is_err());
+    assert!(decider.place(3_920).is_ok());
+}
+
 /// An engine in cooldown may break the connection again.
 #[test]
 fn an_engine_in_cooldown_is_probed_only_by_repeatable_requests() {
