--- a/src/placement/admit.rs
+++ b/src/placement/admit.rs
@@ -222,10 +222,8 @@
     let may_try_by_hash =
         !query.is_last_group && query.purpose != Purpose::PlaceOrRedirect && share_used <= 1.0;
     let may_try_other_groups = may_try_by_hash || alternative.is_some();
-    let probe = |registry: &UpstreamRegistry| {
-        if may_try_other_groups { None } else { registry.probe(criteria, now) }
-    };
-    let cause = match chosen.or_else(|cause| probe(registry).ok_or(cause)) {
+    let probe = |cause| registry.probe(criteria, may_try_other_groups, now).ok_or(cause);
+    let cause = match chosen.or_else(probe) {
         Ok(choice) if alternative.is_some() => ChoiceError::Busy { wait: choice.wait },
         Ok(choice) => return Ok(record(registry, shares, query, choice, now)),
         Err(cause) => cause,
--- a/src/proxy/engine_placement.rs
+++ b/src/proxy/engine_placement.rs
@@ -35,6 +35,7 @@
 use crate::proxy::aligned_timer;
 use crate::proxy::headroom;
 use crate::proxy::hub::Hub;
+use crate::proxy::in_progress;
 use crate::proxy::message::Message;
 use crate::proxy::message::PlacementRequest;
 use crate::proxy::message::PlacementResponse;
@@ -100,11 +101,11 @@
     }
 }
 
-/// An owner's response: its decision, and the other box that has recorded it.
+/// An owner's response: its decision, and the other boxes that have recorded it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct OwnerResponse {
     pub result: PlacementResult,
-    pub recorded_by: Option<IpAddr>,
+    pub recorded_by: Vec<IpAddr>,
 }
 
 /// Placement requests of this box that await the response of an owner.
@@ -314,13 +315,14 @@
         let role = group_owners.role(ip);
         if ip == hub.peers().own_ip() {
             let query = PlacementQuery { role, ..query };
-            let (result, queued) = placement_queue::admit_here(hub, query, group_owners).await;
+            let (response, queued) = placement_queue::admit_here(hub, query, group_owners).await;
+            let OwnerResponse { result, recorded_by } = response;
             return Some(PlacementDecision {
                 result,
                 decided_by: ip,
                 role,
                 request: query.request,
-                recorded_by: group_owners.boxes().collect(),
+                recorded_by,
                 queued,
                 alternative: None,
             });
@@ -511,13 +513,12 @@
     };
     let Some(result) = placement_queue::admit_for_box(hub, query, from) else { return };
     let request = message.request;
-    let mut recorded_by = None;
-    if let Ok(choice) = &result
-        && let Some(group_owners) = group_owners
-    {
-        notify_other_owner(hub, &query, choice, group_owners);
-        recorded_by = group_owners.other(hub.peers().own_ip());
-    }
+    let recorded_by = match (&result, group_owners) {
+        (Ok(choice), Some(group_owners)) => {
+            notify_other_deciders(hub, &query, choice, group_owners)
+        }
+        _ => Vec::new(),
+    };
     let response = PlacementResponse { request, result, recorded_by };
     hub.peers().send_now(from, &Message::PlacementResponse(response));
 }
@@ -538,26 +539,30 @@
 pub fn handle_response(hub: &Hub, response: PlacementResponse, from: IpAddr) {
     let PlacementResponse { request, result, recorded_by } = response;
     let upstream = result.as_ref().ok().map(|choice| choice.upstream.clone());
-    let response = OwnerResponse { result, recorded_by };
-    if hub.owner_requests().deliver(request, response) {
+    let others = recorded_by.clone();
+    if hub.owner_requests().deliver(request, OwnerResponse { result, recorded_by }) {
         return;
     }
     let group_owners =
         upstream.and_then(|u| hub.peers().owners().owners_of_hash(upstream::name_hash(&u)));
     let standby = group_owners.into_iter().flat_map(GroupOwners::boxes).filter(|ip| *ip != from);
-    withdraw(hub, request, standby.chain([from]).chain(recorded_by));
+    withdraw(hub, request, standby.chain([from]).chain(others));
 }
 
-/// Sends a placement to the other one of a group's owner and standby. The workspace is left out:
-/// its usage is sent by [`report_share_usage`].
-pub fn notify_other_owner(
+/// Sends a placement to the other one of a group's owner and standby, and to boxes that also place
+/// requests there. Returns these boxes. The workspace is left out: its usage is sent by
+/// [`report_share_usage`].
+pub fn notify_other_deciders(
     hub: &Hub,
     query: &PlacementQuery<'_>,
     choice: &Choice,
     group_owners: GroupOwners,
-) {
+) -> Vec<IpAddr> {
+    let others =
+        in_progress::other_deciders(hub, upstream::name_hash(&choice.upstream), group_owners);
     let message = placed_message(&PlacementQuery { workspace: None, ..*query }, choice);
-    hub.peers().send_batched(group_owners.boxes(), &message);
+    hub.peers().send_batched(others.iter().copied(), &message);
+    others
 }
 
 fn placed_message(query: &PlacementQuery<'_>, choice: &Choice) -> Message {
--- a/src/proxy/placement_queue.rs
+++ b/src/proxy/placement_queue.rs
@@ -42,7 +42,7 @@
     /// Another box.
     Box(IpAddr),
     /// A task of this box.
-    Task(oneshot::Sender<PlacementResult>),
+    Task(oneshot::Sender<OwnerResponse>),
 }
 
 /// Why there is no decision of an owner.
@@ -60,8 +60,8 @@
     pub result: PlacementResult,
     /// How long the request was in the owner's queue.
     pub queued: Duration,
-    /// The box besides the owner that has recorded it.
-    pub recorded_by: Option<IpAddr>,
+    /// The boxes besides the owner that have recorded it.
+    pub recorded_by: Vec<IpAddr>,
 }
 
 /// Awaits the decision of another box, for which a request is registered in `requests`. If the
@@ -154,14 +154,17 @@
     hub: &Arc<Hub>,
     query: PlacementQuery<'_>,
     group_owners: GroupOwners,
-) -> (PlacementResult, Duration) {
+) -> (OwnerResponse, Duration) {
     let (tx, rx) = oneshot::channel();
     let within = match headroom::admit(hub, query, Recipient::Task(tx)) {
         Admission::Decided(result, _) => {
-            if let Ok(choice) = &result {
-                engine_placement::notify_other_owner(hub, &query, choice, group_owners);
-            }
-            return (result, Duration::ZERO);
+            let recorded_by = match &result {
+                Ok(choice) => {
+                    engine_placement::notify_other_deciders(hub, &query, choice, group_owners)
+                }
+                Err(_) => Vec::new(),
+            };
+            return (OwnerResponse { result, recorded_by }, Duration::ZERO);
         }
         Admission::Queued { within, displaced } => {
             hub.metrics().queued();
@@ -175,11 +178,14 @@
     let result = tokio::time::timeout(within + DISPATCH_INTERVAL_MAX * 4, rx).await;
     let queued = hub.now().saturating_sub(began);
     match result {
-        Ok(Ok(result)) => {
+        Ok(Ok(response)) => {
             guard.is_decided = true;
-            (result, queued)
+            (response, queued)
+        }
+        _ => {
+            let result = Err(Denial::overloaded());
+            (OwnerResponse { result, recorded_by: Vec::new() }, queued)
         }
-        _ => (Err(Denial::overloaded()), queued),
     }
 }
 
@@ -231,21 +237,24 @@
     let Answer { query, reply, result, outcome, queued } = answer;
     log_end(hub, query.request, query.workspace.as_ref(), outcome, queued);
     let group_owners = hub.peers().owners().owners_of(query.group);
-    if let (Ok(choice), Some(group_owners)) = (&result, group_owners) {
-        let query = query.as_query(Role::Unassigned);
-        engine_placement::notify_other_owner(hub, &query, choice, group_owners);
-    }
+    let recorded_by = match (&result, group_owners) {
+        (Ok(choice), Some(group_owners)) => {
+            let query = query.as_query(Role::Unassigned);
+            engine_placement::notify_other_deciders(hub, &query, choice, group_owners)
+        }
+        _ => Vec::new(),
+    };
     let request = query.request;
     match reply {
         Recipient::Box(ip) => {
-            let recorded_by = group_owners.and_then(|owners| owners.other(hub.peers().own_ip()));
             let response = PlacementResponse { request, result, recorded_by };
             hub.peers().send_now(ip, &Message::PlacementResponse(response));
         }
         Recipient::Task(tx) => {
-            if let Err(Ok(_)) = tx.send(result) {
+            let response = OwnerResponse { result, recorded_by };
+            if let Err(OwnerResponse { result: Ok(_), recorded_by }) = tx.send(response) {
                 let boxes = group_owners.into_iter().flat_map(GroupOwners::boxes);
-                engine_placement::withdraw(hub, request, boxes);
+                engine_placement::withdraw(hub, request, boxes.chain(recorded_by));
             }
         }
     }
--- a/tests/fleet_headroom.rs
+++ b/tests/fleet_headroom.rs
@@ -505,8 +505,11 @@
         let message = placement_request(query, group);
         // The standby receives about the same as the owner.
         self.count_bytes("requests", if result.is_ok() { 2 } else { 1 }, &message);
-        let response =
-            PlacementResponse { request: query.request, result: result.clone(), recorded_by: None };
+        let response = PlacementResponse {
+            request: query.request,
+            result: result.clone(),
+            recorded_by: Vec::new(),
+        };
         self.count_bytes("requests", 1, &Message::PlacementResponse(response));
         result
     }
--- a/tests/proxy_queue.rs
+++ b/tests/proxy_queue.rs
@@ -610,7 +610,7 @@
 
 fn denied() -> OwnerResponse {
     let result = Err(Denial { cause: ChoiceError::Full, ..Denial::overloaded() });
-    OwnerResponse { result, recorded_by: None }
+    OwnerResponse { result, recorded_by: Vec::new() }
 }
 
 /// The decision on a queued request comes later than any box would otherwise wait.
