--- a/tests/proxy_queue.rs
+++ b/tests/proxy_queue.rs
@@ -234,7 +234,7 @@
         for (workspace, tokens) in arrivals {
             request += 1;
             tokens_of.insert(request, tokens);
-            let is_measured = 3_000 <= t && t < 8_000;
+            let is_measured = (3_000..8_000).contains(&t);
             if is_measured && workspace == 0 {
                 measured.large_tries += 1;
             }
@@ -276,7 +276,7 @@
                 let deadline = deadlines.remove(&request).expect("only queued ones are answered");
                 measured.latest = measured.latest.max(now.saturating_sub(deadline));
                 let is_large = answer.query.workspace == Some(name(0));
-                let is_measured = 3_000 <= t && t < 8_000;
+                let is_measured = (3_000..8_000).contains(&t);
                 match answer.result {
                     Ok(choice) => {
                         placed.push((choice.upstream, request));
@@ -304,7 +304,7 @@
             );
             events.insert((notified + STREAM_MS, 2 * request + 1), Event::End(upstream, request));
         }
-        if 3_000 <= t && t < 8_000 && (!owner.waiting.is_empty() || !tuning.small_batch.queue) {
+        if (3_000..8_000).contains(&t) && (!owner.waiting.is_empty() || !tuning.small_batch.queue) {
             measured.engine_ms += u64::from(ENGINES);
             measured.prefill_ms +=
                 free_at.values().filter(|free| (t as f64) < **free).count() as u64;
