--- a/src/placement/waiting.rs
+++ b/src/placement/waiting.rs
@@ -107,8 +107,8 @@
     pub queued: Duration,
 }
 
-/// The queues of all groups of engines for which this box decides. `T` is whom the decision is sent
-/// to.
+/// The queues of all groups of engines for which this box decides. `T` is the recipient of a
+/// decision.
 #[derive(Debug)]
 pub struct WaitingRequests<T> {
     by_group: BTreeMap<EngineGroup, Vec<ServiceQueue<T>>>,
--- a/src/proxy/placement_queue.rs
+++ b/src/proxy/placement_queue.rs
@@ -31,10 +31,10 @@
 /// They are examined at most this often, however many requests begin and end.
 const DISPATCH_INTERVAL_MIN: Duration = Duration::from_millis(4);
 
-/// Longest time for which an owner's word is taken that it will decide.
+/// Longest time for which a box waits for a decision that was announced.
 const WITHIN_MAX: Duration = Duration::from_secs(10);
 
-/// Whom the decision on a waiting request is sent to.
+/// The recipient of the decision on a waiting request.
 #[derive(Debug)]
 pub enum Recipient {
     /// Another box.
@@ -177,7 +177,7 @@
     }
 }
 
-/// Withdraws a request of this box that nobody awaits any longer.
+/// Withdraws a request of this box that is no longer awaited.
 struct LocalGuard<'a> {
     hub: &'a Arc<Hub>,
     request: u64,
--- a/tests/proxy_queue.rs
+++ b/tests/proxy_queue.rs
@@ -235,7 +235,7 @@
         for (workspace, tokens) in arrivals {
             request += 1;
             tokens_of.insert(request, tokens);
-            let is_measured = 3_000 <= t && t < 8_000;
+            let is_measured = (3_000..8_000).contains(&t);
             if is_measured && workspace == 0 {
                 measured.large_tries += 1;
             }
@@ -283,7 +283,7 @@
                 let deadline = deadlines.remove(&request).expect("only queued ones are answered");
                 measured.latest = measured.latest.max(now.saturating_sub(deadline));
                 let is_large = answer.query.workspace == Some(name(0));
-                let is_measured = 3_000 <= t && t < 8_000;
+                let is_measured = (3_000..8_000).contains(&t);
                 match answer.result {
                     Ok(choice) => {
                         placed.push((choice.upstream, request));
@@ -314,7 +314,7 @@
             );
             events.insert((notified + STREAM_MS, 2 * request + 1), Event::End(upstream, request));
         }
-        if 3_000 <= t && t < 8_000 && (!owner.waiting.is_empty() || !tuning.small_batch.queue) {
+        if (3_000..8_000).contains(&t) && (!owner.waiting.is_empty() || !tuning.small_batch.queue) {
             measured.engine_ms += u64::from(ENGINES);
             measured.prefill_ms +=
                 free_at.values().filter(|free| (t as f64) < **free).count() as u64;
@@ -516,7 +516,7 @@
     assert!(off.waiting.is_empty() && many_slots.waiting.is_empty());
 }
 
-/// A request whose entry is forgotten would leave its caller without a word.
+/// A request whose entry is forgotten would leave its caller without an answer.
 #[test]
 fn every_request_is_answered_by_its_deadline() {
     let mut owner = Owner::with_queued(1, NOW);
@@ -660,7 +660,7 @@
 /// The message that a request is queued is lost: the owner counts as unresponsive, as it does
 /// without a queue, and its late decision finds no task.
 #[tokio::test(start_paused = true)]
-async fn a_lost_notice_of_queuing_is_silence() {
+async fn an_owner_whose_notice_of_queuing_is_lost_is_unresponsive() {
     let (requests, withdrawals) = (OwnerRequests::default(), Cell::new(0));
     let decision = await_decision(&requests, &withdrawals).await;
     assert_eq!(decision, Err(NoDecision::Unresponsive));
