Mends from the reviews of the joined parts

A decision or notice that arrives twice withdrew a running request; a decision that its task had not read left its record behind; probes of plain services went to upstreams that are full by confirmed records; a box whose clock had stepped back was not believed for 30 s; requests of a dead box kept their place in the queue; a queue of a former grouping was served by another group's role; some boxes reported every 1.6 s; a stalled owner dropped all records at once. A slow engine was passed over as long as nothing measured it; an engine with an acceptable wait was refused beside a faster busy one; holders of little gave way below the bound; connections are named for small batches only, and relied on for at most 4 s by requests that must not run twice.

Found by reading. Not measured one by one.

--- a/src/fleet/in_progress/received.rs
+++ b/src/fleet/in_progress/received.rs
@@ -14,7 +14,7 @@
 
 /// What is known of a sender's reports is dropped this long after the last one. Longer than any
 /// datagram is delayed.
-const RETENTION: Duration = Duration::from_secs(30);
+const RETENTION: Duration = Duration::from_secs(3);
 
 /// Why a report is ignored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/fleet/in_progress/table.rs
+++ b/src/fleet/in_progress/table.rs
@@ -110,6 +110,11 @@
         missing
     }
 
+    /// The upstream of a request in progress.
+    pub fn upstream(&self, id: u64) -> Option<&UpstreamName> {
+        Some(&self.requests.get(&id)?.request.upstream)
+    }
+
     /// The boxes that have a record of a request.
     pub fn trackers(&self, id: u64) -> &[IpAddr] {
         self.requests.get(&id).map_or(&[], |entry| &entry.trackers)
--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -157,7 +157,7 @@
     }
 
     /// How many times as long as its service's engines this one takes now.
-    fn speed_factor(&self, now: Duration) -> f64 {
+    pub fn speed_factor(&self, now: Duration) -> f64 {
         self.own_speed.map_or_else(|| self.slowdown.get(), |own| own.factor(now))
     }
 
--- a/src/placement/plain.rs
+++ b/src/placement/plain.rs
@@ -10,6 +10,7 @@
 
 use rustc_hash::FxHashMap;
 
+use crate::fleet::in_progress::CONFIRMED_FOR;
 use crate::fleet::in_progress::LEASE;
 use crate::fleet::in_progress::OWN_LEASE;
 use crate::fleet::in_progress::RequestRecord;
@@ -130,6 +131,13 @@
         before - self.requests.len()
     }
 
+    /// Requests that their senders have confirmed lately.
+    pub fn confirmed(&self, now: Duration) -> usize {
+        let confirmed =
+            self.requests.values().filter(|queued| now <= queued.renewed + CONFIRMED_FOR);
+        confirmed.count()
+    }
+
     /// Requests placed within the last batch intervals, of which other deciders may not know.
     pub fn recent(&self, now: Duration) -> usize {
         self.requests.values().filter(|queued| now < queued.placed + UNSEEN_FOR).count()
--- a/src/placement/queue.rs
+++ b/src/placement/queue.rs
@@ -140,7 +140,7 @@
 
     /// Records how long it takes until an engine is free.
     pub fn set_engine_wait(&mut self, wait: Duration, now: Duration) {
-        self.free_at = now + wait;
+        self.free_at = now.saturating_add(wait);
     }
 
     /// How long it takes until an engine is free.
@@ -261,6 +261,13 @@
         expired
     }
 
+    /// Removes all requests that match. Returns how many there were.
+    pub fn remove_matching(&mut self, matches: impl Fn(&T) -> bool) -> usize {
+        let all = self.by_workspace.values().flat_map(|queue| queue.requests.values());
+        let matching: Vec<u64> = all.filter(|q| matches(&q.item)).map(|q| q.request).collect();
+        matching.into_iter().filter_map(|request| self.remove(request)).count()
+    }
+
     /// Takes out all requests.
     pub fn remove_all(&mut self) -> Vec<QueuedRequest<T>> {
         let all: Vec<u64> = self.positions.keys().copied().collect();
--- a/src/placement/redirect.rs
+++ b/src/placement/redirect.rs
@@ -59,7 +59,9 @@
             Some(choice) if !is_worth_moving(registry, query, choice) => return None,
             Some(_) => {}
             // Workspaces beyond their share are denied while there is free capacity.
-            None if obstacle.share_used <= 1.0 => self.headroom.mark_short(avoided, now),
+            None if obstacle.share_used <= 1.0 && query.excluded.is_empty() => {
+                self.headroom.mark_short(avoided, now)
+            }
             None => {}
         }
         if !self.headroom.has_room(query.service, avoided) {
--- a/src/placement/registry.rs
+++ b/src/placement/registry.rs
@@ -23,6 +23,7 @@
 
 use rustc_hash::FxHashMap;
 
+use crate::fleet::in_progress::LEASE;
 use crate::fleet::owners::EngineGroup;
 use crate::fleet::rollout::VersionFilter;
 use crate::names::ServiceName;
@@ -46,6 +47,10 @@
 /// Limit on the engines remembered for a log line each.
 const SLOW_CHANGES_MAX: usize = 64;
 
+/// Records expire several times a second. A longer pause shows that this box was stalled, and
+/// could not receive the reports that renew them.
+const STALL_MIN: Duration = Duration::from_millis(1250);
+
 /// All upstreams known to this box.
 #[derive(Debug)]
 pub struct UpstreamRegistry {
@@ -72,6 +77,9 @@
     examined: Cell<u64>,
     /// Engines that have become slow, or normal again, since this was last read.
     slow_changes: BTreeSet<UpstreamName>,
+    /// When records of requests were last expired, and until when none are because of a stall.
+    expired_at: Option<Duration>,
+    keep_until: Duration,
     /// Zones whose upstreams get no requests.
     closed_zones: BTreeSet<ZoneName>,
     /// Versions being rolled out, by service.
@@ -94,6 +102,8 @@
             backoffs: BTreeMap::new(),
             examined: Cell::new(0),
             slow_changes: BTreeSet::new(),
+            expired_at: None,
+            keep_until: Duration::ZERO,
             closed_zones: BTreeSet::new(),
             rollout_targets: BTreeMap::new(),
         }
@@ -371,6 +381,14 @@
     pub fn expire(&mut self, now: Duration) {
         self.expire_backoffs(now);
         self.expire_early(now);
+        // After a stall of this box, senders get time to renew their records.
+        let last = self.expired_at.replace(now).unwrap_or(now);
+        if STALL_MIN < now.saturating_sub(last) {
+            self.keep_until = now + LEASE;
+        }
+        if now < self.keep_until {
+            return;
+        }
         let upstreams = &mut self.upstreams;
         self.busy.retain(|name| {
             let Some(upstream) = upstreams.get_mut(name) else { return false };
--- a/src/placement/registry/headroom.rs
+++ b/src/placement/registry/headroom.rs
@@ -72,7 +72,9 @@
             return Some((if wait.is_zero() { 1.0 } else { 0.0 }, wait));
         };
         let memory = engine.limits().memory_tokens.saturating_sub(engine.running_tokens());
-        let in_interval = typical.count_in_interval(wait, self.tuning.prefill_share);
+        let prefill_share = self.tuning.prefill_share_of(engine.limits().slots);
+        let prefill_share = prefill_share / engine.speed_factor(now);
+        let in_interval = typical.count_in_interval(wait, prefill_share);
         Some((in_interval.min(typical.count_in_memory(memory)).min(slots as f64), wait))
     }
 }
--- a/src/placement/registry/probe.rs
+++ b/src/placement/registry/probe.rs
@@ -50,8 +50,10 @@
         let prober = prober(query.role, query.is_repeatable)?;
         let any = SelectionCriteria::any(query.service, None, query.excluded, Duration::MAX);
         let criteria = SelectionCriteria { version_filter: query.version_filter, ..any };
-        // Requests of plain services are short: one that returns no response for so long isn't busy.
-        let due = self.due_for_probe(criteria, prober, now);
+        // One that is full of requests which their senders confirm needs no probe.
+        let due = self
+            .due_for_probe(criteria, prober, now)
+            .filter(|u| u.plain.confirmed(now) < self.admission_limit(&u.listed.name) as usize);
         let upstream = due.min_by_key(|u| u.last_active())?;
         Some(Choice { is_probe: true, ..upstream.choice_plain() })
     }
--- a/src/placement/registry/selection.rs
+++ b/src/placement/registry/selection.rs
@@ -35,6 +35,9 @@
 /// one.
 const LOW_SATURATION: f64 = 0.25;
 
+/// An engine that has returned no token for this long is not passed over for being slow.
+const MEASURED_FOR: Duration = Duration::from_millis(1000);
+
 /// An upstream that may be chosen.
 struct Candidate<'a> {
     upstream: &'a Upstream,
@@ -80,13 +83,14 @@
         let wait_max = when_idle * (1.0 - saturation) + when_busy * saturation;
         let is_within_wait_max = |c: &&Candidate<'_>| c.wait().as_secs_f64() <= wait_max;
         let any_engine = criteria.any_engine || saturation < LOW_SATURATION;
+        let cheapest = candidates.iter().min_by(|a, b| a.cost.total_cmp(&b.cost));
+        let may_choose = any_engine || cheapest.as_ref().is_some_and(is_within_wait_max);
         let best = candidates
             .iter()
-            .filter(|c| !any_engine || is_within_wait_max(c))
-            .min_by(|a, b| a.cmp(b))
-            .filter(is_within_wait_max);
+            .filter(|c| may_choose && is_within_wait_max(c))
+            .min_by(|a, b| a.cmp(b));
         if let Some(best) = best {
-            let best = self.prefer_connected(&candidates, best, criteria);
+            let best = self.prefer_connected(&candidates, best, wait_max, criteria);
             return Ok(best.upstream.choice(best.plan));
         }
         let shortest = candidates.iter().map(Candidate::wait).min();
@@ -129,7 +133,9 @@
             let home_bonus = rank.map_or(Duration::ZERO, |n| HOME_BONUSES[n].min(bonus_max));
             let plan = u.plan(prompt, *cached, source, home_bonus, cx);
             let cost = u.cost(plan.as_ref(), cx);
-            let target = criteria.first_token_target.filter(|_| u.has_own_speed());
+            // A speed that was not measured lately may be wrong, and only requests can show that.
+            let is_measured = now < u.last_active() + MEASURED_FOR;
+            let target = criteria.first_token_target.filter(|_| u.has_own_speed() && is_measured);
             let late_by = target.zip(plan.as_ref()).map_or(0.0, |(target, plan)| {
                 plan.first_token().saturating_sub(target).as_secs_f64()
             });
@@ -144,6 +150,7 @@
         &self,
         candidates: &'a [Candidate<'b>],
         best: &'a Candidate<'b>,
+        wait_max: f64,
         criteria: SelectionCriteria<'_>,
     ) -> &'a Candidate<'b> {
         let small_batch = self.tuning.small_batch;
@@ -158,6 +165,7 @@
         let serves_as_well =
             |c: &&Candidate<'_>| c.plan.as_ref().is_some_and(|plan| plan.serves_as_well(best_plan));
         let equal = candidates.iter().filter(|c| is_connected(c)).filter(serves_as_well);
+        let equal = equal.filter(|c| c.wait().as_secs_f64() <= wait_max);
         equal.min_by(|a, b| a.cost.total_cmp(&b.cost)).unwrap_or(best)
     }
 
--- a/src/proxy/connection_reuse.rs
+++ b/src/proxy/connection_reuse.rs
@@ -52,7 +52,7 @@
 
     fn once_only_max(self, announced: Option<Duration>) -> Duration {
         if self.is_once_only {
-            ONCE_ONLY_IDLE_MAX.max(self.trusted(announced))
+            ONCE_ONLY_IDLE_MAX.max(self.trusted(announced).min(KEEP_ALIVE_DEFAULT))
         } else {
             Duration::MAX
         }
--- a/src/proxy/engine_placement.rs
+++ b/src/proxy/engine_placement.rs
@@ -258,7 +258,7 @@
 /// Places a request by this box's own state, and broadcasts the result. Used in small fleets.
 fn place_and_broadcast(hub: &Hub, query: PlacementQuery<'_>) -> PlacementDecision {
     let role = Role::Peer { boxes: hub.peers().known_count(), draw: hub.peers().own_draw("") };
-    let connected = hub.connected(None, !query.is_repeatable);
+    let connected = hub.connected(query.service, None, !query.is_repeatable);
     let query = PlacementQuery { connected: &connected, ..query };
     let result =
         hub.admit(PlacementQuery { is_last_group: true, purpose: Purpose::Place, role, ..query });
@@ -305,7 +305,7 @@
     group: EngineGroup,
     group_owners: GroupOwners,
 ) -> Option<PlacementDecision> {
-    let connected = hub.connected(Some(group), !query.is_repeatable);
+    let connected = hub.connected(query.service, Some(group), !query.is_repeatable);
     let query = PlacementQuery { connected: &connected, ..query };
     let began = hub.now();
     for ip in group_owners.boxes() {
@@ -543,6 +543,11 @@
     if hub.owner_requests().deliver(request, OwnerResponse { result, recorded_by }) {
         return;
     }
+    // The same decision has arrived twice.
+    let is_running = hub.own_requests(|own| own.upstream(request) == upstream.as_ref());
+    if upstream.is_some() && is_running {
+        return;
+    }
     let group_owners =
         upstream.and_then(|u| hub.peers().owners().owners_of_hash(upstream::name_hash(&u)));
     let standby = group_owners.into_iter().flat_map(GroupOwners::boxes).filter(|ip| *ip != from);
--- a/src/proxy/held_bytes.rs
+++ b/src/proxy/held_bytes.rs
@@ -164,7 +164,11 @@
     /// progress for the longest time, if that is longer than holders may stall now.
     pub fn take_slowest(&mut self, now: Duration) -> Option<GaveWay> {
         let stall_max = self.stall_max()?;
-        let can = self.holders.iter().filter(|(_, h)| h.kind.may_give_way() && h.bytes != 0);
+        // Below the bound, a holder of little frees too little to be worth its request.
+        let (is_over, count) = (self.bound < self.total, self.holders.len());
+        let frees_much = |h: &Holder| is_over || self.total <= 2 * count * h.bytes;
+        let can = self.holders.iter();
+        let can = can.filter(|(_, h)| h.kind.may_give_way() && h.bytes != 0 && frees_much(h));
         // Among those that are equally slow, the one that holds the most.
         let (id, holder) = can.min_by_key(|(_, h)| (h.progressed_at, usize::MAX - h.bytes))?;
         let stalled = now.saturating_sub(holder.progressed_at);
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -1,6 +1,7 @@
 //! State shared by all requests of a proxy process. Changes of the [`View`] are logged here and
 //! sent to other boxes.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -421,6 +422,12 @@
         self.inner.lock().expect("no panic under lock").waiting.len()
     }
 
+    /// Time until an engine is expected to be free for a waiting request; `None` if none waits.
+    pub fn engine_free_in(&self) -> Option<Duration> {
+        let now = self.now();
+        self.inner.lock().expect("no panic under lock").waiting.free_in(now)
+    }
+
     /// Waits until requests may leave the queue, or one has been queued.
     pub async fn queue_changed(&self) {
         self.queue_changed.notified().await;
@@ -433,6 +440,13 @@
         }
     }
 
+    /// Removes the requests of a dead box, which run nowhere and await no decision.
+    pub fn remove_sender(&self, sender: IpAddr) {
+        let mut inner = self.inner.lock().expect("no panic under lock");
+        inner.view.registry_mut().remove_sender(sender);
+        inner.waiting.remove_sender(sender);
+    }
+
     /// Places a request for a plain service by the counts of this box.
     pub fn admit_plain(&self, query: plain::PlainQuery<'_>) -> Result<Choice, Denial> {
         let now = self.now();
@@ -518,8 +532,18 @@
     }
 
     /// Short hashes of engines of a group to which this box has an idle connection for a request.
-    pub fn connected(&self, group: Option<EngineGroup>, is_once_only: bool) -> Vec<u16> {
-        if !self.read(|view| view.registry().tuning().small_batch.prefer_connected) {
+    pub fn connected(
+        &self,
+        service: &str,
+        group: Option<EngineGroup>,
+        is_once_only: bool,
+    ) -> Vec<u16> {
+        let prefers_connected = self.read(|view| {
+            let small_batch = view.registry().tuning().small_batch;
+            let engine = view.table().and_then(|t| t.service(service)).and_then(|s| s.engine);
+            engine.is_some_and(|limits| small_batch.prefers_connected(limits.slots))
+        });
+        if !prefers_connected {
             return Vec::new();
         }
         let reuse_rule = ReuseRule { is_once_only, trusts_announced: true };
--- a/src/proxy/in_progress.rs
+++ b/src/proxy/in_progress.rs
@@ -77,7 +77,8 @@
 pub async fn run(hub: Arc<Hub>) {
     // Boxes that were started together don't report at the same time.
     let interval_ms = REPORT_INTERVAL.as_millis() as u32;
-    let offset = Duration::from_millis((hub.peers().own_draw("in-progress") % interval_ms).into());
+    let offset =
+        Duration::from_millis((hub.peers().own_draw("in-progress") % (interval_ms / 2)).into());
     loop {
         aligned_timer::wait_for_tick(REPORT_INTERVAL).await;
         tokio::time::sleep(offset).await;
--- a/src/proxy/placement_queue.rs
+++ b/src/proxy/placement_queue.rs
@@ -27,16 +27,16 @@
 use crate::proxy::message::Message;
 use crate::proxy::message::PlacementResponse;
 
-/// Waiting requests are examined at least this often, since engines become free as time passes.
+/// Waiting requests are examined when an engine is expected to be free, and at least this often.
 const DISPATCH_INTERVAL_MAX: Duration = Duration::from_millis(15);
 
 /// They are examined at most this often, however many requests begin and end.
 const DISPATCH_INTERVAL_MIN: Duration = Duration::from_millis(4);
 
-/// Longest time for which an owner's word is taken that it will decide.
+/// Longest time for which a box waits for a decision that was announced.
 const WITHIN_MAX: Duration = Duration::from_secs(10);
 
-/// Whom the decision on a waiting request is sent to.
+/// The recipient of the decision on a waiting request.
 #[derive(Debug)]
 pub enum Recipient {
     /// Another box.
@@ -74,12 +74,13 @@
     stall_threshold: Duration,
     withdraw: impl FnMut(),
 ) -> Result<OwnerDecision, NoDecision> {
-    let _pending = PendingGuard { requests, request, withdraw };
+    let mut pending = PendingGuard { requests, request, withdraw, is_read: false };
     let mut deadline = Instant::now() + timeout;
     let mut stalled = false;
     loop {
         if let Ok(result) = tokio::time::timeout_at(deadline, &mut response).await {
             let queued = requests.queued(request).map_or(Duration::ZERO, |(at, _)| at.elapsed());
+            pending.is_read = result.is_ok();
             return match result {
                 Ok(OwnerResponse { result, recorded_by }) => {
                     Ok(OwnerDecision { result, queued, recorded_by })
@@ -109,13 +110,15 @@
     requests: &'a OwnerRequests,
     request: u64,
     withdraw: F,
+    /// Whether the task has read the decision.
+    is_read: bool,
 }
 
 impl<F: FnMut()> Drop for PendingGuard<'_, F> {
     fn drop(&mut self) {
         let is_queued = self.requests.queued(self.request).is_some();
         let is_undecided = self.requests.forget(self.request);
-        if is_queued && is_undecided {
+        if !self.is_read && (is_queued || !is_undecided) {
             (self.withdraw)();
         }
     }
@@ -124,7 +127,9 @@
 /// Records that an owner has queued a request of this box.
 pub fn handle_queued(hub: &Hub, request: u64, within_ms: u32, from: IpAddr) {
     let within = Duration::from_millis(within_ms.into()).min(WITHIN_MAX);
-    if !hub.owner_requests().set_queued(request, within) {
+    // It may arrive after the decision, if datagrams overtake each other.
+    let is_running = hub.own_requests(|own| own.upstream(request).is_some());
+    if !hub.owner_requests().set_queued(request, within) && !is_running {
         // The task that asked has given up.
         hub.peers().send_now(from, &Message::Withdrawn { request });
     }
@@ -189,7 +194,7 @@
     }
 }
 
-/// Withdraws a request of this box that nobody awaits any longer.
+/// Withdraws a request of this box that is no longer awaited.
 struct LocalGuard<'a> {
     hub: &'a Arc<Hub>,
     request: u64,
@@ -211,8 +216,10 @@
         hub.queue_changed().await;
         while hub.waiting_count() != 0 {
             dispatch(&hub);
+            let free_in = hub.engine_free_in().unwrap_or_default();
             tokio::time::sleep(DISPATCH_INTERVAL_MIN).await;
-            let rest = DISPATCH_INTERVAL_MAX - DISPATCH_INTERVAL_MIN;
+            let interval = free_in.clamp(DISPATCH_INTERVAL_MIN, DISPATCH_INTERVAL_MAX);
+            let rest = interval - DISPATCH_INTERVAL_MIN;
             let _ = tokio::time::timeout(rest, hub.queue_changed()).await;
         }
     }
@@ -223,7 +230,7 @@
     let owners = hub.peers().owners();
     let own_ip = hub.peers().own_ip();
     let role = |group: EngineGroup| {
-        let group_owners = owners.owners_of(group)?;
+        let group_owners = owners.owners_of(group).filter(|_| owners.has_group(group))?;
         let role = group_owners.role(own_ip);
         (role != Role::Unassigned).then_some(role)
     };
--- a/src/proxy/upstream_connections.rs
+++ b/src/proxy/upstream_connections.rs
@@ -432,8 +432,8 @@
         idle.into_iter().for_each(|idle| idle.close(CloseCause::Expired));
     }
 
-    /// Sends a request, on an idle connection if the reuse rule permits it. `withheld` is called right before the send, since
-    /// connecting takes time.
+    /// Sends a request, on an idle connection if the reuse rule permits it. `withheld` is called
+    /// right before the send, since connecting takes time.
     pub async fn send(
         self: &Arc<UpstreamConnections>,
         target: Target,
