Tests of the mends that were found by reading

Cause: the mends of the joined parts had no tests. Each now has one that fails without it: probes of plain upstreams that are full by confirmed records, a sender with a smaller incarnation, a stalled tracker, the queued requests of a dead box, requests asked of a box without a role, an acceptable wait beside a faster busy engine, a slow engine that was not measured lately, and holders of little below the bound. No mend was wrong; src is unchanged.

Ruled out: tests that pass anyway.

The set-up of an_engine_that_would_be_late_is_chosen_only_if_no_other_is_sooner is now shared by three tests; what it checks is the same.

--- a/tests/fleet_half_open.rs
+++ b/tests/fleet_half_open.rs
@@ -3,6 +3,9 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
+use frostdyke::fleet::in_progress::CONFIRMED_FOR;
+use frostdyke::fleet::in_progress::RequestRecord;
+use frostdyke::fleet::in_progress::received::ListedRequests;
 use frostdyke::fleet::rollout::VersionFilter;
 use frostdyke::names::ServiceName;
 use frostdyke::names::UpstreamName;
@@ -337,3 +340,42 @@
         }
     }
 }
+
+/// A probe was sent to a plain upstream that was full of requests which their senders confirm.
+#[test]
+fn a_full_plain_upstream_is_probed_only_when_senders_no_longer_confirm_its_requests() {
+    let mut decider = Decider::plain(1);
+    // Ids whose halves differ.
+    let ids = || (1..=12u64).map(|n| n << 32);
+    let adopt = |decider: &mut Decider, ms| {
+        for request in ids() {
+            let record = RequestRecord {
+                request,
+                upstream: name(0),
+                age_ms: 0,
+                tokens: 0,
+                cached_tokens: 0,
+                prefill_tokens: 0,
+                has_first_token: false,
+            };
+            let adopted = decider.registry.adopt_request(&record, Some(SENDER), millis(ms));
+            assert_eq!(adopted, Ok(()));
+        }
+    };
+    let confirmed_ms = CONFIRMED_FOR.as_millis() as u64;
+    let probe_after = |decider: &mut Decider, ms: u64| {
+        for ms in (ms..=ms + confirmed_ms).step_by(50) {
+            assert!(decider.place_plain(ms).is_err(), "probed after {ms} ms");
+        }
+        let probe = decider.place_plain(ms + confirmed_ms + 1).expect("nothing confirms them");
+        assert!(probe.is_probe);
+    };
+    adopt(&mut decider, 0);
+    let ids = ids().map(|id| id.into()).collect();
+    let listed = ListedRequests { ids, ..ListedRequests::default() };
+    let reconciliation = decider.registry.reconcile(Some(SENDER), &listed, millis(2_000));
+    assert!(reconciliation.unknown.is_empty());
+    probe_after(&mut decider, 2_000);
+    adopt(&mut decider, 4_000);
+    probe_after(&mut decider, 4_000);
+}
--- a/tests/fleet_in_progress.rs
+++ b/tests/fleet_in_progress.rs
@@ -1214,3 +1214,50 @@
         assert!(registry.choose(any, millis(1_200)).is_ok());
     }
 }
+
+/// A box whose clock had been set back before it restarted was not believed for half a minute.
+#[test]
+fn a_sender_with_a_smaller_incarnation_is_believed_after_three_seconds() {
+    let mut pair = Pair::new();
+    pair.begin(id(1), 0);
+    let old = pair.reports(1_000);
+    assert_eq!(pair.deliver(&old[0], 1_010), Ok(Vec::new()));
+    pair.sender = RequestTable::new(ip(SENDER), 9);
+    pair.begin(id(2), 1_500);
+    for ms in (2_000..4_010).step_by(800) {
+        pair.received.expire(millis(ms));
+        let new = pair.reports(ms);
+        assert_eq!(pair.deliver(&new[0], ms), Err(ReportFault::OlderIncarnation), "{ms} ms");
+    }
+    assert_eq!(pair.running(), 2);
+    let new = pair.reports(4_010);
+    pair.received.expire(millis(4_010));
+    assert_eq!(pair.deliver(&new[0], 4_010), Ok(Vec::new()));
+    assert_eq!(pair.running(), 1, "requests of the earlier process have ended");
+}
+
+/// A tracker that had stalled dropped all records at once, before their senders could renew them.
+#[test]
+fn a_stalled_tracker_waits_for_renewals_before_it_drops_records() {
+    let mut pair = Pair::new();
+    pair.begin(id(1), 0);
+    // Its sender doesn't renew it.
+    place(&mut pair.tracker, &engine(0), id(2), Some(ip(2)), millis(0));
+    pair.tracker.expire(millis(100));
+    let resumed = 3_100;
+    let dropped = resumed + LEASE.as_millis() as u64;
+    for ms in (resumed..dropped).step_by(100) {
+        pair.tracker.expire(millis(ms));
+        assert_eq!(pair.running(), 2, "after {ms} ms");
+        // The first report arrives most of a second after the stall.
+        if ms % 800 == 0 {
+            let reports = pair.reports(ms);
+            assert_eq!(pair.deliver(&reports[0], ms), Ok(Vec::new()));
+        }
+    }
+    pair.tracker.expire(millis(dropped - 1));
+    assert_eq!(pair.running(), 2);
+    pair.tracker.expire(millis(dropped));
+    assert_eq!(pair.running(), 1);
+    assert_eq!(pair.tracker.records(&engine(0), millis(dropped))[0].1.request, id(1));
+}
--- a/tests/proxy_engine_speed.rs
+++ b/tests/proxy_engine_speed.rs
@@ -530,33 +530,53 @@
     assert_eq!(registry.engine_speeds(None).count(), 0);
 }
 
-/// A long prompt would be sent to a slow engine that has part of it cached, and miss its target
-/// there while others would have met it.
-#[test]
-fn an_engine_that_would_be_late_is_chosen_only_if_no_other_is_sooner() {
-    let mut registry = registry(true);
-    (2..ENGINES).for_each(|n| registry.remove(&name(n)));
-    let level = LevelReport { level: 2.2f64.ln(), variance: 0.001 };
-    let (started_at_ms, version) = (Some(1_000), VersionName::from("v1"));
-    let report = OwnSpeedReport { upstream: name(0), started_at_ms, version, level };
-    assert_eq!(registry.adopt_own_speeds(&[report], START).adopted, 1);
-    let shared = PromptPart { id: 7, tokens: 9_000 };
-    let prompt = |own: u32, id: u64| Prompt {
-        tokens: shared.tokens + own,
+/// What the prompts of [`two_engines`] share.
+const SHARED: PromptPart = PromptPart { id: 7, tokens: 9_000 };
+
+fn prompt(own: u32, id: u64) -> Prompt {
+    Prompt {
+        tokens: SHARED.tokens + own,
         output_tokens_max: 100,
-        parts: vec![shared, PromptPart { id, tokens: own }],
-    };
-    let warm = prompt(10, 1);
+        parts: vec![SHARED, PromptPart { id, tokens: own }],
+    }
+}
+
+fn place(
+    registry: &mut UpstreamRegistry,
+    engine: usize,
+    request: u64,
+    prompt: &Prompt,
+    prefill_tokens: u32,
+) {
     let placement = Placement {
-        request: 1,
-        prompt: &warm,
-        prefill_tokens: 0,
+        request,
+        prompt,
+        prefill_tokens,
         copied_tokens: 0,
         sender: None,
         decided_by: None,
     };
-    registry.place(&name(0), placement, START);
+    registry.place(&name(engine), placement, START);
+}
+
+/// A slow engine, which has the shared part cached, and another one.
+fn two_engines() -> UpstreamRegistry {
+    let mut registry = registry(true);
+    (2..ENGINES).for_each(|n| registry.remove(&name(n)));
+    let level = LevelReport { level: 2.2f64.ln(), variance: 0.001 };
+    let (started_at_ms, version) = (Some(1_000), VersionName::from("v1"));
+    let report = OwnSpeedReport { upstream: name(0), started_at_ms, version, level };
+    assert_eq!(registry.adopt_own_speeds(&[report], START).adopted, 1);
+    place(&mut registry, 0, 1, &prompt(10, 1), 0);
     registry.remove_request(&name(0), 1);
+    registry
+}
+
+/// A long prompt would be sent to a slow engine that has part of it cached, and miss its target
+/// there while others would have met it.
+#[test]
+fn an_engine_that_would_be_late_is_chosen_only_if_no_other_is_sooner() {
+    let registry = two_engines();
     let choose = |own, target: Option<f64>, excluded: &[UpstreamName]| {
         let prompt = prompt(own, 100 + u64::from(own));
         let any = SelectionCriteria::any("llm", Some(&prompt), excluded, Duration::MAX);
@@ -573,6 +593,53 @@
     assert_eq!(choose(30_000, Some(0.3), &[]), name(1));
 }
 
+/// A workspace near its share was refused because a faster engine, which would have been in time, was
+/// busy for too long, though the wait at the cheapest one was acceptable.
+#[test]
+fn an_engine_with_an_acceptable_wait_is_not_refused_beside_a_faster_busy_one() {
+    let mut registry = two_engines();
+    // It has nothing of the shared part.
+    let parts = vec![PromptPart { id: 8, tokens: 2_500 }];
+    let other = Prompt { tokens: 2_500, output_tokens_max: 100, parts };
+    place(&mut registry, 1, 2, &other, 2_500);
+    let prompt = prompt(6_000, 100);
+    let choose = |any: SelectionCriteria<'_>| {
+        let criteria = SelectionCriteria { first_token_target: Some(seconds(0.3)), ..any };
+        registry.choose(criteria, START).expect("there is an engine")
+    };
+    let any = SelectionCriteria::any("llm", Some(&prompt), &[], Duration::MAX);
+    let fast = choose(any);
+    assert_eq!(fast.upstream, name(1), "it is preferred where its wait is acceptable");
+    let wait_max = Duration::from_millis(20);
+    assert!(fast.first_token <= seconds(0.3) && wait_max < fast.wait, "{fast:?}");
+    let near_share =
+        SelectionCriteria { any_engine: false, wait_max, wait_max_idle: wait_max, ..any };
+    let chosen = choose(near_share);
+    assert_eq!(chosen.upstream, name(0));
+    assert!(chosen.wait <= wait_max && seconds(0.3) < chosen.first_token, "{chosen:?}");
+}
+
+/// A slow engine was passed over for as long as nothing measured it, though it had recovered.
+#[test]
+fn a_slow_engine_that_was_not_measured_lately_may_be_chosen() {
+    let mut registry = two_engines();
+    let prompt = prompt(6_000, 100);
+    let any = SelectionCriteria::any("llm", Some(&prompt), &[], Duration::MAX);
+    let criteria = SelectionCriteria { first_token_target: Some(seconds(0.3)), ..any };
+    let choose = |registry: &UpstreamRegistry, after_ms| {
+        let now = START + Duration::from_millis(after_ms);
+        registry.choose(criteria, now).expect("there is an engine").upstream
+    };
+    assert_eq!([0, 999, 1_001].map(|ms| choose(&registry, ms)), [name(1), name(1), name(0)]);
+    // It returns a token, of a prompt that adds little to what it has cached.
+    let short = self::prompt(10, 3);
+    place(&mut registry, 0, 3, &short, 0);
+    let at = START + Duration::from_millis(1_100);
+    registry.record_first_token(&name(0), 3, None, at);
+    registry.remove_request(&name(0), 3);
+    assert_eq!([1_100, 2_099, 2_101].map(|ms| choose(&registry, ms)), [name(1), name(1), name(0)]);
+}
+
 /// Engines of two speeds: with a factor that forgets an engine's speed with each pause, requests are
 /// refused or late at slow engines while fast ones have time left.
 #[test]
--- a/tests/proxy_held_bytes.rs
+++ b/tests/proxy_held_bytes.rs
@@ -379,3 +379,25 @@
     let e = sent.await.expect("it ends in time").expect_err("there is no answer");
     assert!(!e.is_unsent(), "{e}");
 }
+
+/// Below the bound, holders of little gave way beside a large one, though they freed next to
+/// nothing.
+#[test]
+fn holders_of_little_do_not_give_way_below_the_bound() {
+    const BOUND: usize = 1_000_000;
+    const SMALL: usize = 1_000;
+    let mut held = HeldBytes::new(BOUND);
+    for _ in 0..100 {
+        hold(&mut held, HoldKind::Unread, SMALL, millis(0));
+    }
+    let large = hold(&mut held, HoldKind::Unread, BOUND * 3 / 4 - 100 * SMALL, millis(0));
+    for ms in (50..=600).step_by(50) {
+        // It moves, and little changes.
+        held.set(large, HoldKind::Unread, 650_000 + ms as usize, millis(ms));
+        assert_eq!(held.take_slowest(millis(ms)), None, "after {ms} ms");
+    }
+    assert_eq!(held.take_slowest(millis(849)), None);
+    let first = held.take_slowest(millis(850)).expect("it has stalled");
+    assert_eq!((first.id, first.stalled), (large, millis(250)));
+    assert_eq!((held.total(), held.take_slowest(millis(850))), (100 * SMALL, None));
+}
--- a/tests/proxy_queue.rs
+++ b/tests/proxy_queue.rs
@@ -4,6 +4,8 @@
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use frostdyke::fleet::owners::EngineGroup;
@@ -109,6 +111,18 @@
     }
 
     fn request(&mut self, request: u64, of: u64, tokens: u32, now: Duration) -> Admission<u64> {
+        self.request_from(None, Role::Owner, request, of, tokens, now)
+    }
+
+    fn request_from(
+        &mut self,
+        sender: Option<IpAddr>,
+        role: Role,
+        request: u64,
+        of: u64,
+        tokens: u32,
+        now: Duration,
+    ) -> Admission<u64> {
         let prompt = prompt(request, tokens);
         let query = PlacementQuery {
             request,
@@ -124,11 +138,11 @@
             waited: Duration::ZERO,
             group: Some(EngineGroup::default()),
             zone: None,
-            sender: None,
+            sender,
             source: None,
             purpose: Purpose::Place,
             is_last_group: true,
-            role: Role::Owner,
+            role,
         };
         self.waiting.admit(&mut self.registry, &mut self.shares, query, request, now, |_, _| None)
     }
@@ -712,3 +726,34 @@
     assert_eq!(withdrawals.get(), 1);
     assert!(!requests.deliver(1, denied()), "a late decision is withdrawn");
 }
+
+/// The requests of a dead box kept their place in the queue, and slots went to them.
+#[test]
+fn the_requests_of_a_dead_box_leave_the_queue_and_others_keep_their_place() {
+    let [dead, other] = [8, 9].map(|n| IpAddr::V4(Ipv4Addr::new(10, 0, 0, n)));
+    let mut owner = Owner::with_queued(1, NOW);
+    for (request, sender) in [(2, dead), (3, other), (4, dead), (5, other)] {
+        let sender = Some(sender);
+        let admission = owner.request_from(sender, Role::Owner, request, 1, 1_000, NOW);
+        assert!(matches!(admission, Admission::Queued { .. }), "{admission:?}");
+    }
+    assert_eq!(owner.waiting.remove_sender(dead), 2);
+    assert_eq!((owner.waiting.len(), owner.waiting.remove_sender(dead)), (3, 0));
+    for (n, expected) in [1, 3, 5].into_iter().enumerate() {
+        let now = NOW + ms(1 + n as u64);
+        owner.free_slot(n as u64);
+        let answers = owner.dispatch(now);
+        assert_eq!(answers.iter().map(|a| a.reply).collect::<Vec<_>>(), [expected]);
+        assert!(answers[0].result.is_ok());
+    }
+    assert!(owner.waiting.is_empty());
+}
+
+/// A box that is asked by mistake queued a request that it never dispatches.
+#[test]
+fn a_box_without_a_role_queues_nothing() {
+    let mut owner = Owner::with_queued(1, NOW);
+    let admission = owner.request_from(None, Role::Unassigned, 2, 1, 1_000, NOW);
+    assert!(matches!(admission, Admission::Decided(Err(_), 2)), "{admission:?}");
+    assert_eq!(owner.waiting.len(), 1);
+}
