--- a/src/fleet/owners.rs
+++ b/src/fleet/owners.rs
@@ -64,6 +64,12 @@
         first..=(first | (u64::MAX >> self.bits))
     }
 
+    /// Whether the box at `a` would own the group rather than the one at `b`, if both are known.
+    pub fn outranks(self, a: IpAddr, b: IpAddr) -> bool {
+        let rank = |ip: IpAddr| (self.rank(xxh3_64(ip.to_string().as_bytes())), ip);
+        rank(b) < rank(a)
+    }
+
     /// Returns the rendezvous rank of a box for the group, by the hash of its address.
     fn rank(self, hash: u64) -> u64 {
         mix_bits(hash ^ mix_bits((u64::from(self.bits) << (u64::BITS / 2)) ^ self.prefix))
@@ -112,6 +118,11 @@
         if self.standby == Some(ip) { Role::Standby } else { Role::Unassigned }
     }
 
+    /// Returns the standby for the owner, and the owner for any other box.
+    pub fn other(self, ip: IpAddr) -> Option<IpAddr> {
+        if self.owner == ip { self.standby } else { Some(self.owner) }
+    }
+
     /// Returns the owner, then the standby.
     pub fn boxes(self) -> impl Iterator<Item = IpAddr> {
         std::iter::once(self.owner).chain(self.standby)
@@ -155,6 +166,11 @@
         self.groups.get(usize::try_from(group.prefix).ok()?).copied()
     }
 
+    /// Whether a group is one of this table, and not of one for another number of engines.
+    pub fn has_group(&self, group: EngineGroup) -> bool {
+        group.bits == self.bits && self.owners_of(group).is_some()
+    }
+
     /// Returns the groups that the box at `ip` owns or is the standby of, with their owners.
     pub fn groups_of(&self, ip: IpAddr) -> impl Iterator<Item = (EngineGroup, GroupOwners)> {
         let bits = self.bits;
@@ -169,6 +185,11 @@
         self.owners_of(self.group(hash))
     }
 
+    /// Returns all boxes that own a group.
+    pub fn owner_boxes(&self) -> BTreeSet<IpAddr> {
+        self.groups.iter().map(|owners| owners.owner).collect()
+    }
+
     /// Returns all boxes that own a group or are the standby of one.
     pub fn all_boxes(&self) -> BTreeSet<IpAddr> {
         self.groups.iter().flat_map(|owners| owners.boxes()).collect()
--- a/src/placement/admit.rs
+++ b/src/placement/admit.rs
@@ -23,6 +23,7 @@
 use crate::placement::tuning::Tuning;
 use crate::placement::upstream::COPY_TOKENS_MIN;
 use crate::proxy::adapter::Prompt;
+use crate::proxy::routing_table::Rank;
 
 /// While the engines are saturated, a workspace that exceeds its share by this fraction is admitted
 /// only where it need not wait at all.
@@ -31,7 +32,10 @@
 /// A workspace that has used less than this fraction of its share may go to any free engine. Other
 /// workspaces stay with the engines that have their prompt parts cached, because copying or
 /// recomputing those parts reduces the capacity of all.
-const ANY_ENGINE_SHARE_MAX: f64 = 0.85;
+pub const ANY_ENGINE_SHARE_MAX: f64 = 0.85;
+
+/// The target latency divided by this is the wait that costs a caller nothing.
+const FREE_WAIT_DIVISOR: u32 = 8;
 
 /// What the owner of the engines, or their standby, is asked to do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -41,6 +45,8 @@
     PlaceIfCached,
     /// Place the request.
     Place,
+    /// Place the request, or name a group with free capacity. No other one will be asked.
+    PlaceOrRedirect,
     /// Report which engine has the most of the prompt cached.
     Lookup,
 }
@@ -55,6 +61,8 @@
     pub prompt: &'a Prompt,
     /// The workspace that is charged; `None` for requests without one.
     pub workspace: Option<&'a WorkspaceName>,
+    /// Goes before requests of the same workspace with a lower rank.
+    pub rank: Rank,
     /// Engines that may not be chosen.
     pub excluded: &'a [UpstreamName],
     /// The route's target for the time to the first token.
@@ -71,11 +79,15 @@
     pub sender: Option<IpAddr>,
     /// An engine that may not be chosen but has part of the prompt cached.
     pub source: Option<CopySource>,
+    /// Short hashes of engines to which the sending box has an idle connection for the request.
+    pub connected: &'a [u16],
     pub purpose: Purpose,
     /// Whether no further group of engines will be asked.
     pub is_last_group: bool,
     /// The role in which this box decides.
     pub role: Role,
+    /// Whether the request may be sent again if it fails.
+    pub is_repeatable: bool,
 }
 
 /// Why a request is not placed.
@@ -91,6 +103,34 @@
     /// Whether other groups of engines may be asked. If so, the request is not yet counted as
     /// refused.
     pub may_try_other_groups: bool,
+    /// A group that has announced free capacity, to be asked next.
+    pub alternative: Option<EngineGroup>,
+    /// How long it takes until a request like this one would begin, if that is known.
+    pub retry_after: Option<Duration>,
+}
+
+impl Denial {
+    /// The denial of a request on which there is no decision in time.
+    pub fn overloaded() -> Denial {
+        Denial {
+            cause: ChoiceError::Full,
+            share_used: 0.0,
+            wait_max: Duration::ZERO,
+            source: None,
+            may_try_other_groups: false,
+            alternative: None,
+            retry_after: None,
+        }
+    }
+}
+
+/// What stands against placing a request in its group of engines.
+#[derive(Clone, Copy, Debug)]
+pub struct Obstacle<'a> {
+    /// The engine that would be chosen; `None` if there is none.
+    pub choice: Option<&'a Choice>,
+    /// The fraction of its share that the workspace would have used.
+    pub share_used: f64,
 }
 
 /// Places a request and charges the workspace's share, or counts the request as refused.
@@ -100,10 +140,38 @@
     query: PlacementQuery<'_>,
     now: Duration,
 ) -> Result<Choice, Denial> {
-    let PlacementQuery { request, prompt, sender, .. } = query;
+    admit_or_redirect(registry, shares, query, now, |_, _| None)
+}
+
+/// Like [`admit`], but a request that would wait or be denied is denied with the group that
+/// `redirect` returns, and not counted as refused.
+pub fn admit_or_redirect(
+    registry: &mut UpstreamRegistry,
+    shares: &mut Shares,
+    query: PlacementQuery<'_>,
+    now: Duration,
+    redirect: impl FnOnce(&UpstreamRegistry, Obstacle<'_>) -> Option<EngineGroup>,
+) -> Result<Choice, Denial> {
+    admit_with_limit(registry, shares, query, Duration::MAX, now, redirect)
+}
+
+/// Like [`admit_or_redirect`], but while the engines are saturated, only workspaces that have used
+/// little of their share may wait longer than `backlog_max` at an engine. An engine's backlog can't
+/// be reordered: one workspace that fills it up makes all others wait.
+pub fn admit_with_limit(
+    registry: &mut UpstreamRegistry,
+    shares: &mut Shares,
+    query: PlacementQuery<'_>,
+    backlog_max: Duration,
+    now: Duration,
+    redirect: impl FnOnce(&UpstreamRegistry, Obstacle<'_>) -> Option<EngineGroup>,
+) -> Result<Choice, Denial> {
+    let prompt = query.prompt;
     let charge = prompt.charge();
     let share_used = query.workspace.map_or(0.0, |w| shares.share_used(w, charge, now));
     let (busy, idle) = wait_limits(registry.tuning(), query.target_latency, share_used);
+    let any_engine = share_used <= ANY_ENGINE_SHARE_MAX;
+    let busy = if any_engine { busy } else { busy.min(backlog_max) };
     let remaining = busy.saturating_sub(query.waited);
     let criteria = SelectionCriteria {
         service: query.service,
@@ -111,12 +179,15 @@
         excluded: query.excluded,
         wait_max: remaining,
         wait_max_idle: idle.saturating_sub(query.waited),
-        any_engine: share_used <= ANY_ENGINE_SHARE_MAX,
+        first_token_target: Some(query.target_latency.saturating_sub(query.waited)),
+        any_engine,
         group: query.group,
         version_filter: query.version_filter,
         zone: query.zone,
         source: query.source,
+        connected: query.connected,
         role: query.role,
+        is_repeatable: query.is_repeatable,
     };
     if query.purpose == Purpose::Lookup {
         let (cause, source) = (ChoiceError::LookupOnly, registry.best_cached_source(criteria, now));
@@ -126,51 +197,106 @@
             wait_max: remaining,
             source,
             may_try_other_groups: true,
+            alternative: None,
+            retry_after: None,
         });
     }
-    let cause = match registry.choose(criteria, now) {
-        Ok(choice)
-            if query.purpose == Purpose::PlaceIfCached && is_copy_worthwhile(prompt, &choice) =>
-        {
-            let (cause, source) = (ChoiceError::NotCached, None);
-            return Err(Denial {
-                cause,
-                share_used,
-                wait_max: remaining,
-                source,
-                may_try_other_groups: true,
-            });
-        }
-        Ok(choice) => {
-            let choice = Choice { is_counted: query.role != Role::Unassigned, ..choice };
-            let Choice { prefill_tokens, copied_tokens, .. } = choice;
-            let placement = Placement {
-                request,
-                prompt,
-                prefill_tokens,
-                copied_tokens,
-                sender,
-                decided_by: Some(query.role),
-            };
-            registry.place(&choice.upstream, placement, now);
-            if let Some(workspace) = query.workspace {
-                let counted = shares.begin(workspace, charge, now);
-                shares.remember(request, counted);
-            }
-            return Ok(choice);
-        }
+    let chosen = registry.choose(criteria, now);
+    if let Ok(choice) = &chosen
+        && query.purpose == Purpose::PlaceIfCached
+        && is_copy_worthwhile(prompt, choice)
+    {
+        let (cause, source) = (ChoiceError::NotCached, None);
+        return Err(Denial {
+            cause,
+            share_used,
+            wait_max: remaining,
+            source,
+            may_try_other_groups: true,
+            alternative: None,
+            retry_after: None,
+        });
+    }
+    let obstacle = Obstacle { choice: chosen.as_ref().ok(), share_used };
+    let alternative = if query.is_last_group { None } else { redirect(registry, obstacle) };
+    let may_try_by_hash =
+        !query.is_last_group && query.purpose != Purpose::PlaceOrRedirect && share_used <= 1.0;
+    let may_try_other_groups = may_try_by_hash || alternative.is_some();
+    let probe = |cause| registry.probe(criteria, may_try_other_groups, now).ok_or(cause);
+    let cause = match chosen.or_else(probe) {
+        Ok(choice) if alternative.is_some() => ChoiceError::Busy { wait: choice.wait },
+        Ok(choice) => return Ok(record(registry, shares, query, choice, now)),
         Err(cause) => cause,
     };
-    let may_try_other_groups = !query.is_last_group && share_used <= 1.0;
-    if let Some(workspace) = query.workspace
-        && !may_try_other_groups
-    {
-        let counted = shares.refuse(workspace, charge, now);
-        shares.remember(request, counted);
+    if !may_try_other_groups {
+        count_refused(shares, query, now);
     }
     let source =
         if may_try_other_groups { registry.best_cached_source(criteria, now) } else { None };
-    Err(Denial { cause, share_used, wait_max: remaining, source, may_try_other_groups })
+    Err(Denial {
+        cause,
+        share_used,
+        wait_max: remaining,
+        source,
+        may_try_other_groups,
+        alternative,
+        retry_after: None,
+    })
+}
+
+/// Places a request that has waited in a queue on any engine with a wait of at most `wait_max`. If
+/// there is none, nothing is counted: the request keeps waiting.
+pub fn place_queued(
+    registry: &mut UpstreamRegistry,
+    shares: &mut Shares,
+    query: PlacementQuery<'_>,
+    wait_max: Duration,
+    now: Duration,
+) -> Result<Choice, ChoiceError> {
+    let any = SelectionCriteria::any(query.service, Some(query.prompt), query.excluded, wait_max);
+    let criteria = SelectionCriteria {
+        group: query.group,
+        version_filter: query.version_filter,
+        zone: query.zone,
+        source: query.source,
+        role: query.role,
+        ..any
+    };
+    let choice = registry.choose(criteria, now)?;
+    Ok(record(registry, shares, query, choice, now))
+}
+
+/// Counts the tokens of a request as refused, unless it is placed later on.
+pub fn count_refused(shares: &mut Shares, query: PlacementQuery<'_>, now: Duration) {
+    if let Some(workspace) = query.workspace {
+        let counted = shares.refuse(workspace, query.prompt.charge(), now);
+        shares.remember(query.request, counted);
+    }
+}
+
+/// Records a placement, and charges the workspace's share.
+fn record(
+    registry: &mut UpstreamRegistry,
+    shares: &mut Shares,
+    query: PlacementQuery<'_>,
+    choice: Choice,
+    now: Duration,
+) -> Choice {
+    let choice = Choice { is_counted: query.role != Role::Unassigned, ..choice };
+    let placement = Placement {
+        request: query.request,
+        prompt: query.prompt,
+        prefill_tokens: choice.prefill_tokens,
+        copied_tokens: choice.copied_tokens,
+        sender: query.sender,
+        decided_by: Some(query.role),
+    };
+    registry.place(&choice.upstream, placement, now);
+    if let Some(workspace) = query.workspace {
+        let counted = shares.begin(workspace, query.prompt.charge(), now);
+        shares.remember(query.request, counted);
+    }
+    choice
 }
 
 /// Whether the choice would prefill enough shared tokens to make a copy worthwhile.
@@ -179,6 +305,17 @@
     COPY_TOKENS_MIN <= choice.prefill_tokens.saturating_sub(own)
 }
 
+/// Returns how long a request may wait in a queue. A workspace that has used its share may wait only
+/// as long as costs its caller nothing: it asks for more than fits, so longer waits would not serve
+/// more of its requests, only each of them later. One that has used little of it may wait as long as
+/// at an engine, and one between these the less the more it has used.
+pub fn queue_limit(tuning: Tuning, target_latency: Duration, share_used: f64) -> Duration {
+    let within = target_latency.mul_f64(tuning.wait_share);
+    let over = (target_latency / FREE_WAIT_DIVISOR).min(within);
+    let part = ((1.0 - share_used) / (1.0 - ANY_ENGINE_SHARE_MAX)).clamp(0.0, 1.0);
+    over + (within - over).mul_f64(part)
+}
+
 /// Returns the longest acceptable wait for an engine where the engines are saturated, and where
 /// they are idle. The wait is limited, not the time to the first token, so that long prompts are
 /// refused no more often than short ones. As the engines saturate, a workspace beyond its share may
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -33,6 +33,8 @@
     pub wait_max: Duration,
     /// The longest acceptable wait where they are idle; never less than `wait_max`.
     pub wait_max_idle: Duration,
+    /// When the first token is due; `None` if at no particular time.
+    pub first_token_target: Option<Duration>,
     /// Whether any engine with an acceptable wait will do, or only the one with the lowest cost.
     pub any_engine: bool,
     /// The engines that may be chosen; `None` allows all of the service.
@@ -43,8 +45,12 @@
     pub zone: Option<&'a ZoneName>,
     /// An engine that may not be chosen but has part of the prompt cached.
     pub source: Option<CopySource>,
+    /// Short hashes of engines to which the sending box has an idle connection.
+    pub connected: &'a [u16],
     /// The role in which this box decides, which matters for cold engines.
     pub role: Role,
+    /// Whether the request may be sent again if it fails.
+    pub is_repeatable: bool,
 }
 
 impl<'a> SelectionCriteria<'a> {
@@ -61,12 +67,15 @@
             excluded,
             wait_max,
             wait_max_idle: wait_max,
+            first_token_target: None,
             any_engine: true,
             group: None,
             version_filter: VersionFilter::Any,
             zone: None,
             source: None,
+            connected: &[],
             role: Role::Unassigned,
+            is_repeatable: true,
         }
     }
 }
@@ -90,6 +99,8 @@
     /// Whether the deciding box knows what all boxes send to the upstream, and has counted this
     /// request.
     pub is_counted: bool,
+    /// Whether the believed wait is too long, and the request is to show whether that is so.
+    pub is_probe: bool,
     /// Requests that already run or wait at the upstream.
     pub running: usize,
     /// Tokens of memory that these occupy.
--- a/src/placement/registry.rs
+++ b/src/placement/registry.rs
@@ -2,10 +2,16 @@
 
 mod backoff;
 mod cold;
+mod headroom;
+pub mod in_progress;
 mod index;
 pub mod learned;
+pub mod own_speed;
 mod plain;
+mod probe;
+mod queueing;
 mod reachability;
+pub mod rivals;
 mod selection;
 
 use std::cell::Cell;
@@ -15,6 +21,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rustc_hash::FxHashMap;
+
+use crate::fleet::in_progress::LEASE;
 use crate::fleet::owners::EngineGroup;
 use crate::fleet::rollout::VersionFilter;
 use crate::names::ServiceName;
@@ -25,7 +34,9 @@
 use crate::placement::choice::SelectionCriteria;
 use crate::placement::engine::Engine;
 use crate::placement::engine::Placement;
+use crate::placement::registry::in_progress::EarlyEvent;
 use crate::placement::registry::index::Index;
+use crate::placement::registry::rivals::Rival;
 use crate::placement::speed::Speed;
 use crate::placement::tuning::Tuning;
 use crate::placement::upstream::Health;
@@ -33,6 +44,13 @@
 use crate::proxy::adapter::UpstreamListing;
 use crate::proxy::routing_table::EngineLimits;
 
+/// Limit on the engines remembered for a log line each.
+const SLOW_CHANGES_MAX: usize = 64;
+
+/// Records expire several times a second. A longer pause shows that this box was stalled, and
+/// could not receive the reports that renew them.
+const STALL_MIN: Duration = Duration::from_millis(1250);
+
 /// All upstreams known to this box.
 #[derive(Debug)]
 pub struct UpstreamRegistry {
@@ -47,12 +65,21 @@
     index: Index,
     /// Upstreams that may have unfinished requests placed on them.
     busy: BTreeSet<UpstreamName>,
+    /// What is known of requests before their records arrive.
+    early: FxHashMap<u64, (Duration, EarlyEvent)>,
+    /// Boxes that also place requests on upstreams of this box.
+    rivals: Vec<Rival>,
     /// Upstreams that may be unreachable.
     unverified: BTreeSet<UpstreamName>,
     /// Upstreams that have requested a backoff from this box, whether listed or not.
     backoffs: BTreeMap<UpstreamName, Backoff>,
     /// Upstreams examined by selections so far.
     examined: Cell<u64>,
+    /// Engines that have become slow, or normal again, since this was last read.
+    slow_changes: BTreeSet<UpstreamName>,
+    /// When records of requests were last expired, and until when none are because of a stall.
+    expired_at: Option<Duration>,
+    keep_until: Duration,
     /// Zones whose upstreams get no requests.
     closed_zones: BTreeSet<ZoneName>,
     /// Versions being rolled out, by service.
@@ -69,9 +96,14 @@
             upstreams: BTreeMap::new(),
             index: Index::default(),
             busy: BTreeSet::new(),
+            early: FxHashMap::default(),
+            rivals: Vec::new(),
             unverified: BTreeSet::new(),
             backoffs: BTreeMap::new(),
             examined: Cell::new(0),
+            slow_changes: BTreeSet::new(),
+            expired_at: None,
+            keep_until: Duration::ZERO,
             closed_zones: BTreeSet::new(),
             rollout_targets: BTreeMap::new(),
         }
@@ -79,16 +111,21 @@
 
     /// Adds or updates an upstream. `limits` is set for engines.
     pub fn upsert(&mut self, listed: UpstreamListing, limits: Option<EngineLimits>) {
+        let tuning = self.tuning;
         if let Some(known) = self.upstreams.get_mut(&listed.name) {
             self.index.remove(known);
+            let is_other = known.listed.version != listed.version
+                || known.listed.started_at_ms != listed.started_at_ms;
             known.listed = listed;
             if known.engine.is_none() {
-                known.engine = limits.map(Engine::new);
+                known.engine = limits.map(|limits| new_engine(limits, tuning));
+            } else if is_other && let Some(engine) = &mut known.engine {
+                engine.reset_own_speed();
             }
             self.index.add(known);
             return;
         }
-        let engine = limits.map(Engine::new);
+        let engine = limits.map(|limits| new_engine(limits, tuning));
         let upstream = Upstream::new(listed, engine);
         self.index.add(&upstream);
         self.upstreams.insert(upstream.listed.name.clone(), upstream);
@@ -200,15 +237,23 @@
 
     /// Records a request sent to an upstream by another box, or by this one if `sender` is `None`.
     pub fn place(&mut self, name: &UpstreamName, placement: Placement<'_>, now: Duration) {
+        let Placement { request, sender, .. } = placement;
+        let early = self.early_event(request);
         let Some(upstream) = self.upstreams.get_mut(name) else { return };
+        upstream.record_activity(now);
+        if early == Some(EarlyEvent::Ended) {
+            return;
+        }
         self.busy.insert(name.clone());
         let Some(engine) = &mut upstream.engine else {
-            let Placement { request, sender, .. } = placement;
             upstream.plain.add_request(request, sender, upstream.listed.slots, now);
             return;
         };
         let speed = self.speeds.get(&upstream.listed.service).unwrap_or(&self.default_speed);
         engine.place(placement, speed, self.tuning, now);
+        if early == Some(EarlyEvent::FirstToken) {
+            engine.skip_prefill(request);
+        }
     }
 
     /// Records the first token of a request. `took` is the time since the request was sent; if it
@@ -223,46 +268,72 @@
         let Some(upstream) = self.upstreams.get_mut(name) else { return };
         let Some(engine) = &mut upstream.engine else {
             took.into_iter().for_each(|took| upstream.plain.record_response(request, took));
+            upstream.record_activity(now);
             return;
         };
         if !self.speeds.contains_key(&upstream.listed.service) {
             self.speeds.insert(upstream.listed.service.clone(), self.default_speed.clone());
         }
         let Some(speed) = self.speeds.get_mut(&upstream.listed.service) else { return };
-        engine.record_first_token(request, took, speed, now);
+        if !engine.has_request(request) {
+            self.remember_early(request, EarlyEvent::FirstToken, now);
+            return;
+        }
+        let has_changed = engine.record_first_token(request, took, speed, now);
+        upstream.record_activity(now);
+        if has_changed && self.slow_changes.len() < SLOW_CHANGES_MAX {
+            self.slow_changes.insert(name.clone());
+        }
     }
 
     pub fn tuning(&self) -> Tuning {
         self.tuning
     }
 
+    /// Whether upstreams like this one are preferred by boxes with an idle connection to them.
+    pub fn prefers_connected(&self, name: &UpstreamName) -> bool {
+        let slots = self.upstreams.get(name).map(|u| u.listed.slots);
+        slots.is_some_and(|slots| self.tuning.small_batch.prefers_connected(slots))
+    }
+
     /// Estimated speed of a service's engines.
     pub fn speed(&self, service: &str) -> &Speed {
         self.speeds.get(service).unwrap_or(&self.default_speed)
     }
 
-    /// Removes a request that has ended.
-    pub fn remove_request(&mut self, name: &UpstreamName, request: u64) {
-        let Some(upstream) = self.upstreams.get_mut(name) else { return };
-        match &mut upstream.engine {
+    /// Removes a request that has ended. Returns whether there was a record of it.
+    pub fn remove_request(&mut self, name: &UpstreamName, request: u64) -> bool {
+        self.upstreams.get_mut(name).is_some_and(|upstream| match &mut upstream.engine {
             Some(engine) => engine.remove_request(request),
             None => upstream.plain.remove_request(request),
+        })
+    }
+
+    /// Removes a request that has ended. If there is no record of it, one that arrives soon is
+    /// ignored.
+    pub fn end_request(&mut self, name: &UpstreamName, request: u64, now: Duration) {
+        if !self.remove_request(name, request) {
+            self.remember_early(request, EarlyEvent::Ended, now);
         }
     }
 
     /// Removes a request that is not sent, wherever it was placed.
     pub fn withdraw(&mut self, request: u64, now: Duration) {
+        let mut is_known = false;
         for name in &self.busy {
             let Some(upstream) = self.upstreams.get_mut(name) else { continue };
-            match &mut upstream.engine {
+            is_known |= match &mut upstream.engine {
                 Some(engine) => {
                     let speed = self.speeds.get(&upstream.listed.service);
                     let speed = speed.unwrap_or(&self.default_speed);
-                    engine.withdraw(request, speed, self.tuning, now);
+                    engine.withdraw(request, speed, self.tuning, now)
                 }
                 None => upstream.plain.remove_request(request),
             }
         }
+        if !is_known {
+            self.remember_early(request, EarlyEvent::Ended, now);
+        }
     }
 
     /// Removes the requests of a dead box.
@@ -309,6 +380,15 @@
     /// Drops expired state.
     pub fn expire(&mut self, now: Duration) {
         self.expire_backoffs(now);
+        self.expire_early(now);
+        // After a stall of this box, senders get time to renew their records.
+        let last = self.expired_at.replace(now).unwrap_or(now);
+        if STALL_MIN < now.saturating_sub(last) {
+            self.keep_until = now + LEASE;
+        }
+        if now < self.keep_until {
+            return;
+        }
         let upstreams = &mut self.upstreams;
         self.busy.retain(|name| {
             let Some(upstream) = upstreams.get_mut(name) else { return false };
@@ -366,3 +446,11 @@
         if available.is_empty() { open } else { available }
     }
 }
+
+fn new_engine(limits: EngineLimits, tuning: Tuning) -> Engine {
+    let mut engine = Engine::new(limits);
+    if tuning.small_batch.estimates_own_speed(limits.slots) {
+        engine.start_own_speed();
+    }
+    engine
+}
--- a/src/placement/registry/selection.rs
+++ b/src/placement/registry/selection.rs
@@ -1,5 +1,6 @@
 //! Selects the engine for a request.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use crate::fleet::owners::EngineGroup;
@@ -8,6 +9,7 @@
 use crate::placement::choice::ChoiceError;
 use crate::placement::choice::CopySource;
 use crate::placement::choice::SelectionCriteria;
+use crate::placement::connected;
 use crate::placement::registry::UpstreamRegistry;
 use crate::placement::speed::Work;
 use crate::placement::upstream::Context;
@@ -33,6 +35,9 @@
 /// one.
 const LOW_SATURATION: f64 = 0.25;
 
+/// An engine that has returned no token for this long is not passed over for being slow.
+const MEASURED_FOR: Duration = Duration::from_millis(1000);
+
 /// An upstream that may be chosen.
 struct Candidate<'a> {
     upstream: &'a Upstream,
@@ -40,12 +45,23 @@
     plan: Option<PrefillPlan>,
     /// Cost of sending the request there, in seconds.
     cost: f64,
+    /// How much later than due the first token is expected, in seconds; zero where the engines' own
+    /// speeds aren't estimated.
+    late_by: f64,
 }
 
 impl Candidate<'_> {
     fn wait(&self) -> Duration {
         self.plan.as_ref().map_or(Duration::ZERO, |p| p.wait)
     }
+
+    /// Engines that produce the first token in time come first, by cost. The others follow, by cost
+    /// and lateness.
+    fn cmp(&self, other: &Candidate<'_>) -> Ordering {
+        let is_late = |c: &Candidate<'_>| 0.0 < c.late_by;
+        let cost = |c: &Candidate<'_>| c.cost + c.late_by;
+        is_late(self).cmp(&is_late(other)).then(cost(self).total_cmp(&cost(other)))
+    }
 }
 
 impl UpstreamRegistry {
@@ -67,12 +83,14 @@
         let wait_max = when_idle * (1.0 - saturation) + when_busy * saturation;
         let is_within_wait_max = |c: &&Candidate<'_>| c.wait().as_secs_f64() <= wait_max;
         let any_engine = criteria.any_engine || saturation < LOW_SATURATION;
+        let cheapest = candidates.iter().min_by(|a, b| a.cost.total_cmp(&b.cost));
+        let may_choose = any_engine || cheapest.as_ref().is_some_and(is_within_wait_max);
         let best = candidates
             .iter()
-            .filter(|c| !any_engine || is_within_wait_max(c))
-            .min_by(|a, b| a.cost.total_cmp(&b.cost))
-            .filter(is_within_wait_max);
+            .filter(|c| may_choose && is_within_wait_max(c))
+            .min_by(|a, b| a.cmp(b));
         if let Some(best) = best {
+            let best = self.prefer_connected(&candidates, best, wait_max, criteria);
             return Ok(best.upstream.choice(best.plan));
         }
         let shortest = candidates.iter().map(Candidate::wait).min();
@@ -92,7 +110,12 @@
         let Some(prompt) = criteria.prompt else {
             return usable
                 .iter()
-                .map(|u| Candidate { upstream: u, plan: None, cost: u.cost(None, cx) })
+                .map(|u| Candidate {
+                    upstream: u,
+                    plan: None,
+                    cost: u.cost(None, cx),
+                    late_by: 0.0,
+                })
                 .collect();
         };
         // Looked up once: cache entries are spread over memory, and there are many engines.
@@ -103,18 +126,49 @@
         let shared = prompt.tokens.saturating_sub(own);
         let bonus_max = Duration::from_secs_f64(speed.prefill_seconds(Work::prefill(0, shared)));
         let candidate = |(u, cached): (&&'a Upstream, &u32)| {
-            if !u.has_room(prompt) || !u.accepts(criteria.role, cx) {
+            if !self.has_own_room(u, prompt, now) || !u.accepts(criteria.role, cx) {
                 return None;
             }
             let rank = homes.iter().position(|home| home.is_some_and(|h| std::ptr::eq(h, *u)));
             let home_bonus = rank.map_or(Duration::ZERO, |n| HOME_BONUSES[n].min(bonus_max));
             let plan = u.plan(prompt, *cached, source, home_bonus, cx);
             let cost = u.cost(plan.as_ref(), cx);
-            Some(Candidate { upstream: u, plan, cost })
+            // A speed that was not measured lately may be wrong, and only requests can show that.
+            let is_measured = now < u.last_active() + MEASURED_FOR;
+            let target = criteria.first_token_target.filter(|_| u.has_own_speed() && is_measured);
+            let late_by = target.zip(plan.as_ref()).map_or(0.0, |(target, plan)| {
+                plan.first_token().saturating_sub(target).as_secs_f64()
+            });
+            Some(Candidate { upstream: u, plan, cost, late_by })
         };
         usable.iter().zip(&cached).filter_map(candidate).collect()
     }
 
+    /// Among the engines that would serve as well as the best one, one to which the sending box has
+    /// an idle connection; the best one if there is none.
+    fn prefer_connected<'a, 'b>(
+        &self,
+        candidates: &'a [Candidate<'b>],
+        best: &'a Candidate<'b>,
+        wait_max: f64,
+        criteria: SelectionCriteria<'_>,
+    ) -> &'a Candidate<'b> {
+        let small_batch = self.tuning.small_batch;
+        let is_connected = |c: &Candidate<'_>| {
+            small_batch.prefers_connected(c.upstream.listed.slots)
+                && connected::is_named(criteria.connected, c.upstream.hash)
+        };
+        let Some(best_plan) = &best.plan else { return best };
+        if criteria.connected.is_empty() || is_connected(best) {
+            return best;
+        }
+        let serves_as_well =
+            |c: &&Candidate<'_>| c.plan.as_ref().is_some_and(|plan| plan.serves_as_well(best_plan));
+        let equal = candidates.iter().filter(|c| is_connected(c)).filter(serves_as_well);
+        let equal = equal.filter(|c| c.wait().as_secs_f64() <= wait_max);
+        equal.min_by(|a, b| a.cost.total_cmp(&b.cost)).unwrap_or(best)
+    }
+
     /// The engine with the most of a prompt cached. One that is leaving gets no requests, but
     /// remains a copy source while it is there.
     fn source(
--- a/src/placement/upstream.rs
+++ b/src/placement/upstream.rs
@@ -11,8 +11,10 @@
 use crate::placement::choice::Choice;
 use crate::placement::choice::CopySource;
 use crate::placement::cold::Role;
+use crate::placement::connected;
 use crate::placement::engine::Engine;
 use crate::placement::plain::PlainQueue;
+use crate::placement::probe::Obstacle;
 use crate::placement::speed::Speed;
 use crate::placement::speed::Work;
 use crate::placement::tuning::Tuning;
@@ -57,6 +59,23 @@
     home_bonus: Duration,
 }
 
+impl PrefillPlan {
+    /// Whether the engine would compute and copy no more than another, and begin at most
+    /// [`connected::EQUAL_WAIT_MAX`] later.
+    pub(super) fn serves_as_well(&self, other: &PrefillPlan) -> bool {
+        self.prefill_tokens <= other.prefill_tokens
+            && self.copied_tokens <= other.copied_tokens
+            && self.wait <= other.wait + connected::EQUAL_WAIT_MAX
+    }
+
+    /// Expected time to the first token.
+    pub(super) fn first_token(&self) -> Duration {
+        self.backlog
+            + self.copy_time
+            + Duration::from_secs_f64(self.prefill_seconds + self.first_token_overhead)
+    }
+}
+
 /// Inputs of the cost besides the request and the upstream.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Context<'a> {
@@ -87,6 +106,9 @@
     pub(super) plain: PlainQueue,
     /// Requests of this box at the upstream.
     outstanding: u32,
+    /// When any box last placed a request there or got a first token from it, as far as this one
+    /// knows.
+    last_active: Duration,
     response_time: f64,
     failures: u32,
     cooldown_until: Duration,
@@ -119,6 +141,7 @@
             engine,
             plain: PlainQueue::default(),
             outstanding: 0,
+            last_active: Duration::ZERO,
             response_time: 0.0,
             failures: 0,
             cooldown_until: Duration::ZERO,
@@ -133,6 +156,25 @@
         self.cooldown_until <= now && self.unverified.is_none()
     }
 
+    /// Records that a box has placed a request there or got a first token from it.
+    pub(super) fn record_activity(&mut self, now: Duration) {
+        self.last_active = now;
+    }
+
+    /// When any box last placed a request there or got a first token from it.
+    pub(super) fn last_active(&self) -> Duration {
+        self.last_active
+    }
+
+    /// What keeps requests away, apart from its listing, for a request that has been refused.
+    pub(super) fn obstacle(&self, speed: &Speed, now: Duration) -> Obstacle {
+        if now < self.cooldown_until {
+            return Obstacle::Cooldown;
+        }
+        let is_overdue = self.engine.as_ref().is_some_and(|e| e.is_overdue(speed, now));
+        if is_overdue { Obstacle::Overdue } else { Obstacle::Wait }
+    }
+
     /// Whether it may be unreachable.
     pub(super) fn is_unverified(&self) -> bool {
         self.unverified.is_some()
@@ -228,12 +270,16 @@
         let gain = source.map_or(0, |s| s.cached.saturating_sub(cached));
         let copied_tokens = if gain < COPY_TOKENS_MIN { 0 } else { gain };
         let prefill_tokens = prompt.tokens - cached - copied_tokens;
+        let backlog = engine.backlog(speed, now);
         Some(PrefillPlan {
-            wait: engine.wait(speed, tuning, now),
-            backlog: engine.backlog(speed, now),
+            wait: engine.wait_with_backlog(backlog, tuning, now),
+            backlog,
             prefill_tokens,
-            prefill_seconds: engine
-                .prefill_seconds(Work::prefill(cached + copied_tokens, prefill_tokens), speed),
+            prefill_seconds: engine.prefill_seconds(
+                Work::prefill(cached + copied_tokens, prefill_tokens),
+                speed,
+                now,
+            ),
             first_token_overhead: speed.fixed_seconds(),
             copied_tokens,
             copy_time: if copied_tokens == 0 {
@@ -246,6 +292,11 @@
         })
     }
 
+    /// Whether the engine's own speed is estimated.
+    pub(super) fn has_own_speed(&self) -> bool {
+        self.engine.as_ref().is_some_and(|engine| engine.own_speed().is_some())
+    }
+
     /// The cost of sending a request here, in seconds; lower is better.
     pub(super) fn cost(&self, plan: Option<&PrefillPlan>, cx: Context<'_>) -> f64 {
         let tuning = cx.tuning;
@@ -269,11 +320,7 @@
 
     /// The choice of this upstream with the given plan.
     pub(super) fn choice(&self, plan: Option<PrefillPlan>) -> Choice {
-        let first_token = plan.as_ref().map_or(Duration::ZERO, |p| {
-            p.backlog
-                + p.copy_time
-                + Duration::from_secs_f64(p.prefill_seconds + p.first_token_overhead)
-        });
+        let first_token = plan.as_ref().map_or(Duration::ZERO, PrefillPlan::first_token);
         Choice {
             upstream: self.listed.name.clone(),
             addr: self.listed.addr,
@@ -282,6 +329,7 @@
             prefill_tokens: plan.as_ref().map_or(0, |p| p.prefill_tokens),
             copied_tokens: plan.as_ref().map_or(0, |p| p.copied_tokens),
             is_counted: false,
+            is_probe: false,
             copy_from: plan.and_then(|p| p.copy_from),
             running: self.engine.as_ref().map_or(0, Engine::running),
             running_tokens: self.engine.as_ref().map_or(0, Engine::running_tokens),
--- a/src/proxy/admission.rs
+++ b/src/proxy/admission.rs
@@ -9,13 +9,17 @@
 use hyper::body::Incoming;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::names::WorkspaceName;
 use crate::proxy::adapter::RequestHead;
+use crate::proxy::held_bytes::HoldKind;
+use crate::proxy::held_tracker::HeldBody;
+use crate::proxy::held_tracker::Hold;
 use crate::proxy::hub::Hub;
 use crate::proxy::refusal::Refusal;
 use crate::proxy::request::RequestContext;
+use crate::proxy::routing_table::Rank;
 use crate::proxy::routing_table::Route;
 use crate::proxy::routing_table::RoutingTable;
+use crate::proxy::routing_table::Workspace;
 use crate::web;
 use crate::web::BodyError;
 
@@ -35,6 +39,8 @@
     let path = parts.uri.path();
     let route = table.route(&head.host, path).ok_or_else(|| fail(Refusal::NoRoute))?.clone();
     let workspace = workspace(&table, &route, &head).map_err(fail)?;
+    let rank = Rank { workspace: workspace.map_or(0, |w| w.rank), route: route.rank };
+    let workspace = workspace.map(|w| w.name.clone());
     let split_draw = xxh3_64(head.id.as_bytes());
     let service = route.target(split_draw).ok_or_else(|| fail(Refusal::NoRoute))?.clone();
     let connections_max = table.service(&service).map_or(u32::MAX, |s| s.max_connections);
@@ -48,6 +54,7 @@
         route,
         service,
         workspace,
+        rank,
         body: Bytes::new(),
         fingerprint: OnceLock::new(),
         arrived,
@@ -60,31 +67,40 @@
         unsent_guard: Some(hub.track_unsent()),
         stream_guard: None,
         first_token: None,
+        hold: hub.held().map(|held| held.hold(HoldKind::Body)),
     })
 }
 
-fn workspace(
-    table: &RoutingTable,
+fn workspace<'a>(
+    table: &'a RoutingTable,
     route: &Route,
     head: &RequestHead,
-) -> Result<Option<WorkspaceName>, Refusal> {
+) -> Result<Option<&'a Workspace>, Refusal> {
     if !table.has_keys() {
         return Ok(None);
     }
     let known = head.key.as_deref().and_then(|key| table.workspace(key));
     match known {
-        Some(workspace) => Ok(Some(workspace.name.clone())),
+        Some(workspace) => Ok(Some(workspace)),
         None if route.anonymous => Ok(None),
         None => Err(Refusal::UnknownKey),
     }
 }
 
-/// Reads a request's body, which the caller must send by the request's deadline.
-pub async fn read_body(hub: &Hub, body: Incoming, deadline: Duration) -> Result<Bytes, Refusal> {
+/// Reads a request's body, which the caller must send by the request's deadline. What is received
+/// is counted by `hold`.
+pub async fn read_body(
+    hub: &Hub,
+    body: Incoming,
+    deadline: Duration,
+    hold: Option<&Hold>,
+) -> Result<Bytes, Refusal> {
     let max = hub.table().map_or(0, |t| t.limits.body_bytes);
     let remaining = deadline.saturating_sub(hub.now());
+    let body = HeldBody::new(body, HoldKind::Body, hold);
     web::read_body(body, max, remaining).await.map_err(|fault| match fault {
         BodyError::TooLong => Refusal::BodyTooLong,
+        BodyError::Truncated if hold.is_some_and(Hold::gave_way) => Refusal::BoxBusy,
         BodyError::Truncated => Refusal::BodyCut,
     })
 }
--- a/src/proxy/engine_placement.rs
+++ b/src/proxy/engine_placement.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
+use slog::debug;
 use slog::info;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -25,15 +26,24 @@
 use crate::placement::choice::ChoiceError;
 use crate::placement::choice::CopySource;
 use crate::placement::cold::Role;
+use crate::placement::connected;
+use crate::placement::redirect;
+use crate::placement::redirect::Asked;
+use crate::placement::redirect::Attempts;
 use crate::placement::upstream;
 use crate::proxy::adapter::Prompt;
 use crate::proxy::aligned_timer;
+use crate::proxy::headroom;
 use crate::proxy::hub::Hub;
+use crate::proxy::in_progress;
 use crate::proxy::message::Message;
 use crate::proxy::message::PlacementRequest;
 use crate::proxy::message::PlacementResponse;
 use crate::proxy::message::ShareUsage;
 use crate::proxy::notices;
+use crate::proxy::placement_queue;
+use crate::proxy::placement_queue::NoDecision;
+use crate::proxy::placement_queue::OwnerDecision;
 
 /// How long to wait for an owner's response: several round trips within a region, plus the pauses
 /// of a healthy box under load.
@@ -48,9 +58,6 @@
 /// interval.
 const UNRESPONSIVE_FOR: Duration = Duration::from_millis(1000);
 
-/// Groups of engines tried for one request: its own and one more, which makes twenty engines.
-const GROUPS_PER_REQUEST_MAX: usize = 2;
-
 /// Interval at which owners report share usage to each other: a twentieth of the default window.
 const SHARE_REPORT_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -74,6 +81,13 @@
     pub role: Role,
     /// Identifies the attempt at the boxes that have recorded it.
     pub request: u64,
+    /// The boxes that have recorded it, if it is placed. In a small fleet all have, and this is
+    /// empty.
+    pub recorded_by: Vec<IpAddr>,
+    /// How long the request was in the queue of that box.
+    pub queued: Duration,
+    /// The last group with free capacity that was named and asked.
+    pub alternative: Option<EngineGroup>,
 }
 
 impl PlacementDecision {
@@ -87,23 +101,64 @@
     }
 }
 
+/// An owner's response: its decision, and the other boxes that have recorded it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OwnerResponse {
+    pub result: PlacementResult,
+    pub recorded_by: Vec<IpAddr>,
+}
+
 /// Placement requests of this box that await the response of an owner.
 #[derive(Debug, Default)]
 pub struct OwnerRequests {
-    pending: Mutex<FxHashMap<u64, oneshot::Sender<PlacementResult>>>,
+    pending: Mutex<FxHashMap<u64, PendingRequest>>,
     /// Boxes that did not respond, and until when they aren't asked.
     unresponsive: Mutex<FxHashMap<IpAddr, Duration>>,
 }
 
+/// A placement request that awaits the response of an owner.
+#[derive(Debug)]
+struct PendingRequest {
+    /// `None` once the response has been delivered.
+    tx: Option<oneshot::Sender<OwnerResponse>>,
+    /// When the owner reported that it has queued the request, and within which time it decides.
+    queued: Option<(Instant, Duration)>,
+}
+
 impl OwnerRequests {
-    fn register(&self, request: u64) -> oneshot::Receiver<PlacementResult> {
+    /// Registers a request that is sent to an owner.
+    pub fn register(&self, request: u64) -> oneshot::Receiver<OwnerResponse> {
         let (tx, rx) = oneshot::channel();
-        self.pending.lock().expect("no panic under lock").insert(request, tx);
+        let pending = PendingRequest { tx: Some(tx), queued: None };
+        self.pending.lock().expect("no panic under lock").insert(request, pending);
         rx
     }
 
-    fn take(&self, request: u64) -> Option<oneshot::Sender<PlacementResult>> {
-        self.pending.lock().expect("no panic under lock").remove(&request)
+    /// Delivers the response to the task that awaits it. Returns whether there is one.
+    pub fn deliver(&self, request: u64, response: OwnerResponse) -> bool {
+        let mut pending = self.pending.lock().expect("no panic under lock");
+        let tx = pending.get_mut(&request).and_then(|pending| pending.tx.take());
+        tx.is_some_and(|tx| tx.send(response).is_ok())
+    }
+
+    /// Records that the owner has queued a request, and decides within this time. Returns whether a
+    /// task still awaits the decision.
+    pub fn set_queued(&self, request: u64, within: Duration) -> bool {
+        let mut pending = self.pending.lock().expect("no panic under lock");
+        let Some(pending) = pending.get_mut(&request) else { return false };
+        pending.queued.get_or_insert((Instant::now(), within));
+        true
+    }
+
+    /// When the owner reported that it has queued the request, and within which time it decides.
+    pub fn queued(&self, request: u64) -> Option<(Instant, Duration)> {
+        self.pending.lock().expect("no panic under lock").get(&request)?.queued
+    }
+
+    /// Forgets a request. Returns whether it was still undecided.
+    pub fn forget(&self, request: u64) -> bool {
+        let pending = self.pending.lock().expect("no panic under lock").remove(&request);
+        pending.is_some_and(|pending| pending.tx.is_some())
     }
 
     /// Records that a box did not respond, or decided from stale state.
@@ -120,48 +175,61 @@
     }
 }
 
-/// Removes a pending request when the task that awaits its response is dropped.
-struct PendingGuard<'a> {
-    requests: &'a OwnerRequests,
-    request: u64,
-}
-
-impl Drop for PendingGuard<'_> {
-    fn drop(&mut self) {
-        self.requests.take(self.request);
-    }
-}
-
 /// Places a request, or says why it isn't placed.
 pub async fn place(hub: &Arc<Hub>, query: PlacementQuery<'_>) -> PlacementDecision {
     let owners = hub.peers().owners();
     if owners.is_empty() {
         return place_and_broadcast(hub, query);
     }
+    let began = hub.now();
+    let target_latency = query.target_latency;
+    let (waited, has_headroom) = (query.waited, hub.headroom().is_enabled());
+    let passed = || waited + hub.now().saturating_sub(began);
+    let attempts = Attempts { count: 0, last: None, passed: waited, target_latency, has_headroom };
     let mut query = query;
-    let mut last_denied = None;
-    for n in 1..=GROUPS_PER_REQUEST_MAX {
-        let home = hub.read(|v| {
-            v.registry().home(query.service, query.prompt, query.version_filter, query.group)
-        });
-        let Some(group) = home.map(|hash| owners.group(hash)) else { break };
-        query.group = Some(group);
-        query.is_last_group = n == GROUPS_PER_REQUEST_MAX;
+    let (mut asked, mut returns_to_first) = (Vec::new(), false);
+    let mut denied: Option<PlacementDecision> = None;
+    let mut next = redirect::next_group(attempts);
+    while let Some(step) = next {
+        let by_hash = || {
+            hub.read(|v| {
+                redirect::group_by_hash(v.registry(), &owners, &query, &asked, returns_to_first)
+            })
+        };
+        let Some(group) = step.named.or_else(by_hash) else { break };
         let Some(group_owners) = owners.owners_of(group) else { break };
-        let Some(decision) = place_with_copy_source(hub, query, &owners, group, group_owners).await
-        else {
-            break;
+        query.group = Some(group);
+        query.purpose = step.purpose(query.purpose);
+        query.is_last_group = step.is_last();
+        asked.push(group);
+        headroom::record_step(hub, step.named, "asked");
+        let decision = place_with_copy_source(hub, query, &owners, group, group_owners).await;
+        let Some(decision) = decision else {
+            let last = Some(Asked::NoResponse(step));
+            let attempts = Attempts { count: asked.len(), last, passed: passed(), ..attempts };
+            next = redirect::next_group(attempts);
+            continue;
         };
+        let alternative = step.named.or(denied.and_then(|d| d.alternative));
+        let decision = PlacementDecision { alternative, ..decision };
         query.purpose = Purpose::Place;
-        match &decision.result {
-            Err(denial) if denial.may_try_other_groups => {
-                query.source = denial.source.or(query.source)
+        let denial = match &decision.result {
+            Ok(_) => {
+                headroom::record_step(hub, step.named, "placed");
+                return decision;
             }
-            _ => return decision,
+            Err(denial) => denial,
+        };
+        if denial.may_try_other_groups {
+            query.source = denial.source.or(query.source);
         }
-        last_denied = Some(decision);
+        returns_to_first = returns_to_first || redirect::was_acceptable(denial);
+        let last = Some(Asked::Denied(denial));
+        let attempts = Attempts { count: asked.len(), last, passed: passed(), ..attempts };
+        next = redirect::next_group(attempts);
+        denied = Some(decision);
     }
-    last_denied.unwrap_or_else(|| place_without_owner(hub, PlacementQuery { group: None, ..query }))
+    denied.unwrap_or_else(|| place_without_owner(hub, PlacementQuery { group: None, ..query }))
 }
 
 /// Places a request in a group of engines. If none of them has cached the shared part of the
@@ -190,6 +258,8 @@
 /// Places a request by this box's own state, and broadcasts the result. Used in small fleets.
 fn place_and_broadcast(hub: &Hub, query: PlacementQuery<'_>) -> PlacementDecision {
     let role = Role::Peer { boxes: hub.peers().known_count(), draw: hub.peers().own_draw("") };
+    let connected = hub.connected(query.service, None, !query.is_repeatable);
+    let query = PlacementQuery { connected: &connected, ..query };
     let result =
         hub.admit(PlacementQuery { is_last_group: true, purpose: Purpose::Place, role, ..query });
     match &result {
@@ -201,7 +271,9 @@
             }
         }
     }
-    PlacementDecision { result, decided_by: hub.peers().own_ip(), role, request: query.request }
+    let (decided_by, request) = (hub.peers().own_ip(), query.request);
+    let (recorded_by, queued) = (Vec::new(), Duration::ZERO);
+    PlacementDecision { result, decided_by, role, request, recorded_by, queued, alternative: None }
 }
 
 /// Places a request by the incomplete state of this box, when neither owner nor standby responds.
@@ -209,7 +281,10 @@
     let role = Role::Unassigned;
     let result =
         hub.admit(PlacementQuery { is_last_group: true, purpose: Purpose::Place, role, ..query });
+    let mut recorded_by = Vec::new();
     if let Ok(choice) = &result {
+        let owners = hub.peers().owners().owners_of_hash(upstream::name_hash(&choice.upstream));
+        recorded_by.extend(owners.into_iter().flat_map(GroupOwners::boxes));
         // Without the workspace: its usage is sent by `report_share_usage`.
         notify_owners(
             hub,
@@ -217,7 +292,9 @@
             &placed_message(&PlacementQuery { workspace: None, ..query }, choice),
         );
     }
-    PlacementDecision { result, decided_by: hub.peers().own_ip(), role, request: query.request }
+    let (decided_by, request) = (hub.peers().own_ip(), query.request);
+    let queued = Duration::ZERO;
+    PlacementDecision { result, decided_by, role, request, recorded_by, queued, alternative: None }
 }
 
 /// Has a request placed by the owner of a group of engines or its standby; `None` if neither
@@ -228,18 +305,26 @@
     group: EngineGroup,
     group_owners: GroupOwners,
 ) -> Option<PlacementDecision> {
+    let connected = hub.connected(query.service, Some(group), !query.is_repeatable);
+    let query = PlacementQuery { connected: &connected, ..query };
+    let began = hub.now();
     for ip in group_owners.boxes() {
+        // The first box may have queued the request for a while.
+        let waited = query.waited + hub.now().saturating_sub(began);
+        let query = PlacementQuery { waited, ..query };
         let role = group_owners.role(ip);
         if ip == hub.peers().own_ip() {
-            let result = hub.admit(PlacementQuery { role, ..query });
-            if let Ok(choice) = &result {
-                notify_other_owner(hub, &query, choice, group_owners);
-            }
+            let query = PlacementQuery { role, ..query };
+            let (response, queued) = placement_queue::admit_here(hub, query, group_owners).await;
+            let OwnerResponse { result, recorded_by } = response;
             return Some(PlacementDecision {
                 result,
                 decided_by: ip,
                 role,
                 request: query.request,
+                recorded_by,
+                queued,
+                alternative: None,
             });
         }
         if hub.owner_requests().is_unresponsive(ip, hub.now()) {
@@ -252,18 +337,40 @@
             group,
         ));
         match request_decision(hub, ip, request, &message).await {
-            Some(Ok(choice)) if is_stale_choice(hub, ip, &choice, query.version_filter) => {
+            Ok(OwnerDecision { result: Ok(choice), recorded_by, .. })
+                if is_stale_choice(hub, ip, &choice, query.version_filter) =>
+            {
                 notices::resend(hub, &choice.upstream, ip);
+                withdraw(hub, request, recorded_by.into_iter());
             }
             // The backoff began while this box waited for the owner.
-            Some(Ok(choice)) if hub.is_backing_off(&choice.upstream) => {
+            Ok(OwnerDecision { result: Ok(choice), recorded_by, .. })
+                if hub.is_backing_off(&choice.upstream) =>
+            {
+                withdraw(hub, request, group_owners.boxes().chain(recorded_by));
+                continue;
+            }
+            Ok(OwnerDecision { result, queued, recorded_by }) => {
+                let recorded_by = [ip].into_iter().chain(recorded_by).collect();
+                return Some(PlacementDecision {
+                    result,
+                    decided_by: ip,
+                    role,
+                    request,
+                    recorded_by,
+                    queued,
+                    alternative: None,
+                });
+            }
+            // It has answered that it would decide; the decision may have been lost.
+            Err(NoDecision::Undecided) => {
+                info!(hub.log(), "owner did not decide"; "ip" => %ip, "group" => %group);
                 withdraw(hub, request, group_owners.boxes());
                 continue;
             }
-            Some(result) => {
-                return Some(PlacementDecision { result, decided_by: ip, role, request });
+            Err(NoDecision::Unresponsive) => {
+                info!(hub.log(), "owner did not respond"; "ip" => %ip, "group" => %group)
             }
-            None => info!(hub.log(), "owner did not respond"; "ip" => %ip, "group" => %group),
         }
         withdraw(hub, request, group_owners.boxes());
         hub.owner_requests().mark_unresponsive(ip, hub.now());
@@ -280,7 +387,9 @@
 /// Cancels a placement here and at the boxes that may have recorded it.
 pub fn withdraw(hub: &Hub, request: u64, from: impl Iterator<Item = IpAddr>) {
     hub.withdraw(request);
-    hub.peers().send_batched(from, &Message::Withdrawn { request });
+    let (from, now): (Vec<IpAddr>, _) = (from.collect(), hub.now());
+    hub.own_requests(|own| own.touch(from.iter().copied(), now));
+    hub.peers().send_batched(from.into_iter(), &Message::Withdrawn { request });
 }
 
 /// Finds an engine outside of a group that has cached some of a prompt: the prompt's home engine
@@ -316,6 +425,7 @@
         service: ServiceName::from(query.service),
         prompt: query.prompt.into(),
         workspace: query.workspace.cloned(),
+        rank: query.rank,
         zone: hub.peers().zone().clone(),
         excluded: excluded_in(query, group),
         version_filter: query.version_filter,
@@ -324,6 +434,8 @@
         source: query.source,
         purpose: query.purpose,
         is_last_group: query.is_last_group,
+        is_repeatable: query.is_repeatable,
+        connected: query.connected.to_vec(),
     }
 }
 
@@ -358,25 +470,20 @@
     is_stale
 }
 
-/// Asks another box to place a request; `None` if it doesn't respond in time.
+/// Asks another box to place a request.
 pub async fn request_decision(
     hub: &Hub,
     ip: IpAddr,
     request: u64,
     message: &Message,
-) -> Option<PlacementResult> {
+) -> Result<OwnerDecision, NoDecision> {
     let requests = hub.owner_requests();
-    let mut response = requests.register(request);
-    let _pending = PendingGuard { requests, request };
+    let response = requests.register(request);
     hub.peers().send_now(ip, message);
-    let deadline = Instant::now() + OWNER_RESPONSE_TIMEOUT;
-    if let Ok(result) = tokio::time::timeout_at(deadline, &mut response).await {
-        return result.ok();
-    }
-    if deadline.elapsed() < STALL_THRESHOLD {
-        return None;
-    }
-    tokio::time::timeout(OWNER_RESPONSE_TIMEOUT, response).await.ok()?.ok()
+    let withdraw = || hub.peers().send_now(ip, &Message::Withdrawn { request });
+    let (timeout, stall_threshold) = (OWNER_RESPONSE_TIMEOUT, STALL_THRESHOLD);
+    placement_queue::await_decision(requests, request, response, timeout, stall_threshold, withdraw)
+        .await
 }
 
 /// Places a request on behalf of another box, and responds to it.
@@ -388,6 +495,7 @@
         service: &message.service,
         prompt: &prompt,
         workspace: message.workspace.as_ref(),
+        rank: message.rank,
         excluded: &message.excluded,
         version_filter: message.version_filter,
         target_latency: Duration::from_millis(message.latency_target_ms.into()),
@@ -396,46 +504,70 @@
         zone: Some(&message.zone),
         sender: Some(from),
         source: message.source,
+        connected: valid_connected(hub, message, from),
         purpose: message.purpose,
         is_last_group: message.is_last_group,
         role: group_owners
             .map_or(Role::Unassigned, |group_owners| group_owners.role(hub.peers().own_ip())),
+        is_repeatable: message.is_repeatable,
     };
-    let result = hub.admit(query);
+    let Some(result) = placement_queue::admit_for_box(hub, query, from) else { return };
     let request = message.request;
-    if let Ok(choice) = &result
-        && let Some(group_owners) = group_owners
-    {
-        notify_other_owner(hub, &query, choice, group_owners);
+    let recorded_by = match (&result, group_owners) {
+        (Ok(choice), Some(group_owners)) => {
+            notify_other_deciders(hub, &query, choice, group_owners)
+        }
+        _ => Vec::new(),
+    };
+    let response = PlacementResponse { request, result, recorded_by };
+    hub.peers().send_now(from, &Message::PlacementResponse(response));
+}
+
+/// The engines that the asking box names as connected; none if there are too many.
+fn valid_connected<'a>(hub: &Hub, message: &'a PlacementRequest, from: IpAddr) -> &'a [u16] {
+    if connected::is_valid(&message.connected) {
+        return &message.connected;
     }
-    hub.peers().send_now(from, &Message::PlacementResponse(PlacementResponse { request, result }));
+    debug!(hub.log(), "list of connected engines ignored"; "ip" => %from,
+        "count" => message.connected.len());
+    hub.metrics().connected_ignored();
+    &[]
 }
 
 /// Delivers an owner's response to the task that awaits it. If no task does any longer, the request
 /// isn't sent, so its placement is cancelled.
 pub fn handle_response(hub: &Hub, response: PlacementResponse, from: IpAddr) {
-    let PlacementResponse { request, result } = response;
+    let PlacementResponse { request, result, recorded_by } = response;
     let upstream = result.as_ref().ok().map(|choice| choice.upstream.clone());
-    let pending = hub.owner_requests().take(request);
-    if pending.is_some_and(|tx| tx.send(result).is_ok()) {
+    let others = recorded_by.clone();
+    if hub.owner_requests().deliver(request, OwnerResponse { result, recorded_by }) {
+        return;
+    }
+    // The same decision has arrived twice.
+    let is_running = hub.own_requests(|own| own.upstream(request) == upstream.as_ref());
+    if upstream.is_some() && is_running {
         return;
     }
     let group_owners =
         upstream.and_then(|u| hub.peers().owners().owners_of_hash(upstream::name_hash(&u)));
     let standby = group_owners.into_iter().flat_map(GroupOwners::boxes).filter(|ip| *ip != from);
-    withdraw(hub, request, standby.chain([from]));
+    withdraw(hub, request, standby.chain([from]).chain(others));
 }
 
-/// Sends a placement to the other one of a group's owner and standby. The workspace is left out:
-/// its usage is sent by [`report_share_usage`].
-fn notify_other_owner(
+/// Sends a placement to the other one of a group's owner and standby, and to boxes that also place
+/// requests there. Returns these boxes. The workspace is left out: its usage is sent by
+/// [`report_share_usage`].
+pub fn notify_other_deciders(
     hub: &Hub,
     query: &PlacementQuery<'_>,
     choice: &Choice,
     group_owners: GroupOwners,
-) {
+) -> Vec<IpAddr> {
+    let others =
+        in_progress::other_deciders(hub, upstream::name_hash(&choice.upstream), group_owners);
     let message = placed_message(&PlacementQuery { workspace: None, ..*query }, choice);
-    hub.peers().send_batched(group_owners.boxes(), &message);
+    hub.peers().send_batched(others.iter().copied(), &message);
+    others
 }
 
 fn placed_message(query: &PlacementQuery<'_>, choice: &Choice) -> Message {
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -1,6 +1,7 @@
 //! State shared by all requests of a proxy process. Changes of the [`View`] are logged here and
 //! sent to other boxes.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -15,25 +16,40 @@
 use tokio::time::Instant;
 
 use crate::clock::Clock;
+use crate::fleet::in_progress::received::ReceivedReports;
+use crate::fleet::in_progress::table::RequestTable;
+use crate::fleet::owners::EngineGroup;
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
 use crate::placement::admit;
 use crate::placement::admit::Denial;
+use crate::placement::admit::Obstacle;
 use crate::placement::admit::PlacementQuery;
 use crate::placement::choice::Choice;
 use crate::placement::choice::ChoiceError;
 use crate::placement::choice::SelectionCriteria;
+use crate::placement::cold::Role;
 use crate::placement::plain;
 use crate::placement::registry::UpstreamRegistry;
 use crate::placement::registry::learned::LearnedReport;
 use crate::placement::share::Shares;
+use crate::placement::waiting::Admission;
+use crate::placement::waiting::Answer;
+use crate::placement::waiting::Outcome;
+use crate::placement::waiting::WaitingRequests;
 use crate::proxy::adapter::EngineClient;
 use crate::proxy::adapter::HeaderAdapter;
 use crate::proxy::capacity;
+use crate::proxy::connection_reuse::ReuseRule;
 use crate::proxy::engine_placement::OwnerRequests;
+use crate::proxy::headroom::HeadroomState;
+use crate::proxy::held_tracker::HeldTracker;
 use crate::proxy::message::Message;
+use crate::proxy::own_speeds;
 use crate::proxy::peers::Peers;
 use crate::proxy::placed_request::CountGuard;
+use crate::proxy::placement_queue;
+use crate::proxy::placement_queue::Recipient;
 use crate::proxy::proxy_metrics::ProxyMetrics;
 use crate::proxy::retry_budget::RetryBudget;
 use crate::proxy::rollouts::RolloutState;
@@ -60,6 +76,10 @@
     log: Logger,
     in_flight: Arc<AtomicUsize>,
     owner_requests: OwnerRequests,
+    own_requests: Mutex<RequestTable>,
+    received_reports: Mutex<ReceivedReports>,
+    queue_changed: Notify,
+    headroom: HeadroomState,
     suspects: Suspects,
     rollouts: RolloutState,
     probe_requested: Notify,
@@ -71,6 +91,7 @@
     rejected: AtomicUsize,
     connections: Arc<AtomicUsize>,
     connections_max: usize,
+    held: Option<Arc<HeldTracker>>,
     late_max: Duration,
 }
 
@@ -80,6 +101,8 @@
     shares: Shares,
     /// Shares at plain services, counted in requests.
     plain_shares: Shares,
+    /// Requests that wait for engines for which this box decides.
+    waiting: WaitingRequests<Recipient>,
 }
 
 impl Hub {
@@ -99,18 +122,27 @@
             budget: RetryBudget::new(cfg.repeats),
             shares: Shares::new(cfg.share_window),
             plain_shares: Shares::new(cfg.share_window),
+            waiting: WaitingRequests::default(),
         };
+        let own_requests = RequestTable::new(peers.own_ip(), peers.incarnation());
+        let held_bound = (cfg.memory_bytes as f64 * cfg.held_share) as usize;
         let hub = Arc::new(Hub {
             inner: Mutex::new(inner),
             header_adapter,
             engine_client,
             upstream_connections: UpstreamConnections::new(clock.clone()),
+            held: (held_bound != 0)
+                .then(|| HeldTracker::new(held_bound, clock.clone(), metrics.clone(), log.clone())),
             clock,
             peers,
             metrics,
             log,
             in_flight: Arc::default(),
             owner_requests: OwnerRequests::default(),
+            own_requests: Mutex::new(own_requests),
+            received_reports: Mutex::default(),
+            queue_changed: Notify::new(),
+            headroom: HeadroomState::new(cfg.tuning.small_batch),
             suspects: Suspects::default(),
             rollouts: RolloutState::new(cfg.exposure),
             probe_requested: Notify::new(),
@@ -223,6 +255,11 @@
         self.rejected.load(Ordering::Relaxed)
     }
 
+    /// Tracks the bytes held for callers and upstreams; `None` if they are not bounded.
+    pub fn held(&self) -> Option<&Arc<HeldTracker>> {
+        self.held.as_ref()
+    }
+
     /// Counts a caller's connection until the guard is dropped.
     pub fn track_connection(&self) -> CountGuard {
         CountGuard::new(self.connections.clone())
@@ -276,6 +313,7 @@
     /// Applies a report on the engines; the box counts as warm from then on.
     pub fn warm_up(&self, learned: &LearnedReport) {
         self.with_registry(|registry| registry.apply_learned(learned));
+        own_speeds::adopt(self, &learned.own_speeds);
         self.change(|view, now| {
             learned.draining.iter().for_each(|draining| _ = view.apply_draining(draining, now));
         });
@@ -297,6 +335,7 @@
         let result = f(&mut inner.view, self.now());
         let changes = inner.view.take_changes();
         let reaches_store = inner.view.reaches_store();
+        self.examine_queue(&inner);
         drop(inner);
         for change in changes {
             self.report_change(&change, reaches_store);
@@ -317,10 +356,20 @@
 
     /// Places a request by the state known to this box.
     pub fn admit(&self, query: PlacementQuery<'_>) -> Result<Choice, Denial> {
+        self.admit_or_redirect(query, |_, _| None)
+    }
+
+    /// Like [`Hub::admit`], but a request that would wait or be denied may be sent to the group
+    /// that `redirect` returns.
+    pub fn admit_or_redirect(
+        &self,
+        query: PlacementQuery<'_>,
+        redirect: impl FnOnce(&UpstreamRegistry, Obstacle<'_>) -> Option<EngineGroup>,
+    ) -> Result<Choice, Denial> {
         let now = self.now();
         let mut inner = self.inner.lock().expect("no panic under lock");
         let Inner { view, shares, .. } = &mut *inner;
-        admit::admit(view.registry_mut(), shares, query, now)
+        admit::admit_or_redirect(view.registry_mut(), shares, query, now, redirect)
     }
 
     /// Removes a request that isn't sent, and reverts what was charged for it.
@@ -330,6 +379,72 @@
         inner.view.registry_mut().withdraw(request, now);
         inner.shares.revert(request, now);
         inner.plain_shares.revert(request, now);
+        let queued = inner.waiting.withdraw(request, now);
+        self.examine_queue(&inner);
+        drop(inner);
+        if let Some(queued) = queued {
+            placement_queue::log_end(self, request, None, Outcome::Withdrawn, queued);
+        }
+    }
+
+    /// Places a request by the state known to this box, or queues it if it can begin in time. One
+    /// that would wait or be denied may be sent to the group that `redirect` returns.
+    pub fn admit_or_queue(
+        &self,
+        query: PlacementQuery<'_>,
+        recipient: Recipient,
+        redirect: impl FnOnce(&UpstreamRegistry, Obstacle<'_>) -> Option<EngineGroup>,
+    ) -> Admission<Recipient> {
+        let now = self.now();
+        let mut inner = self.inner.lock().expect("no panic under lock");
+        let Inner { view, shares, waiting, .. } = &mut *inner;
+        let admission = waiting.admit(view.registry_mut(), shares, query, recipient, now, redirect);
+        if matches!(admission, Admission::Queued { .. }) {
+            self.queue_changed.notify_one();
+        }
+        admission
+    }
+
+    /// Places the waiting requests that can begin, and denies those that can't in time. `role` is
+    /// this box's role for a group of engines, if it has one.
+    pub fn dispatch_queued(
+        &self,
+        role: impl Fn(EngineGroup) -> Option<Role>,
+    ) -> Vec<Answer<Recipient>> {
+        let now = self.now();
+        let mut inner = self.inner.lock().expect("no panic under lock");
+        let Inner { view, shares, waiting, .. } = &mut *inner;
+        waiting.dispatch(view.registry_mut(), shares, role, now)
+    }
+
+    /// The number of requests that wait for engines.
+    pub fn waiting_count(&self) -> usize {
+        self.inner.lock().expect("no panic under lock").waiting.len()
+    }
+
+    /// Time until an engine is expected to be free for a waiting request; `None` if none waits.
+    pub fn engine_free_in(&self) -> Option<Duration> {
+        let now = self.now();
+        self.inner.lock().expect("no panic under lock").waiting.free_in(now)
+    }
+
+    /// Waits until requests may leave the queue, or one has been queued.
+    pub async fn queue_changed(&self) {
+        self.queue_changed.notified().await;
+    }
+
+    /// Has waiting requests examined, since the state of engines has changed.
+    fn examine_queue(&self, inner: &Inner) {
+        if !inner.waiting.is_empty() {
+            self.queue_changed.notify_one();
+        }
+    }
+
+    /// Removes the requests of a dead box, which run nowhere and await no decision.
+    pub fn remove_sender(&self, sender: IpAddr) {
+        let mut inner = self.inner.lock().expect("no panic under lock");
+        inner.view.registry_mut().remove_sender(sender);
+        inner.waiting.remove_sender(sender);
     }
 
     /// Places a request for a plain service by the counts of this box.
@@ -350,6 +465,21 @@
         &self.owner_requests
     }
 
+    /// Accesses this box's requests in progress.
+    pub fn own_requests<T>(&self, f: impl FnOnce(&mut RequestTable) -> T) -> T {
+        f(&mut self.own_requests.lock().expect("no panic under lock"))
+    }
+
+    /// Accesses the reports of other boxes on their requests in progress.
+    pub fn received_reports<T>(&self, f: impl FnOnce(&mut ReceivedReports) -> T) -> T {
+        f(&mut self.received_reports.lock().expect("no panic under lock"))
+    }
+
+    /// Free capacity that owners have announced to each other.
+    pub fn headroom(&self) -> &HeadroomState {
+        &self.headroom
+    }
+
     /// Requests suspected of crashing upstreams.
     pub fn suspects(&self) -> &Suspects {
         &self.suspects
@@ -395,6 +525,31 @@
         ConnectionQuota::new(QuotaInputs { connections, admission_limit, boxes, draw }, is_placed)
     }
 
+    /// Which idle connections to an upstream a request may use.
+    pub fn reuse_rule(&self, upstream: &UpstreamName, is_once_only: bool) -> ReuseRule {
+        let trusts_announced = self.read(|view| view.registry().prefers_connected(upstream));
+        ReuseRule { is_once_only, trusts_announced }
+    }
+
+    /// Short hashes of engines of a group to which this box has an idle connection for a request.
+    pub fn connected(
+        &self,
+        service: &str,
+        group: Option<EngineGroup>,
+        is_once_only: bool,
+    ) -> Vec<u16> {
+        let prefers_connected = self.read(|view| {
+            let small_batch = view.registry().tuning().small_batch;
+            let engine = view.table().and_then(|t| t.service(service)).and_then(|s| s.engine);
+            engine.is_some_and(|limits| small_batch.prefers_connected(limits.slots))
+        });
+        if !prefers_connected {
+            return Vec::new();
+        }
+        let reuse_rule = ReuseRule { is_once_only, trusts_announced: true };
+        self.upstream_connections.connected(group, reuse_rule)
+    }
+
     /// Whether this box backs off from an upstream, or the upstream's slow start after a backoff
     /// admits no more requests for now.
     pub fn is_backing_off(&self, upstream: &UpstreamName) -> bool {
@@ -414,7 +569,10 @@
 
     /// Accesses the state of the upstreams.
     pub fn with_registry<T>(&self, f: impl FnOnce(&mut UpstreamRegistry) -> T) -> T {
-        f(self.inner.lock().expect("no panic under lock").view.registry_mut())
+        let mut inner = self.inner.lock().expect("no panic under lock");
+        let result = f(inner.view.registry_mut());
+        self.examine_queue(&inner);
+        result
     }
 
     fn report_change(&self, change: &Change, reaches_store: bool) {
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -8,6 +8,10 @@
 
 use crate::fleet::draining::DrainNotice;
 use crate::fleet::fingerprint::Fingerprint;
+use crate::fleet::headroom::GroupHeadroom;
+use crate::fleet::in_progress::InProgressReport;
+use crate::fleet::in_progress::RequestRecord;
+use crate::fleet::in_progress::ShortId;
 use crate::fleet::members::HeartbeatMessage;
 use crate::fleet::owners::EngineGroup;
 use crate::fleet::quarantine::SuspectReport;
@@ -27,6 +31,7 @@
 use crate::proxy::adapter::PromptPart;
 use crate::proxy::adapter::UpstreamListing;
 use crate::proxy::plain_placement::PlainPlacementRequest;
+use crate::proxy::routing_table::Rank;
 
 /// A message from one box to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -124,6 +129,21 @@
     },
     /// An upstream has announced in a response that it is draining.
     DrainNotice(DrainNotice),
+    /// The sender's requests in progress at upstreams that the receiver tracks.
+    InProgress(InProgressReport),
+    /// Asks for the records of requests that a report lists and the sender doesn't know.
+    UnknownRequests(Vec<ShortId>),
+    /// Requests of the sender that are in progress, for a box that has no records of them.
+    RequestRecords(Vec<RequestRecord>),
+    /// The owner has queued a request, and decides within this time.
+    Queued {
+        /// Identifies the attempt to send it.
+        request: u64,
+        /// Time until the decision is sent at the latest, in milliseconds.
+        within_ms: u32,
+    },
+    /// Free capacity of the groups that the sender owns.
+    Headroom(Vec<GroupHeadroom>),
 }
 
 impl Message {
@@ -137,6 +157,7 @@
                 | Message::Withdrawn { .. }
                 | Message::Refused { .. }
                 | Message::SuspectCleared { .. }
+                | Message::InProgress(_)
         )
     }
 }
@@ -154,6 +175,8 @@
     pub prompt: PromptMessage,
     /// The workspace that is charged.
     pub workspace: Option<WorkspaceName>,
+    /// Which of several waiting requests goes first.
+    pub rank: Rank,
     /// The availability zone of the asking box.
     pub zone: ZoneName,
     /// Engines that may not be chosen.
@@ -170,6 +193,10 @@
     pub purpose: Purpose,
     /// Whether this is the last group that is asked.
     pub is_last_group: bool,
+    /// Whether the request may be sent again if it fails.
+    pub is_repeatable: bool,
+    /// Short hashes of engines of the group to which the asking box has an idle connection.
+    pub connected: Vec<u16>,
 }
 
 /// An owner's decision on a [`PlacementRequest`] or a [`PlainPlacementRequest`].
@@ -179,6 +206,8 @@
     pub request: u64,
     /// The chosen upstream, or why none is chosen.
     pub result: Result<Choice, Denial>,
+    /// Other boxes that record the placement.
+    pub recorded_by: Vec<IpAddr>,
 }
 
 /// Tokens that a workspace requested and was granted at one box since the box's last report.
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -11,17 +11,24 @@
 pub mod capacity;
 pub mod connection_limiter;
 pub mod connection_rejecter;
+pub mod connection_reuse;
 pub mod digests;
 pub mod engine_placement;
 pub mod gossip;
+pub mod headroom;
+pub mod held_bytes;
+pub mod held_tracker;
 pub mod history;
 pub mod http_client;
 pub mod hub;
+pub mod in_progress;
 pub mod listener;
 pub mod message;
 pub mod notices;
+mod own_speeds;
 pub mod peers;
 pub mod placed_request;
+pub mod placement_queue;
 pub mod plain_placement;
 pub mod proxy_metrics;
 pub mod reachability;
@@ -75,6 +82,7 @@
 use crate::proxy::adapter::SuspectStore;
 use crate::proxy::capacity::StreamLimiter;
 use crate::proxy::connection_limiter::ConnectionLimiter;
+use crate::proxy::connection_reuse::ConnectionLog;
 use crate::proxy::hub::Hub;
 use crate::proxy::peers::Peers;
 use crate::proxy::proxy_metrics::ProxyMetrics;
@@ -173,6 +181,9 @@
     tokio::spawn(warm_up::run_at_start(hub.clone(), deps.engine_client.clone()));
     tokio::spawn(warm_up::run_for_own_groups(hub.clone(), deps.engine_client));
     tokio::spawn(engine_placement::report_share_usage(hub.clone()));
+    tokio::spawn(in_progress::run(hub.clone()));
+    tokio::spawn(placement_queue::run(hub.clone()));
+    tokio::spawn(headroom::announce(hub.clone()));
     tokio::spawn(rollouts::run(hub.clone(), deps.rollout_reporter));
     tokio::spawn(suspects::catch_up(hub.clone()));
     tokio::spawn(suspects::save(hub.clone(), deps.suspect_store.clone()));
@@ -216,6 +227,7 @@
 
 async fn run_housekeeping(hub: Arc<Hub>, store_due: watch::Sender<bool>) {
     let mut limiter = StreamLimiter::new(hub.streams_max());
+    let mut connection_log = ConnectionLog::default();
     let mut rejected = 0;
     let mut not_ready_until = Instant::now();
     let mut groups: BTreeSet<EngineGroup> = BTreeSet::new();
@@ -240,9 +252,12 @@
                 "streams_max" => hub.streams_max(), "in_flight" => hub.in_flight(),
                 "turned_away" => rejected);
         }
+        connection_log.log_if_due(&hub);
+        hub.held().iter().for_each(|held| held.check());
         gossip::send_gossip(&hub);
         hub.change(view::View::expire);
         hub.suspects().expire(hub.now());
+        own_speeds::log_changes(&hub);
         let engines = hub.read(|view| view.registry().engine_count());
         if hub.peers().refresh(engines) {
             let owners = hub.peers().owners();
@@ -250,6 +265,7 @@
                 owners.groups_of(hub.peers().own_ip()).map(|(group, _)| group).collect();
             hold_cold_engines(&hub, &new_groups, &groups);
             groups = new_groups;
+            in_progress::owners_changed(&hub);
             info!(hub.log(), "engine owners changed"; "boxes" => hub.peers().live_count() + 1,
                 "engines" => engines, "kept" => owners.groups_of(hub.peers().own_ip()).count());
         }
--- a/src/proxy/plain_placement.rs
+++ b/src/proxy/plain_placement.rs
@@ -22,12 +22,15 @@
 use crate::placement::plain::PlainQuery;
 use crate::proxy::adapter::Prompt;
 use crate::proxy::engine_placement;
+use crate::proxy::engine_placement::OwnerResponse;
 use crate::proxy::engine_placement::PlacementDecision;
 use crate::proxy::engine_placement::PlacementResult;
 use crate::proxy::hub::Hub;
+use crate::proxy::in_progress;
 use crate::proxy::message::Message;
 use crate::proxy::message::PlacementResponse;
 use crate::proxy::notices;
+use crate::proxy::placement_queue::OwnerDecision;
 
 /// Asks the owner of a plain service to place a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -48,11 +51,18 @@
     pub latency_target_ms: u32,
     /// How long the request has already waited, in milliseconds.
     pub waited_ms: u32,
+    /// Whether the request may be sent again if it fails.
+    pub is_repeatable: bool,
+}
+
+/// The hash by which the owners of a plain service are found.
+pub fn owner_hash(service: &str) -> u64 {
+    xxh3_64(service.as_bytes())
 }
 
 /// The boxes that count the requests of a plain service; `None` if each box does.
 pub fn owners(hub: &Hub, service: &str) -> Option<GroupOwners> {
-    hub.peers().owners().owners_of_hash(xxh3_64(service.as_bytes()))
+    hub.peers().owners().owners_of_hash(owner_hash(service))
 }
 
 /// Places a request, or says why it isn't placed; `None` if neither owner nor standby responds.
@@ -61,21 +71,29 @@
     if hub.peers().owners().is_empty() {
         let role = Role::Peer { boxes: hub.peers().known_count(), draw: hub.peers().own_draw("") };
         return Some(PlacementDecision {
-            result: place_and_broadcast(hub, query),
+            result: place_and_broadcast(hub, PlainQuery { role, ..query }),
             decided_by: me,
             role,
             request,
+            recorded_by: Vec::new(),
+            queued: Duration::ZERO,
+            alternative: None,
         });
     }
     let owners = owners(hub, query.service)?;
     for ip in owners.boxes() {
         let role = owners.role(ip);
         if ip == me {
+            let OwnerResponse { result, recorded_by } =
+                place_here(hub, PlainQuery { role, ..query }, owners);
             return Some(PlacementDecision {
-                result: place_here(hub, query, owners),
+                result,
                 decided_by: me,
                 role,
                 request,
+                recorded_by,
+                queued: Duration::ZERO,
+                alternative: None,
             });
         }
         if hub.owner_requests().is_unresponsive(ip, hub.now()) {
@@ -85,20 +103,32 @@
         let message =
             Message::PlainPlacementRequest(placement_request(&PlainQuery { request, ..query }));
         match engine_placement::request_decision(hub, ip, request, &message).await {
-            Some(Ok(choice))
+            Ok(OwnerDecision { result: Ok(choice), recorded_by, .. })
                 if engine_placement::is_stale_choice(hub, ip, &choice, query.version_filter) =>
             {
                 notices::resend(hub, &choice.upstream, ip);
+                engine_placement::withdraw(hub, request, recorded_by.into_iter());
             }
             // The backoff began while this box waited for the owner.
-            Some(Ok(choice)) if hub.is_backing_off(&choice.upstream) => {
-                engine_placement::withdraw(hub, request, owners.boxes());
+            Ok(OwnerDecision { result: Ok(choice), recorded_by, .. })
+                if hub.is_backing_off(&choice.upstream) =>
+            {
+                engine_placement::withdraw(hub, request, owners.boxes().chain(recorded_by));
                 continue;
             }
-            Some(result) => {
-                return Some(PlacementDecision { result, decided_by: ip, role, request });
+            Ok(OwnerDecision { result, queued, recorded_by }) => {
+                let recorded_by = [ip].into_iter().chain(recorded_by).collect();
+                return Some(PlacementDecision {
+                    result,
+                    decided_by: ip,
+                    role,
+                    request,
+                    recorded_by,
+                    queued,
+                    alternative: None,
+                });
             }
-            None => {
+            Err(_) => {
                 info!(hub.log(), "owner did not respond"; "ip" => %ip, "service" => query.service)
             }
         }
@@ -110,6 +140,8 @@
 
 /// Places a request on behalf of another box, and responds to it.
 pub fn handle_request(hub: &Hub, message: &PlainPlacementRequest, from: IpAddr) {
+    let group_owners = owners(hub, &message.service);
+    let own_ip = hub.peers().own_ip();
     let query = PlainQuery {
         request: message.request,
         service: &message.service,
@@ -120,15 +152,15 @@
         waited: Duration::from_millis(message.waited_ms.into()),
         zone: &message.zone,
         sender: Some(from),
+        is_repeatable: message.is_repeatable,
+        role: group_owners.map_or(Role::Unassigned, |owners| owners.role(own_ip)),
     };
-    let result = match owners(hub, &message.service) {
+    let OwnerResponse { result, recorded_by } = match group_owners {
         Some(owners) => place_here(hub, query, owners),
-        None => hub.admit_plain(query),
+        None => OwnerResponse { result: hub.admit_plain(query), recorded_by: Vec::new() },
     };
-    hub.peers().send_now(
-        from,
-        &Message::PlacementResponse(PlacementResponse { request: message.request, result }),
-    );
+    let response = PlacementResponse { request: message.request, result, recorded_by };
+    hub.peers().send_now(from, &Message::PlacementResponse(response));
 }
 
 /// Sends a message to the boxes that count the requests of a plain service. In a small fleet, all
@@ -141,14 +173,16 @@
 }
 
 /// Places a request by this box's own counts, and sends the result to the other one of owner and
-/// standby.
-fn place_here(hub: &Hub, query: PlainQuery<'_>, owners: GroupOwners) -> PlacementResult {
+/// standby, and to boxes that also place requests there.
+fn place_here(hub: &Hub, query: PlainQuery<'_>, owners: GroupOwners) -> OwnerResponse {
     let result = hub.admit_plain(query);
-    if let Ok(choice) = &result {
-        let message = placed_message(&PlainQuery { workspace: None, ..query }, choice);
-        hub.peers().send_batched(owners.boxes(), &message);
-    }
-    result
+    let Ok(choice) = &result else {
+        return OwnerResponse { result, recorded_by: Vec::new() };
+    };
+    let others = in_progress::other_deciders(hub, owner_hash(query.service), owners);
+    let message = placed_message(&PlainQuery { workspace: None, ..query }, choice);
+    hub.peers().send_batched(others.iter().copied(), &message);
+    OwnerResponse { result, recorded_by: others }
 }
 
 fn place_and_broadcast(hub: &Hub, query: PlainQuery<'_>) -> PlacementResult {
@@ -169,6 +203,7 @@
         version_filter: query.version_filter,
         latency_target_ms: engine_placement::duration_ms(query.target_latency),
         waited_ms: engine_placement::duration_ms(query.waited),
+        is_repeatable: query.is_repeatable,
     }
 }
 
--- a/src/proxy/proxy_metrics.rs
+++ b/src/proxy/proxy_metrics.rs
@@ -10,9 +10,15 @@
 
 use crate::metrics::Metrics;
 use crate::names::WorkspaceName;
+use crate::placement::registry::own_speed::AdoptedSpeeds;
 use crate::placement::share::TokenCounts;
+use crate::placement::waiting::Outcome;
 use crate::proxy::adapter::Notice;
+use crate::proxy::connection_reuse::CloseCause;
+use crate::proxy::connection_reuse::ConnectionCounts;
+use crate::proxy::connection_reuse::OpenCause;
 use crate::proxy::hub::Hub;
+use crate::proxy::own_speeds;
 use crate::proxy::placed_request::FirstTokenTiming;
 use crate::proxy::view::View;
 
@@ -45,6 +51,18 @@
     reached_anyway: Counter<u64>,
     held_back: Counter<u64>,
     suspended: Counter<u64>,
+    half_open_probes: Counter<u64>,
+    requests_corrected: Counter<u64>,
+    in_progress_faults: Counter<u64>,
+    connected_ignored: Counter<u64>,
+    gave_way: Counter<u64>,
+    own_speeds: Counter<u64>,
+    queued: Counter<u64>,
+    left_queue: Counter<u64>,
+    ranks_ignored: Counter<u64>,
+    queue_waits: Histogram<f64>,
+    announcements: Counter<u64>,
+    redirects: Counter<u64>,
 }
 
 impl ProxyMetrics {
@@ -77,6 +95,18 @@
             withheld: meter.u64_counter("frostdyke_requests_withheld").build(),
             reached_anyway: meter.u64_counter("frostdyke_requests_reached_anyway").build(),
             upstreams_restarted: meter.u64_counter("frostdyke_upstreams_restarted").build(),
+            half_open_probes: meter.u64_counter("frostdyke_half_open_probes").build(),
+            requests_corrected: meter.u64_counter("frostdyke_requests_corrected").build(),
+            in_progress_faults: meter.u64_counter("frostdyke_in_progress_faults").build(),
+            connected_ignored: meter.u64_counter("frostdyke_connected_lists_ignored").build(),
+            gave_way: meter.u64_counter("frostdyke_holders_gave_way").build(),
+            own_speeds: meter.u64_counter("frostdyke_engine_speeds_reported").build(),
+            queued: meter.u64_counter("frostdyke_queue_entered").build(),
+            left_queue: meter.u64_counter("frostdyke_queue_left").build(),
+            ranks_ignored: meter.u64_counter("frostdyke_ranks_ignored").build(),
+            queue_waits: histogram("frostdyke_queue_seconds"),
+            announcements: meter.u64_counter("frostdyke_headroom_announcements").build(),
+            redirects: meter.u64_counter("frostdyke_redirects").build(),
             metrics,
         }
     }
@@ -105,10 +135,12 @@
         gauge("frostdyke_proxy_streams_max", |hub| hub.streams_max() as u64);
         gauge("frostdyke_proxy_turned_away", |hub| hub.rejected() as u64);
         gauge("frostdyke_proxy_connections", |hub| hub.connections() as u64);
+        gauge("frostdyke_held_bytes", |hub| hub.held().map_or(0, |held| held.total() as u64));
         gauge("frostdyke_boxes_alive", |hub| hub.peers().live_count() as u64 + 1);
         gauge("frostdyke_groups_kept", |hub| {
             hub.peers().owners().groups_of(hub.peers().own_ip()).count() as u64
         });
+        gauge("frostdyke_queue_length", |hub| hub.waiting_count() as u64);
         gauge("frostdyke_configuration_version", Hub::version);
         gauge("frostdyke_store_reached", |hub| u64::from(hub.read(View::reaches_store)));
         gauge("frostdyke_upstreams", |hub| hub.read(|v| v.registry().listed().count() as u64));
@@ -123,6 +155,8 @@
         });
         gauge("frostdyke_suspects", |hub| hub.suspects().read(|q| q.len() as u64));
         self.register_share_gauges(hub);
+        self.register_connection_counters(hub);
+        self.register_engine_gauge(hub);
         gauge("frostdyke_upstreams_in_doubt", |hub| {
             hub.read(|v| v.registry().unverified_count() as u64)
         });
@@ -151,6 +185,67 @@
         gauge("frostdyke_share_begun_tokens", |tokens| tokens.admitted);
     }
 
+    /// Registers the counters of connections to upstreams: opened and closed by cause, and reused.
+    fn register_connection_counters(&self, hub: &Arc<Hub>) {
+        let counter = |name: &'static str, read: fn(&ConnectionCounts) -> Vec<(&str, u64)>| {
+            let hub: Weak<Hub> = Arc::downgrade(hub);
+            // The meter keeps the callback.
+            let _ = (self.metrics.meter().u64_observable_counter(name))
+                .with_callback(move |observer| {
+                    let Some(hub) = hub.upgrade() else { return };
+                    for (cause, count) in read(hub.upstream_connections().counts()) {
+                        observer.observe(count, &[KeyValue::new("cause", cause.to_owned())]);
+                    }
+                })
+                .build();
+        };
+        counter("frostdyke_upstream_connections_opened", |counts| {
+            OpenCause::ALL.map(|cause| (cause.code(), counts.opened_for(cause))).to_vec()
+        });
+        counter("frostdyke_upstream_connections_closed", |counts| {
+            CloseCause::ALL.map(|cause| (cause.code(), counts.closed_for(cause))).to_vec()
+        });
+        let hub: Weak<Hub> = Arc::downgrade(hub);
+        // The meter keeps the callback.
+        let _ = (self.metrics.meter())
+            .u64_observable_counter("frostdyke_upstream_connections_reused")
+            .with_callback(move |observer| {
+                if let Some(hub) = hub.upgrade() {
+                    observer.observe(hub.upstream_connections().counts().reused_count(), &[]);
+                }
+            })
+            .build();
+    }
+
+    /// Registers the gauge of the levels of engines' own speeds, with one series per engine of the
+    /// groups that this box owns or stands by for.
+    fn register_engine_gauge(&self, hub: &Arc<Hub>) {
+        let hub: Weak<Hub> = Arc::downgrade(hub);
+        // The meter keeps the callback.
+        let _ = (self.metrics.meter().f64_observable_gauge("frostdyke_engine_speed_factor"))
+            .with_callback(move |observer| {
+                let Some(hub) = hub.upgrade() else { return };
+                for (upstream, factor) in own_speeds::level_factors(&hub) {
+                    let label = KeyValue::new("upstream", upstream.as_str().to_owned());
+                    observer.observe(factor, &[label]);
+                }
+            })
+            .build();
+    }
+
+    /// Counts reported levels of engines' own speeds, by what became of them.
+    pub fn own_speeds_adopted(&self, counts: AdoptedSpeeds) {
+        let AdoptedSpeeds { adopted, kept, other_instance, out_of_bounds } = counts;
+        for (result, count) in [
+            ("adopted", adopted),
+            ("kept", kept),
+            ("other-instance", other_instance),
+            ("out-of-bounds", out_of_bounds),
+        ] {
+            self.own_speeds.add(count, &[KeyValue::new("result", result)]);
+        }
+    }
+
     /// Counts the tokens charged to a workspace for a request that has returned its first token.
     pub fn workspace_begun(&self, workspace: &WorkspaceName, tokens: u64) {
         let label = KeyValue::new("workspace", workspace.as_str().to_owned());
@@ -212,11 +307,67 @@
         self.reached_anyway.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a request that is sent to an upstream although its believed wait is too long.
+    pub fn half_open_probe(&self) {
+        self.half_open_probes.add(1, &[]);
+    }
+
+    /// Counts records of requests in progress that a report of their sender has corrected.
+    pub fn requests_corrected(&self, how: &'static str, count: usize) {
+        if count != 0 {
+            self.requests_corrected.add(count as u64, &[KeyValue::new("how", how)]);
+        }
+    }
+
+    /// Counts a report or record of requests in progress that is ignored.
+    pub fn in_progress_fault(&self, fault: &'static str) {
+        self.in_progress_faults.add(1, &[KeyValue::new("fault", fault)]);
+    }
+
+    /// Counts a request that waits in this box's queue.
+    pub fn queued(&self) {
+        self.queued.add(1, &[]);
+    }
+
+    /// Counts a request that leaves this box's queue, and records how long it waited.
+    pub fn left_queue(&self, outcome: Outcome, queued: Duration) {
+        let labels = [KeyValue::new("outcome", outcome.code())];
+        self.left_queue.add(1, &labels);
+        self.queue_waits.record(queued.as_secs_f64(), &labels);
+    }
+
+    /// Counts ranks of a configuration that are out of range.
+    pub fn ranks_ignored(&self, count: usize) {
+        self.ranks_ignored.add(count as u64, &[]);
+    }
+
+    /// Counts announcements of free capacity: `sent` (once for each receiver), `received`, or
+    /// `ignored` because they can't be right.
+    pub fn headroom_announcements(&self, kind: &'static str, count: usize) {
+        self.announcements.add(count as u64, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Counts a request on its way to another group with free capacity: `claimed` there by the
+    /// owner that names the group; `asked` and `placed` by the sender.
+    pub fn redirect(&self, step: &'static str) {
+        self.redirects.add(1, &[KeyValue::new("step", step)]);
+    }
+
     /// Counts a suspension of the machine.
     pub fn suspended(&self) {
         self.suspended.add(1, &[]);
     }
 
+    /// Counts a holder of bytes that gave way, by what it held them for.
+    pub fn gave_way(&self, kind: &'static str) {
+        self.gave_way.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Counts a list of connected engines that is too long.
+    pub fn connected_ignored(&self) {
+        self.connected_ignored.add(1, &[]);
+    }
+
     /// Counts a request that is held back from now on, by how this box learned of it.
     pub fn held_back(&self, by: &'static str) {
         self.held_back.add(1, &[KeyValue::new("by", by)]);
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::future::OptionFuture;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
@@ -26,10 +27,14 @@
 use crate::names::WorkspaceName;
 use crate::placement::choice::Choice;
 use crate::placement::upstream::Health;
+use crate::placement::upstream::name_hash;
 use crate::proxy::adapter::RequestHead;
 use crate::proxy::adapter::UpstreamRequestInfo;
 use crate::proxy::adapter::Verdict;
 use crate::proxy::admission;
+use crate::proxy::held_bytes::HoldKind;
+use crate::proxy::held_tracker::HeldBody;
+use crate::proxy::held_tracker::Hold;
 use crate::proxy::hub::Hub;
 use crate::proxy::notices;
 use crate::proxy::notices::ReceivedNotice;
@@ -41,12 +46,14 @@
 use crate::proxy::refusal::Refusal;
 use crate::proxy::response_body;
 use crate::proxy::response_body::Body;
+use crate::proxy::routing_table::Rank;
 use crate::proxy::routing_table::Repeat;
 use crate::proxy::routing_table::Route;
 use crate::proxy::stream_relay;
 use crate::proxy::suspects;
 use crate::proxy::suspects::BrokenRequest;
 use crate::proxy::upstream_connections;
+use crate::proxy::upstream_connections::Target;
 use crate::proxy::upstream_connections::UpstreamBody;
 use crate::proxy::upstream_selection::NO_UPSTREAM_RETRY;
 use crate::proxy::upstream_selection::OVERLOAD_RETRY_MIN;
@@ -84,6 +91,8 @@
     pub connections_max: u32,
     /// The workspace that it is charged to.
     pub workspace: Option<WorkspaceName>,
+    /// Which of several waiting requests goes first.
+    pub rank: Rank,
     /// The body.
     pub body: Bytes,
     /// Computed on first use by [`RequestContext::fingerprint`].
@@ -102,6 +111,8 @@
     pub broken_sends: u32,
     /// The expected and the actual time of the first token, once it has arrived.
     pub first_token: Option<FirstTokenTiming>,
+    /// Counts the request's body, if such bytes are bounded.
+    pub hold: Option<Hold>,
     /// Counts the request until the whole response has been passed on.
     pub in_flight_guard: CountGuard,
     /// Counts the request until it is sent for the first time.
@@ -158,10 +169,11 @@
         Ok(ctx) => ctx,
         Err((cause, id)) => return refuse(&hub, &id, cause),
     };
-    match admission::read_body(&hub, body, ctx.deadline).await {
+    match admission::read_body(&hub, body, ctx.deadline, ctx.hold.as_ref()).await {
         Ok(body) => ctx.body = body,
         Err(cause) => return ctx.refuse(cause),
     }
+    ctx.set_held(HoldKind::Unsent);
     if ctx.route.streaming {
         ctx.stream_guard = hub.try_track_stream();
         if ctx.stream_guard.is_none() {
@@ -182,8 +194,11 @@
 impl RequestContext {
     async fn respond_to_caller(mut self) -> Response<Body> {
         let timed_out = self.hub.clock().clone().sleep_until(self.deadline);
+        let gave_way = OptionFuture::from(self.hold.as_ref().map(Hold::wait_gave_way));
         let result = tokio::select! {
             biased;
+            // Only a request that was never sent gives way.
+            Some(()) = gave_way => Err(Refusal::BoxBusy),
             result = self.send_until_response() => result,
             () = timed_out => Err(Refusal::TimedOut),
         };
@@ -193,8 +208,13 @@
         }
     }
 
+    /// Counts the request's body as held for this purpose.
+    fn set_held(&self, kind: HoldKind) {
+        self.hold.iter().for_each(|hold| hold.set(kind, self.body.len()));
+    }
+
     /// Time until the deadline.
-    fn remaining(&self) -> Duration {
+    pub(super) fn remaining(&self) -> Duration {
         self.deadline.saturating_sub(self.hub.now())
     }
 
@@ -357,12 +377,25 @@
         self.tried.push(choice.upstream.clone());
         let req = self.request_for(choice, resume_after);
         let began = Instant::now();
-        let is_once_only = self.route.repeat == Repeat::Never;
         let connections = self.hub.upstream_connections().clone();
-        let quota =
-            self.hub.connection_quota(&choice.upstream, self.connections_max, choice.is_counted);
-        let withheld = || notices::reason_to_withhold(&self.hub, &placed);
-        let result = connections.send(choice.addr, quota, is_once_only, req, withheld).await;
+        let target = Target {
+            addr: choice.addr,
+            name_hash: name_hash(&choice.upstream),
+            quota: self.hub.connection_quota(
+                &choice.upstream,
+                self.connections_max,
+                choice.is_counted,
+            ),
+            reuse_rule: self.hub.reuse_rule(&choice.upstream, self.is_once_only()),
+        };
+        let withheld = || {
+            let reason = notices::reason_to_withhold(&self.hub, &placed);
+            if reason.is_none() {
+                self.set_held(HoldKind::Sent);
+            }
+            reason
+        };
+        let result = connections.send(target, req, withheld).await;
         let mut resp = match result {
             Ok(resp) => resp,
             Err(e) if e.is_unsent() => {
@@ -402,6 +435,11 @@
         self.classify_response(resp, placed, verdict, began)
     }
 
+    /// Whether the request must not run twice.
+    pub fn is_once_only(&self) -> bool {
+        self.route.repeat == Repeat::Never
+    }
+
     fn classify_response(
         &self,
         resp: Response<UpstreamBody>,
@@ -510,7 +548,9 @@
         let UpstreamResponse { resp, placed } = response;
         let (head, mut body) = resp.into_parts();
         let remaining = self.remaining();
-        match web::read_body(&mut body, BUFFERED_RESPONSE_MAX_BYTES, remaining).await {
+        let hold = self.hub.held().map(|held| held.hold(HoldKind::Answer));
+        let counted = HeldBody::new(&mut body, HoldKind::Answer, hold.as_ref());
+        match web::read_body(counted, BUFFERED_RESPONSE_MAX_BYTES, remaining).await {
             Ok(bytes) => {
                 body.keep(&head.headers);
                 placed.close(None);
@@ -524,6 +564,9 @@
                     "content" => %self.fingerprint(), "upstream" => placed.upstream().as_str(),
                     "error" => %fault);
                 match fault {
+                    BodyError::Truncated if hold.is_some_and(|hold| hold.gave_way()) => {
+                        placed.close(None);
+                    }
                     BodyError::Truncated if !self.remaining().is_zero() => {
                         self.record_break(placed, false);
                     }
--- a/src/proxy/routing_table.rs
+++ b/src/proxy/routing_table.rs
@@ -23,6 +23,9 @@
     keys: Option<HashMap<String, Workspace>>,
     /// Limits on what callers may send, and the capacity of the fleet.
     pub limits: Limits,
+    /// Ranks of the configuration that are out of range. They count as not given.
+    #[serde(default)]
+    pub ignored_ranks: usize,
 }
 
 /// Settings for requests to one host whose path begins with a prefix.
@@ -48,6 +51,9 @@
     pub max_upstreams: u32,
     /// Whether requests need no key.
     pub anonymous: bool,
+    /// 0 is the highest.
+    #[serde(default)]
+    pub rank: u8,
 }
 
 /// What may be sent again after a failure that leaves open whether the request ran.
@@ -89,6 +95,16 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Workspace {
     pub name: WorkspaceName,
+    /// 0 is the highest.
+    #[serde(default)]
+    pub rank: u8,
+}
+
+/// Which of several requests goes first, where not all can; 0 is the highest.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rank {
+    pub workspace: u8,
+    pub route: u8,
 }
 
 /// Limits on what callers may send, and the capacity of the fleet.
@@ -135,7 +151,7 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
-        RoutingTable { version, routes: by_host, services, keys, limits }
+        RoutingTable { version, routes: by_host, services, keys, limits, ignored_ranks: 0 }
     }
 
     /// Returns the route of a request: of its host's routes, the one with the longest matching
--- a/src/proxy/settings.rs
+++ b/src/proxy/settings.rs
@@ -8,6 +8,7 @@
 use crate::config::settings::Error;
 use crate::config::settings::Reader;
 use crate::placement::cold::ColdBound;
+use crate::placement::tuning::SmallBatch;
 use crate::placement::tuning::Tuning;
 use crate::proxy::retry_budget::RetryBounds;
 
@@ -20,6 +21,9 @@
 /// Default of [`Settings::exposure`].
 const EXPOSURE_DEFAULT: f64 = 0.1;
 
+/// Name of the feature of deployments whose callers and upstreams may be slow to read.
+const SLOW_READERS_FEATURE: &str = "pressure";
+
 /// Settings of the proxy.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -41,6 +45,9 @@
     pub descriptors: usize,
     /// `[box] memory-mb`: memory that the process may use; zero for no limit.
     pub memory_bytes: usize,
+    /// `[memory] held-share`: fraction of the memory that may be held for callers and upstreams;
+    /// zero for no bound.
+    pub held_share: f64,
     /// `[store] address`: the address of the platform's store.
     pub store: SocketAddr,
     /// `[store] watch-s`: how long a watch waits for a change.
@@ -63,7 +70,8 @@
     pub late_max: Duration,
     /// `[shares] window-s`: the time window over which fair shares are computed.
     pub share_window: Duration,
-    /// `[engines]`: the speed of engines, and the weights for choosing among them.
+    /// `[engines]`: the speed of engines, and the weights for choosing among them; `[small-batch]`:
+    /// further decisions for engines with few slots.
     pub tuning: Tuning,
     /// `[log]`.
     pub log: settings::Log,
@@ -82,6 +90,7 @@
         is_first_start: reader.optional("box", "first-start", false),
         descriptors: reader.optional("box", "descriptors", 4096),
         memory_bytes: reader.optional::<usize>("box", "memory-mb", 0) << 20,
+        held_share: held_share(&mut reader),
         store: reader.address("store", "address"),
         store_watch: Duration::from_secs_f64(reader.optional(
             "store",
@@ -108,6 +117,14 @@
 
 fn tuning(reader: &mut Reader) -> Tuning {
     let defaults = Tuning::default();
+    let small_batch = SmallBatch {
+        slots_max: reader.optional("small-batch", "slots-max", 0),
+        prefill_share: small_batch_prefill_share(reader),
+        queue: reader.optional("small-batch", "queue", false),
+        own_speed: reader.optional("small-batch", "own-speed", false),
+        headroom: reader.optional("small-batch", "headroom", false),
+        prefer_connected: reader.optional("small-batch", "prefer-connected", false),
+    };
     let mut number = |key, default| reader.optional("engines", key, default);
     let millis = |d: Duration| d.as_secs_f64() * 1e3;
     let time = |ms: f64| Duration::from_secs_f64(ms.max(0.0) / 1e3);
@@ -125,9 +142,23 @@
             overage: number("cold-overage", defaults.cold.overage),
             slack: number("cold-slack", defaults.cold.slack),
         },
+        small_batch,
     }
 }
 
+/// The fraction applies only if `[memory] features` lists [`SLOW_READERS_FEATURE`] or is absent.
+fn held_share(reader: &mut Reader) -> f64 {
+    let share = reader.optional("memory", "held-share", 0.0);
+    let features = reader.optional("memory", "features", SLOW_READERS_FEATURE.to_owned());
+    if features.split(',').any(|f| f.trim() == SLOW_READERS_FEATURE) { share } else { 0.0 }
+}
+
+/// Zero or a value beyond one leaves the share of all engines in force.
+fn small_batch_prefill_share(reader: &mut Reader) -> Option<f64> {
+    let share = reader.optional("small-batch", "reading-share", 0.0);
+    (0.0 < share && share <= 1.0).then_some(share)
+}
+
 fn seeds(reader: &mut Reader) -> Vec<SocketAddr> {
     let text: String = reader.optional("peers", "seeds", String::new());
     let mut seeds = Vec::new();
--- a/src/proxy/state_updates.rs
+++ b/src/proxy/state_updates.rs
@@ -16,9 +16,12 @@
 use crate::proxy::adapter::Prompt;
 use crate::proxy::adapter::StoreUpdate;
 use crate::proxy::engine_placement;
+use crate::proxy::headroom;
 use crate::proxy::hub::Hub;
+use crate::proxy::in_progress;
 use crate::proxy::message::Message;
 use crate::proxy::notices;
+use crate::proxy::placement_queue;
 use crate::proxy::rollouts;
 use crate::proxy::suspects;
 use crate::proxy::view::View;
@@ -26,7 +29,14 @@
 /// Applies an update from the store.
 pub fn apply_store_update(hub: &Hub, update: StoreUpdate) {
     match update {
-        StoreUpdate::Configuration(table) => hub.change(|view, now| view.configure(table, now)),
+        StoreUpdate::Configuration(table) => {
+            if table.ignored_ranks != 0 {
+                info!(hub.log(), "ranks out of range ignored"; "version" => table.version,
+                    "count" => table.ignored_ranks);
+                hub.metrics().ranks_ignored(table.ignored_ranks);
+            }
+            hub.change(|view, now| view.configure(table, now));
+        }
         StoreUpdate::InvalidConfiguration(fault) => {
             warn!(hub.log(), "configuration refused"; "fault" => fault);
         }
@@ -95,8 +105,9 @@
             workspace,
             sender: by,
         } => {
-            let prompt = Prompt::from(&prompt);
-            let sender = Some(by.unwrap_or(sender));
+            let (prompt, decided_by) = (Prompt::from(&prompt), sender);
+            // A request of this box may have been placed by another one.
+            let sender = Some(by.unwrap_or(sender)).filter(|ip| *ip != hub.peers().own_ip());
             let placement = Placement {
                 request,
                 prompt: &prompt,
@@ -106,6 +117,9 @@
                 decided_by: None,
             };
             hub.with_registry(|registry| registry.place(&upstream, placement, now));
+            if by.is_some_and(|by| by != decided_by) {
+                in_progress::handle_placed(hub, &upstream, decided_by);
+            }
             let is_engine = hub.read(|view| view.registry().is_engine(&upstream));
             if !is_engine && let Some(workspace) = workspace {
                 hub.plain_shares(|shares| {
@@ -135,7 +149,7 @@
             });
         }
         Message::Ended { upstream, request } => {
-            hub.with_registry(|registry| registry.remove_request(&upstream, request));
+            hub.with_registry(|registry| registry.end_request(&upstream, request, now));
         }
         Message::Withdrawn { request } => hub.withdraw(request),
         Message::Unreachable { upstream } => {
@@ -154,6 +168,9 @@
         Message::PlacementResponse(response) => {
             engine_placement::handle_response(hub, response, sender)
         }
+        Message::Queued { request, within_ms } => {
+            placement_queue::handle_queued(hub, request, within_ms, sender);
+        }
         Message::ShareUsage(all) => hub.shares(|shares| {
             for usage in &all {
                 shares.add_remote(&usage.workspace, usage.tokens, now);
@@ -164,6 +181,10 @@
         }
         Message::Suspects(all) => suspects::merge_reports(hub, &all),
         Message::SuspectCleared { fingerprint } => suspects::clear(hub, &fingerprint),
+        Message::InProgress(report) => in_progress::handle_report(hub, &report, sender),
+        Message::UnknownRequests(ids) => in_progress::handle_unknown(hub, &ids, sender),
+        Message::RequestRecords(records) => in_progress::handle_records(hub, &records, sender),
+        Message::Headroom(all) => headroom::receive(hub, &all, sender),
         // Handled by `Peers`.
         Message::Heartbeat(_)
         | Message::PlacementRequest(_)
--- a/src/proxy/upstream_selection.rs
+++ b/src/proxy/upstream_selection.rs
@@ -16,6 +16,7 @@
 use crate::placement::choice::ChoiceError;
 use crate::placement::choice::SelectionCriteria;
 use crate::placement::cold::Role;
+use crate::placement::drain;
 use crate::placement::plain::PlainQuery;
 use crate::proxy::adapter::Prompt;
 use crate::proxy::engine_placement;
@@ -24,6 +25,7 @@
 use crate::proxy::plain_placement;
 use crate::proxy::refusal::Refusal;
 use crate::proxy::request::RequestContext;
+use crate::proxy::routing_table::Repeat;
 
 /// Retry time for callers when no upstream is available; listings reappear within seconds.
 pub(super) const NO_UPSTREAM_RETRY: Duration = Duration::from_millis(500);
@@ -48,9 +50,9 @@
         }
         let choice = match decision.result {
             Ok(choice) => choice,
-            Err(denial) => return Err(self.refusal(denial.cause, denial.wait_max)),
+            Err(denial) => return Err(self.refusal(&denial)),
         };
-        let placed = PlacedRequest::new(self, &choice, decision.request);
+        let placed = PlacedRequest::new(self, &choice, decision.request, &decision.recorded_by);
         Ok((choice, placed))
     }
 
@@ -87,6 +89,7 @@
             service: &self.service,
             prompt,
             workspace: self.workspace.as_ref(),
+            rank: self.rank,
             excluded: &excluded,
             target_latency: self.route.aim,
             waited: self.hub.now().saturating_sub(self.arrived),
@@ -95,9 +98,11 @@
             zone: None,
             sender: None,
             source: None,
+            connected: &[],
             purpose: Purpose::PlaceIfCached,
             is_last_group: false,
             role: Role::Unassigned,
+            is_repeatable: self.route.repeat != Repeat::Never,
         };
         engine_placement::place(&self.hub, query).await
     }
@@ -116,6 +121,8 @@
             waited: self.hub.now().saturating_sub(self.arrived),
             zone: self.hub.peers().zone(),
             sender: None,
+            is_repeatable: self.route.repeat != Repeat::Never,
+            role: Role::Unassigned,
         };
         match plain_placement::place(&self.hub, query).await {
             Some(decision) if !decision.has_no_upstream() => decision,
@@ -135,6 +142,8 @@
             wait_max: Duration::ZERO,
             source: None,
             may_try_other_groups: false,
+            alternative: None,
+            retry_after: None,
         };
         let result = self.hub.choose(criteria).map_err(denial);
         PlacementDecision {
@@ -142,6 +151,9 @@
             decided_by: self.hub.peers().own_ip(),
             role: Role::Unassigned,
             request,
+            recorded_by: Vec::new(),
+            queued: Duration::ZERO,
+            alternative: None,
         }
     }
 
@@ -160,9 +172,14 @@
         Some(remaining.max(OVERLOAD_RETRY_MIN))
     }
 
-    /// The refusal of a request that isn't placed and could have waited for up to `wait_max`.
-    fn refusal(&self, cause: ChoiceError, wait_max: Duration) -> Refusal {
-        match cause {
+    /// The refusal of a request that isn't placed.
+    fn refusal(&self, denial: &Denial) -> Refusal {
+        if let Some(wait) = denial.retry_after {
+            let draw = xxh3_64(self.head.id.as_bytes());
+            let retry_after = drain::retry_after(wait, draw, self.remaining());
+            return Refusal::Overloaded { retry_after };
+        }
+        match denial.cause {
             ChoiceError::NoUpstream => {
                 let retry_after = self.min_backoff_remaining().unwrap_or(NO_UPSTREAM_RETRY);
                 Refusal::NoUpstream { retry_after }
@@ -171,7 +188,7 @@
                 Refusal::Overloaded { retry_after: NO_UPSTREAM_RETRY }
             }
             ChoiceError::Busy { wait } => {
-                let excess = wait.saturating_sub(wait_max);
+                let excess = wait.saturating_sub(denial.wait_max);
                 Refusal::Overloaded { retry_after: excess.max(OVERLOAD_RETRY_MIN) }
             }
         }
@@ -188,10 +205,15 @@
             "share_used" => (denial.share_used * 100.0).round() / 100.0,
             "wait_ms" => wait, "wait_max_ms" => denial.wait_max.as_millis() as u64,
             "by" => %decision.decided_by, "as" => decision.role.code(),
-            "tried" => self.tried.len(), "version" => self.hub.version());
+            "alternative" => decision.alternative.map(|group| group.to_string()),
+            "queued_ms" => decision.queued.as_millis() as u64, "tried" => self.tried.len(),
+            "version" => self.hub.version());
     }
 
     fn log_placed(&self, choice: &Choice, decision: &PlacementDecision) {
+        if choice.is_probe {
+            self.hub.metrics().half_open_probe();
+        }
         info!(self.hub.log(), "placed"; "id" => &self.head.id, "route" => &self.route.name,
             "workspace" => self.workspace.as_ref().map(WorkspaceName::as_str),
             "upstream" => choice.upstream.as_str(), "prompt" => self.head.prompt.as_ref().map_or(0, |p| p.tokens),
@@ -200,7 +222,9 @@
             "copied" => choice.copied_tokens, "running" => choice.running,
             "running_tokens" => choice.running_tokens, "wait_ms" => choice.wait.as_millis() as u64,
             "expected_ms" => choice.first_token.as_millis() as u64,
-            "by" => %decision.decided_by, "as" => decision.role.code(),
+            "by" => %decision.decided_by, "as" => decision.role.code(), "probe" => choice.is_probe,
+            "alternative" => decision.alternative.map(|group| group.to_string()),
+            "queued_ms" => decision.queued.as_millis() as u64,
             "version" => self.hub.version(), "try" => self.tried.len() + 1);
     }
 }
--- a/tests/fleet_placement.rs
+++ b/tests/fleet_placement.rs
@@ -31,6 +31,7 @@
 use frostdyke::proxy::message::PlacementRequest;
 use frostdyke::proxy::message::PlacementResponse;
 use frostdyke::proxy::routing_table::EngineLimits;
+use frostdyke::proxy::routing_table::Rank;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -196,6 +197,7 @@
                 service: "llm",
                 prompt: &prompt,
                 workspace: None,
+                rank: Rank::default(),
                 excluded: &[],
                 version_filter: VersionFilter::Any,
                 target_latency: Duration::from_secs_f64(LATENCY_TARGET_S),
@@ -204,9 +206,11 @@
                 zone: None,
                 sender: None,
                 source,
+                connected: &[],
                 purpose: Purpose::Place,
                 is_last_group: is_last_group || !has_owners,
                 role: Role::Owner,
+                is_repeatable: true,
             };
             let result = admit::admit(&mut registry, &mut shares, query, now);
             let placement_request = placement_request(&query, &boxes[sender_box]);
@@ -219,6 +223,7 @@
                     &Message::PlacementResponse(PlacementResponse {
                         request,
                         result: result.clone(),
+                        recorded_by: owned.standby.into_iter().filter(|_| result.is_ok()).collect(),
                     }),
                 );
                 // The standby receives a copy of the request.
@@ -288,6 +293,7 @@
         service: ServiceName::from(query.service),
         prompt: query.prompt.into(),
         workspace: None,
+        rank: Rank::default(),
         zone: sender_box.zone.clone(),
         excluded: Vec::new(),
         version_filter: VersionFilter::Any,
@@ -296,6 +302,8 @@
         source: None,
         purpose: query.purpose,
         is_last_group: query.is_last_group,
+        is_repeatable: query.is_repeatable,
+        connected: Vec::new(),
     })
 }
 
