--- a/tests/fleet_headroom.rs
+++ b/tests/fleet_headroom.rs
@@ -920,7 +920,7 @@
     assert!(postcard::from_bytes::<Message>(&buf).is_err());
 }
 
-/// Engines with nothing to do serve nobody, also not a workspace beyond its share; but the others
+/// Idle engines are of no use to any workspace, also not to one beyond its share; but the others
 /// find half of the free capacity still there.
 #[test]
 fn workspaces_beyond_their_share_leave_half_of_each_offer() {
