--- a/src/placement/engine/records.rs
+++ b/src/placement/engine/records.rs
@@ -52,7 +52,7 @@
         ended.len()
     }
 
-    /// Takes in the record of a request that was placed earlier, or renews the one that there is.
+    /// Adds the record of a request that was placed earlier, or renews the one that there is.
     pub fn adopt(
         &mut self,
         record: &RequestRecord,
--- a/src/placement/plain.rs
+++ b/src/placement/plain.rs
@@ -97,7 +97,7 @@
         self.requests.insert(request, queued);
     }
 
-    /// Takes in the record of a request that was placed earlier, or renews the one that there is.
+    /// Adds the record of a request that was placed earlier, or renews the one that there is.
     pub fn adopt(
         &mut self,
         request: u64,
--- a/src/placement/probe.rs
+++ b/src/placement/probe.rs
@@ -4,7 +4,8 @@
 
 use std::time::Duration;
 
-/// An upstream that got no request and returned no first token for this long gets a request although its believed wait is too long.
+/// An upstream that got no request and returned no first token for this long gets a request
+/// although its believed wait is too long.
 pub const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The same for a request that is better sent elsewhere: one that other groups of engines may take,
--- a/src/placement/registry/in_progress.rs
+++ b/src/placement/registry/in_progress.rs
@@ -113,7 +113,7 @@
         self.adopt(record, sender, now, now)
     }
 
-    /// Takes in the record of a request that another tracking box knows. It may have ended since,
+    /// Adds the record of a request that another tracking box has. It may have ended since,
     /// so its sender must confirm it soon.
     pub fn adopt_learned_request(
         &mut self,
--- a/src/placement/registry/selection.rs
+++ b/src/placement/registry/selection.rs
@@ -35,7 +35,7 @@
 /// one.
 const LOW_SATURATION: f64 = 0.25;
 
-/// An engine that has returned no token for this long is not passed over for being slow.
+/// An engine without a request or a first token for this long is not passed over for being slow.
 const MEASURED_FOR: Duration = Duration::from_millis(1000);
 
 /// An upstream that may be chosen.
--- a/src/proxy/in_progress.rs
+++ b/src/proxy/in_progress.rs
@@ -155,7 +155,7 @@
     }
 }
 
-/// Takes in a report of another box on its requests in progress.
+/// Applies a report of another box on its requests in progress.
 pub fn handle_report(hub: &Hub, report: &InProgressReport, sender: IpAddr) {
     let now = hub.now();
     let listed = match hub.received_reports(|received| received.receive(sender, report, now)) {
@@ -196,7 +196,7 @@
     }
 }
 
-/// Takes in the requests in progress that another tracking box knows. This box knows its own.
+/// Adds the requests in progress that another tracking box has. This box knows its own.
 pub fn handle_learned(hub: &Hub, requests: &[LearnedRequest]) {
     let (now, own_ip) = (hub.now(), hub.peers().own_ip());
     for LearnedRequest { sender, record } in requests.iter().filter(|r| r.sender != own_ip) {
@@ -209,7 +209,7 @@
     }
 }
 
-/// Takes in records of requests that another box has in progress.
+/// Adds records of requests that another box has in progress.
 pub fn handle_records(hub: &Hub, records: &[RequestRecord], sender: IpAddr) {
     let now = hub.now();
     for record in records {
