Late listing of an upstream no longer ends the backoff that it asked for

No decision was old and none was withheld too late.

Cause: a box drops an upstream's backoff when a newer start of it is listed.

Ruled out: requests decided before the notice, in the owner's queue, held for a connection; an owner that isn't told (the sender excludes the engine and looks again before it writes).

Now a backoff ends by a listing only if that start is later than the answer, by born and the box's time, as for notices of draining; also if the earlier entry was removed in between.

--- a/src/placement/backoff.rs
+++ b/src/placement/backoff.rs
@@ -20,21 +20,24 @@
 pub struct Backoff {
     started: Duration,
     until: Duration,
+    /// When the upstream last asked for it, in milliseconds since 1970 by this box's clock.
+    asked_at_ms: u64,
     /// Requests that may be in flight; `None` outside a slow start.
     limit: Option<u32>,
     in_flight: u32,
 }
 
 impl Backoff {
-    /// Starts or extends a backoff; a shorter one does not cut a longer one. Returns whether none
-    /// was active.
-    pub fn begin(&mut self, length: Duration, now: Duration) -> bool {
+    /// Starts or extends a backoff that the upstream asked for at `asked_at_ms`, in milliseconds
+    /// since 1970; a shorter one does not cut a longer one. Returns whether none was active.
+    pub fn begin(&mut self, length: Duration, asked_at_ms: u64, now: Duration) -> bool {
         let is_new = self.until <= now;
         if is_new {
             self.started = now;
             self.in_flight = 0;
         }
         self.until = self.until.max(now + length);
+        self.asked_at_ms = asked_at_ms;
         self.limit = Some(FIRST_LIMIT);
         is_new
     }
@@ -82,6 +85,12 @@
         self.started < sent && sent < self.until
     }
 
+    /// Whether the upstream asked for it before it started at this time, in milliseconds since
+    /// 1970 by its own clock.
+    pub fn is_of_earlier_instance(&self, started_at_ms: u64) -> bool {
+        self.asked_at_ms < started_at_ms
+    }
+
     /// Whether the backoff has not ended yet.
     pub fn is_active(&self, now: Duration) -> bool {
         now < self.until
--- a/src/placement/registry/backoff.rs
+++ b/src/placement/registry/backoff.rs
@@ -7,9 +7,16 @@
 use crate::placement::registry::UpstreamRegistry;
 
 impl UpstreamRegistry {
-    /// Records an upstream's request for a backoff. Returns whether none was active.
-    pub fn back_off(&mut self, name: &UpstreamName, length: Duration, now: Duration) -> bool {
-        self.backoffs.entry(name.clone()).or_default().begin(length, now)
+    /// Records an upstream's request for a backoff, which it made at `asked_at_ms`, in milliseconds
+    /// since 1970. Returns whether none was active.
+    pub fn back_off(
+        &mut self,
+        name: &UpstreamName,
+        length: Duration,
+        asked_at_ms: u64,
+        now: Duration,
+    ) -> bool {
+        self.backoffs.entry(name.clone()).or_default().begin(length, asked_at_ms, now)
     }
 
     /// Whether something sent to an upstream at this time was sent during its last backoff.
@@ -17,9 +24,13 @@
         self.backoffs.get(name).is_some_and(|backoff| backoff.covers(sent))
     }
 
-    /// Removes a backoff that an earlier instance of the upstream requested.
-    pub fn remove_backoff(&mut self, name: &UpstreamName) {
-        self.backoffs.remove(name);
+    /// Removes a backoff that the upstream requested before its instance started at this time. An
+    /// entry of the instance that requested it may come later than the request.
+    pub fn remove_earlier_backoff(&mut self, name: &UpstreamName, started_at_ms: u64) {
+        let backoff = self.backoffs.get(name);
+        if backoff.is_some_and(|backoff| backoff.is_of_earlier_instance(started_at_ms)) {
+            self.backoffs.remove(name);
+        }
     }
 
     /// Whether this box may send an upstream no request now.
--- a/src/proxy/notices.rs
+++ b/src/proxy/notices.rs
@@ -91,7 +91,8 @@
     let now = hub.now();
     let (is_new, was_backing_off) = hub.with_registry(|registry| {
         let was_backing_off = registry.was_sent_during_backoff(received.upstream, received.sent);
-        (registry.back_off(received.upstream, length, now), was_backing_off)
+        let is_new = registry.back_off(received.upstream, length, util::unix_millis(), now);
+        (is_new, was_backing_off)
     });
     if was_backing_off {
         hub.metrics().reached_anyway("backoff");
--- a/src/proxy/view.rs
+++ b/src/proxy/view.rs
@@ -384,6 +384,9 @@
             return;
         }
         let is_restarted = self.is_newer_instance(&listed);
+        if let Some(started_at_ms) = listed.started_at_ms.filter(|_| is_restarted) {
+            self.registry.remove_earlier_backoff(&listed.name, started_at_ms);
+        }
         self.missing.remove(&listed.name);
         self.removed.remove(&listed.name);
         self.unconfirmed.remove(&listed.name);
@@ -458,7 +461,6 @@
         let (addr, started_at_ms) = (known.addr, listed.started_at_ms.unwrap_or_default());
         self.changes.push(Change::Restarted(listed.name.clone(), addr, started_at_ms));
         self.registry.remove(&listed.name);
-        self.registry.remove_backoff(&listed.name);
     }
 
     /// Handles the removal of an entry from the store. During an outage of the store and shortly
--- a/tests/proxy_backoff.rs
+++ b/tests/proxy_backoff.rs
@@ -16,6 +16,9 @@
 
 const BACKOFF: Duration = Duration::from_secs(3);
 
+/// When the upstream asked for it, in milliseconds since 1970.
+const ASKED_AT_MS: u64 = 1_000_000;
+
 const MILLISECOND: Duration = Duration::from_millis(1);
 
 fn name(name: &str) -> UpstreamName {
@@ -52,7 +55,7 @@
 #[test]
 fn no_request_is_sent_during_a_backoff() {
     let mut registry = registry();
-    assert!(registry.back_off(&name("a"), BACKOFF, Duration::ZERO));
+    assert!(registry.back_off(&name("a"), BACKOFF, ASKED_AT_MS, Duration::ZERO));
     for now in [Duration::ZERO, BACKOFF / 2, BACKOFF - MILLISECOND] {
         assert_eq!(registry.backing_off("s", now), [name("a")]);
         let slow_start_slot = registry.acquire_slow_start_slot(&name("a"), now);
@@ -66,10 +69,10 @@
 #[test]
 fn a_shorter_backoff_does_not_replace_a_longer_one() {
     let mut registry = registry();
-    registry.back_off(&name("a"), BACKOFF, Duration::ZERO);
-    assert!(!registry.back_off(&name("a"), MILLISECOND, MILLISECOND));
+    registry.back_off(&name("a"), BACKOFF, ASKED_AT_MS, Duration::ZERO);
+    assert!(!registry.back_off(&name("a"), MILLISECOND, ASKED_AT_MS, MILLISECOND));
     assert!(registry.is_backing_off(&name("a"), BACKOFF - MILLISECOND));
-    assert!(!registry.back_off(&name("a"), BACKOFF, MILLISECOND));
+    assert!(!registry.back_off(&name("a"), BACKOFF, ASKED_AT_MS, MILLISECOND));
     assert!(registry.is_backing_off(&name("a"), BACKOFF));
     assert!(!registry.is_backing_off(&name("a"), BACKOFF + MILLISECOND));
 }
@@ -78,7 +81,7 @@
 #[test]
 fn slow_start_admits_one_then_two_then_four_requests() {
     let mut registry = registry();
-    registry.back_off(&name("a"), BACKOFF, Duration::ZERO);
+    registry.back_off(&name("a"), BACKOFF, ASKED_AT_MS, Duration::ZERO);
     for limit in [1, 2, 4] {
         let slots = acquire_all(&mut registry, BACKOFF);
         assert_eq!(slots.len(), limit);
@@ -108,10 +111,10 @@
 #[test]
 fn requests_sent_before_a_backoff_do_not_count_in_its_slow_start() {
     let mut registry = registry();
-    registry.back_off(&name("a"), BACKOFF, Duration::ZERO);
+    registry.back_off(&name("a"), BACKOFF, ASKED_AT_MS, Duration::ZERO);
     let before = acquire_all(&mut registry, BACKOFF);
     assert_eq!(before.len(), 1);
-    registry.back_off(&name("a"), BACKOFF, BACKOFF);
+    registry.back_off(&name("a"), BACKOFF, ASKED_AT_MS, BACKOFF);
     assert!(!registry.may_send(&name("a"), Some(before[0]), 2 * BACKOFF));
     assert!(!registry.slow_start_accepted(&name("a"), Some(before[0])));
     assert_eq!(acquire_all(&mut registry, 2 * BACKOFF).len(), 1);
@@ -124,11 +127,11 @@
 #[test]
 fn a_slot_of_an_earlier_slow_start_does_not_count_in_a_later_one() {
     let mut registry = registry();
-    registry.back_off(&name("a"), BACKOFF, MILLISECOND);
+    registry.back_off(&name("a"), BACKOFF, ASKED_AT_MS, MILLISECOND);
     let first = acquire_all(&mut registry, MILLISECOND + BACKOFF);
     registry.upsert(UpstreamListing { slots: 1, ..upstream("a") }, None);
     assert!(registry.slow_start_accepted(&name("a"), Some(first[0])));
-    registry.back_off(&name("a"), BACKOFF, 2 * BACKOFF);
+    registry.back_off(&name("a"), BACKOFF, ASKED_AT_MS, 2 * BACKOFF);
     assert!(!registry.slow_start_accepted(&name("a"), Some(first[0])));
     assert!(!registry.may_send(&name("a"), Some(first[0]), 3 * BACKOFF));
     assert_eq!(acquire_all(&mut registry, 3 * BACKOFF).len(), 1);
@@ -141,9 +144,9 @@
 #[test]
 fn a_service_resumes_with_its_first_upstream() {
     let mut registry = registry();
-    registry.back_off(&name("a"), BACKOFF, Duration::ZERO);
+    registry.back_off(&name("a"), BACKOFF, ASKED_AT_MS, Duration::ZERO);
     assert_eq!(registry.min_backoff_remaining("s", MILLISECOND), None);
-    registry.back_off(&name("b"), 2 * BACKOFF, Duration::ZERO);
+    registry.back_off(&name("b"), 2 * BACKOFF, ASKED_AT_MS, Duration::ZERO);
     assert_eq!(registry.min_backoff_remaining("s", MILLISECOND), Some(BACKOFF - MILLISECOND));
     registry.upsert(UpstreamListing { leaving: true, ..upstream("a") }, None);
     assert_eq!(registry.min_backoff_remaining("s", MILLISECOND), Some(2 * BACKOFF - MILLISECOND));
@@ -154,7 +157,7 @@
 #[test]
 fn a_backoff_survives_a_lapsed_store_entry() {
     let mut registry = registry();
-    registry.back_off(&name("a"), BACKOFF, Duration::ZERO);
+    registry.back_off(&name("a"), BACKOFF, ASKED_AT_MS, Duration::ZERO);
     registry.remove(&name("a"));
     registry.expire(MILLISECOND);
     registry.upsert(upstream("a"), None);
@@ -165,8 +168,25 @@
 #[test]
 fn a_removed_upstream_is_dropped_after_its_backoff() {
     let mut registry = registry();
-    registry.back_off(&name("a"), BACKOFF, Duration::ZERO);
+    registry.back_off(&name("a"), BACKOFF, ASKED_AT_MS, Duration::ZERO);
     registry.remove(&name("a"));
     registry.expire(BACKOFF);
     assert_eq!(registry.backoff_count(), 0);
 }
+
+/// The entry of a restarted upstream may come later than its first responses.
+#[test]
+fn only_an_instance_that_started_after_the_request_for_a_backoff_ends_it() {
+    let mut registry = registry();
+    registry.back_off(&name("a"), BACKOFF, ASKED_AT_MS, Duration::ZERO);
+    for started_at_ms in [ASKED_AT_MS - 1, ASKED_AT_MS] {
+        registry.remove_earlier_backoff(&name("a"), started_at_ms);
+        assert!(registry.is_backing_off(&name("a"), MILLISECOND));
+    }
+    // The same instance, or a newer one, asks again.
+    registry.back_off(&name("a"), MILLISECOND, ASKED_AT_MS + 5, MILLISECOND);
+    registry.remove_earlier_backoff(&name("a"), ASKED_AT_MS + 1);
+    assert!(registry.is_backing_off(&name("a"), MILLISECOND));
+    registry.remove_earlier_backoff(&name("a"), ASKED_AT_MS + 6);
+    assert!(!registry.is_backing_off(&name("a"), MILLISECOND));
+}
--- a/tests/proxy_view.rs
+++ b/tests/proxy_view.rs
@@ -535,3 +535,23 @@
     view.expire(millis(11_000));
     assert!(is_open(&view, "c"));
 }
+
+/// An earlier instance asked for the backoff. Its entry may have been removed before the next one
+/// is listed.
+#[test]
+fn only_a_listing_of_a_later_instance_ends_a_backoff() {
+    for is_removed_first in [false, true] {
+        let (mut view, name) = (view(), UpstreamName::from("c"));
+        view.set_upstream(started_at("c", 1_000), millis(0));
+        view.registry_mut().back_off(&name, millis(3_000), 2_000, millis(0));
+        if is_removed_first {
+            view.entry_removed(&name, millis(1));
+            assert!(!is_open(&view, "c"));
+        }
+        // It started before the request for a backoff, so it may have made it.
+        view.set_upstream(started_at("c", 1_500), millis(2));
+        assert!(is_open(&view, "c") && view.registry().is_backing_off(&name, millis(2)));
+        view.set_upstream(started_at("c", 2_001), millis(3));
+        assert!(is_open(&view, "c") && !view.registry().is_backing_off(&name, millis(3)));
+    }
+}
