A placement request too large for a datagram no longer accuses its owner

Seen by reading: a PlacementRequest carries all parts of the prompt; with over a hundred of them it exceeds 1,400 bytes, and Peers::send dropped it without a word. The box waited for an answer to a question that it had not sent: 40 ms for the owner and 40 ms for the standby, then left both alone for a second and placed all its requests alone meanwhile. The Placed message of such a request was dropped as well, yet owner and standby counted as having recorded it.

Now messages are measured where they are encoded. A box that can't ask goes on at once: to itself if it is the standby, else it places by what it knows; nobody is marked unresponsive. Who can't be sent the prompt isn't listed as having recorded the request, so the sender's record of it, which has no prompt, goes there at once.

Not built: asking with a part of the prompt.

--- a/src/proxy/engine_placement.rs
+++ b/src/proxy/engine_placement.rs
@@ -276,7 +276,8 @@
     PlacementDecision { result, decided_by, role, request, recorded_by, queued, alternative: None }
 }
 
-/// Places a request by the incomplete state of this box, when neither owner nor standby responds.
+/// Places a request by the incomplete state of this box, when neither owner nor standby responds or
+/// can be asked.
 fn place_without_owner(hub: &Hub, query: PlacementQuery<'_>) -> PlacementDecision {
     let role = Role::Unassigned;
     let result =
@@ -284,13 +285,11 @@
     let mut recorded_by = Vec::new();
     if let Ok(choice) = &result {
         let owners = hub.peers().owners().owners_of_hash(upstream::name_hash(&choice.upstream));
-        recorded_by.extend(owners.into_iter().flat_map(GroupOwners::boxes));
         // Without the workspace: its usage is sent by `report_share_usage`.
-        notify_owners(
-            hub,
-            &choice.upstream,
-            &placed_message(&PlacementQuery { workspace: None, ..query }, choice),
-        );
+        let message = placed_message(&PlacementQuery { workspace: None, ..query }, choice);
+        if notify_owners(hub, &choice.upstream, &message) {
+            recorded_by.extend(owners.into_iter().flat_map(GroupOwners::boxes));
+        }
     }
     let (decided_by, request) = (hub.peers().own_ip(), query.request);
     let queued = Duration::ZERO;
@@ -298,7 +297,7 @@
 }
 
 /// Has a request placed by the owner of a group of engines or its standby; `None` if neither
-/// responds.
+/// responds, or the request is too large to ask them.
 async fn place_in_group(
     hub: &Arc<Hub>,
     query: PlacementQuery<'_>,
@@ -368,6 +367,8 @@
                 withdraw(hub, request, group_owners.boxes());
                 continue;
             }
+            // The same for the next box, unless that is this one.
+            Err(NoDecision::NotAsked) => continue,
             Err(NoDecision::Unresponsive) => {
                 info!(hub.log(), "owner did not respond"; "ip" => %ip, "group" => %group)
             }
@@ -479,8 +480,11 @@
 ) -> Result<OwnerDecision, NoDecision> {
     let requests = hub.owner_requests();
     let response = requests.register(request);
-    hub.peers().send_now(ip, message);
-    let withdraw = || hub.peers().send_now(ip, &Message::Withdrawn { request });
+    if !hub.peers().send_now(ip, message) {
+        requests.forget(request);
+        return Err(NoDecision::NotAsked);
+    }
+    let withdraw = || _ = hub.peers().send_now(ip, &Message::Withdrawn { request });
     let (timeout, stall_threshold) = (OWNER_RESPONSE_TIMEOUT, STALL_THRESHOLD);
     placement_queue::await_decision(requests, request, response, timeout, stall_threshold, withdraw)
         .await
@@ -555,7 +559,8 @@
 }
 
 /// Sends a placement to the other one of a group's owner and standby, and to boxes that also place
-/// requests there. Returns these boxes. The workspace is left out: its usage is sent by
+/// requests there. Returns these boxes; none if the prompt exceeds a datagram, so that the sender
+/// sends them a record without it. The workspace is left out: its usage is sent by
 /// [`report_share_usage`].
 pub fn notify_other_deciders(
     hub: &Hub,
@@ -566,8 +571,8 @@
     let others =
         in_progress::other_deciders(hub, upstream::name_hash(&choice.upstream), group_owners);
     let message = placed_message(&PlacementQuery { workspace: None, ..*query }, choice);
-    hub.peers().send_batched(others.iter().copied(), &message);
-    others
+    let is_sent = hub.peers().send_batched(others.iter().copied(), &message);
+    if is_sent { others } else { Vec::new() }
 }
 
 fn placed_message(query: &PlacementQuery<'_>, choice: &Choice) -> Message {
@@ -612,13 +617,13 @@
 }
 
 /// Sends a message to the boxes that track the state of an engine. In a small fleet, all boxes do.
-pub fn notify_owners(hub: &Hub, name: &UpstreamName, message: &Message) {
+/// Returns false if owners don't get it because it exceeds a datagram.
+pub fn notify_owners(hub: &Hub, name: &UpstreamName, message: &Message) -> bool {
     let owners = hub.peers().owners();
     if owners.is_empty() {
         hub.peers().broadcast(message);
-        return;
-    }
-    if let Some(group_owners) = owners.owners_of_hash(upstream::name_hash(name)) {
-        hub.peers().send_batched(group_owners.boxes(), message);
+        return true;
     }
+    let group_owners = owners.owners_of_hash(upstream::name_hash(name));
+    group_owners.is_none_or(|owners| hub.peers().send_batched(owners.boxes(), message))
 }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -25,6 +25,7 @@
 pub mod listener;
 pub mod message;
 pub mod notices;
+mod oversized;
 mod own_speeds;
 pub mod peers;
 pub mod placed_request;
@@ -84,6 +85,7 @@
 use crate::proxy::connection_limiter::ConnectionLimiter;
 use crate::proxy::connection_reuse::ConnectionLog;
 use crate::proxy::hub::Hub;
+use crate::proxy::oversized::OversizedLog;
 use crate::proxy::peers::Peers;
 use crate::proxy::proxy_metrics::ProxyMetrics;
 use crate::proxy::settings::Settings;
@@ -228,6 +230,7 @@
 async fn run_housekeeping(hub: Arc<Hub>, store_due: watch::Sender<bool>) {
     let mut limiter = StreamLimiter::new(hub.streams_max());
     let mut connection_log = ConnectionLog::default();
+    let mut oversized_log = OversizedLog::default();
     let mut rejected = 0;
     let mut not_ready_until = Instant::now();
     let mut groups: BTreeSet<EngineGroup> = BTreeSet::new();
@@ -253,6 +256,7 @@
                 "turned_away" => rejected);
         }
         connection_log.log_if_due(&hub);
+        oversized_log.log_if_due(&hub);
         hub.held().iter().for_each(|held| held.check());
         gossip::send_gossip(&hub);
         hub.change(view::View::expire);
--- a/src/proxy/notices.rs
+++ b/src/proxy/notices.rs
@@ -142,7 +142,7 @@
     match owned {
         None => hub.peers().broadcast_now(&message),
         Some(owned) if owned.owner == hub.peers().own_ip() => hub.peers().broadcast(&message),
-        Some(owned) => owned.boxes().for_each(|ip| hub.peers().send_now(ip, &message)),
+        Some(owned) => owned.boxes().for_each(|ip| _ = hub.peers().send_now(ip, &message)),
     }
 }
 
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -7,6 +7,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use rand::seq::IteratorRandom;
@@ -97,6 +99,8 @@
     deferred_pending: Notify,
     pending_by_box: Mutex<BTreeMap<IpAddr, Vec<u8>>>,
     batch_pending: Notify,
+    /// Messages that were dropped because they exceed a datagram.
+    oversized: AtomicU64,
     pub(super) heartbeat_requested: Notify,
     is_first_start: bool,
     /// Notified when another box has a newer configuration.
@@ -142,6 +146,7 @@
             deferred_pending: Notify::new(),
             pending_by_box: Mutex::default(),
             batch_pending: Notify::new(),
+            oversized: AtomicU64::new(0),
             heartbeat_requested: Notify::new(),
             is_first_start: cfg.is_first_start,
             newer_configuration: Notify::new(),
@@ -214,7 +219,7 @@
     /// Sends a message to all boxes that are alive: at once in a small fleet, otherwise together
     /// with others after a short delay, since each datagram costs each receiver a system call.
     pub fn broadcast(&self, message: &Message) {
-        let Ok(mut buf) = postcard::to_stdvec(message) else { return };
+        let Some(mut buf) = self.encode(message) else { return };
         let mut pending = self.pending_broadcast.lock().expect("no panic under lock");
         if DATAGRAM_MAX_BYTES < pending.buf.len() + buf.len() {
             self.send_to_live(&std::mem::take(&mut pending.buf));
@@ -233,14 +238,15 @@
     /// Sends a message to all boxes that are alive without delay, for rare messages that must
     /// arrive before the next request.
     pub fn broadcast_now(&self, message: &Message) {
-        if let Ok(buf) = postcard::to_stdvec(message) {
+        if let Some(buf) = self.encode(message) {
             self.send_to_live(&buf);
         }
     }
 
     /// Sends a message to some boxes, together with others to the same box after a short delay.
-    pub fn send_batched(&self, to: impl Iterator<Item = IpAddr>, message: &Message) {
-        let Ok(buf) = postcard::to_stdvec(message) else { return };
+    /// Returns false if it exceeds a datagram and is dropped.
+    pub fn send_batched(&self, to: impl Iterator<Item = IpAddr>, message: &Message) -> bool {
+        let Some(buf) = self.encode(message) else { return false };
         let mut pending = self.pending_by_box.lock().expect("no panic under lock");
         if pending.is_empty() {
             self.batch_pending.notify_one();
@@ -252,6 +258,7 @@
             }
             waiting.extend_from_slice(&buf);
         }
+        true
     }
 
     /// Sends a message to the boxes for which this one watches the store: all in a small fleet,
@@ -291,11 +298,27 @@
         })
     }
 
-    /// Sends a message to one box without delay.
-    pub fn send_now(&self, to: IpAddr, message: &Message) {
-        if let Ok(buf) = postcard::to_stdvec(message) {
-            self.send(&buf, to);
+    /// Sends a message to one box without delay. Returns false if it exceeds a datagram and is
+    /// dropped.
+    pub fn send_now(&self, to: IpAddr, message: &Message) -> bool {
+        let buf = self.encode(message);
+        buf.iter().for_each(|buf| self.send(buf, to));
+        buf.is_some()
+    }
+
+    /// Number of messages that were dropped because they exceed a datagram.
+    pub fn oversized_count(&self) -> u64 {
+        self.oversized.load(Ordering::Relaxed)
+    }
+
+    /// Encodes a message; `None` if it exceeds a datagram.
+    fn encode(&self, message: &Message) -> Option<Vec<u8>> {
+        let buf = postcard::to_stdvec(message).ok()?;
+        if DATAGRAM_MAX_BYTES < buf.len() {
+            self.oversized.fetch_add(1, Ordering::Relaxed);
+            return None;
         }
+        Some(buf)
     }
 
     /// Sends pending broadcasts until the process ends.
@@ -430,7 +453,7 @@
                     continue;
                 }
                 heartbeat.requests_reply = requests_reply;
-                let Ok(buf) = postcard::to_stdvec(&Message::Heartbeat(heartbeat.clone())) else {
+                let Some(buf) = self.encode(&Message::Heartbeat(heartbeat.clone())) else {
                     continue;
                 };
                 to.for_each(|ip| self.send(&buf, ip));
@@ -439,9 +462,6 @@
     }
 
     fn send(&self, buf: &[u8], to: IpAddr) {
-        if DATAGRAM_MAX_BYTES < buf.len() {
-            return;
-        }
         // A datagram that can't be sent now is dropped, since any datagram may be lost.
         let _ = self.socket.try_send_to(buf, SocketAddr::new(to, self.port));
     }
--- a/src/proxy/placement_queue.rs
+++ b/src/proxy/placement_queue.rs
@@ -52,6 +52,8 @@
     Unresponsive,
     /// It has queued the request, but sent no decision in time.
     Undecided,
+    /// It was not asked, since the request exceeds a datagram.
+    NotAsked,
 }
 
 /// A decision of an owner.
--- a/src/proxy/plain_placement.rs
+++ b/src/proxy/plain_placement.rs
@@ -30,6 +30,7 @@
 use crate::proxy::message::Message;
 use crate::proxy::message::PlacementResponse;
 use crate::proxy::notices;
+use crate::proxy::placement_queue::NoDecision;
 use crate::proxy::placement_queue::OwnerDecision;
 
 /// Asks the owner of a plain service to place a request.
@@ -128,7 +129,9 @@
                     alternative: None,
                 });
             }
-            Err(_) => {
+            // The same for the next box, unless that is this one.
+            Err(NoDecision::NotAsked) => continue,
+            Err(NoDecision::Unresponsive | NoDecision::Undecided) => {
                 info!(hub.log(), "owner did not respond"; "ip" => %ip, "service" => query.service)
             }
         }
@@ -167,7 +170,7 @@
 /// boxes do.
 pub fn notify_owners(hub: &Hub, service: &str, message: &Message) {
     match owners(hub, service) {
-        Some(owners) => hub.peers().send_batched(owners.boxes(), message),
+        Some(owners) => _ = hub.peers().send_batched(owners.boxes(), message),
         None => hub.peers().broadcast(message),
     }
 }
--- a/src/proxy/proxy_metrics.rs
+++ b/src/proxy/proxy_metrics.rs
@@ -136,6 +136,7 @@
         gauge("frostdyke_proxy_turned_away", |hub| hub.rejected() as u64);
         gauge("frostdyke_proxy_connections", |hub| hub.connections() as u64);
         gauge("frostdyke_held_bytes", |hub| hub.held().map_or(0, |held| held.total() as u64));
+        gauge("frostdyke_messages_oversized", |hub| hub.peers().oversized_count());
         gauge("frostdyke_boxes_alive", |hub| hub.peers().live_count() as u64 + 1);
         gauge("frostdyke_groups_kept", |hub| {
             hub.peers().owners().groups_of(hub.peers().own_ip()).count() as u64
--- a/src/proxy/reachability.rs
+++ b/src/proxy/reachability.rs
@@ -57,7 +57,7 @@
                 "error" => util::error_chain(&e));
             let message = Message::Unreachable { upstream: name.clone() };
             match hub.read(|view| view.registry().is_engine(&name)) {
-                true => engine_placement::notify_owners(&hub, &name, &message),
+                true => _ = engine_placement::notify_owners(&hub, &name, &message),
                 false => hub.peers().broadcast(&message),
             }
         }
