--- a/src/proxy/notices.rs
+++ b/src/proxy/notices.rs
@@ -91,7 +91,8 @@
     let now = hub.now();
     let (is_new, was_backing_off) = hub.with_registry(|registry| {
         let was_backing_off = registry.was_sent_during_backoff(received.upstream, received.sent);
-        (registry.back_off(received.upstream, length, now), was_backing_off)
+        let is_new = registry.back_off(received.upstream, length, util::unix_millis(), now);
+        (is_new, was_backing_off)
     });
     if was_backing_off {
         hub.metrics().reached_anyway("backoff");
@@ -141,7 +142,7 @@
     match owned {
         None => hub.peers().broadcast_now(&message),
         Some(owned) if owned.owner == hub.peers().own_ip() => hub.peers().broadcast(&message),
-        Some(owned) => owned.boxes().for_each(|ip| hub.peers().send_now(ip, &message)),
+        Some(owned) => owned.boxes().for_each(|ip| _ = hub.peers().send_now(ip, &message)),
     }
 }
 
