Connections: a withheld request leaves the idle time as it was

A request that is withheld right before it would be sent (its engine drains, or backs off) gives its connection back unused. The connection's idle time began anew, though the engine counts its announced timeout from the last response. So it could be reused at a time when the engine was closing it, and a request that must not run twice could be lost there as one that may have run.

The time of the last use is kept with the connection, and it is put back in its place in the order of idle ones, of which the most recently used is taken first.

The test withholds a request after 8 of 10 announced seconds and sends the next one a second later: before, it was sent on the old connection (the test failed by its timeout); now one is opened.

--- a/src/proxy/upstream_connections.rs
+++ b/src/proxy/upstream_connections.rs
@@ -229,6 +229,8 @@
     tx: SendRequest<Full<Bytes>>,
     /// `None` once the connection has ended.
     driver: Option<Driver>,
+    /// When its last response was complete; before the first one, when it was opened.
+    last_used: Duration,
     /// The timeout of idle connections that the upstream last announced on it.
     announced: Option<Duration>,
     open_count: OpenCount,
@@ -272,11 +274,13 @@
 }
 
 impl BusyConnection {
-    /// Keeps the connection for the next request, unless it has ended.
+    /// Keeps the connection for the next request, unless it has ended. A request that wasn't sent on
+    /// it leaves the time of its last use, from which the upstream's timeout counts.
     fn keep_idle(self) {
         let BusyConnection {
             tx,
             driver,
+            last_used: idle_since,
             announced,
             mut open_count,
             opened_at_ms,
@@ -293,7 +297,7 @@
             if driver.is_some() { Poll::Pending } else { Poll::Ready(()) }
         }));
         let (connections, addr) = (open_count.connections.clone(), open_count.addr);
-        let (watcher, idle_since) = (watcher.abort_handle(), connections.clock.now());
+        let watcher = watcher.abort_handle();
         connections.put_idle(
             addr,
             IdleConnection {
@@ -336,11 +340,11 @@
             tx,
             driver,
             watcher,
+            idle_since: last_used,
             announced,
             mut open_count,
             opened_at_ms,
             is_authentic,
-            ..
         } = self;
         watcher.abort();
         let driver = driver.lock().expect("no panic under lock").take();
@@ -351,6 +355,7 @@
         is_usable.then(|| BusyConnection {
             tx,
             driver,
+            last_used,
             announced,
             open_count,
             opened_at_ms,
@@ -386,6 +391,7 @@
     /// announces in `headers`.
     pub fn keep(self, headers: &HeaderMap) {
         let mut conn = self.conn;
+        conn.last_used = conn.open_count.connections.clock.now();
         if let Some(timeout) = keep_alive_timeout(headers) {
             conn.announced = Some(timeout);
             conn.open_count.connections.counts.announced(timeout);
@@ -589,7 +595,9 @@
         let mut by_addr = self.by_addr.lock().expect("no panic under lock");
         let upstream = by_addr.entry(addr).or_default();
         if upstream.idle.len() < IDLE_CONNECTIONS_MAX && upstream.open <= upstream.kept_max {
-            upstream.idle.push(connection);
+            let is_longer_idle = |c: &IdleConnection| c.idle_since <= connection.idle_since;
+            let at = upstream.idle.partition_point(is_longer_idle);
+            upstream.idle.insert(at, connection);
             return;
         }
         drop(by_addr);
@@ -618,6 +626,7 @@
         Ok(BusyConnection {
             tx,
             driver: Some(driver),
+            last_used: self.clock.now(),
             announced: None,
             open_count,
             opened_at_ms,
--- a/tests/proxy_connections.rs
+++ b/tests/proxy_connections.rs
@@ -28,6 +28,7 @@
 use frostdyke::proxy::adapter::UpstreamListing;
 use frostdyke::proxy::connection_reuse::OpenCause;
 use frostdyke::proxy::connection_reuse::ReuseRule;
+use frostdyke::proxy::notices::WithholdReason;
 use frostdyke::proxy::routing_table::EngineLimits;
 use frostdyke::proxy::upstream_connections::ConnectionQuota;
 use frostdyke::proxy::upstream_connections::Error;
@@ -52,7 +53,10 @@
 /// For a request that must not run twice, if announced timeouts are relied on.
 const ONCE_ONLY: ReuseRule = ReuseRule { is_once_only: true, trusts_announced: true };
 
-/// The same, if they aren't.
+/// For a request that may be repeated.
+const REPEATABLE: ReuseRule = ReuseRule { is_once_only: false, trusts_announced: true };
+
+/// The same as [`ONCE_ONLY`], if they aren't.
 const ONCE_ONLY_BRIEF: ReuseRule = ReuseRule { is_once_only: true, trusts_announced: false };
 
 const QUOTA: ConnectionQuota = ConnectionQuota { open_max: 4, kept_max: 4 };
@@ -216,6 +220,24 @@
     assert_eq!(rig.opened(), 1, "it was sent once");
 }
 
+/// A request that is withheld doesn't use its connection, so the engine closes that at the time that
+/// it had announced before. It was reused for as long again, and a request on it could be lost.
+#[tokio::test]
+async fn a_withheld_request_does_not_extend_the_idle_time_of_its_connection() {
+    let rig = Rig::new().await;
+    let target = rig.target(REPEATABLE);
+    let _first = rig.send_on_new(target).await;
+    rig.time.advance(8 * SECOND);
+    let req = Request::post("/x").body(Full::<Bytes>::default()).expect("it is valid");
+    let withheld = rig.connections.send(target, req, || Some(WithholdReason::Backoff)).await;
+    assert!(matches!(withheld, Err(Error::Withheld(_))));
+    assert_eq!(rig.opened(), 1);
+    rig.time.advance(SECOND);
+    let second = tokio::time::timeout(5 * SECOND, rig.send_on_new(target)).await;
+    let _second = second.expect("it isn't sent on the first connection");
+    assert_eq!(rig.connections.counts().opened_for(OpenCause::IdleTooLong), 1);
+}
+
 /// After a restart of the engine the idle connections are useless, and the box must no longer
 /// claim to have them.
 #[tokio::test]
