Slow readers: a timer of our own for requests that an engine doesn't take

A request whose body an engine doesn't take was ended by the kernel alone (TCP_USER_TIMEOUT), which counts bytes unacknowledged or a closed window, not what the engine's side takes of ours; else it held its body until its deadline.

A connection to an upstream now records since when it takes no byte (proxy::upstream_io). A request of a box with bounded bytes is given up after a second of that, as one that may have run: an engine may begin with the head. Each byte taken starts the second anew, so a slow engine isn't hurt. While nothing is stalled there is no timer. Without a bound on held bytes all is as before.

Tests: the timer by itself, in paused time (takes nothing: 1 s; a byte each 0.9 s: never); it is new code, so they have no "before".

--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -43,6 +43,7 @@
 pub mod stream_relay;
 pub mod suspects;
 pub mod upstream_connections;
+pub mod upstream_io;
 pub mod upstream_selection;
 pub mod view;
 pub mod warm_up;
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -387,6 +387,7 @@
                 choice.is_counted,
             ),
             reuse_rule: self.hub.reuse_rule(&choice.upstream, self.is_once_only()),
+            gives_up_stalled: self.hold.is_some(),
         };
         let withheld = || {
             let reason = notices::reason_to_withhold(&self.hub, &placed);
--- a/src/proxy/upstream_connections.rs
+++ b/src/proxy/upstream_connections.rs
@@ -40,6 +40,8 @@
 use crate::proxy::connection_reuse::OpenCause;
 use crate::proxy::connection_reuse::ReuseRule;
 use crate::proxy::notices::WithholdReason;
+use crate::proxy::upstream_io::UpstreamIo;
+use crate::proxy::upstream_io::WriteProgress;
 use crate::util;
 
 /// Timeout for connecting: several round trips within a region, but less than the retransmission of
@@ -97,6 +99,9 @@
     /// The response's body broke off.
     #[error(transparent)]
     Body(hyper::Error),
+    /// The upstream takes no more of the request.
+    #[error("the upstream doesn't take the request")]
+    NotTaken,
     /// The upstream has restarted since the request was sent.
     #[error("the upstream has restarted")]
     Restarted,
@@ -108,7 +113,7 @@
 impl Error {
     /// Whether the request certainly did not reach the upstream.
     pub fn is_unsent(&self) -> bool {
-        !matches!(self, Error::NoResponse(_) | Error::Body(_) | Error::Restarted)
+        !matches!(self, Error::NoResponse(_) | Error::Body(_) | Error::NotTaken | Error::Restarted)
     }
 
     /// Whether the connection was refused: the upstream's process has ended, but its machine is
@@ -177,6 +182,8 @@
     pub quota: ConnectionQuota,
     /// Which idle connections may be used.
     pub reuse_rule: ReuseRule,
+    /// Whether the request is given up if the upstream takes none of it for a while.
+    pub gives_up_stalled: bool,
 }
 
 /// The connections to all upstreams.
@@ -219,7 +226,7 @@
 }
 
 /// The part of a connection that does its I/O; it must be polled for any progress.
-type Driver = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+type Driver = http1::Connection<TokioIo<UpstreamIo<TcpStream>>, Full<Bytes>>;
 
 /// A connection in use by a request. The task that waits for the response also polls the driver, so
 /// that a chunk of a stream wakes one task and not three. Dropping it closes the connection, so
@@ -229,6 +236,7 @@
     tx: SendRequest<Full<Bytes>>,
     /// `None` once the connection has ended.
     driver: Option<Driver>,
+    progress: Arc<WriteProgress>,
     /// When its last response was complete; before the first one, when it was opened.
     last_used: Duration,
     /// The timeout of idle connections that the upstream last announced on it.
@@ -246,6 +254,7 @@
 struct IdleConnection {
     tx: SendRequest<Full<Bytes>>,
     driver: Arc<Mutex<Option<Driver>>>,
+    progress: Arc<WriteProgress>,
     watcher: AbortHandle,
     idle_since: Duration,
     announced: Option<Duration>,
@@ -280,6 +289,7 @@
         let BusyConnection {
             tx,
             driver,
+            progress,
             last_used: idle_since,
             announced,
             mut open_count,
@@ -303,6 +313,7 @@
             IdleConnection {
                 tx,
                 driver,
+                progress,
                 watcher,
                 idle_since,
                 announced,
@@ -339,6 +350,7 @@
         let IdleConnection {
             tx,
             driver,
+            progress,
             watcher,
             idle_since: last_used,
             announced,
@@ -355,6 +367,7 @@
         is_usable.then(|| BusyConnection {
             tx,
             driver,
+            progress,
             last_used,
             announced,
             open_count,
@@ -446,7 +459,7 @@
         req: Request<Full<Bytes>>,
         withheld: impl FnOnce() -> Option<WithholdReason>,
     ) -> Result<Response<UpstreamBody>, Error> {
-        let Target { addr, quota, reuse_rule, .. } = target;
+        let Target { addr, quota, reuse_rule, gives_up_stalled, .. } = target;
         let mut conn = match self.take_idle(addr, reuse_rule) {
             Ok(conn) => conn,
             Err(cause) => self.connect(addr, quota, cause).await?,
@@ -457,6 +470,9 @@
         }
         let response = conn.tx.send_request(req);
         tokio::pin!(response);
+        let progress = conn.progress.clone();
+        let stalled = progress.wait_stalled();
+        tokio::pin!(stalled);
         let (driver, restart_flag) = (&mut conn.driver, &conn.restart_flag);
         self.register_busy(target, conn.opened_at_ms, restart_flag);
         let resp = std::future::poll_fn(|cx| {
@@ -464,7 +480,11 @@
                 return Poll::Ready(Err(Error::Restarted));
             }
             poll_driver(driver, cx);
-            response.as_mut().poll(cx).map_err(Error::NoResponse)
+            let polled = response.as_mut().poll(cx).map_err(Error::NoResponse);
+            if polled.is_pending() && gives_up_stalled && stalled.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(Err(Error::NotTaken));
+            }
+            polled
         });
         let resp = resp.await?;
         Ok(resp.map(|incoming| UpstreamBody { incoming, conn }))
@@ -617,8 +637,9 @@
             .map_err(|_| Error::ConnectTimeout)?
             .map_err(Error::Connect)?;
         set_tcp_options(&stream).map_err(Error::Connect)?;
+        let (io, progress) = UpstreamIo::new(stream);
         let (tx, driver) = http1::Builder::new()
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(io))
             .await
             .map_err(|e| Error::Connect(std::io::Error::other(e)))?;
         let (opened_at_ms, restart_flag) = (util::unix_millis(), Arc::default());
@@ -626,6 +647,7 @@
         Ok(BusyConnection {
             tx,
             driver: Some(driver),
+            progress,
             last_used: self.clock.now(),
             announced: None,
             open_count,
--- a/tests/proxy_connections.rs
+++ b/tests/proxy_connections.rs
@@ -94,7 +94,13 @@
     }
 
     fn target(&self, reuse_rule: ReuseRule) -> Target {
-        Target { addr: self.addr, name_hash: name_hash(&name(0)), quota: QUOTA, reuse_rule }
+        Target {
+            addr: self.addr,
+            name_hash: name_hash(&name(0)),
+            quota: QUOTA,
+            reuse_rule,
+            gives_up_stalled: false,
+        }
     }
 
     /// Sends a request and reads the whole response; the connection is kept.
--- a/tests/proxy_held_bytes.rs
+++ b/tests/proxy_held_bytes.rs
@@ -23,6 +23,7 @@
 use frostdyke::proxy::upstream_connections::ConnectionQuota;
 use frostdyke::proxy::upstream_connections::Target;
 use frostdyke::proxy::upstream_connections::UpstreamConnections;
+use frostdyke::proxy::upstream_io::UpstreamIo;
 use frostdyke::web;
 use frostdyke::web::BodyError;
 use http::Request;
@@ -35,6 +36,7 @@
 use slog::Discard;
 use slog::Logger;
 use slog::o;
+use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::time::Instant;
@@ -368,6 +370,7 @@
         name_hash: 1,
         quota: ConnectionQuota { open_max: 1, kept_max: 1 },
         reuse_rule: ReuseRule { is_once_only: true, trusts_announced: true },
+        gives_up_stalled: true,
     };
     let body = Full::new(Bytes::from(vec![0; 32 << 20]));
     let req = Request::post("/x").body(body).expect("it is valid");
@@ -380,6 +383,52 @@
     assert!(!e.is_unsent(), "{e}");
 }
 
+/// Bytes that the fake engine's connection buffers.
+const ENGINE_BUF: usize = 100;
+
+/// Writes a request of `len` bytes to an engine that takes a byte each `interval`, if any. Returns
+/// after which time it is given up; `None` if all is written.
+async fn given_up_after(len: usize, interval: Option<Duration>) -> Option<Duration> {
+    let (io, mut engine) = tokio::io::duplex(ENGINE_BUF);
+    let (mut io, progress) = UpstreamIo::new(io);
+    let (request, started) = (vec![0; len], Instant::now());
+    let engine = tokio::spawn(async move {
+        let Some(interval) = interval else { return std::future::pending().await };
+        loop {
+            tokio::time::sleep(interval).await;
+            engine.read_exact(&mut [0]).await.expect("a byte comes");
+        }
+    });
+    let (write, stalled) = (io.write_all(&request), progress.wait_stalled());
+    tokio::pin!(write, stalled);
+    let given_up = std::future::poll_fn(|cx| match write.as_mut().poll(cx) {
+        Poll::Ready(written) => {
+            written.expect("the engine is there");
+            Poll::Ready(None)
+        }
+        Poll::Pending => stalled.as_mut().poll(cx).map(|()| Some(started.elapsed())),
+    });
+    let given_up = given_up.await;
+    engine.abort();
+    given_up
+}
+
+/// Keep-alive and acknowledgement timers of the kernel don't end a request whose bytes a relay has
+/// accepted, or that a kernel keeps probing: it would hold its body until its deadline.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_the_engine_takes_nothing_of_is_given_up() {
+    assert_eq!(given_up_after(ENGINE_BUF, None).await, None, "it is written");
+    assert_eq!(given_up_after(ENGINE_BUF + 1, None).await, Some(millis(1000)));
+}
+
+/// An engine whose steps are long takes bytes in between; to give up its request costs a run.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_the_engine_takes_slowly_is_not_given_up() {
+    assert_eq!(given_up_after(ENGINE_BUF + 20, Some(millis(900))).await, None);
+    let stuck = given_up_after(ENGINE_BUF + 20, Some(millis(1100))).await;
+    assert_eq!(stuck, Some(millis(1000)));
+}
+
 /// Holders as a plain list that is searched each time.
 #[derive(Default)]
 struct HolderList(Vec<(HolderId, HoldKind, usize, Duration)>);
