--- a/src/proxy/upstream_connections.rs
+++ b/src/proxy/upstream_connections.rs
@@ -40,6 +40,8 @@
 use crate::proxy::connection_reuse::OpenCause;
 use crate::proxy::connection_reuse::ReuseRule;
 use crate::proxy::notices::WithholdReason;
+use crate::proxy::upstream_io::UpstreamIo;
+use crate::proxy::upstream_io::WriteProgress;
 use crate::util;
 
 /// Timeout for connecting: several round trips within a region, but less than the retransmission of
@@ -97,6 +99,9 @@
     /// The response's body broke off.
     #[error(transparent)]
     Body(hyper::Error),
+    /// The upstream takes no more of the request.
+    #[error("the upstream doesn't take the request")]
+    NotTaken,
     /// The upstream has restarted since the request was sent.
     #[error("the upstream has restarted")]
     Restarted,
@@ -108,7 +113,7 @@
 impl Error {
     /// Whether the request certainly did not reach the upstream.
     pub fn is_unsent(&self) -> bool {
-        !matches!(self, Error::NoResponse(_) | Error::Body(_) | Error::Restarted)
+        !matches!(self, Error::NoResponse(_) | Error::Body(_) | Error::NotTaken | Error::Restarted)
     }
 
     /// Whether the connection was refused: the upstream's process has ended, but its machine is
@@ -177,6 +182,8 @@
     pub quota: ConnectionQuota,
     /// Which idle connections may be used.
     pub reuse_rule: ReuseRule,
+    /// Whether the request is given up if the upstream takes none of it for a while.
+    pub gives_up_stalled: bool,
 }
 
 /// The connections to all upstreams.
@@ -219,7 +226,7 @@
 }
 
 /// The part of a connection that does its I/O; it must be polled for any progress.
-type Driver = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+type Driver = http1::Connection<TokioIo<UpstreamIo<TcpStream>>, Full<Bytes>>;
 
 /// A connection in use by a request. The task that waits for the response also polls the driver, so
 /// that a chunk of a stream wakes one task and not three. Dropping it closes the connection, so
@@ -229,6 +236,9 @@
     tx: SendRequest<Full<Bytes>>,
     /// `None` once the connection has ended.
     driver: Option<Driver>,
+    progress: Arc<WriteProgress>,
+    /// When its last response was complete; before the first one, when it was opened.
+    last_used: Duration,
     /// The timeout of idle connections that the upstream last announced on it.
     announced: Option<Duration>,
     open_count: OpenCount,
@@ -244,6 +254,7 @@
 struct IdleConnection {
     tx: SendRequest<Full<Bytes>>,
     driver: Arc<Mutex<Option<Driver>>>,
+    progress: Arc<WriteProgress>,
     watcher: AbortHandle,
     idle_since: Duration,
     announced: Option<Duration>,
@@ -272,11 +283,14 @@
 }
 
 impl BusyConnection {
-    /// Keeps the connection for the next request, unless it has ended.
+    /// Keeps the connection for the next request, unless it has ended. A request that wasn't sent on
+    /// it leaves the time of its last use, from which the upstream's timeout counts.
     fn keep_idle(self) {
         let BusyConnection {
             tx,
             driver,
+            progress,
+            last_used: idle_since,
             announced,
             mut open_count,
             opened_at_ms,
@@ -293,12 +307,13 @@
             if driver.is_some() { Poll::Pending } else { Poll::Ready(()) }
         }));
         let (connections, addr) = (open_count.connections.clone(), open_count.addr);
-        let (watcher, idle_since) = (watcher.abort_handle(), connections.clock.now());
+        let watcher = watcher.abort_handle();
         connections.put_idle(
             addr,
             IdleConnection {
                 tx,
                 driver,
+                progress,
                 watcher,
                 idle_since,
                 announced,
@@ -335,12 +350,13 @@
         let IdleConnection {
             tx,
             driver,
+            progress,
             watcher,
+            idle_since: last_used,
             announced,
             mut open_count,
             opened_at_ms,
             is_authentic,
-            ..
         } = self;
         watcher.abort();
         let driver = driver.lock().expect("no panic under lock").take();
@@ -351,6 +367,8 @@
         is_usable.then(|| BusyConnection {
             tx,
             driver,
+            progress,
+            last_used,
             announced,
             open_count,
             opened_at_ms,
@@ -386,6 +404,7 @@
     /// announces in `headers`.
     pub fn keep(self, headers: &HeaderMap) {
         let mut conn = self.conn;
+        conn.last_used = conn.open_count.connections.clock.now();
         if let Some(timeout) = keep_alive_timeout(headers) {
             conn.announced = Some(timeout);
             conn.open_count.connections.counts.announced(timeout);
@@ -440,7 +459,7 @@
         req: Request<Full<Bytes>>,
         withheld: impl FnOnce() -> Option<WithholdReason>,
     ) -> Result<Response<UpstreamBody>, Error> {
-        let Target { addr, quota, reuse_rule, .. } = target;
+        let Target { addr, quota, reuse_rule, gives_up_stalled, .. } = target;
         let mut conn = match self.take_idle(addr, reuse_rule) {
             Ok(conn) => conn,
             Err(cause) => self.connect(addr, quota, cause).await?,
@@ -451,6 +470,9 @@
         }
         let response = conn.tx.send_request(req);
         tokio::pin!(response);
+        let progress = conn.progress.clone();
+        let stalled = progress.wait_stalled();
+        tokio::pin!(stalled);
         let (driver, restart_flag) = (&mut conn.driver, &conn.restart_flag);
         self.register_busy(target, conn.opened_at_ms, restart_flag);
         let resp = std::future::poll_fn(|cx| {
@@ -458,7 +480,11 @@
                 return Poll::Ready(Err(Error::Restarted));
             }
             poll_driver(driver, cx);
-            response.as_mut().poll(cx).map_err(Error::NoResponse)
+            let polled = response.as_mut().poll(cx).map_err(Error::NoResponse);
+            if polled.is_pending() && gives_up_stalled && stalled.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(Err(Error::NotTaken));
+            }
+            polled
         });
         let resp = resp.await?;
         Ok(resp.map(|incoming| UpstreamBody { incoming, conn }))
@@ -589,7 +615,9 @@
         let mut by_addr = self.by_addr.lock().expect("no panic under lock");
         let upstream = by_addr.entry(addr).or_default();
         if upstream.idle.len() < IDLE_CONNECTIONS_MAX && upstream.open <= upstream.kept_max {
-            upstream.idle.push(connection);
+            let is_longer_idle = |c: &IdleConnection| c.idle_since <= connection.idle_since;
+            let at = upstream.idle.partition_point(is_longer_idle);
+            upstream.idle.insert(at, connection);
             return;
         }
         drop(by_addr);
@@ -609,8 +637,9 @@
             .map_err(|_| Error::ConnectTimeout)?
             .map_err(Error::Connect)?;
         set_tcp_options(&stream).map_err(Error::Connect)?;
+        let (io, progress) = UpstreamIo::new(stream);
         let (tx, driver) = http1::Builder::new()
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(io))
             .await
             .map_err(|e| Error::Connect(std::io::Error::other(e)))?;
         let (opened_at_ms, restart_flag) = (util::unix_millis(), Arc::default());
@@ -618,6 +647,8 @@
         Ok(BusyConnection {
             tx,
             driver: Some(driver),
+            progress,
+            last_used: self.clock.now(),
             announced: None,
             open_count,
             opened_at_ms,
