Find the records of a request by its sender

What callers saw: nothing yet. The owner of a group took time for each report of a sender in proportion to all upstreams with requests and to the requests of all boxes; at 300 senders it gets 375 reports a second. A question for unknown requests went through all requests of its receiver in the same way.

Cause: reconcile() walked all busy upstreams and all their records.

Now records are indexed by sender. A sender's own table is ordered by id, and a short id is the upper half of one, so those asked for are found by range.

Ruled out: an index in each engine (10,000 engines would still be walked); an index by request only (a request may have a record at two upstreams, if owner and standby have both placed it).

The test of bytes prints them by kind.

--- a/src/fleet/in_progress.rs
+++ b/src/fleet/in_progress.rs
@@ -7,6 +7,7 @@
 pub mod received;
 pub mod table;
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -55,6 +56,14 @@
     }
 }
 
+impl ShortId {
+    /// All requests with this short id.
+    pub fn requests(self) -> RangeInclusive<u64> {
+        let first = u64::from(self.0) << 32;
+        first..=first | u64::from(u32::MAX)
+    }
+}
+
 /// All requests of the sender that are in progress at upstreams tracked by the receiver and were
 /// placed at least [`InProgressReport::min_age_ms`] ago.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/fleet/in_progress/table.rs
+++ b/src/fleet/in_progress/table.rs
@@ -5,8 +5,6 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
-use rustc_hash::FxHashMap;
-
 use crate::fleet::in_progress::AGE_SLACK;
 use crate::fleet::in_progress::IDS_PER_REPORT_MAX;
 use crate::fleet::in_progress::InProgressReport;
@@ -63,7 +61,8 @@
     own_ip: IpAddr,
     incarnation: u64,
     sequence: u64,
-    requests: FxHashMap<u64, Entry>,
+    /// In the order of ids, so that those with a short id are neighbours.
+    requests: BTreeMap<u64, Entry>,
     /// Boxes that may have records of requests, and when a request last began or ended there.
     trackers: BTreeMap<IpAddr, Duration>,
     /// When a request of this box last began or ended.
@@ -77,7 +76,7 @@
             own_ip,
             incarnation,
             sequence: 0,
-            requests: FxHashMap::default(),
+            requests: BTreeMap::new(),
             trackers: BTreeMap::new(),
             active_at: None,
         }
@@ -169,15 +168,16 @@
 
     /// Records of the requests that a box has asked for.
     pub fn records_of(&mut self, ids: &[ShortId], by: IpAddr, now: Duration) -> Vec<RequestRecord> {
-        let ids: BTreeSet<ShortId> = ids.iter().copied().collect();
-        let asked = self.requests.iter_mut().filter(|(id, _)| ids.contains(&ShortId::from(**id)));
-        let records = asked.map(|(id, entry)| {
-            if !entry.trackers.contains(&by) {
-                entry.trackers.push(by);
+        let mut records = Vec::new();
+        for range in distinct(ids).map(ShortId::requests) {
+            for (id, entry) in self.requests.range_mut(range) {
+                if !entry.trackers.contains(&by) {
+                    entry.trackers.push(by);
+                }
+                records.push(entry.record(*id, now));
             }
-            entry.record(*id, now)
-        });
-        records.collect()
+        }
+        records
     }
 
     /// Records of requests at upstreams that this box owns, among those with these ids.
@@ -187,12 +187,12 @@
         owners: &OwnerTable,
         now: Duration,
     ) -> Vec<RequestRecord> {
-        let ids: BTreeSet<ShortId> = ids.iter().copied().collect();
         let is_owned = |entry: &Entry| {
             let owned = owners.owners_of_hash(entry.request.owner_hash);
             owned.is_none_or(|owned| owned.boxes().any(|ip| ip == self.own_ip))
         };
-        let asked = self.requests.iter().filter(|(id, _)| ids.contains(&ShortId::from(**id)));
+        let ranges = distinct(ids).map(ShortId::requests);
+        let asked = ranges.flat_map(|range| self.requests.range(range));
         asked.filter(|(_, e)| is_owned(e)).map(|(id, e)| e.record(*id, now)).collect()
     }
 
@@ -264,6 +264,10 @@
     }
 }
 
+fn distinct(ids: &[ShortId]) -> impl Iterator<Item = ShortId> {
+    ids.iter().copied().collect::<BTreeSet<ShortId>>().into_iter()
+}
+
 /// Whether a report sent now concerns all requests that began or ended until `active_at`, because
 /// their records are old enough to be dropped.
 fn is_settled(active_at: Duration, now: Duration) -> bool {
--- a/src/placement/engine/records.rs
+++ b/src/placement/engine/records.rs
@@ -26,30 +26,29 @@
 }
 
 impl Engine {
-    /// Updates the records of a sender by what it reports. Returns the number of dropped ones.
+    /// Updates the record of a sender's request by what the sender reports. Returns what that was;
+    /// `None` if there is no such record.
     pub fn reconcile(
         &mut self,
+        request: u64,
         sender: Option<IpAddr>,
         state: &mut impl FnMut(u64, Duration) -> ReportedState,
         now: Duration,
-    ) -> usize {
-        let mut ended = Vec::new();
-        let of_sender = self.requests.iter_mut().filter(|(_, running)| running.sender == sender);
-        for (id, running) in of_sender {
-            match state(*id, running.placed) {
-                ReportedState::Renewed { has_first_token } => {
-                    running.renewed = now;
-                    // Its first token was reported, but lost on the way.
-                    if has_first_token {
-                        self.pending.retain(|r| r.request != *id);
-                    }
+    ) -> Option<ReportedState> {
+        let running = self.requests.get_mut(&request).filter(|r| r.sender == sender)?;
+        let state = state(request, running.placed);
+        match state {
+            ReportedState::Renewed { has_first_token } => {
+                running.renewed = now;
+                // Its first token was reported, but lost on the way.
+                if has_first_token {
+                    self.skip_prefill(request);
                 }
-                ReportedState::Ended => ended.push(*id),
-                ReportedState::Unlisted => {}
             }
+            ReportedState::Ended => _ = self.remove_request(request),
+            ReportedState::Unlisted => {}
         }
-        ended.iter().for_each(|id| _ = self.remove_request(*id));
-        ended.len()
+        Some(state)
     }
 
     /// Adds the record of a request that was placed earlier, or renews the one that there is.
--- a/src/placement/plain.rs
+++ b/src/placement/plain.rs
@@ -110,25 +110,28 @@
         known.renewed = known.renewed.max(renewed);
     }
 
-    /// Updates the records of a sender by what it reports. Returns the number of dropped ones.
+    /// Updates the record of a sender's request by what the sender reports. Returns what that was;
+    /// `None` if there is no such record.
     pub fn reconcile(
         &mut self,
+        request: u64,
         sender: Option<IpAddr>,
         state: &mut impl FnMut(u64, Duration) -> ReportedState,
         now: Duration,
-    ) -> usize {
-        let before = self.requests.len();
-        self.requests.retain(|id, queued| {
-            if queued.sender != sender {
-                return true;
-            }
-            let state = state(*id, queued.placed);
-            if matches!(state, ReportedState::Renewed { .. }) {
-                queued.renewed = now;
-            }
-            state != ReportedState::Ended
-        });
-        before - self.requests.len()
+    ) -> Option<ReportedState> {
+        let queued = self.requests.get_mut(&request).filter(|r| r.sender == sender)?;
+        let state = state(request, queued.placed);
+        match state {
+            ReportedState::Renewed { .. } => queued.renewed = now,
+            ReportedState::Ended => _ = self.remove_request(request),
+            ReportedState::Unlisted => {}
+        }
+        Some(state)
+    }
+
+    /// Whether there is a record of a request.
+    pub fn has_request(&self, request: u64) -> bool {
+        self.requests.contains_key(&request)
     }
 
     /// Requests that their senders have confirmed lately.
--- a/src/placement/registry.rs
+++ b/src/placement/registry.rs
@@ -13,6 +13,7 @@
 mod reachability;
 pub mod rivals;
 mod selection;
+mod senders;
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -37,6 +38,7 @@
 use crate::placement::registry::in_progress::EarlyEvent;
 use crate::placement::registry::index::Index;
 use crate::placement::registry::rivals::Rival;
+use crate::placement::registry::senders::SenderIndex;
 use crate::placement::speed::Speed;
 use crate::placement::tuning::Tuning;
 use crate::placement::upstream::Health;
@@ -65,6 +67,8 @@
     index: Index,
     /// Upstreams that may have unfinished requests placed on them.
     busy: BTreeSet<UpstreamName>,
+    /// Requests recorded at upstreams, by the box that sends them.
+    senders: SenderIndex,
     /// What is known of requests before their records arrive.
     early: FxHashMap<u64, (Duration, EarlyEvent)>,
     /// Boxes that also place requests on upstreams of this box.
@@ -96,6 +100,7 @@
             upstreams: BTreeMap::new(),
             index: Index::default(),
             busy: BTreeSet::new(),
+            senders: SenderIndex::default(),
             early: FxHashMap::default(),
             rivals: Vec::new(),
             unverified: BTreeSet::new(),
@@ -245,6 +250,7 @@
             return;
         }
         self.busy.insert(name.clone());
+        self.senders.add(sender, request, name);
         let Some(engine) = &mut upstream.engine else {
             upstream.plain.add_request(request, sender, upstream.listed.slots, now);
             return;
@@ -343,6 +349,7 @@
             upstream.plain.remove_sender(sender);
             upstream.engine.iter_mut().for_each(|engine| engine.remove_sender(sender));
         }
+        self.senders.remove(sender);
     }
 
     pub fn engines(&self) -> impl Iterator<Item = &UpstreamListing> {
@@ -396,6 +403,9 @@
             upstream.engine.iter_mut().for_each(|engine| engine.expire(now));
             upstream.is_busy()
         });
+        self.senders.expire(now, |request, name| {
+            upstreams.get(name).is_some_and(|upstream| upstream.has_request(request))
+        });
     }
 
     /// Whether neither the upstream itself nor its zone rules out new requests.
--- a/src/placement/registry/in_progress.rs
+++ b/src/placement/registry/in_progress.rs
@@ -92,13 +92,16 @@
             if has_ended { ReportedState::Ended } else { ReportedState::Unlisted }
         };
         let mut dropped = 0;
-        for name in &self.busy {
-            let Some(upstream) = self.upstreams.get_mut(name) else { continue };
-            dropped += match &mut upstream.engine {
-                Some(engine) => engine.reconcile(sender, &mut state, now),
-                None => upstream.plain.reconcile(sender, &mut state, now),
+        let upstreams = &mut self.upstreams;
+        self.senders.retain_of(sender, |request, name| {
+            let Some(upstream) = upstreams.get_mut(name) else { return false };
+            let reported = match &mut upstream.engine {
+                Some(engine) => engine.reconcile(request, sender, &mut state, now),
+                None => upstream.plain.reconcile(request, sender, &mut state, now),
             };
-        }
+            dropped += usize::from(reported == Some(ReportedState::Ended));
+            reported.is_some_and(|reported| reported != ReportedState::Ended)
+        });
         Reconciliation { dropped, unknown: unknown.into_iter().collect() }
     }
 
@@ -147,6 +150,7 @@
             None => upstream.plain.adopt(record.request, placed, sender, renewed),
         }
         self.busy.insert(name.clone());
+        self.senders.add(sender, record.request, name);
         Ok(())
     }
 
--- a/src/placement/upstream.rs
+++ b/src/placement/upstream.rs
@@ -185,6 +185,13 @@
         self.plain.running() != 0 || self.engine.as_ref().is_some_and(Engine::is_busy)
     }
 
+    /// Whether there is a record of a request.
+    pub(super) fn has_request(&self, request: u64) -> bool {
+        self.engine
+            .as_ref()
+            .map_or_else(|| self.plain.has_request(request), |e| e.has_request(request))
+    }
+
     /// Requests of this box at the upstream.
     pub(super) fn outstanding(&self) -> u32 {
         self.outstanding
--- a/tests/fleet_in_progress.rs
+++ b/tests/fleet_in_progress.rs
@@ -13,9 +13,11 @@
 use frostdyke::fleet::in_progress::InProgressReport;
 use frostdyke::fleet::in_progress::LEASE;
 use frostdyke::fleet::in_progress::MIN_AGE;
+use frostdyke::fleet::in_progress::OWN_LEASE;
 use frostdyke::fleet::in_progress::REPORT_INTERVAL;
 use frostdyke::fleet::in_progress::RequestRecord;
 use frostdyke::fleet::in_progress::ShortId;
+use frostdyke::fleet::in_progress::received::ListedRequests;
 use frostdyke::fleet::in_progress::received::ReceivedReports;
 use frostdyke::fleet::in_progress::received::ReportFault;
 use frostdyke::fleet::in_progress::table::OwnRequest;
@@ -248,9 +250,9 @@
     fn send(&mut self, from: usize, to: impl IntoIterator<Item = IpAddr>, message: &Message) {
         let len = postcard::to_stdvec(message).expect("it can be encoded").len();
         let kind = match message {
-            Message::InProgress(_) | Message::UnknownRequests(_) | Message::RequestRecords(_) => {
-                "new"
-            }
+            Message::InProgress(_) => "report",
+            Message::UnknownRequests(_) => "question",
+            Message::RequestRecords(_) => "record",
             _ => "known",
         };
         for ip in to {
@@ -825,8 +827,14 @@
     for boxes in [69, 300] {
         let mut fleet = Fleet::new(boxes, 40, Rule::Trackers, 1);
         fleet.run_until(millis(6_000), 10.0 * boxes as f64);
-        let (new, known) = (fleet.bytes["new"], fleet.bytes["known"]);
-        println!("{boxes} boxes: {new} bytes of reports, {known} of other messages");
+        let kinds = ["report", "question", "record"];
+        let [reports, questions, records] =
+            kinds.map(|kind| fleet.bytes.get(kind).copied().unwrap_or_default());
+        let (new, known) = (reports + questions + records, fleet.bytes["known"]);
+        println!(
+            "{boxes} boxes: bytes of reports {reports}, of questions {questions}, of records \
+             {records}, of other messages {known}"
+        );
         assert!(new * 5 < known, "{boxes} boxes: {new} bytes of reports to {known}");
     }
 }
@@ -1261,3 +1269,187 @@
     assert_eq!(pair.running(), 1);
     assert_eq!(pair.tracker.records(&engine(0), millis(dropped))[0].1.request, id(1));
 }
+
+/// What a tracker knows of a request, in the model that its registry is compared with.
+#[derive(Clone, Copy, Debug)]
+struct Recorded {
+    sender: Option<IpAddr>,
+    placed: Duration,
+    renewed: Duration,
+}
+
+/// A registry, and all that it should have recorded, in one list without an index.
+struct Model {
+    rng: SmallRng,
+    registry: UpstreamRegistry,
+    recorded: BTreeMap<(UpstreamName, u64), Recorded>,
+    ids: u64,
+    now: Duration,
+}
+
+impl Model {
+    const ENGINES: usize = 5;
+    const SENDERS: usize = 4;
+
+    fn new(seed: u64) -> Model {
+        Model {
+            rng: SmallRng::seed_from_u64(seed),
+            registry: registry(Model::ENGINES),
+            recorded: BTreeMap::new(),
+            ids: 0,
+            now: millis(1_000),
+        }
+    }
+
+    fn upstream(&mut self) -> UpstreamName {
+        match self.rng.random_range(0..Model::ENGINES + 2) {
+            n if n < Model::ENGINES => engine(n),
+            n => plain(n - Model::ENGINES),
+        }
+    }
+
+    fn sender(&mut self) -> Option<IpAddr> {
+        let n = self.rng.random_range(0..=Model::SENDERS);
+        (n != 0).then(|| ip(n))
+    }
+
+    fn known(&mut self) -> Option<(UpstreamName, u64)> {
+        let n = self.rng.random_range(0..self.recorded.len().max(1));
+        self.recorded.keys().nth(n).cloned()
+    }
+
+    /// An id whose short form may be that of another sender's request.
+    fn next_id(&mut self) -> u64 {
+        self.ids += 1;
+        (self.ids / 2) << 32 | self.ids
+    }
+
+    fn add(&mut self, request: u64, sender: Option<IpAddr>) {
+        let (name, now) = (self.upstream(), self.now);
+        let recorded = Recorded { sender, placed: now, renewed: now };
+        let key = (name.clone(), request);
+        if self.recorded.contains_key(&key) {
+            return;
+        }
+        if self.rng.random_bool(0.5) {
+            place(&mut self.registry, &name, request, sender, now);
+        } else {
+            let record = RequestRecord {
+                request,
+                upstream: name.clone(),
+                age_ms: 0,
+                tokens: 1_100,
+                cached_tokens: 0,
+                prefill_tokens: 1_000,
+                has_first_token: false,
+            };
+            assert_eq!(self.registry.adopt_request(&record, sender, now), Ok(()));
+        }
+        self.recorded.insert(key, recorded);
+    }
+
+    /// A report that lists some of a sender's requests, and some that aren't recorded.
+    fn report(&mut self) {
+        let (sender, now) = (self.sender(), self.now);
+        let (min_age, is_complete) = (millis(250), self.rng.random_bool(0.7));
+        let mut ids: BTreeSet<ShortId> = [ShortId::from(self.next_id())].into();
+        for ((_, request), recorded) in &self.recorded {
+            if recorded.sender == sender && self.rng.random_bool(0.8) {
+                ids.insert(ShortId::from(*request));
+            }
+        }
+        let listed = ListedRequests {
+            ids: ids.iter().copied().collect(),
+            with_first_token: ids.iter().take(2).copied().collect(),
+            complete: is_complete.then(|| (ids.iter().copied().collect(), min_age)),
+        };
+        let (mut unknown, before) = (ids.clone(), self.recorded.len());
+        self.recorded.retain(|(_, request), recorded| {
+            let id = ShortId::from(*request);
+            if recorded.sender != sender {
+                return true;
+            }
+            unknown.remove(&id);
+            if ids.contains(&id) {
+                recorded.renewed = now;
+                return true;
+            }
+            !is_complete || now < recorded.placed + min_age + AGE_SLACK
+        });
+        let mut reconciliation = self.registry.reconcile(sender, &listed, now);
+        reconciliation.unknown.sort();
+        assert_eq!(reconciliation.dropped, before - self.recorded.len());
+        assert_eq!(reconciliation.unknown, unknown.into_iter().collect::<Vec<_>>());
+    }
+
+    fn step(&mut self) {
+        self.now += millis(50);
+        let now = self.now;
+        self.registry.expire(now);
+        self.recorded.retain(|_, recorded| {
+            let lease = if recorded.sender.is_some() { LEASE } else { OWN_LEASE };
+            now <= recorded.renewed + lease
+        });
+        match self.rng.random_range(0..100) {
+            0..40 => {
+                let (request, sender) = (self.next_id(), self.sender());
+                self.add(request, sender);
+            }
+            // Owner and standby have placed it on different upstreams, or for different boxes.
+            40..50 => {
+                let Some((_, request)) = self.known() else { return };
+                let sender = self.sender();
+                self.add(request, sender);
+            }
+            50..60 => {
+                let Some((name, request)) = self.known() else { return };
+                self.registry.end_request(&name, request, now);
+                self.recorded.remove(&(name, request));
+            }
+            60..65 => {
+                let Some((_, request)) = self.known() else { return };
+                self.registry.withdraw(request, now);
+                self.recorded.retain(|(_, id), _| *id != request);
+            }
+            65..67 => {
+                let Some(sender) = self.sender() else { return };
+                self.registry.remove_sender(sender);
+                self.recorded.retain(|_, recorded| recorded.sender != Some(sender));
+            }
+            67..70 => {
+                let name = self.upstream();
+                self.registry.remove(&name);
+                let (service, limits) = match name.starts_with("engine") {
+                    true => ("llm", Some(LIMITS)),
+                    false => ("ledger", None),
+                };
+                self.registry.upsert(listed(name.clone(), service), limits);
+                self.recorded.retain(|(upstream, _), _| *upstream != name);
+            }
+            _ => self.report(),
+        }
+    }
+
+    fn check(&self) {
+        let names = (0..Model::ENGINES).map(engine).chain((0..2).map(plain));
+        let of_upstream = |name: UpstreamName| {
+            let records = self.registry.records(&name, self.now);
+            records.into_iter().map(move |(sender, record)| (name.clone(), record.request, sender))
+        };
+        let recorded: BTreeSet<_> = names.flat_map(of_upstream).collect();
+        let expected = self.recorded.iter().map(|((name, id), r)| (name.clone(), *id, r.sender));
+        assert_eq!(recorded, expected.collect());
+    }
+}
+
+/// Records are found by their senders: none may be missed or taken for that of another box.
+#[test]
+fn records_follow_reports_as_in_a_list_of_all() {
+    for seed in 1..=40 {
+        let mut model = Model::new(seed);
+        for _ in 0..1_500 {
+            model.step();
+            model.check();
+        }
+    }
+}
