Reach an upstream within a second after it is reachable again

What callers saw: an upstream that had been unreachable got no request for up to 2.4 s after it was reachable again, while its service refused. At the same time every box that had noticed connected to it every 2.4 s, and for a plain service all boxes of the fleet did so, since its failure was broadcast: 125 attempts a second at 300 boxes, all at once at first.

Cause: each box tried by itself at the same growing intervals, whether or not it decides what the upstream gets.

Now the boxes that decide (owner and standby, or all of a small fleet) try every 0.8 s at the latest, counted from the start of an attempt that gets no response. Others spread their attempts: 25 ms for each box of the fleet, so some dozen a second of all together; up to 96 boxes their longest interval stays 2.4 s. That a plain upstream is unreachable is sent to the boxes that decide on it, as for an engine, and to all only in a small fleet.

Ruled out: a message that it is reachable again, broadcast by the first that reaches it (a box's own path may still be cut, so each deciding box has to try anyway); the same short interval for all boxes (375 attempts a second at 300).

proxy_placement passes the pace of a deciding box to the two functions that take one now; its bounds are as before.

--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -14,6 +14,7 @@
 pub mod plain;
 pub mod probe;
 pub mod queue;
+pub mod reconnect;
 pub mod redirect;
 pub mod registry;
 pub mod share;
--- a/src/placement/registry/reachability.rs
+++ b/src/placement/registry/reachability.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::names::UpstreamName;
+use crate::placement::reconnect::ReconnectPace;
 use crate::placement::registry::UpstreamRegistry;
 use crate::placement::upstream::Upstream;
 use crate::proxy::adapter::UpstreamListing;
@@ -29,8 +30,13 @@
 
     /// Records a failed connection to an upstream. Returns whether to notify the other boxes: only
     /// at the first failure, and only if this box noticed the problem.
-    pub fn record_connect_failure(&mut self, name: &UpstreamName, now: Duration) -> bool {
-        self.upstreams.get_mut(name).is_some_and(|u| u.record_connect_failure(now))
+    pub fn record_connect_failure(
+        &mut self,
+        name: &UpstreamName,
+        pace: ReconnectPace,
+        now: Duration,
+    ) -> bool {
+        self.upstreams.get_mut(name).is_some_and(|u| u.record_connect_failure(pace, now))
     }
 
     /// Number of upstreams that get no requests because they may be unreachable.
@@ -40,12 +46,18 @@
 
     /// Upstreams to which it is time to try to connect. Each is returned again only after the pause
     /// that [`UpstreamRegistry::record_connect_failure`] sets or, without a call of that, after the
-    /// longest interval.
-    pub fn take_due_probes(&mut self, now: Duration) -> Vec<UpstreamListing> {
+    /// longest interval. `pace` is that of this box for an upstream,
+    /// which may be an engine.
+    pub fn take_due_probes(
+        &mut self,
+        pace: impl Fn(&UpstreamListing, bool) -> ReconnectPace,
+        now: Duration,
+    ) -> Vec<UpstreamListing> {
         let upstreams = &mut self.upstreams;
         let due = self.unverified.iter().filter_map(|name| {
             let upstream = upstreams.get_mut(name)?;
-            upstream.take_due_probe(now).then(|| upstream.listed.clone())
+            let pace = pace(&upstream.listed, upstream.engine.is_some());
+            upstream.take_due_probe(pace, now).then(|| upstream.listed.clone())
         });
         due.collect()
     }
--- a/src/placement/upstream.rs
+++ b/src/placement/upstream.rs
@@ -15,6 +15,7 @@
 use crate::placement::engine::Engine;
 use crate::placement::plain::PlainQueue;
 use crate::placement::probe::Obstacle;
+use crate::placement::reconnect::ReconnectPace;
 use crate::placement::speed::Speed;
 use crate::placement::speed::Work;
 use crate::placement::tuning::Tuning;
@@ -33,11 +34,6 @@
 /// Longest cooldown after failures.
 const COOLDOWN_MAX: Duration = Duration::from_secs(5);
 
-/// First and longest interval between attempts to connect to an upstream that may be unreachable;
-/// doubled with each failure, since each box tries by itself.
-const PROBE_INTERVAL_FIRST: Duration = Duration::from_millis(300);
-const PROBE_INTERVAL_MAX: Duration = Duration::from_millis(2400);
-
 /// Weight of the newest response time of a plain service in its average.
 const RESPONSE_TIME_WEIGHT: f64 = 0.2;
 
@@ -125,6 +121,8 @@
     is_local: bool,
     /// Failed attempts to connect since it was marked.
     failures: u32,
+    /// When the last attempt began.
+    tried_at: Duration,
     /// When to try next.
     probe_at: Duration,
 }
@@ -211,7 +209,7 @@
         if self.unverified.is_some() {
             return false;
         }
-        self.unverified = Some(Unverified { is_local, failures: 0, probe_at: now });
+        self.unverified = Some(Unverified { is_local, failures: 0, tried_at: now, probe_at: now });
         true
     }
 
@@ -227,22 +225,22 @@
 
     /// Records a failed connection. Returns whether to notify the other boxes: only at the first
     /// failure, and only if this box noticed the problem.
-    pub(super) fn record_connect_failure(&mut self, now: Duration) -> bool {
+    pub(super) fn record_connect_failure(&mut self, pace: ReconnectPace, now: Duration) -> bool {
         let Some(unverified) = &mut self.unverified else { return false };
         unverified.failures += 1;
-        let pause = PROBE_INTERVAL_FIRST * 2u32.saturating_pow(unverified.failures.min(8) - 1);
-        unverified.probe_at = now + pause.min(PROBE_INTERVAL_MAX);
+        unverified.probe_at = pace.next_attempt(unverified.failures, unverified.tried_at, now);
         unverified.is_local && unverified.failures == 1
     }
 
     /// Whether it is time to try to connect. Returns true again only after the pause that
     /// [`Upstream::record_connect_failure`] sets or, without a call of that, after the longest
     /// interval.
-    pub(super) fn take_due_probe(&mut self, now: Duration) -> bool {
+    pub(super) fn take_due_probe(&mut self, pace: ReconnectPace, now: Duration) -> bool {
         let Some(unverified) = self.unverified.as_mut().filter(|u| u.probe_at <= now) else {
             return false;
         };
-        unverified.probe_at = now + PROBE_INTERVAL_MAX;
+        unverified.tried_at = now;
+        unverified.probe_at = now + pace.interval_max();
         true
     }
 
--- a/src/proxy/reachability.rs
+++ b/src/proxy/reachability.rs
@@ -7,13 +7,17 @@
 use slog::debug;
 use slog::info;
 
+use crate::fleet::owners::GroupOwners;
 use crate::names::UpstreamName;
+use crate::placement::reconnect::ReconnectPace;
+use crate::placement::upstream;
 use crate::proxy::adapter::UpstreamListing;
 use crate::proxy::aligned_timer;
 use crate::proxy::engine_placement;
 use crate::proxy::hub::Hub;
 use crate::proxy::message::Message;
 use crate::proxy::notices;
+use crate::proxy::plain_placement;
 use crate::proxy::suspects;
 use crate::util;
 
@@ -39,26 +43,48 @@
             () = aligned_timer::wait_for_tick(PROBE_INTERVAL) => {}
         }
         let now = hub.now();
-        for listed in hub.with_registry(|registry| registry.take_due_probes(now)) {
+        let pace = |listed: &UpstreamListing, is_engine| pace(&hub, listed, is_engine);
+        for listed in hub.with_registry(|registry| registry.take_due_probes(pace, now)) {
             tokio::spawn(probe(hub.clone(), listed));
         }
     }
 }
 
+/// How often this box tries to connect to an upstream.
+fn pace(hub: &Hub, listed: &UpstreamListing, is_engine: bool) -> ReconnectPace {
+    let deciders = deciders(hub, listed, is_engine);
+    ReconnectPace {
+        decides: deciders.is_none_or(|owned| owned.boxes().any(|ip| ip == hub.peers().own_ip())),
+        boxes: hub.peers().known_count(),
+        draw: hub.peers().own_draw(&listed.name),
+    }
+}
+
+/// The boxes that decide on an upstream; `None` if all do.
+fn deciders(hub: &Hub, listed: &UpstreamListing, is_engine: bool) -> Option<GroupOwners> {
+    match is_engine {
+        true => hub.peers().owners().owners_of_hash(upstream::name_hash(&listed.name)),
+        false => plain_placement::owners(hub, &listed.service),
+    }
+}
+
 async fn probe(hub: Arc<Hub>, listed: UpstreamListing) {
+    let is_engine = hub.read(|view| view.registry().is_engine(&listed.name));
+    let pace = pace(&hub, &listed, is_engine);
+    let deciders = deciders(&hub, &listed, is_engine);
     let UpstreamListing { name, addr, .. } = listed;
     if let Err(e) = hub.upstream_connections().preconnect(addr).await {
         let now = hub.now();
         if e.is_refused() {
             suspects::connection_refused(&hub, &name);
         }
-        if hub.with_registry(|registry| registry.record_connect_failure(&name, now)) {
+        if hub.with_registry(|registry| registry.record_connect_failure(&name, pace, now)) {
             info!(hub.log(), "upstream unreachable"; "name" => name.as_str(),
                 "error" => util::error_chain(&e));
             let message = Message::Unreachable { upstream: name.clone() };
-            match hub.read(|view| view.registry().is_engine(&name)) {
-                true => engine_placement::notify_owners(&hub, &name, &message),
-                false => hub.peers().broadcast(&message),
+            match deciders {
+                Some(deciders) => hub.peers().send_batched(deciders.boxes(), &message),
+                None => hub.peers().broadcast(&message),
             }
         }
         return;
--- a/tests/fleet_half_open.rs
+++ b/tests/fleet_half_open.rs
@@ -21,6 +21,7 @@
 use frostdyke::placement::cold::Role;
 use frostdyke::placement::plain;
 use frostdyke::placement::plain::PlainQuery;
+use frostdyke::placement::reconnect::ReconnectPace;
 use frostdyke::placement::registry::UpstreamRegistry;
 use frostdyke::placement::share::Shares;
 use frostdyke::placement::tuning::Tuning;
@@ -379,3 +380,77 @@
     adopt(&mut decider, 4_000);
     probe_after(&mut decider, 4_000);
 }
+
+/// Attempts to connect that a silent upstream leaves without a response end after this long.
+const CONNECT_TIMEOUT_MS: u64 = 400;
+
+/// Interval at which a box looks for attempts that are due.
+const CHECK_MS: u64 = 100;
+
+/// Most attempts a second of all boxes together, once each that noticed has made its first.
+const ATTEMPTS_PER_S_MAX: usize = 100;
+
+/// All boxes of a fleet notice within 100 ms that an upstream is unreachable, which lasts `down_ms`.
+/// Returns how long after that the last of the deciding boxes has reached it, and the most attempts
+/// in any second after the first one.
+fn reconnect(boxes: usize, deciders: usize, is_silent: bool, down_ms: u64) -> (u64, usize) {
+    let upstream = name(0);
+    let pace = |n: usize| ReconnectPace {
+        decides: n < deciders,
+        boxes,
+        draw: frostdyke::util::mix_bits(n as u64) as u32,
+    };
+    let offset = |n: usize| frostdyke::util::mix_bits(7_000 + n as u64) % CHECK_MS;
+    let mut registries: Vec<UpstreamRegistry> =
+        (0..boxes).map(|_| Decider::new(1, LIMITS).registry).collect();
+    let mut pending: Vec<Vec<(u64, bool)>> = vec![Vec::new(); boxes];
+    let (mut attempts, mut reached) = (Vec::new(), vec![None; boxes]);
+    for ms in 0..down_ms + 3_000 {
+        for (n, registry) in registries.iter_mut().enumerate() {
+            if ms == offset(n) {
+                registry.mark_unverified(&upstream, true, millis(ms));
+            }
+            let (ended, running) = pending[n].iter().partition(|(end, _)| *end <= ms);
+            pending[n] = running;
+            let ended: Vec<(u64, bool)> = ended;
+            for (_, has_succeeded) in ended {
+                if !has_succeeded {
+                    registry.record_connect_failure(&upstream, pace(n), millis(ms));
+                } else if registry.mark_reachable(&upstream) {
+                    reached[n] = Some(ms);
+                }
+            }
+            if ms % CHECK_MS != offset(n) {
+                continue;
+            }
+            for _ in registry.take_due_probes(|_, _| pace(n), millis(ms)) {
+                attempts.push(ms);
+                let has_succeeded = down_ms <= ms;
+                let took = if is_silent && !has_succeeded { CONNECT_TIMEOUT_MS } else { 1 };
+                pending[n].push((ms + took, has_succeeded));
+            }
+        }
+    }
+    let last = reached[..deciders].iter().map(|at| at.unwrap_or(u64::MAX)).max();
+    let within =
+        |from: u64| attempts.iter().filter(|ms| (from..from + 1_000).contains(*ms)).count();
+    let most = (1_000..down_ms - 1_000).step_by(50).map(within).max();
+    (last.unwrap_or(u64::MAX) - down_ms, most.unwrap_or_default())
+}
+
+/// An upstream that was reachable again got no request for up to 2.4 s while its service refused,
+/// and 300 boxes connected to it in each of these 2.4 s.
+#[test]
+fn an_upstream_that_is_reachable_again_gets_requests_within_a_second_and_is_not_flooded() {
+    for (boxes, deciders) in [(1, 1), (3, 3), (16, 16), (17, 2), (69, 2), (300, 2)] {
+        for is_silent in [false, true] {
+            for down_ms in [2_600, 4_990, 9_450, 20_130] {
+                let (after_ms, most) = reconnect(boxes, deciders, is_silent, down_ms);
+                let case = format!("{boxes} boxes, silent {is_silent}, {down_ms} ms");
+                println!("{case}: reached after {after_ms} ms, {most} attempts a second");
+                assert!(after_ms <= 1_000, "{case}: {after_ms} ms");
+                assert!(most <= ATTEMPTS_PER_S_MAX, "{case}: {most}");
+            }
+        }
+    }
+}
--- a/tests/proxy_placement.rs
+++ b/tests/proxy_placement.rs
@@ -10,6 +10,7 @@
 use frostdyke::placement::choice::ChoiceError;
 use frostdyke::placement::choice::SelectionCriteria;
 use frostdyke::placement::engine::Placement;
+use frostdyke::placement::reconnect::ReconnectPace;
 use frostdyke::placement::registry::UpstreamRegistry;
 use frostdyke::placement::tuning::Tuning;
 use frostdyke::placement::upstream::Health;
@@ -294,18 +295,28 @@
 fn an_unreachable_upstream_is_reported_once_and_only_after_a_failed_probe() {
     let mut registry = registry(2);
     let name = choose(&registry, &prompt(1, 1), 0).expect("there is an engine").upstream;
-    let due_probes =
-        |registry: &mut UpstreamRegistry, ms| registry.take_due_probes(millis(ms)).len();
-    assert!(!registry.record_connect_failure(&name, millis(0)), "it is not marked unverified");
+    let due_probes = |registry: &mut UpstreamRegistry, ms| {
+        registry.take_due_probes(|_, _| ReconnectPace::DECIDER, millis(ms)).len()
+    };
+    assert!(
+        !registry.record_connect_failure(&name, ReconnectPace::DECIDER, millis(0)),
+        "it is not marked unverified"
+    );
     registry.mark_unverified(&name, true, millis(0));
     assert_eq!(
         (due_probes(&mut registry, 0), due_probes(&mut registry, 1)),
         (1, 0),
         "one probe at a time"
     );
-    assert!(registry.record_connect_failure(&name, millis(10)), "the others are to be notified");
+    assert!(
+        registry.record_connect_failure(&name, ReconnectPace::DECIDER, millis(10)),
+        "the others are to be notified"
+    );
     assert_eq!((due_probes(&mut registry, 309), due_probes(&mut registry, 310)), (0, 1));
-    assert!(!registry.record_connect_failure(&name, millis(310)), "they are notified already");
+    assert!(
+        !registry.record_connect_failure(&name, ReconnectPace::DECIDER, millis(310)),
+        "they are notified already"
+    );
     assert_eq!(
         (due_probes(&mut registry, 909), due_probes(&mut registry, 910)),
         (0, 1),
@@ -315,7 +326,7 @@
     registry.mark_unverified(&name, false, millis(1_000));
     assert_eq!(due_probes(&mut registry, 1_000), 1);
     assert!(
-        !registry.record_connect_failure(&name, millis(1_000)),
+        !registry.record_connect_failure(&name, ReconnectPace::DECIDER, millis(1_000)),
         "the box that reported it knows"
     );
 }
