Ignore late and doubled announcements of free capacity

What callers saw: nothing yet, free capacity is switched off. A late datagram replaced a newer one: a group that had announced to be full was offered again, and requests that were sent there came back. A doubled one renewed an offer that had been used up, so more came than was announced.

Cause: announcements had no order.

Now each carries a number, counted from the time of the sender's start in units of 50 ms and no faster than that, so that a restarted box's numbers are newer. Numbers of 16 bits are compared as in RFC 1982. Each receiver keeps the last one of a sender by group and service for 3 s after the sender's last announcement; a box whose clock was set back is ignored for that long at most. What is ignored is counted in frostdyke_headroom_announcements{kind="older"}.

Evidence: fleet_headroom, a_late_or_doubled_announcement..., announcements_of_an_earlier_start..., announcements_are_in_order...; all three fail if each announcement is applied.

--- a/benches/headroom.rs
+++ b/benches/headroom.rs
@@ -6,6 +6,8 @@
 
 use frostdyke::fleet::headroom::GroupHeadroom;
 use frostdyke::fleet::headroom::HeadroomTable;
+use frostdyke::fleet::headroom::sequence::Origin;
+use frostdyke::fleet::headroom::sequence::SequenceNumber;
 use frostdyke::fleet::owners::Candidate;
 use frostdyke::fleet::owners::EngineGroup;
 use frostdyke::fleet::owners::OwnerTable;
@@ -80,7 +82,9 @@
             for (group, _) in owners.groups_of(ip).filter(|(_, o)| o.owner == ip) {
                 let service = ServiceName::from("llm");
                 let entry = GroupHeadroom { group, service, requests: 9, wait_ms: 0 };
-                table.apply(&entry, ip, &owners, Duration::from_secs(1)).expect("it is valid");
+                let origin = Origin { from: ip, sequence: SequenceNumber::default() };
+                let applied = table.apply(&entry, origin, &owners, Duration::from_secs(1));
+                applied.expect("it is valid");
             }
         }
         let (shares, rng) = (Shares::new(Duration::from_secs(4)), SmallRng::seed_from_u64(1));
--- a/src/fleet/headroom.rs
+++ b/src/fleet/headroom.rs
@@ -4,6 +4,8 @@
 //! requests come than it has announced. Each receiver counts what it uses of its part. All state is
 //! soft: an announcement that is lost or old means that nothing is sent there.
 
+pub mod sequence;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::IpAddr;
@@ -14,6 +16,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::fleet::headroom::sequence::Origin;
+use crate::fleet::headroom::sequence::SenderSequences;
+use crate::fleet::headroom::sequence::SequenceNumber;
 use crate::fleet::owners::EngineGroup;
 use crate::fleet::owners::OwnerTable;
 use crate::names::ServiceName;
@@ -43,6 +48,15 @@
 /// small batches.
 const REQUESTS_MAX: u16 = 4_096;
 
+/// Free capacity of groups that the sender owns.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeadroomAnnouncement {
+    /// Number of the announcement. Those made at once have the same number, since they concern
+    /// different groups.
+    pub sequence: SequenceNumber,
+    pub groups: Vec<GroupHeadroom>,
+}
+
 /// Free capacity of the engines of one service in a group.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GroupHeadroom {
@@ -72,6 +86,8 @@
     NotOwner,
     /// No group has that much free capacity.
     TooMany,
+    /// A later announcement of the group has arrived, or this one has arrived before.
+    Older,
 }
 
 impl InvalidAnnouncement {
@@ -81,6 +97,7 @@
             InvalidAnnouncement::NoSuchGroup => "no-such-group",
             InvalidAnnouncement::NotOwner => "not-owner",
             InvalidAnnouncement::TooMany => "too-many",
+            InvalidAnnouncement::Older => "older",
         }
     }
 }
@@ -115,6 +132,8 @@
 #[derive(Debug, Default)]
 pub struct HeadroomTable {
     services: FxHashMap<ServiceName, ServiceHeadroom>,
+    /// The order of the announcements of each sender.
+    sequences: SenderSequences,
     /// When each of this box's groups last couldn't place a request of a workspace within its share.
     short_at: FxHashMap<EngineGroup, Duration>,
 }
@@ -132,30 +151,36 @@
 }
 
 impl HeadroomTable {
-    /// Replaces what was announced of a group before.
+    /// Replaces what was announced of a group before, unless that is newer.
     pub fn apply(
         &mut self,
         announced: &GroupHeadroom,
-        from: IpAddr,
+        origin: Origin,
         owners: &OwnerTable,
         now: Duration,
     ) -> Result<(), InvalidAnnouncement> {
         let GroupHeadroom { group, ref service, requests, .. } = *announced;
         let group_owners = owners.owners_of(group).filter(|_| owners.has_group(group));
         let group_owners = group_owners.ok_or(InvalidAnnouncement::NoSuchGroup)?;
-        if group_owners.owner != from {
+        if group_owners.owner != origin.from {
             return Err(InvalidAnnouncement::NotOwner);
         }
         if REQUESTS_MAX < requests {
             return Err(InvalidAnnouncement::TooMany);
         }
+        self.sequences.advance(origin, group, service, now)?;
         if !self.services.contains_key(service) {
             self.services.insert(service.clone(), ServiceHeadroom::default());
         }
         let Some(headroom) = self.services.get_mut(service) else { return Ok(()) };
         let position = headroom.groups.get(&group).and_then(|a| a.position);
-        let entry =
-            Announced { owner: from, at: now, offered: requests, unclaimed: requests, position };
+        let entry = Announced {
+            owner: origin.from,
+            at: now,
+            offered: requests,
+            unclaimed: requests,
+            position,
+        };
         headroom.groups.insert(group, entry);
         headroom.set_unclaimed(group, requests);
         Ok(())
@@ -174,6 +199,7 @@
             }
         }
         self.services.retain(|_, headroom| !headroom.groups.is_empty());
+        self.sequences.expire(now);
         self.short_at.retain(|_, at| now.saturating_sub(*at) < OFFER_PERIOD);
     }
 
@@ -307,9 +333,16 @@
 #[derive(Debug, Default)]
 pub struct Announcer {
     last: FxHashMap<(EngineGroup, ServiceName), Announcement>,
+    /// Number of the last announcements.
+    sequence: SequenceNumber,
 }
 
 impl Announcer {
+    /// Numbers announcements from the start of the process on.
+    pub fn new(started: Duration) -> Announcer {
+        Announcer { last: FxHashMap::default(), sequence: SequenceNumber::at_start(started) }
+    }
+
     /// Whether to announce `capacity` now. `without_room` are the owners of the service without free
     /// capacity.
     ///
@@ -345,6 +378,11 @@
         Some(due)
     }
 
+    /// Number of the last announcements that were due.
+    pub fn sequence(&self) -> SequenceNumber {
+        self.sequence
+    }
+
     /// Forgets the groups that this box no longer owns.
     pub fn retain(&mut self, is_own: impl Fn(EngineGroup) -> bool) {
         self.last.retain(|(group, _), _| is_own(*group));
@@ -358,7 +396,8 @@
     pub entries: Vec<GroupHeadroom>,
 }
 
-/// The announcements that are due, by receiver. This box may be one of them.
+/// The announcements that are due, by receiver. This box may be one of them. Each call numbers them
+/// anew ([`Announcer::sequence`]).
 pub fn offers(
     table: &HeadroomTable,
     announcer: &mut Announcer,
@@ -389,6 +428,7 @@
             entries.entry(*receiver).or_default().push(entry);
         }
     }
+    announcer.sequence = announcer.sequence.next();
     entries.into_iter().map(|(receiver, entries)| Offer { receiver, entries }).collect()
 }
 
--- a/src/proxy/headroom.rs
+++ b/src/proxy/headroom.rs
@@ -15,9 +15,12 @@
 use crate::fleet::headroom;
 use crate::fleet::headroom::Announcer;
 use crate::fleet::headroom::Capacity;
-use crate::fleet::headroom::GroupHeadroom;
+use crate::fleet::headroom::HeadroomAnnouncement;
 use crate::fleet::headroom::HeadroomTable;
+use crate::fleet::headroom::InvalidAnnouncement;
 use crate::fleet::headroom::TypicalRequest;
+use crate::fleet::headroom::sequence::Origin;
+use crate::fleet::headroom::sequence::SEQUENCE_INTERVAL;
 use crate::fleet::owners::EngineGroup;
 use crate::fleet::owners::OwnerTable;
 use crate::names::ServiceName;
@@ -34,7 +37,7 @@
 use crate::proxy::placement_queue::Recipient;
 
 /// Interval at which this box checks whether its groups have got free capacity, or have none left.
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
+const POLL_INTERVAL: Duration = SEQUENCE_INTERVAL;
 
 /// Entries per message, so that it fits a datagram.
 const ENTRIES_PER_DATAGRAM_MAX: usize = 16;
@@ -56,10 +59,11 @@
 }
 
 impl HeadroomState {
-    pub fn new(small_batch: SmallBatch) -> HeadroomState {
+    /// `started` is the time since the epoch at which this process started.
+    pub fn new(small_batch: SmallBatch, started: Duration) -> HeadroomState {
         let inner = Inner {
             table: HeadroomTable::default(),
-            announcer: Announcer::default(),
+            announcer: Announcer::new(started),
             typical: FxHashMap::default(),
             rng: SmallRng::from_os_rng(),
         };
@@ -81,7 +85,7 @@
 /// that has announced free capacity.
 pub fn admit(hub: &Hub, query: PlacementQuery<'_>, recipient: Recipient) -> Admission<Recipient> {
     let state = hub.headroom();
-    if !state.is_enabled || query.purpose == Purpose::Lookup {
+    if !state.is_enabled() || query.purpose == Purpose::Lookup {
         return hub.admit_or_queue(query, recipient, |_, _| None);
     }
     let (owners, now) = (hub.peers().owners(), hub.now());
@@ -133,29 +137,36 @@
 }
 
 /// Applies announcements of another owner.
-pub fn receive(hub: &Hub, all: &[GroupHeadroom], from: IpAddr) {
+pub fn receive(hub: &Hub, announcement: &HeadroomAnnouncement, from: IpAddr) {
     let state = hub.headroom();
-    if !state.is_enabled {
+    if !state.is_enabled() {
         return;
     }
     let (owners, now) = (hub.peers().owners(), hub.now());
+    let &HeadroomAnnouncement { sequence, ref groups } = announcement;
+    let origin = Origin { from, sequence };
     let mut inner = state.lock();
-    let mut ignored = 0;
-    for announced in all {
-        if let Err(e) = inner.table.apply(announced, from, &owners, now) {
-            ignored += 1;
+    let (mut ignored, mut older) = (0, 0);
+    for announced in groups {
+        if let Err(e) = inner.table.apply(announced, origin, &owners, now) {
+            match e {
+                InvalidAnnouncement::Older => older += 1,
+                _ => ignored += 1,
+            }
             debug!(hub.log(), "announcement of free capacity ignored"; "from" => %from,
-                "group" => %announced.group, "requests" => announced.requests, "reason" => e.code());
+                "group" => %announced.group, "requests" => announced.requests,
+                "reason" => e.code());
         }
     }
     drop(inner);
-    hub.metrics().headroom_announcements("received", all.len());
+    hub.metrics().headroom_announcements("received", groups.len());
     hub.metrics().headroom_announcements("ignored", ignored);
+    hub.metrics().headroom_announcements("older", older);
 }
 
 /// Announces the free capacity of this box's groups to all owners until the process ends.
 pub async fn announce(hub: Arc<Hub>) {
-    if !hub.headroom().is_enabled {
+    if !hub.headroom().is_enabled() {
         return;
     }
     loop {
@@ -186,15 +197,19 @@
     table.expire(owners, now);
     announcer.retain(|group| groups.contains(&group));
     let offers = headroom::offers(table, announcer, &capacities, owners, now);
+    let sequence = announcer.sequence();
+    let origin = Origin { from: own_ip, sequence };
     for offer in offers.iter().filter(|offer| offer.receiver == own_ip) {
         // By this box's own table, so it can't be invalid.
-        let _ = offer.entries.iter().try_for_each(|e| table.apply(e, own_ip, owners, now));
+        let _ = offer.entries.iter().try_for_each(|e| table.apply(e, origin, owners, now));
     }
     drop(inner);
     for offer in offers.iter().filter(|offer| offer.receiver != own_ip) {
         for entries in offer.entries.chunks(ENTRIES_PER_DATAGRAM_MAX) {
             let to = std::iter::once(offer.receiver);
-            hub.peers().send_batched(to, &Message::Headroom(entries.to_vec()));
+            let groups = entries.to_vec();
+            let announcement = HeadroomAnnouncement { sequence, groups };
+            hub.peers().send_batched(to, &Message::Headroom(announcement));
             hub.metrics().headroom_announcements("sent", entries.len());
         }
     }
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -125,6 +125,7 @@
             waiting: WaitingRequests::default(),
         };
         let own_requests = RequestTable::new(peers.own_ip(), peers.incarnation());
+        let started = Duration::from_millis(peers.incarnation());
         let held_bound = (cfg.memory_bytes as f64 * cfg.held_share) as usize;
         let hub = Arc::new(Hub {
             inner: Mutex::new(inner),
@@ -142,7 +143,7 @@
             own_requests: Mutex::new(own_requests),
             received_reports: Mutex::default(),
             queue_changed: Notify::new(),
-            headroom: HeadroomState::new(cfg.tuning.small_batch),
+            headroom: HeadroomState::new(cfg.tuning.small_batch, started),
             suspects: Suspects::default(),
             rollouts: RolloutState::new(cfg.exposure),
             probe_requested: Notify::new(),
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -8,7 +8,7 @@
 
 use crate::fleet::draining::DrainNotice;
 use crate::fleet::fingerprint::Fingerprint;
-use crate::fleet::headroom::GroupHeadroom;
+use crate::fleet::headroom::HeadroomAnnouncement;
 use crate::fleet::in_progress::InProgressReport;
 use crate::fleet::in_progress::RequestRecord;
 use crate::fleet::in_progress::ShortId;
@@ -143,7 +143,7 @@
         within_ms: u32,
     },
     /// Free capacity of the groups that the sender owns.
-    Headroom(Vec<GroupHeadroom>),
+    Headroom(HeadroomAnnouncement),
 }
 
 impl Message {
--- a/src/proxy/state_updates.rs
+++ b/src/proxy/state_updates.rs
@@ -184,7 +184,7 @@
         Message::InProgress(report) => in_progress::handle_report(hub, &report, sender),
         Message::UnknownRequests(ids) => in_progress::handle_unknown(hub, &ids, sender),
         Message::RequestRecords(records) => in_progress::handle_records(hub, &records, sender),
-        Message::Headroom(all) => headroom::receive(hub, &all, sender),
+        Message::Headroom(announcement) => headroom::receive(hub, &announcement, sender),
         // Handled by `Peers`.
         Message::Heartbeat(_)
         | Message::PlacementRequest(_)
--- a/tests/fleet_headroom.rs
+++ b/tests/fleet_headroom.rs
@@ -15,10 +15,13 @@
 use frostdyke::fleet::headroom::Announcer;
 use frostdyke::fleet::headroom::Draw;
 use frostdyke::fleet::headroom::GroupHeadroom;
+use frostdyke::fleet::headroom::HeadroomAnnouncement;
 use frostdyke::fleet::headroom::HeadroomTable;
 use frostdyke::fleet::headroom::InvalidAnnouncement;
 use frostdyke::fleet::headroom::Offer;
 use frostdyke::fleet::headroom::TypicalRequest;
+use frostdyke::fleet::headroom::sequence::Origin;
+use frostdyke::fleet::headroom::sequence::SequenceNumber;
 use frostdyke::fleet::owners::Candidate;
 use frostdyke::fleet::owners::EngineGroup;
 use frostdyke::fleet::owners::OwnerTable;
@@ -107,23 +110,24 @@
     let small_batch = SmallBatch { slots_max: 16, headroom, ..SmallBatch::default() };
     let tuning = Tuning { small_batch, ..Tuning::default() };
     let mut registry = UpstreamRegistry::new(ZoneName::from("zone-0"), tuning);
-    for n in 0..engines {
-        let listed = UpstreamListing {
-            name: name(n),
-            service: service(),
-            addr: ([10, 9, (n / 256) as u8, (n % 256) as u8], 80).into(),
-            zone: zone_name(n % ZONES),
-            version: VersionName::from("v1"),
-            slots: LIMITS.slots,
-            started_at_ms: None,
-            leaving: false,
-            cold_for: None,
-        };
-        registry.upsert(listed, Some(LIMITS));
-    }
+    (0..engines).for_each(|n| registry.upsert(listed(n), Some(LIMITS)));
     registry
 }
 
+fn listed(n: usize) -> UpstreamListing {
+    UpstreamListing {
+        name: name(n),
+        service: service(),
+        addr: ([10, 9, (n / 256) as u8, (n % 256) as u8], 80).into(),
+        zone: zone_name(n % ZONES),
+        version: VersionName::from("v1"),
+        slots: LIMITS.slots,
+        started_at_ms: None,
+        leaving: false,
+        cold_for: None,
+    }
+}
+
 /// The first `large` boxes may own groups.
 fn owners(boxes: usize, large: usize, engines: usize) -> OwnerTable {
     let candidate = |n: usize| Candidate {
@@ -327,8 +331,9 @@
                 }
                 Event::Announced { from, offer, at: sent_at } => {
                     let Some(owner) = self.state.get_mut(&offer.receiver) else { continue };
+                    let origin = origin(from, sent_at);
                     for entry in &offer.entries {
-                        owner.table.apply(entry, from, &self.owners, at).expect("it is valid");
+                        owner.table.apply(entry, origin, &self.owners, at).expect("it is valid");
                         self.received.insert((offer.receiver, entry.group), sent_at);
                     }
                 }
@@ -377,12 +382,14 @@
                 let announced = usize::from(capacity.requests);
                 self.sent.insert((entry.group, now), Sent { announced, named: 0 });
             }
+            let sequence = owner.announcer.sequence();
             for offer in offers {
                 if offer.receiver == from {
                     self.schedule(now, Event::Announced { from, offer, at: now });
                     continue;
                 }
-                self.count_bytes("headroom", 1, &Message::Headroom(offer.entries.clone()));
+                let announcement = HeadroomAnnouncement { sequence, groups: offer.entries.clone() };
+                self.count_bytes("headroom", 1, &Message::Headroom(announcement));
                 if self.lost <= self.rng.random_range(0..100) {
                     self.schedule(now + DELAY, Event::Announced { from, offer, at: now });
                 }
@@ -718,7 +725,8 @@
     for ip in owners.owner_boxes() {
         for (group, group_owners) in owners.groups_of(ip) {
             if group_owners.owner == ip {
-                table.apply(&announced(group, requests), ip, owners, now).expect("it is valid");
+                let origin = origin(ip, now);
+                table.apply(&announced(group, requests), origin, owners, now).expect("it is valid");
                 groups.push(group);
             }
         }
@@ -731,6 +739,11 @@
     GroupHeadroom { group, service: service(), requests, wait_ms: 0 }
 }
 
+/// The origin of an announcement that was made at this time.
+fn origin(from: IpAddr, at: Duration) -> Origin {
+    Origin { from, sequence: SequenceNumber::at_start(at) }
+}
+
 fn claim(
     table: &mut HeadroomTable,
     avoided: EngineGroup,
@@ -769,7 +782,8 @@
         .filter(|b| b.ip != dead)
         .collect();
     let after = OwnerTable::new(&boxes, 112);
-    let late = table.apply(&announced(groups[1], 5), dead, &after, millis(1_010));
+    let late =
+        table.apply(&announced(groups[1], 5), origin(dead, millis(1_010)), &after, millis(1_010));
     assert_eq!(late, Err(InvalidAnnouncement::NotOwner));
     table.expire(&after, millis(1_010));
     let mut left = 0;
@@ -787,7 +801,8 @@
     let (mut table, groups) = table(&owners, 2, millis(1_000));
     let group_owners = owners.owners_of(groups[1]).expect("it is owned");
     let standby = group_owners.standby.expect("there is a standby");
-    let second = table.apply(&announced(groups[1], 9), standby, &owners, millis(1_000));
+    let origin = origin(standby, millis(1_000));
+    let second = table.apply(&announced(groups[1], 9), origin, &owners, millis(1_000));
     assert_eq!(second, Err(InvalidAnnouncement::NotOwner));
     let mut claimed = 0;
     while let Some(group) = claim(&mut table, groups[0], false, millis(1_001)) {
@@ -906,14 +921,16 @@
     let beyond = EngineGroup::from_hash(u64::MAX, 14);
     let now = millis(1_001);
     for group in [other_table, beyond] {
-        let result = table.apply(&announced(group, 3), owner, &owners, now);
+        let result = table.apply(&announced(group, 3), origin(owner, now), &owners, now);
         assert_eq!(result, Err(InvalidAnnouncement::NoSuchGroup));
     }
-    let result = table.apply(&announced(groups[1], u16::MAX), owner, &owners, now);
+    let result = table.apply(&announced(groups[1], u16::MAX), origin(owner, now), &owners, now);
     assert_eq!(result, Err(InvalidAnnouncement::TooMany));
     assert_eq!(claim(&mut table, groups[0], false, now), None);
     // Four billion requests don't even fit the field.
-    let message = Message::Headroom(vec![announced(groups[1], 0x3fff)]);
+    let groups = vec![announced(groups[1], 0x3fff)];
+    let message =
+        Message::Headroom(HeadroomAnnouncement { sequence: SequenceNumber::default(), groups });
     let mut buf = postcard::to_stdvec(&message).expect("it can be encoded");
     let at = buf.windows(2).position(|w| w == [0xff, 0x7f]).expect("the amount is there");
     buf.splice(at..at + 2, [0xff, 0xff, 0xff, 0xff, 0x0f]);
@@ -1073,3 +1090,69 @@
         registry.headroom(group, |_| None, millis(1_000)).is_empty()
     })
 }
+
+/// Datagrams may be late or doubled: an old offer must not replace a newer one, and one that has
+/// been used must not be renewed.
+#[test]
+fn a_late_or_doubled_announcement_changes_nothing() {
+    let owners = owners(69, 8, 112);
+    let (mut table, groups) = table(&owners, 0, millis(1_000));
+    let owner = owners.owners_of(groups[1]).expect("it is owned").owner;
+    let apply = |table: &mut HeadroomTable, requests, sent, ms| {
+        let entry = announced(groups[1], requests);
+        table.apply(&entry, origin(owner, millis(sent)), &owners, millis(ms))
+    };
+    assert_eq!(apply(&mut table, 2, 1_050, 1_060), Ok(()));
+    assert_eq!(claim(&mut table, groups[0], false, millis(1_070)), Some(groups[1]));
+    assert_eq!(claim(&mut table, groups[0], false, millis(1_070)), Some(groups[1]));
+    assert_eq!(apply(&mut table, 2, 1_050, 1_080), Err(InvalidAnnouncement::Older));
+    assert_eq!(claim(&mut table, groups[0], false, millis(1_090)), None, "it is used up");
+    assert_eq!(apply(&mut table, 0, 1_150, 1_160), Ok(()));
+    assert_eq!(apply(&mut table, 9, 1_100, 1_170), Err(InvalidAnnouncement::Older));
+    // Also once what the newer one said is too old to be used.
+    table.expire(&owners, millis(1_900));
+    assert_eq!(apply(&mut table, 9, 1_100, 1_900), Err(InvalidAnnouncement::Older));
+    assert_eq!(claim(&mut table, groups[0], false, millis(1_910)), None);
+}
+
+/// A box that restarts doesn't know how far it had counted.
+#[test]
+fn announcements_of_an_earlier_start_are_ignored() {
+    let owners = owners(69, 8, 112);
+    let (mut table, groups) = table(&owners, 0, millis(1_000));
+    let owner = owners.owners_of(groups[1]).expect("it is owned").owner;
+    let apply = |table: &mut HeadroomTable, sequence, ms| {
+        let origin = Origin { from: owner, sequence };
+        table.apply(&announced(groups[1], 1), origin, &owners, millis(ms))
+    };
+    let mut earlier = Announcer::new(millis(1_000));
+    for _ in 0..100 {
+        headroom::offers(&table, &mut earlier, &[], &owners, millis(1_000));
+    }
+    // It has counted for five seconds, which the restart takes too.
+    let later = Announcer::new(millis(6_100));
+    assert_eq!(apply(&mut table, later.sequence(), 6_100), Ok(()));
+    let late = apply(&mut table, earlier.sequence(), 6_110);
+    assert_eq!(late, Err(InvalidAnnouncement::Older));
+    // A clock that was set back must not silence a box for ever.
+    table.expire(&owners, millis(9_100));
+    assert_eq!(apply(&mut table, earlier.sequence(), 9_110), Ok(()));
+}
+
+/// Numbers wrap around after an hour.
+#[test]
+fn announcements_are_in_order_when_their_numbers_wrap_around() {
+    let owners = owners(69, 8, 112);
+    let (mut table, groups) = table(&owners, 0, millis(1_000));
+    let owner = owners.owners_of(groups[1]).expect("it is owned").owner;
+    let mut sequence = SequenceNumber::at_start(millis(1_050));
+    for _ in 0..=u16::MAX {
+        let origin = Origin { from: owner, sequence };
+        let apply = |table: &mut HeadroomTable| {
+            table.apply(&announced(groups[1], 1), origin, &owners, millis(1_050))
+        };
+        assert_eq!(apply(&mut table), Ok(()));
+        assert_eq!(apply(&mut table), Err(InvalidAnnouncement::Older));
+        sequence = sequence.next();
+    }
+}
