Mark a group as short of capacity by service

What callers saw: nothing yet, free capacity is switched off. Where a group has engines of two services with small batches, one that was full made the owner announce that the other was, too, and its engines stood idle beside refusals elsewhere.

Cause: the time of the last denial was kept by group only.

Ruled out: leaving the mark out (what a group has is for its own requests first; tests of bursts then show a herd).

Evidence: fleet_headroom, a_group_that_is_short_of_one_service...; it fails if the service isn't looked at.

--- a/src/fleet/headroom.rs
+++ b/src/fleet/headroom.rs
@@ -134,8 +134,9 @@
     services: FxHashMap<ServiceName, ServiceHeadroom>,
     /// The order of the announcements of each sender.
     sequences: SenderSequences,
-    /// When each of this box's groups last couldn't place a request of a workspace within its share.
-    short_at: FxHashMap<EngineGroup, Duration>,
+    /// When each of this box's groups last couldn't place a request of a workspace within its
+    /// share, by service.
+    short_at: FxHashMap<ServiceName, FxHashMap<EngineGroup, Duration>>,
 }
 
 /// Which groups may be drawn.
@@ -200,18 +201,27 @@
         }
         self.services.retain(|_, headroom| !headroom.groups.is_empty());
         self.sequences.expire(now);
-        self.short_at.retain(|_, at| now.saturating_sub(*at) < OFFER_PERIOD);
+        self.short_at.retain(|_, groups| {
+            groups.retain(|_, at| now.saturating_sub(*at) < OFFER_PERIOD);
+            !groups.is_empty()
+        });
     }
 
-    /// Records that one of this box's groups couldn't place a request.
-    pub fn mark_short(&mut self, group: EngineGroup, now: Duration) {
-        self.short_at.insert(group, now);
+    /// Records that one of this box's groups couldn't place a request of a service.
+    pub fn mark_short(&mut self, group: EngineGroup, service: &str, now: Duration) {
+        if let Some(groups) = self.short_at.get_mut(service) {
+            groups.insert(group, now);
+            return;
+        }
+        let groups = FxHashMap::from_iter([(group, now)]);
+        self.short_at.insert(ServiceName::from(service), groups);
     }
 
-    /// Whether a group could recently not place a request. It is announced as being without free
-    /// capacity, since what it has is for its own requests.
-    fn is_short(&self, group: EngineGroup, now: Duration) -> bool {
-        self.short_at.get(&group).is_some_and(|at| now.saturating_sub(*at) < OFFER_PERIOD)
+    /// Whether a group could recently not place a request of a service. It is announced as being
+    /// without free capacity, since what it has is for its own requests.
+    fn is_short(&self, group: EngineGroup, service: &str, now: Duration) -> bool {
+        let at = self.short_at.get(service).and_then(|groups| groups.get(&group));
+        at.is_some_and(|at| now.saturating_sub(*at) < OFFER_PERIOD)
     }
 
     /// Whether any announcement of a service is known.
@@ -408,7 +418,7 @@
     let mut without_room: FxHashMap<&ServiceName, BTreeSet<IpAddr>> = FxHashMap::default();
     let mut entries: BTreeMap<IpAddr, Vec<GroupHeadroom>> = BTreeMap::new();
     for (group, service, capacity) in capacities {
-        let requests = if table.is_short(*group, now) { 0 } else { capacity.requests };
+        let requests = if table.is_short(*group, service, now) { 0 } else { capacity.requests };
         let capacity = Capacity { requests, ..*capacity };
         let without_room =
             without_room.entry(service).or_insert_with(|| table.owners_without_room(service, now));
--- a/src/placement/redirect.rs
+++ b/src/placement/redirect.rs
@@ -60,7 +60,7 @@
             Some(_) => {}
             // Workspaces beyond their share are denied while there is free capacity.
             None if obstacle.share_used <= 1.0 && query.excluded.is_empty() => {
-                self.headroom.mark_short(avoided, now)
+                self.headroom.mark_short(avoided, query.service, now)
             }
             None => {}
         }
--- a/tests/fleet_headroom.rs
+++ b/tests/fleet_headroom.rs
@@ -13,6 +13,7 @@
 use frostdyke::fleet::headroom;
 use frostdyke::fleet::headroom::ANNOUNCEMENT_MAX_AGE;
 use frostdyke::fleet::headroom::Announcer;
+use frostdyke::fleet::headroom::Capacity;
 use frostdyke::fleet::headroom::Draw;
 use frostdyke::fleet::headroom::GroupHeadroom;
 use frostdyke::fleet::headroom::HeadroomAnnouncement;
@@ -1156,3 +1157,23 @@
         sequence = sequence.next();
     }
 }
+
+/// A group whose engines of one service are full still has room for another service.
+#[test]
+fn a_group_that_is_short_of_one_service_announces_the_others() {
+    let owners = owners(69, 8, 112);
+    let (mut table, groups) = table(&owners, 0, millis(1_000));
+    let other = ServiceName::from("other-llm");
+    table.mark_short(groups[0], "assist-llm", millis(1_000));
+    let capacity = Capacity { requests: 40, wait: Duration::ZERO };
+    let capacities = [service(), other.clone()].map(|service| (groups[0], service, capacity));
+    let mut announcer = Announcer::default();
+    let offers = headroom::offers(&table, &mut announcer, &capacities, &owners, millis(1_010));
+    let entries: Vec<&GroupHeadroom> = offers.iter().flat_map(|offer| &offer.entries).collect();
+    let has_room = |service: &ServiceName| {
+        let of_service = entries.iter().filter(|entry| entry.service == *service);
+        of_service.map(|entry| entry.requests != 0).collect::<BTreeSet<bool>>()
+    };
+    assert_eq!(has_room(&service()), [false].into());
+    assert_eq!(has_room(&other), [true].into());
+}
