Look for free capacity only where there are engines with small batches

What callers saw: nothing; but with headroom = true each deployment looked through the engines of its own groups every 50 ms, took a lock for each placement, and asked for a third group as if one could be named, also where no engine has a small batch.

Cause: only the setting decided.

Now the registry counts the engines that it is for, by service, as its list changes; the announcing task sleeps until there are any, and a request of another service is placed as without the setting.

Evidence: fleet_headroom, without_small_batches_nothing_is_enabled; it fails if the setting decides.

--- a/src/placement/registry.rs
+++ b/src/placement/registry.rs
@@ -67,6 +67,8 @@
     index: Index,
     /// Upstreams that may have unfinished requests placed on them.
     busy: BTreeSet<UpstreamName>,
+    /// Engines whose owners announce free capacity, by service.
+    announcing: BTreeMap<ServiceName, usize>,
     /// Requests recorded at upstreams, by the box that sends them.
     senders: SenderIndex,
     /// What is known of requests before their records arrive.
@@ -100,6 +102,7 @@
             upstreams: BTreeMap::new(),
             index: Index::default(),
             busy: BTreeSet::new(),
+            announcing: BTreeMap::new(),
             senders: SenderIndex::default(),
             early: FxHashMap::default(),
             rivals: Vec::new(),
@@ -119,6 +122,7 @@
         let tuning = self.tuning;
         if let Some(known) = self.upstreams.get_mut(&listed.name) {
             self.index.remove(known);
+            headroom::count(&mut self.announcing, known, tuning, false);
             let is_other = known.listed.version != listed.version
                 || known.listed.started_at_ms != listed.started_at_ms;
             known.listed = listed;
@@ -128,11 +132,13 @@
                 engine.reset_own_speed();
             }
             self.index.add(known);
+            headroom::count(&mut self.announcing, known, tuning, true);
             return;
         }
         let engine = limits.map(|limits| new_engine(limits, tuning));
         let upstream = Upstream::new(listed, engine);
         self.index.add(&upstream);
+        headroom::count(&mut self.announcing, &upstream, tuning, true);
         self.upstreams.insert(upstream.listed.name.clone(), upstream);
     }
 
@@ -208,6 +214,7 @@
     pub fn remove(&mut self, name: &UpstreamName) {
         if let Some(upstream) = self.upstreams.remove(name) {
             self.index.remove(&upstream);
+            headroom::count(&mut self.announcing, &upstream, self.tuning, false);
         }
         self.busy.remove(name);
         self.unverified.remove(name);
--- a/src/placement/registry/headroom.rs
+++ b/src/placement/registry/headroom.rs
@@ -1,5 +1,6 @@
 //! Free capacity of groups of engines.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::fleet::headroom::Capacity;
@@ -10,9 +11,43 @@
 use crate::placement::cold::Role;
 use crate::placement::registry::UpstreamRegistry;
 use crate::placement::speed::Speed;
+use crate::placement::tuning::Tuning;
 use crate::placement::upstream::Upstream;
 
+/// Adds or removes an engine in the number of those whose owners announce free capacity.
+pub(super) fn count(
+    announcing: &mut BTreeMap<ServiceName, usize>,
+    upstream: &Upstream,
+    tuning: Tuning,
+    is_added: bool,
+) {
+    if !announces(upstream, tuning) {
+        return;
+    }
+    let service = &upstream.listed.service;
+    let others = announcing.remove(service).unwrap_or_default();
+    let engines = if is_added { others + 1 } else { others.saturating_sub(1) };
+    if engines != 0 {
+        announcing.insert(service.clone(), engines);
+    }
+}
+
+fn announces(upstream: &Upstream, tuning: Tuning) -> bool {
+    let small_batch = tuning.small_batch;
+    upstream.engine.as_ref().is_some_and(|e| small_batch.announces_headroom(e.limits().slots))
+}
+
 impl UpstreamRegistry {
+    /// Whether owners announce free capacity of any service.
+    pub fn has_headroom(&self) -> bool {
+        !self.announcing.is_empty()
+    }
+
+    /// Whether owners announce free capacity of a service.
+    pub fn has_headroom_of(&self, service: &str) -> bool {
+        self.announcing.contains_key(service)
+    }
+
     /// The free capacity of a group, by service, for services whose owners announce it. Services
     /// without engines in the group are left out. `typical` is what a request of a service takes.
     pub fn headroom(
@@ -21,10 +56,11 @@
         typical: impl Fn(&ServiceName) -> Option<TypicalRequest>,
         now: Duration,
     ) -> Vec<(ServiceName, Capacity)> {
+        let tuning = self.tuning;
         let in_group = |service: &ServiceName| {
             let names = self.index.of_service(service, Some(group));
             let engines = names.filter_map(|name| self.upstreams.get(name));
-            let mut engines = engines.filter(|u| self.announces_headroom(u)).peekable();
+            let mut engines = engines.filter(|u| announces(u, tuning)).peekable();
             engines.peek()?;
             let (speed, typical) = (self.speed(service), typical(service));
             let (mut requests, mut wait) = (0.0, Duration::MAX);
@@ -37,7 +73,7 @@
             let total = Capacity { requests: requests as u16, wait };
             Some((service.clone(), total))
         };
-        self.index.services().filter_map(in_group).collect()
+        self.announcing.keys().filter_map(in_group).collect()
     }
 
     /// Time to copy this many tokens from or to an engine.
@@ -45,11 +81,6 @@
         Some(self.upstreams.get(name)?.engine.as_ref()?.copy_time(tokens))
     }
 
-    fn announces_headroom(&self, upstream: &Upstream) -> bool {
-        let small_batch = self.tuning.small_batch;
-        upstream.engine.as_ref().is_some_and(|e| small_batch.announces_headroom(e.limits().slots))
-    }
-
     /// How many requests an engine could begin within an offer's period, and when the first;
     /// `None` if it can't begin any.
     fn capacity(
--- a/src/placement/registry/index.rs
+++ b/src/placement/registry/index.rs
@@ -80,10 +80,6 @@
         self.addrs.contains_key(addr)
     }
 
-    pub(super) fn services(&self) -> impl Iterator<Item = &ServiceName> {
-        self.by_hash.keys()
-    }
-
     /// The upstreams of a service, or those of them in a group.
     pub(super) fn of_service(
         &self,
--- a/src/proxy/engine_placement.rs
+++ b/src/proxy/engine_placement.rs
@@ -183,7 +183,9 @@
     }
     let began = hub.now();
     let target_latency = query.target_latency;
-    let (waited, has_headroom) = (query.waited, hub.headroom().is_enabled());
+    let waited = query.waited;
+    let has_headroom = hub.headroom().is_enabled()
+        && hub.read(|view| view.registry().has_headroom_of(query.service));
     let passed = || waited + hub.now().saturating_sub(began);
     let attempts = Attempts { count: 0, last: None, passed: waited, target_latency, has_headroom };
     let mut query = query;
--- a/src/proxy/headroom.rs
+++ b/src/proxy/headroom.rs
@@ -5,12 +5,15 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rustc_hash::FxHashMap;
 use slog::debug;
+use tokio::sync::Notify;
 
 use crate::fleet::headroom;
 use crate::fleet::headroom::Announcer;
@@ -45,7 +48,11 @@
 /// Free capacity that owners have announced to each other.
 #[derive(Debug)]
 pub struct HeadroomState {
-    is_enabled: bool,
+    /// Whether the settings switch it on.
+    is_configured: bool,
+    /// Whether there are engines that it is for.
+    is_enabled: AtomicBool,
+    enabled: Notify,
     inner: Mutex<Inner>,
 }
 
@@ -67,13 +74,26 @@
             typical: FxHashMap::default(),
             rng: SmallRng::from_os_rng(),
         };
-        let is_enabled = small_batch.announces_headroom(small_batch.slots_max);
-        HeadroomState { is_enabled, inner: Mutex::new(inner) }
+        HeadroomState {
+            is_configured: small_batch.headroom,
+            is_enabled: AtomicBool::new(false),
+            enabled: Notify::new(),
+            inner: Mutex::new(inner),
+        }
     }
 
-    /// Whether owners announce free capacity.
+    /// Whether owners announce free capacity: it is switched on, and there are engines with small
+    /// batches.
     pub fn is_enabled(&self) -> bool {
-        self.is_enabled
+        self.is_enabled.load(Ordering::Relaxed)
+    }
+
+    /// Records whether there are engines whose owners announce free capacity.
+    pub fn set_enabled(&self, is_enabled: bool) {
+        let was_enabled = self.is_enabled.swap(is_enabled, Ordering::Relaxed);
+        if is_enabled && !was_enabled {
+            self.enabled.notify_one();
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -91,6 +111,9 @@
     let (owners, now) = (hub.peers().owners(), hub.now());
     let is_unresponsive = |ip| hub.owner_requests().is_unresponsive(ip, now);
     let admission = hub.admit_or_queue(query, recipient, |registry, obstacle| {
+        if !registry.has_headroom_of(query.service) {
+            return None;
+        }
         let Inner { table, rng, .. } = &mut *state.lock();
         let mut alternatives = Alternatives {
             headroom: table,
@@ -166,10 +189,14 @@
 
 /// Announces the free capacity of this box's groups to all owners until the process ends.
 pub async fn announce(hub: Arc<Hub>) {
-    if !hub.headroom().is_enabled() {
+    let state = hub.headroom();
+    if !state.is_configured {
         return;
     }
     loop {
+        while !state.is_enabled() {
+            state.enabled.notified().await;
+        }
         aligned_timer::wait_for_tick(POLL_INTERVAL).await;
         let owners = hub.peers().owners();
         if !owners.is_empty() {
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -336,6 +336,7 @@
         let result = f(&mut inner.view, self.now());
         let changes = inner.view.take_changes();
         let reaches_store = inner.view.reaches_store();
+        self.headroom.set_enabled(inner.view.registry().has_headroom());
         self.examine_queue(&inner);
         drop(inner);
         for change in changes {
--- a/tests/fleet_headroom.rs
+++ b/tests/fleet_headroom.rs
@@ -56,6 +56,7 @@
 use frostdyke::proxy::adapter::Prompt;
 use frostdyke::proxy::adapter::PromptPart;
 use frostdyke::proxy::adapter::UpstreamListing;
+use frostdyke::proxy::headroom::HeadroomState;
 use frostdyke::proxy::message::Message;
 use frostdyke::proxy::message::PlacementRequest;
 use frostdyke::proxy::message::PlacementResponse;
@@ -1177,3 +1178,27 @@
     assert_eq!(has_room(&service()), [false].into());
     assert_eq!(has_room(&other), [true].into());
 }
+
+/// Most deployments have no engines with small batches: free capacity isn't looked for there.
+#[test]
+fn without_small_batches_nothing_is_enabled() {
+    let small_batch = SmallBatch { slots_max: 16, headroom: true, ..SmallBatch::default() };
+    let state = HeadroomState::new(small_batch, Duration::ZERO);
+    assert!(!state.is_enabled());
+    let tuning = Tuning { small_batch, ..Tuning::default() };
+    let mut registry = UpstreamRegistry::new(zone_name(0), tuning);
+    let upsert = |registry: &mut UpstreamRegistry, n, slots| {
+        let listed = UpstreamListing { slots, ..listed(n) };
+        registry.upsert(listed, Some(EngineLimits { slots, ..LIMITS }));
+    };
+    upsert(&mut registry, 0, 17);
+    assert!(!registry.has_headroom());
+    upsert(&mut registry, 1, 16);
+    upsert(&mut registry, 1, 16);
+    assert!(registry.has_headroom() && registry.has_headroom_of("assist-llm"));
+    assert!(!registry.has_headroom_of("other-llm"));
+    registry.remove(&name(1));
+    assert!(!registry.has_headroom());
+    state.set_enabled(registry.has_headroom());
+    assert!(!state.is_enabled());
+}
