--- a/src/placement/registry.rs
+++ b/src/placement/registry.rs
@@ -13,6 +13,7 @@
 mod reachability;
 pub mod rivals;
 mod selection;
+mod senders;
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -37,6 +38,7 @@
 use crate::placement::registry::in_progress::EarlyEvent;
 use crate::placement::registry::index::Index;
 use crate::placement::registry::rivals::Rival;
+use crate::placement::registry::senders::SenderIndex;
 use crate::placement::speed::Speed;
 use crate::placement::tuning::Tuning;
 use crate::placement::upstream::Health;
@@ -65,6 +67,10 @@
     index: Index,
     /// Upstreams that may have unfinished requests placed on them.
     busy: BTreeSet<UpstreamName>,
+    /// Engines whose owners announce free capacity, by service.
+    announcing: BTreeMap<ServiceName, usize>,
+    /// Requests recorded at upstreams, by the box that sends them.
+    senders: SenderIndex,
     /// What is known of requests before their records arrive.
     early: FxHashMap<u64, (Duration, EarlyEvent)>,
     /// Boxes that also place requests on upstreams of this box.
@@ -96,6 +102,8 @@
             upstreams: BTreeMap::new(),
             index: Index::default(),
             busy: BTreeSet::new(),
+            announcing: BTreeMap::new(),
+            senders: SenderIndex::default(),
             early: FxHashMap::default(),
             rivals: Vec::new(),
             unverified: BTreeSet::new(),
@@ -114,6 +122,7 @@
         let tuning = self.tuning;
         if let Some(known) = self.upstreams.get_mut(&listed.name) {
             self.index.remove(known);
+            headroom::count(&mut self.announcing, known, tuning, false);
             let is_other = known.listed.version != listed.version
                 || known.listed.started_at_ms != listed.started_at_ms;
             known.listed = listed;
@@ -123,11 +132,13 @@
                 engine.reset_own_speed();
             }
             self.index.add(known);
+            headroom::count(&mut self.announcing, known, tuning, true);
             return;
         }
         let engine = limits.map(|limits| new_engine(limits, tuning));
         let upstream = Upstream::new(listed, engine);
         self.index.add(&upstream);
+        headroom::count(&mut self.announcing, &upstream, tuning, true);
         self.upstreams.insert(upstream.listed.name.clone(), upstream);
     }
 
@@ -203,6 +214,7 @@
     pub fn remove(&mut self, name: &UpstreamName) {
         if let Some(upstream) = self.upstreams.remove(name) {
             self.index.remove(&upstream);
+            headroom::count(&mut self.announcing, &upstream, self.tuning, false);
         }
         self.busy.remove(name);
         self.unverified.remove(name);
@@ -245,6 +257,7 @@
             return;
         }
         self.busy.insert(name.clone());
+        self.senders.add(sender, request, name);
         let Some(engine) = &mut upstream.engine else {
             upstream.plain.add_request(request, sender, upstream.listed.slots, now);
             return;
@@ -343,6 +356,7 @@
             upstream.plain.remove_sender(sender);
             upstream.engine.iter_mut().for_each(|engine| engine.remove_sender(sender));
         }
+        self.senders.remove(sender);
     }
 
     pub fn engines(&self) -> impl Iterator<Item = &UpstreamListing> {
@@ -396,6 +410,9 @@
             upstream.engine.iter_mut().for_each(|engine| engine.expire(now));
             upstream.is_busy()
         });
+        self.senders.expire(now, |request, name| {
+            upstreams.get(name).is_some_and(|upstream| upstream.has_request(request))
+        });
     }
 
     /// Whether neither the upstream itself nor its zone rules out new requests.
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -125,6 +125,7 @@
             waiting: WaitingRequests::default(),
         };
         let own_requests = RequestTable::new(peers.own_ip(), peers.incarnation());
+        let started = Duration::from_millis(peers.incarnation());
         let held_bound = (cfg.memory_bytes as f64 * cfg.held_share) as usize;
         let hub = Arc::new(Hub {
             inner: Mutex::new(inner),
@@ -142,7 +143,7 @@
             own_requests: Mutex::new(own_requests),
             received_reports: Mutex::default(),
             queue_changed: Notify::new(),
-            headroom: HeadroomState::new(cfg.tuning.small_batch),
+            headroom: HeadroomState::new(cfg.tuning.small_batch, started),
             suspects: Suspects::default(),
             rollouts: RolloutState::new(cfg.exposure),
             probe_requested: Notify::new(),
@@ -335,6 +336,7 @@
         let result = f(&mut inner.view, self.now());
         let changes = inner.view.take_changes();
         let reaches_store = inner.view.reaches_store();
+        self.headroom.set_enabled(inner.view.registry().has_headroom());
         self.examine_queue(&inner);
         drop(inner);
         for change in changes {
--- a/tests/fleet_headroom.rs
+++ b/tests/fleet_headroom.rs
@@ -13,12 +13,16 @@
 use frostdyke::fleet::headroom;
 use frostdyke::fleet::headroom::ANNOUNCEMENT_MAX_AGE;
 use frostdyke::fleet::headroom::Announcer;
+use frostdyke::fleet::headroom::Capacity;
 use frostdyke::fleet::headroom::Draw;
 use frostdyke::fleet::headroom::GroupHeadroom;
+use frostdyke::fleet::headroom::HeadroomAnnouncement;
 use frostdyke::fleet::headroom::HeadroomTable;
 use frostdyke::fleet::headroom::InvalidAnnouncement;
 use frostdyke::fleet::headroom::Offer;
 use frostdyke::fleet::headroom::TypicalRequest;
+use frostdyke::fleet::headroom::sequence::Origin;
+use frostdyke::fleet::headroom::sequence::SequenceNumber;
 use frostdyke::fleet::owners::Candidate;
 use frostdyke::fleet::owners::EngineGroup;
 use frostdyke::fleet::owners::OwnerTable;
@@ -52,6 +56,7 @@
 use frostdyke::proxy::adapter::Prompt;
 use frostdyke::proxy::adapter::PromptPart;
 use frostdyke::proxy::adapter::UpstreamListing;
+use frostdyke::proxy::headroom::HeadroomState;
 use frostdyke::proxy::message::Message;
 use frostdyke::proxy::message::PlacementRequest;
 use frostdyke::proxy::message::PlacementResponse;
@@ -107,23 +112,24 @@
     let small_batch = SmallBatch { slots_max: 16, headroom, ..SmallBatch::default() };
     let tuning = Tuning { small_batch, ..Tuning::default() };
     let mut registry = UpstreamRegistry::new(ZoneName::from("zone-0"), tuning);
-    for n in 0..engines {
-        let listed = UpstreamListing {
-            name: name(n),
-            service: service(),
-            addr: ([10, 9, (n / 256) as u8, (n % 256) as u8], 80).into(),
-            zone: zone_name(n % ZONES),
-            version: VersionName::from("v1"),
-            slots: LIMITS.slots,
-            started_at_ms: None,
-            leaving: false,
-            cold_for: None,
-        };
-        registry.upsert(listed, Some(LIMITS));
-    }
+    (0..engines).for_each(|n| registry.upsert(listed(n), Some(LIMITS)));
     registry
 }
 
+fn listed(n: usize) -> UpstreamListing {
+    UpstreamListing {
+        name: name(n),
+        service: service(),
+        addr: ([10, 9, (n / 256) as u8, (n % 256) as u8], 80).into(),
+        zone: zone_name(n % ZONES),
+        version: VersionName::from("v1"),
+        slots: LIMITS.slots,
+        started_at_ms: None,
+        leaving: false,
+        cold_for: None,
+    }
+}
+
 /// The first `large` boxes may own groups.
 fn owners(boxes: usize, large: usize, engines: usize) -> OwnerTable {
     let candidate = |n: usize| Candidate {
@@ -327,8 +333,9 @@
                 }
                 Event::Announced { from, offer, at: sent_at } => {
                     let Some(owner) = self.state.get_mut(&offer.receiver) else { continue };
+                    let origin = origin(from, sent_at);
                     for entry in &offer.entries {
-                        owner.table.apply(entry, from, &self.owners, at).expect("it is valid");
+                        owner.table.apply(entry, origin, &self.owners, at).expect("it is valid");
                         self.received.insert((offer.receiver, entry.group), sent_at);
                     }
                 }
@@ -377,12 +384,14 @@
                 let announced = usize::from(capacity.requests);
                 self.sent.insert((entry.group, now), Sent { announced, named: 0 });
             }
+            let sequence = owner.announcer.sequence();
             for offer in offers {
                 if offer.receiver == from {
                     self.schedule(now, Event::Announced { from, offer, at: now });
                     continue;
                 }
-                self.count_bytes("headroom", 1, &Message::Headroom(offer.entries.clone()));
+                let announcement = HeadroomAnnouncement { sequence, groups: offer.entries.clone() };
+                self.count_bytes("headroom", 1, &Message::Headroom(announcement));
                 if self.lost <= self.rng.random_range(0..100) {
                     self.schedule(now + DELAY, Event::Announced { from, offer, at: now });
                 }
@@ -718,7 +727,8 @@
     for ip in owners.owner_boxes() {
         for (group, group_owners) in owners.groups_of(ip) {
             if group_owners.owner == ip {
-                table.apply(&announced(group, requests), ip, owners, now).expect("it is valid");
+                let origin = origin(ip, now);
+                table.apply(&announced(group, requests), origin, owners, now).expect("it is valid");
                 groups.push(group);
             }
         }
@@ -731,13 +741,19 @@
     GroupHeadroom { group, service: service(), requests, wait_ms: 0 }
 }
 
+/// The origin of an announcement that was made at this time.
+fn origin(from: IpAddr, at: Duration) -> Origin {
+    Origin { from, sequence: SequenceNumber::at_start(at) }
+}
+
 fn claim(
     table: &mut HeadroomTable,
     avoided: EngineGroup,
     leaves_half: bool,
     now: Duration,
 ) -> Option<EngineGroup> {
-    let draw = Draw { service: "assist-llm", avoided, preferred: None, leaves_half };
+    let wait_max = Duration::ZERO;
+    let draw = Draw { service: "assist-llm", avoided, preferred: None, wait_max, leaves_half };
     let mut rng = SmallRng::seed_from_u64(3);
     // A draw passes over only a few groups that it may not use.
     (0..20).find_map(|_| table.claim(draw, |_, _| true, &mut rng, now))
@@ -769,7 +785,8 @@
         .filter(|b| b.ip != dead)
         .collect();
     let after = OwnerTable::new(&boxes, 112);
-    let late = table.apply(&announced(groups[1], 5), dead, &after, millis(1_010));
+    let late =
+        table.apply(&announced(groups[1], 5), origin(dead, millis(1_010)), &after, millis(1_010));
     assert_eq!(late, Err(InvalidAnnouncement::NotOwner));
     table.expire(&after, millis(1_010));
     let mut left = 0;
@@ -787,7 +804,8 @@
     let (mut table, groups) = table(&owners, 2, millis(1_000));
     let group_owners = owners.owners_of(groups[1]).expect("it is owned");
     let standby = group_owners.standby.expect("there is a standby");
-    let second = table.apply(&announced(groups[1], 9), standby, &owners, millis(1_000));
+    let origin = origin(standby, millis(1_000));
+    let second = table.apply(&announced(groups[1], 9), origin, &owners, millis(1_000));
     assert_eq!(second, Err(InvalidAnnouncement::NotOwner));
     let mut claimed = 0;
     while let Some(group) = claim(&mut table, groups[0], false, millis(1_001)) {
@@ -906,14 +924,16 @@
     let beyond = EngineGroup::from_hash(u64::MAX, 14);
     let now = millis(1_001);
     for group in [other_table, beyond] {
-        let result = table.apply(&announced(group, 3), owner, &owners, now);
+        let result = table.apply(&announced(group, 3), origin(owner, now), &owners, now);
         assert_eq!(result, Err(InvalidAnnouncement::NoSuchGroup));
     }
-    let result = table.apply(&announced(groups[1], u16::MAX), owner, &owners, now);
+    let result = table.apply(&announced(groups[1], u16::MAX), origin(owner, now), &owners, now);
     assert_eq!(result, Err(InvalidAnnouncement::TooMany));
     assert_eq!(claim(&mut table, groups[0], false, now), None);
     // Four billion requests don't even fit the field.
-    let message = Message::Headroom(vec![announced(groups[1], 0x3fff)]);
+    let groups = vec![announced(groups[1], 0x3fff)];
+    let message =
+        Message::Headroom(HeadroomAnnouncement { sequence: SequenceNumber::default(), groups });
     let mut buf = postcard::to_stdvec(&message).expect("it can be encoded");
     let at = buf.windows(2).position(|w| w == [0xff, 0x7f]).expect("the amount is there");
     buf.splice(at..at + 2, [0xff, 0xff, 0xff, 0xff, 0x0f]);
@@ -1032,8 +1052,13 @@
             }
         }
         for group in &groups {
-            let draw =
-                Draw { service: "assist-llm", avoided: *group, preferred: None, leaves_half: true };
+            let draw = Draw {
+                service: "assist-llm",
+                avoided: *group,
+                preferred: None,
+                wait_max: Duration::ZERO,
+                leaves_half: true,
+            };
             let calls = Cell::new(0);
             let is_usable = |_: EngineGroup, _: IpAddr| {
                 calls.set(calls.get() + 1);
@@ -1073,3 +1098,199 @@
         registry.headroom(group, |_| None, millis(1_000)).is_empty()
     })
 }
+
+/// Datagrams may be late or doubled: an old offer must not replace a newer one, and one that has
+/// been used must not be renewed.
+#[test]
+fn a_late_or_doubled_announcement_changes_nothing() {
+    let owners = owners(69, 8, 112);
+    let (mut table, groups) = table(&owners, 0, millis(1_000));
+    let owner = owners.owners_of(groups[1]).expect("it is owned").owner;
+    let apply = |table: &mut HeadroomTable, requests, sent, ms| {
+        let entry = announced(groups[1], requests);
+        table.apply(&entry, origin(owner, millis(sent)), &owners, millis(ms))
+    };
+    assert_eq!(apply(&mut table, 2, 1_050, 1_060), Ok(()));
+    assert_eq!(claim(&mut table, groups[0], false, millis(1_070)), Some(groups[1]));
+    assert_eq!(claim(&mut table, groups[0], false, millis(1_070)), Some(groups[1]));
+    assert_eq!(apply(&mut table, 2, 1_050, 1_080), Err(InvalidAnnouncement::Older));
+    assert_eq!(claim(&mut table, groups[0], false, millis(1_090)), None, "it is used up");
+    assert_eq!(apply(&mut table, 0, 1_150, 1_160), Ok(()));
+    assert_eq!(apply(&mut table, 9, 1_100, 1_170), Err(InvalidAnnouncement::Older));
+    // Also once what the newer one said is too old to be used.
+    table.expire(&owners, millis(1_900));
+    assert_eq!(apply(&mut table, 9, 1_100, 1_900), Err(InvalidAnnouncement::Older));
+    assert_eq!(claim(&mut table, groups[0], false, millis(1_910)), None);
+}
+
+/// A box that restarts doesn't know how far it had counted.
+#[test]
+fn announcements_of_an_earlier_start_are_ignored() {
+    let owners = owners(69, 8, 112);
+    let (mut table, groups) = table(&owners, 0, millis(1_000));
+    let owner = owners.owners_of(groups[1]).expect("it is owned").owner;
+    let apply = |table: &mut HeadroomTable, sequence, ms| {
+        let origin = Origin { from: owner, sequence };
+        table.apply(&announced(groups[1], 1), origin, &owners, millis(ms))
+    };
+    let mut earlier = Announcer::new(millis(1_000));
+    for _ in 0..100 {
+        headroom::offers(&table, &mut earlier, &[], &owners, millis(1_000));
+    }
+    // It has counted for five seconds, which the restart takes too.
+    let later = Announcer::new(millis(6_100));
+    assert_eq!(apply(&mut table, later.sequence(), 6_100), Ok(()));
+    let late = apply(&mut table, earlier.sequence(), 6_110);
+    assert_eq!(late, Err(InvalidAnnouncement::Older));
+    // A clock that was set back must not silence a box for ever.
+    table.expire(&owners, millis(9_100));
+    assert_eq!(apply(&mut table, earlier.sequence(), 9_110), Ok(()));
+}
+
+/// Numbers wrap around after an hour.
+#[test]
+fn announcements_are_in_order_when_their_numbers_wrap_around() {
+    let owners = owners(69, 8, 112);
+    let (mut table, groups) = table(&owners, 0, millis(1_000));
+    let owner = owners.owners_of(groups[1]).expect("it is owned").owner;
+    let mut sequence = SequenceNumber::at_start(millis(1_050));
+    for _ in 0..=u16::MAX {
+        let origin = Origin { from: owner, sequence };
+        let apply = |table: &mut HeadroomTable| {
+            table.apply(&announced(groups[1], 1), origin, &owners, millis(1_050))
+        };
+        assert_eq!(apply(&mut table), Ok(()));
+        assert_eq!(apply(&mut table), Err(InvalidAnnouncement::Older));
+        sequence = sequence.next();
+    }
+}
+
+/// A group whose engines of one service are full still has room for another service.
+#[test]
+fn a_group_that_is_short_of_one_service_announces_the_others() {
+    let owners = owners(69, 8, 112);
+    let (mut table, groups) = table(&owners, 0, millis(1_000));
+    let other = ServiceName::from("other-llm");
+    table.mark_short(groups[0], "assist-llm", millis(1_000));
+    let capacity = Capacity { requests: 40, wait: Duration::ZERO };
+    let capacities = [service(), other.clone()].map(|service| (groups[0], service, capacity));
+    let mut announcer = Announcer::default();
+    let offers = headroom::offers(&table, &mut announcer, &capacities, &owners, millis(1_010));
+    let entries: Vec<&GroupHeadroom> = offers.iter().flat_map(|offer| &offer.entries).collect();
+    let has_room = |service: &ServiceName| {
+        let of_service = entries.iter().filter(|entry| entry.service == *service);
+        of_service.map(|entry| entry.requests != 0).collect::<BTreeSet<bool>>()
+    };
+    assert_eq!(has_room(&service()), [false].into());
+    assert_eq!(has_room(&other), [true].into());
+}
+
+/// Most deployments have no engines with small batches: free capacity isn't looked for there.
+#[test]
+fn without_small_batches_nothing_is_enabled() {
+    let small_batch = SmallBatch { slots_max: 16, headroom: true, ..SmallBatch::default() };
+    let state = HeadroomState::new(small_batch, Duration::ZERO);
+    assert!(!state.is_enabled());
+    let tuning = Tuning { small_batch, ..Tuning::default() };
+    let mut registry = UpstreamRegistry::new(zone_name(0), tuning);
+    let upsert = |registry: &mut UpstreamRegistry, n, slots| {
+        let listed = UpstreamListing { slots, ..listed(n) };
+        registry.upsert(listed, Some(EngineLimits { slots, ..LIMITS }));
+    };
+    upsert(&mut registry, 0, 17);
+    assert!(!registry.has_headroom());
+    upsert(&mut registry, 1, 16);
+    upsert(&mut registry, 1, 16);
+    assert!(registry.has_headroom() && registry.has_headroom_of("assist-llm"));
+    assert!(!registry.has_headroom_of("other-llm"));
+    registry.remove(&name(1));
+    assert!(!registry.has_headroom());
+    state.set_enabled(registry.has_headroom());
+    assert!(!state.is_enabled());
+}
+
+/// What an owner knows that is asked to place a request, in the tests of a single redirect.
+struct Asking {
+    registry: UpstreamRegistry,
+    owners: OwnerTable,
+    prompt: Prompt,
+    waited: Duration,
+}
+
+impl Asking {
+    fn new(waited: Duration) -> Asking {
+        let prompt = prompt(1, 2, 1_000);
+        Asking { registry: registry(112, true), owners: owners(69, 8, 112), prompt, waited }
+    }
+
+    /// Whether a group is named that has announced this wait, if the asked group has a wait of
+    /// `wait_ms` or can't take the request.
+    fn is_named(&self, wait_ms: Option<u64>, share_used: f64, announced_ms: u16) -> bool {
+        let now = millis(1_000);
+        let (mut table, _) = table(&self.owners, 0, now);
+        let query = PlacementQuery { waited: self.waited, ..query(1, &self.prompt) };
+        let group = redirect::group_by_hash(&self.registry, &self.owners, &query, &[], false);
+        let query = PlacementQuery { group, ..query };
+        for (group, owner) in self.groups() {
+            let entry = GroupHeadroom { wait_ms: announced_ms, ..announced(group, 4) };
+            let origin = origin(owner, millis(1_050));
+            table.apply(&entry, origin, &self.owners, now).expect("it is valid");
+        }
+        let placed = || {
+            let (mut registry, mut shares) =
+                (registry(112, true), Shares::new(Duration::from_secs(4)));
+            admit::admit(&mut registry, &mut shares, query, now).expect("engines are idle")
+        };
+        let choice = wait_ms.map(|ms| Choice { wait: millis(ms), ..placed() });
+        let mut alternatives = Alternatives {
+            headroom: &mut table,
+            owners: &self.owners,
+            is_unresponsive: &|_| false,
+            rng: &mut SmallRng::seed_from_u64(3),
+        };
+        let obstacle = Obstacle { choice: choice.as_ref(), share_used };
+        alternatives.claim(&self.registry, &query, obstacle, now).is_some()
+    }
+
+    fn groups(&self) -> Vec<(EngineGroup, IpAddr)> {
+        let owned = self.owners.owner_boxes().into_iter().flat_map(|ip| {
+            let groups = self.owners.groups_of(ip).filter(move |(_, o)| o.owner == ip);
+            groups.map(move |(group, _)| (group, ip))
+        });
+        owned.collect()
+    }
+}
+
+/// A request that waits 150 ms here was sent to a group whose first engine is free in 190 ms.
+#[test]
+fn a_request_is_not_moved_to_a_longer_wait() {
+    let asking = Asking::new(Duration::ZERO);
+    assert!(asking.is_named(Some(150), 0.5, 0));
+    assert!(asking.is_named(Some(150), 0.5, 150));
+    assert!(!asking.is_named(Some(150), 0.5, 190));
+    // Less than is worth the way.
+    assert!(!asking.is_named(Some(90), 0.5, 0));
+}
+
+/// Elsewhere the prompt has to be prefilled anew: one that can't return its first token in time is
+/// of no use to its caller, and takes an engine's time from others.
+#[test]
+fn a_request_that_would_be_late_elsewhere_is_not_sent_there() {
+    let asking = Asking::new(Duration::ZERO);
+    assert!(asking.is_named(None, 0.5, 0));
+    assert!(asking.is_named(None, 0.5, 200));
+    assert!(!asking.is_named(None, 0.5, 800));
+    let asking = Asking::new(LATENCY_TARGET - millis(100));
+    assert!(!asking.is_named(None, 0.5, 0));
+}
+
+/// Engines that are idle are of no use to anybody; those that will be free soon are for workspaces
+/// within their share.
+#[test]
+fn workspaces_beyond_their_share_go_only_where_engines_are_idle() {
+    let asking = Asking::new(Duration::ZERO);
+    assert!(asking.is_named(None, 1.2, 0));
+    assert!(!asking.is_named(None, 1.2, 20));
+    assert!(asking.is_named(None, 0.9, 20));
+    assert!(!asking.is_named(Some(300), 1.2, 0));
+}
