Each decision on a request has its own id

Seen by reading (reviews of the parts named it): the id that a box sends with a placement request was made of the attempt and the asked box. One owner may be asked several times on an attempt: for other versions after the target's was denied, for two of its groups, for the source of a copy and then for the placement. So a decision that was withdrawn (the box backs off from its choice, or it came too late) and the next one of that owner had the same id; the withdrawal is sent with other messages, up to 20 ms later, and ended the record of the request that was running. A doubled denial was taken for the answer to the next question.

Now DecisionIds gives each decision of an attempt an id. What shares count once a request went by that id, too: a denial for the target version is therefore withdrawn at who decided it before the other versions are asked for (one batched message for each such request, only while a version is rolled out). Where a plain service's owner knows no upstream and the box finds none either, the refusal keeps the owner's id.

Messages are as they were. Attempts with one decision differ only in the value of the id.

Tests: proxy_queue, three. They cover the ids and what follows from them at owner and asker; no test plays the path through versions or groups between processes.

--- a/src/placement/admit.rs
+++ b/src/placement/admit.rs
@@ -54,7 +54,7 @@
 /// A request for an engine, as the deciding box sees it.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementQuery<'a> {
-    /// Identifies this attempt to send the request.
+    /// Identifies the decision.
     pub request: u64,
     pub service: &'a str,
     /// The prompt to prefill.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -8,6 +8,7 @@
 pub mod choice;
 pub mod cold;
 pub mod connected;
+pub mod decision_ids;
 pub mod drain;
 pub mod engine;
 pub mod engine_speed;
--- a/src/placement/plain.rs
+++ b/src/placement/plain.rs
@@ -195,7 +195,7 @@
 /// A request for a plain service, as the deciding box sees it.
 #[derive(Clone, Copy, Debug)]
 pub struct PlainQuery<'a> {
-    /// Identifies this attempt to send the request.
+    /// Identifies the decision.
     pub request: u64,
     pub service: &'a str,
     /// The workspace that is charged; `None` for requests without one.
--- a/src/proxy/engine_placement.rs
+++ b/src/proxy/engine_placement.rs
@@ -27,6 +27,7 @@
 use crate::placement::choice::CopySource;
 use crate::placement::cold::Role;
 use crate::placement::connected;
+use crate::placement::decision_ids::DecisionIds;
 use crate::placement::redirect;
 use crate::placement::redirect::Asked;
 use crate::placement::redirect::Attempts;
@@ -79,7 +80,7 @@
     pub decided_by: IpAddr,
     /// That box's role for the engines.
     pub role: Role,
-    /// Identifies the attempt at the boxes that have recorded it.
+    /// Identifies the decision at the boxes that have recorded it.
     pub request: u64,
     /// The boxes that have recorded it, if it is placed. In a small fleet all have, and this is
     /// empty.
@@ -175,8 +176,13 @@
     }
 }
 
-/// Places a request, or says why it isn't placed.
-pub async fn place(hub: &Arc<Hub>, query: PlacementQuery<'_>) -> PlacementDecision {
+/// Places a request, or says why it isn't placed. Decisions after the first one get their ids from
+/// `ids`.
+pub async fn place(
+    hub: &Arc<Hub>,
+    query: PlacementQuery<'_>,
+    ids: &mut DecisionIds,
+) -> PlacementDecision {
     let owners = hub.peers().owners();
     if owners.is_empty() {
         return place_and_broadcast(hub, query);
@@ -203,7 +209,8 @@
         query.is_last_group = step.is_last();
         asked.push(group);
         headroom::record_step(hub, step.named, "asked");
-        let decision = place_with_copy_source(hub, query, &owners, group, group_owners).await;
+        let decision = place_with_copy_source(hub, query, ids, &owners, group, group_owners).await;
+        query.request = ids.next_id();
         let Some(decision) = decision else {
             let last = Some(Asked::NoResponse(step));
             let attempts = Attempts { count: asked.len(), last, passed: passed(), ..attempts };
@@ -237,6 +244,7 @@
 async fn place_with_copy_source(
     hub: &Arc<Hub>,
     query: PlacementQuery<'_>,
+    ids: &mut DecisionIds,
     owners: &OwnerTable,
     group: EngineGroup,
     group_owners: GroupOwners,
@@ -245,14 +253,11 @@
     if !decision.may_be_cached_elsewhere() {
         return Some(decision);
     }
-    let source = find_copy_source(hub, query, owners, group).await;
-    place_in_group(
-        hub,
-        PlacementQuery { source, purpose: Purpose::Place, ..query },
-        group,
-        group_owners,
-    )
-    .await
+    let lookup = PlacementQuery { request: ids.next_id(), ..query };
+    let source = find_copy_source(hub, lookup, owners, group).await;
+    let (request, purpose) = (ids.next_id(), Purpose::Place);
+    let query = PlacementQuery { request, source, purpose, ..query };
+    place_in_group(hub, query, group, group_owners).await
 }
 
 /// Places a request by this box's own state, and broadcasts the result. Used in small fleets.
@@ -379,7 +384,7 @@
     None
 }
 
-/// The id of an attempt at the box that is asked to place it. Each box gets its own id, since its
+/// The id of a decision at the box that is asked for it. Each box gets its own id, since its
 /// decision may arrive too late, after another box has decided.
 pub fn request_id_at(request: u64, ip: IpAddr) -> u64 {
     xxh3_64_with_seed(ip.to_string().as_bytes(), request)
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -42,7 +42,7 @@
     Placed {
         /// The upstream.
         upstream: UpstreamName,
-        /// Identifies the attempt to send it.
+        /// Identifies the decision to send it.
         request: u64,
         /// The prompt.
         prompt: PromptMessage,
@@ -67,7 +67,7 @@
     FirstToken {
         /// The upstream.
         upstream: UpstreamName,
-        /// Identifies the attempt to send it.
+        /// Identifies the decision to send it.
         request: u64,
         /// Time since the request was sent, in milliseconds.
         took_ms: u32,
@@ -76,13 +76,13 @@
     Ended {
         /// The upstream.
         upstream: UpstreamName,
-        /// Identifies the attempt to send it.
+        /// Identifies the decision to send it.
         request: u64,
     },
     /// A placement is withdrawn: the request went to another upstream, or to none because the
     /// decision came too late. It must not be counted at the upstream that was chosen.
     Withdrawn {
-        /// Identifies the attempt to send it.
+        /// Identifies the decision to send it.
         request: u64,
     },
     /// A connection to an upstream failed; other boxes should probe it before they send it
@@ -137,7 +137,7 @@
     RequestRecords(Vec<RequestRecord>),
     /// The owner has queued a request, and decides within this time.
     Queued {
-        /// Identifies the attempt to send it.
+        /// Identifies the decision to send it.
         request: u64,
         /// Time until the decision is sent at the latest, in milliseconds.
         within_ms: u32,
@@ -165,7 +165,7 @@
 /// Asks the owner of a group of engines to place a request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PlacementRequest {
-    /// Identifies the attempt to send the request.
+    /// Identifies the decision.
     pub request: u64,
     /// The engines to choose from.
     pub group: EngineGroup,
@@ -202,7 +202,7 @@
 /// An owner's decision on a [`PlacementRequest`] or a [`PlainPlacementRequest`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PlacementResponse {
-    /// The attempt that the decision is for.
+    /// Identifies the decision.
     pub request: u64,
     /// The chosen upstream, or why none is chosen.
     pub result: Result<Choice, Denial>,
--- a/src/proxy/plain_placement.rs
+++ b/src/proxy/plain_placement.rs
@@ -36,7 +36,7 @@
 /// Asks the owner of a plain service to place a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlainPlacementRequest {
-    /// Identifies the attempt.
+    /// Identifies the decision.
     pub request: u64,
     /// The service.
     pub service: ServiceName,
--- a/src/proxy/upstream_selection.rs
+++ b/src/proxy/upstream_selection.rs
@@ -16,6 +16,7 @@
 use crate::placement::choice::ChoiceError;
 use crate::placement::choice::SelectionCriteria;
 use crate::placement::cold::Role;
+use crate::placement::decision_ids::DecisionIds;
 use crate::placement::drain;
 use crate::placement::plain::PlainQuery;
 use crate::proxy::adapter::Prompt;
@@ -36,13 +37,15 @@
 impl RequestContext {
     /// Selects an upstream and records the request there, or says why it can't be served in time.
     pub async fn place(&mut self) -> Result<(Choice, PlacedRequest), Refusal> {
-        let attempt = format!("{}/{}", self.head.id, self.tried.len());
-        let request = xxh3_64(attempt.as_bytes());
+        let mut ids = DecisionIds::new(&self.head.id, self.tried.len());
         let version_filter = self.version_filter();
-        let mut decision = self.decide(request, version_filter).await;
+        let mut decision = self.decide(&mut ids, version_filter).await;
         let target_denied = version_filter == VersionFilter::Target && decision.result.is_err();
         if target_denied && self.response_version.is_none() && self.may_fall_back() {
-            decision = self.decide(request, VersionFilter::Others).await;
+            // A request that is placed after all doesn't count as refused.
+            let PlacementDecision { request, decided_by, .. } = decision;
+            engine_placement::withdraw(&self.hub, request, [decided_by].into_iter());
+            decision = self.decide(&mut ids, VersionFilter::Others).await;
         }
         match &decision.result {
             Ok(choice) => self.log_placed(choice, &decision),
@@ -56,10 +59,14 @@
         Ok((choice, placed))
     }
 
-    async fn decide(&self, request: u64, version_filter: VersionFilter) -> PlacementDecision {
+    async fn decide(
+        &self,
+        ids: &mut DecisionIds,
+        version_filter: VersionFilter,
+    ) -> PlacementDecision {
         match &self.head.prompt {
-            Some(prompt) => self.place_prompt(prompt, request, version_filter).await,
-            None => self.place_plain(request, version_filter).await,
+            Some(prompt) => self.place_prompt(prompt, ids, version_filter).await,
+            None => self.place_plain(ids, version_filter).await,
         }
     }
 
@@ -80,12 +87,12 @@
     async fn place_prompt(
         &self,
         prompt: &Prompt,
-        request: u64,
+        ids: &mut DecisionIds,
         version_filter: VersionFilter,
     ) -> PlacementDecision {
         let excluded = self.excluded();
         let query = PlacementQuery {
-            request,
+            request: ids.next_id(),
             service: &self.service,
             prompt,
             workspace: self.workspace.as_ref(),
@@ -104,15 +111,19 @@
             role: Role::Unassigned,
             is_repeatable: self.route.repeat != Repeat::Never,
         };
-        engine_placement::place(&self.hub, query).await
+        engine_placement::place(&self.hub, query, ids).await
     }
 
-    async fn place_plain(&self, request: u64, version_filter: VersionFilter) -> PlacementDecision {
+    async fn place_plain(
+        &self,
+        ids: &mut DecisionIds,
+        version_filter: VersionFilter,
+    ) -> PlacementDecision {
         let now = self.hub.now();
         let unavailable = self.hub.read(|view| view.registry().unavailable(&self.service, now));
         let excluded: Vec<UpstreamName> = self.excluded().into_iter().chain(unavailable).collect();
         let query = PlainQuery {
-            request,
+            request: ids.next_id(),
             service: &self.service,
             workspace: self.workspace.as_ref(),
             excluded: &excluded,
@@ -124,10 +135,18 @@
             is_repeatable: self.route.repeat != Repeat::Never,
             role: Role::Unassigned,
         };
-        match plain_placement::place(&self.hub, query).await {
-            Some(decision) if !decision.has_no_upstream() => decision,
-            // Neither owner nor standby responds, or all that are left are unavailable.
-            _ => self.choose_uncounted(request, version_filter),
+        let denied = match plain_placement::place(&self.hub, query).await {
+            Some(decision) if !decision.has_no_upstream() => return decision,
+            denied => denied,
+        };
+        // Neither owner nor standby responds, or all that are left are unavailable.
+        let uncounted = self.choose_uncounted(ids.next_id(), version_filter);
+        match denied {
+            // The refusal is counted under the id of the owner's decision.
+            Some(denied) if uncounted.result.is_err() => {
+                PlacementDecision { result: uncounted.result, ..denied }
+            }
+            _ => uncounted,
         }
     }
 
--- a/tests/proxy_queue.rs
+++ b/tests/proxy_queue.rs
@@ -24,6 +24,7 @@
 use frostdyke::placement::choice::Choice;
 use frostdyke::placement::choice::ChoiceError;
 use frostdyke::placement::cold::Role;
+use frostdyke::placement::decision_ids::DecisionIds;
 use frostdyke::placement::drain;
 use frostdyke::placement::engine::Placement;
 use frostdyke::placement::queue::LENGTH_MAX;
@@ -42,6 +43,7 @@
 use frostdyke::proxy::adapter::Prompt;
 use frostdyke::proxy::adapter::PromptPart;
 use frostdyke::proxy::adapter::UpstreamListing;
+use frostdyke::proxy::engine_placement;
 use frostdyke::proxy::engine_placement::OwnerRequests;
 use frostdyke::proxy::engine_placement::OwnerResponse;
 use frostdyke::proxy::placement_queue;
@@ -769,3 +771,64 @@
     assert!(matches!(admission, Admission::Decided(Err(_), 2)), "{admission:?}");
     assert_eq!(owner.waiting.len(), 1);
 }
+
+/// Ids of the decisions on one attempt, as the owner at `ip` knows them.
+fn ids_at(ip: IpAddr, ids: &mut DecisionIds) -> impl FnMut() -> u64 {
+    move || engine_placement::request_id_at(ids.next_id(), ip)
+}
+
+/// A request for the target version is placed, withheld, and placed again by the same owner for any
+/// other version. The withdrawal of the first placement is sent with other messages and comes last.
+#[test]
+fn a_late_withdrawal_of_one_decision_leaves_the_next_one_of_the_same_owner() {
+    let mut owner = Owner::new(tuning(true, 0.7));
+    let mut ids = DecisionIds::new("a", 0);
+    let mut next_id = ids_at(IpAddr::V4(Ipv4Addr::new(10, 0, 0, 1)), &mut ids);
+    let (first, second) = (next_id(), next_id());
+    for request in [first, second] {
+        let admission = owner.request(request, 1, 1_000, NOW);
+        assert!(matches!(admission, Admission::Decided(Ok(_), _)), "{admission:?}");
+    }
+    owner.registry.withdraw(first, NOW + ms(20));
+    owner.shares.revert(first, NOW + ms(20));
+    let names = (1..=ENGINES).map(|n| UpstreamName::from(&*format!("e{n}")));
+    let running = |name: UpstreamName| owner.registry.running(&name);
+    assert_eq!(names.map(running).sum::<usize>(), 1, "the request runs");
+    let counted: i64 = owner.shares.totals().map(|(_, tokens)| tokens.admitted).sum();
+    assert_eq!(counted, prompt(second, 1_000).charge() as i64);
+}
+
+/// A denial arrives twice, the second time while the owner is asked for another group.
+#[tokio::test(start_paused = true)]
+async fn a_denial_that_arrives_twice_is_not_taken_for_the_next_decision() {
+    let requests = OwnerRequests::default();
+    let mut ids = DecisionIds::new("a", 0);
+    let mut next_id = ids_at(IpAddr::V4(Ipv4Addr::new(10, 0, 0, 1)), &mut ids);
+    let (first, second) = (next_id(), next_id());
+    let response = requests.register(first);
+    assert!(requests.deliver(first, denied()));
+    assert_eq!(response.await, Ok(denied()));
+    requests.forget(first);
+    let mut response = requests.register(second);
+    assert!(!requests.deliver(first, denied()));
+    assert!(response.try_recv().is_err(), "it is undecided");
+}
+
+/// Attempts, decisions and boxes have ids of their own.
+#[test]
+fn each_decision_on_a_request_has_its_own_id() {
+    let boxes = [1, 2].map(|n| IpAddr::V4(Ipv4Addr::new(10, 0, 0, n)));
+    let all = || {
+        let attempts = [("a", 0), ("a", 1), ("b", 0)];
+        attempts.into_iter().flat_map(|(request, tried)| {
+            let mut ids = DecisionIds::new(request, tried);
+            (0..4).flat_map(move |_| {
+                let id = ids.next_id();
+                boxes.map(|ip| engine_placement::request_id_at(id, ip)).into_iter().chain([id])
+            })
+        })
+    };
+    let distinct: FxHashSet<u64> = all().collect();
+    assert_eq!(distinct.len(), 3 * 4 * 3);
+    assert!(all().eq(all()));
+}
