Connections: rely on long idle ones only while their zone's links are up

Where announced timeouts are relied on, connections are idle for seconds before they are reused. Those that must not run twice had to be answered as ones that may have run; the others lost a second.

A connection idle for over half a second is now used only if bytes came from any upstream of its zone in that half second (proxy::link_activity: heads and ends of responses). Else it is closed and one is opened in its place, which fails unsent behind a cut; opened{cause="stale-link"}. A box doesn't name such connections to owners either. Elsewhere all is as before.

--- a/src/proxy/connection_reuse.rs
+++ b/src/proxy/connection_reuse.rs
@@ -8,6 +8,7 @@
 use slog::info;
 
 use crate::proxy::hub::Hub;
+use crate::proxy::link_activity::LINK_FRESH;
 
 /// Interval at which the counts of connections are logged.
 const LOG_INTERVAL: Duration = Duration::from_secs(5);
@@ -33,7 +34,8 @@
 pub struct ReuseRule {
     /// Whether the request must not run twice.
     pub is_once_only: bool,
-    /// Whether an announced timeout is relied on, except for [`ANNOUNCED_MARGIN`].
+    /// Whether an announced timeout is relied on, except for [`ANNOUNCED_MARGIN`]. Connections are
+    /// idle for longer then, and may have been cut meanwhile.
     pub trusts_announced: bool,
 }
 
@@ -44,6 +46,13 @@
         idle_time < self.idle_max(announced) && idle_time < self.once_only_max(announced)
     }
 
+    /// Whether the link must be known to be up for a connection that was idle for `idle_time`. If it
+    /// has been cut, a request on a new connection fails unsent, and one on an idle connection may
+    /// have run.
+    pub fn needs_fresh_link(self, idle_time: Duration) -> bool {
+        self.trusts_announced && LINK_FRESH < idle_time
+    }
+
     /// How long a connection is kept idle, by the timeout that its upstream has announced.
     pub fn idle_max(self, announced: Option<Duration>) -> Duration {
         let Some(timeout) = announced else { return KEEP_ALIVE_DEFAULT };
@@ -76,6 +85,8 @@
     JustUsed,
     /// The idle ones have been idle too long for this request.
     IdleTooLong,
+    /// No bytes were received over the link lately.
+    StaleLink,
     /// The upstream has closed the idle ones.
     Closed,
     /// It is a probe, not for a request.
@@ -84,11 +95,12 @@
 
 impl OpenCause {
     /// All causes.
-    pub const ALL: [OpenCause; 6] = [
+    pub const ALL: [OpenCause; 7] = [
         OpenCause::NoneOpen,
         OpenCause::InUse,
         OpenCause::JustUsed,
         OpenCause::IdleTooLong,
+        OpenCause::StaleLink,
         OpenCause::Closed,
         OpenCause::Probe,
     ];
@@ -100,6 +112,7 @@
             OpenCause::InUse => "in-use",
             OpenCause::JustUsed => "just-used",
             OpenCause::IdleTooLong => "idle-too-long",
+            OpenCause::StaleLink => "stale-link",
             OpenCause::Closed => "closed",
             OpenCause::Probe => "probe",
         }
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -14,6 +14,7 @@
 use slog::warn;
 use tokio::sync::Notify;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Clock;
 use crate::fleet::in_progress::received::ReceivedReports;
@@ -531,6 +532,13 @@
         ReuseRule { is_once_only, trusts_announced }
     }
 
+    /// The hash of the name of an upstream's zone; zero if the upstream isn't listed.
+    pub fn zone_hash(&self, upstream: &UpstreamName) -> u64 {
+        self.read(|view| {
+            view.registry().get(upstream).map_or(0, |listed| xxh3_64(listed.zone.as_bytes()))
+        })
+    }
+
     /// Short hashes of engines of a group to which this box has an idle connection for a request.
     pub fn connected(
         &self,
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -22,6 +22,7 @@
 pub mod http_client;
 pub mod hub;
 pub mod in_progress;
+pub mod link_activity;
 pub mod listener;
 pub mod message;
 pub mod notices;
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -381,6 +381,7 @@
         let target = Target {
             addr: choice.addr,
             name_hash: name_hash(&choice.upstream),
+            zone_hash: self.hub.zone_hash(&choice.upstream),
             quota: self.hub.connection_quota(
                 &choice.upstream,
                 self.connections_max,
--- a/src/proxy/upstream_connections.rs
+++ b/src/proxy/upstream_connections.rs
@@ -39,6 +39,7 @@
 use crate::proxy::connection_reuse::ConnectionCounts;
 use crate::proxy::connection_reuse::OpenCause;
 use crate::proxy::connection_reuse::ReuseRule;
+use crate::proxy::link_activity::LinkActivity;
 use crate::proxy::notices::WithholdReason;
 use crate::proxy::upstream_io::UpstreamIo;
 use crate::proxy::upstream_io::WriteProgress;
@@ -179,6 +180,8 @@
     pub addr: SocketAddr,
     /// The hash of the upstream's name.
     pub name_hash: u64,
+    /// The hash of its zone's name.
+    pub zone_hash: u64,
     pub quota: ConnectionQuota,
     /// Which idle connections may be used.
     pub reuse_rule: ReuseRule,
@@ -191,6 +194,7 @@
 pub struct UpstreamConnections {
     clock: Arc<Clock>,
     counts: ConnectionCounts,
+    links: LinkActivity,
     by_addr: Mutex<HashMap<SocketAddr, PerUpstream>>,
 }
 
@@ -198,6 +202,8 @@
 struct PerUpstream {
     /// The hash of the name of the upstream that a request was last sent to at this address.
     name_hash: Option<u64>,
+    /// The hash of its zone's name.
+    zone_hash: u64,
     /// See [`ReuseRule`].
     trusts_announced: bool,
     open: u32,
@@ -389,6 +395,7 @@
 #[derive(Debug)]
 pub struct UpstreamBody {
     incoming: Incoming,
+    zone_hash: u64,
     conn: BusyConnection,
 }
 
@@ -404,7 +411,9 @@
     /// announces in `headers`.
     pub fn keep(self, headers: &HeaderMap) {
         let mut conn = self.conn;
-        conn.last_used = conn.open_count.connections.clock.now();
+        let connections = &conn.open_count.connections;
+        conn.last_used = connections.clock.now();
+        connections.links.record(self.zone_hash, conn.last_used);
         if let Some(timeout) = keep_alive_timeout(headers) {
             conn.announced = Some(timeout);
             conn.open_count.connections.counts.announced(timeout);
@@ -432,8 +441,8 @@
 impl UpstreamConnections {
     /// A set without connections.
     pub fn new(clock: Arc<Clock>) -> Arc<UpstreamConnections> {
-        let (counts, by_addr) = (ConnectionCounts::default(), Mutex::default());
-        Arc::new(UpstreamConnections { clock, counts, by_addr })
+        let (counts, links) = (ConnectionCounts::default(), LinkActivity::default());
+        Arc::new(UpstreamConnections { clock, counts, links, by_addr: Mutex::default() })
     }
 
     /// Connections opened, reused and closed since the start.
@@ -459,8 +468,8 @@
         req: Request<Full<Bytes>>,
         withheld: impl FnOnce() -> Option<WithholdReason>,
     ) -> Result<Response<UpstreamBody>, Error> {
-        let Target { addr, quota, reuse_rule, gives_up_stalled, .. } = target;
-        let mut conn = match self.take_idle(addr, reuse_rule) {
+        let Target { addr, zone_hash, quota, reuse_rule, gives_up_stalled, .. } = target;
+        let mut conn = match self.take_idle(addr, zone_hash, reuse_rule) {
             Ok(conn) => conn,
             Err(cause) => self.connect(addr, quota, cause).await?,
         };
@@ -487,7 +496,8 @@
             polled
         });
         let resp = resp.await?;
-        Ok(resp.map(|incoming| UpstreamBody { incoming, conn }))
+        self.links.record(zone_hash, self.clock.now());
+        Ok(resp.map(|incoming| UpstreamBody { incoming, zone_hash, conn }))
     }
 
     /// Opens a connection and keeps it for the next request.
@@ -509,8 +519,12 @@
         let is_usable = |c: &IdleConnection| {
             !c.tx.is_closed() && reuse_rule.permits(c.idle_time(now), c.announced)
         };
+        let is_link_up = |u: &PerUpstream, c: &IdleConnection| {
+            !reuse_rule.needs_fresh_link(c.idle_time(now)) || self.links.is_fresh(u.zone_hash, now)
+        };
         let in_group = by_addr.values().filter(|u| u.name_hash.as_ref().is_some_and(in_group));
-        let upstreams = in_group.filter(|u| u.idle.iter().any(is_usable));
+        let upstreams =
+            in_group.filter(|u| u.idle.iter().any(|c| is_usable(c) && is_link_up(u, c)));
         let hashes = upstreams.filter_map(|u| u.name_hash);
         hashes.take(CONNECTED_MAX).map(connected::short_hash).collect()
     }
@@ -519,6 +533,7 @@
         let mut by_addr = self.by_addr.lock().expect("no panic under lock");
         let upstream = by_addr.entry(target.addr).or_default();
         upstream.name_hash = Some(target.name_hash);
+        upstream.zone_hash = target.zone_hash;
         upstream.trusts_announced = target.reuse_rule.trusts_announced;
         let busy = &mut upstream.busy;
         busy.retain(|(_, flag)| flag.strong_count() != 0);
@@ -579,6 +594,7 @@
     fn take_idle(
         &self,
         addr: SocketAddr,
+        zone_hash: u64,
         reuse_rule: ReuseRule,
     ) -> Result<BusyConnection, OpenCause> {
         let mut has_closed = false;
@@ -600,6 +616,16 @@
             if idle[at].is_usable() && !reuse_rule.permits(idle_time, idle[at].announced) {
                 return Err(OpenCause::IdleTooLong);
             }
+            if idle[at].is_usable()
+                && reuse_rule.needs_fresh_link(idle_time)
+                && !self.links.is_fresh(zone_hash, now)
+            {
+                // The new one takes its place in the quota.
+                let stale = idle.remove(at);
+                drop(by_addr);
+                stale.close(CloseCause::Expired);
+                return Err(OpenCause::StaleLink);
+            }
             let connection = idle.remove(at);
             // Dropping an `OpenCount` takes the lock.
             drop(by_addr);
--- a/tests/proxy_held_bytes.rs
+++ b/tests/proxy_held_bytes.rs
@@ -368,6 +368,7 @@
     let target = Target {
         addr: listener.local_addr().expect("it is bound"),
         name_hash: 1,
+        zone_hash: 1,
         quota: ConnectionQuota { open_max: 1, kept_max: 1 },
         reuse_rule: ReuseRule { is_once_only: true, trusts_announced: true },
         gives_up_stalled: true,
