Date first tokens by their senders where requests wait at the owner

Cause: the owner dated the end of a prefill by the arrival of the notice of its first token. The delay of notices, 20 ms, was added to the belief of when the engine would be free, prompt after prompt, and exceeds what a request may wait at an engine. Without a queue a long backlog hid this. The sender's own measurement is in the notice and doesn't contain the delay.

Ruled out: the belief of the engines' speed.

--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -90,6 +90,8 @@
     slowdown: SlowdownFactor,
     /// Replaces `slowdown` where engines of one service differ much.
     own_speed: Option<EngineSpeed>,
+    /// Whether first tokens are dated by what their senders measured.
+    uses_sender_times: bool,
     cold_start: ColdStart,
 }
 
@@ -126,6 +128,7 @@
             load_updated: Duration::ZERO,
             slowdown: SlowdownFactor::default(),
             own_speed: None,
+            uses_sender_times: false,
             cold_start: ColdStart::default(),
         }
     }
@@ -134,6 +137,13 @@
         self.limits
     }
 
+    /// Starts to date first tokens by what their senders measured, not by when they were reported.
+    /// Where requests wait for the end of a prefill, the delay of reports would leave the engine idle
+    /// after each.
+    pub fn use_sender_times(&mut self) {
+        self.uses_sender_times = true;
+    }
+
     /// Starts to estimate the engine's own speed, with no knowledge of it.
     pub fn start_own_speed(&mut self) {
         self.own_speed = Some(EngineSpeed::default());
@@ -364,8 +374,9 @@
         // Engines prefill in order: a request sent well before this one is prefilled too, or was
         // abandoned by a box that could no longer report it.
         self.pending.retain(|r| placed < r.placed + IN_ORDER_SLACK);
-        self.last_prefill_end =
-            self.last_prefill_end.max(now.as_secs_f64() - speed.fixed_seconds());
+        let first_token = if self.uses_sender_times { now.min(placed + took) } else { now };
+        let end = first_token.as_secs_f64() - speed.fixed_seconds();
+        self.last_prefill_end = self.last_prefill_end.max(end);
         has_changed
     }
 
--- a/src/placement/registry.rs
+++ b/src/placement/registry.rs
@@ -452,5 +452,8 @@
     if tuning.small_batch.estimates_own_speed(limits.slots) {
         engine.start_own_speed();
     }
+    if tuning.small_batch.queues(limits.slots) {
+        engine.use_sender_times();
+    }
     engine
 }
