Refuse a prompt larger than any engine's memory at once

What callers saw: a request that no engine of the group can hold, whatever else ends there, was queued and refused only at the end of its wait.

Cause: the queue took "no engine has room" for a lack of room that passes.

Ruled out: that the predicted wait refuses it already. It does only where reading the prompt takes longer than the request may wait; with engines of little memory it was queued for 125 ms.

Evidence: tests/proxy_queue, a_prompt_larger_than_any_engines_memory_is_ refused_at_once, failed before (Queued within 125 ms); a prompt that just fits still waits.

--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -203,9 +203,13 @@
 
     /// Whether there are a slot and memory for another request.
     pub fn has_room(&self, prompt: &Prompt) -> bool {
-        let needed = u64::from(prompt.tokens) + u64::from(prompt.output_tokens_max);
         self.requests.len() < self.limits.slots as usize
-            && self.running_tokens + needed <= self.limits.memory_tokens
+            && self.running_tokens + tokens_needed(prompt) <= self.limits.memory_tokens
+    }
+
+    /// Whether the engine has the memory for a request, if it runs nothing else.
+    pub fn can_hold(&self, prompt: &Prompt) -> bool {
+        tokens_needed(prompt) <= self.limits.memory_tokens
     }
 
     /// Requests that run or wait here.
@@ -292,7 +296,7 @@
         let work_with_backlog = self.remaining_work(speed, now).plus(work);
         self.load = self.load(tuning, now) + self.prefill_seconds(work, speed, now);
         self.load_updated = now;
-        let tokens = u64::from(prompt.tokens) + u64::from(prompt.output_tokens_max);
+        let tokens = tokens_needed(prompt);
         self.cache.insert(&prompt.parts);
         let copy_time =
             if copied_tokens == 0 { Duration::ZERO } else { self.copy_time(copied_tokens) };
@@ -453,6 +457,11 @@
     }
 }
 
+/// Tokens of memory that a request may come to occupy.
+fn tokens_needed(prompt: &Prompt) -> u64 {
+    u64::from(prompt.tokens) + u64::from(prompt.output_tokens_max)
+}
+
 /// [`PrefixCache::insert`] marks the parts of a prompt from the last to the first.
 fn reversed(parts: &[PromptPart]) -> Vec<PromptPart> {
     parts.iter().rev().copied().collect()
--- a/src/placement/registry/queueing.rs
+++ b/src/placement/registry/queueing.rs
@@ -5,6 +5,7 @@
 use crate::fleet::owners::EngineGroup;
 use crate::placement::engine::Engine;
 use crate::placement::registry::UpstreamRegistry;
+use crate::proxy::adapter::Prompt;
 
 impl UpstreamRegistry {
     /// Whether requests for a group of engines may be queued.
@@ -40,6 +41,15 @@
         free.map(|engine| engine.wait(speed, self.tuning, now)).min()
     }
 
+    /// Whether any engine of a group has the memory for a request, if it runs nothing else. True if
+    /// no engine is known.
+    pub fn can_hold(&self, service: &str, group: EngineGroup, prompt: &Prompt) -> bool {
+        let upstreams = self.index.of_service(service, Some(group));
+        let engines = upstreams.filter_map(|name| self.upstreams.get(name)?.engine.as_ref());
+        let mut engines = engines.peekable();
+        engines.peek().is_none() || engines.any(|engine| engine.can_hold(prompt))
+    }
+
     /// Like the upstreams that a selection considers first: crashed engines have no backlog.
     fn available_engines(
         &self,
--- a/src/placement/waiting.rs
+++ b/src/placement/waiting.rs
@@ -206,7 +206,9 @@
     ) -> Admission<T> {
         let group = query.group.filter(|group| registry.queues_requests(query.service, *group));
         let may_queue = query.purpose != Purpose::Lookup && query.role != Role::Unassigned;
-        let Some(group) = group.filter(|_| may_queue) else {
+        // One that no engine can hold would wait for nothing.
+        let can_hold = |group: &EngineGroup| registry.can_hold(query.service, *group, query.prompt);
+        let Some(group) = group.filter(|_| may_queue).filter(can_hold) else {
             let result = admit::admit_or_redirect(registry, shares, query, now, redirect);
             return Admission::Decided(result, reply);
         };
--- a/tests/proxy_queue.rs
+++ b/tests/proxy_queue.rs
@@ -94,6 +94,10 @@
 
 impl Owner {
     fn new(tuning: Tuning) -> Owner {
+        Owner::with_limits(tuning, LIMITS)
+    }
+
+    fn with_limits(tuning: Tuning, limits: EngineLimits) -> Owner {
         let mut registry = UpstreamRegistry::new(ZoneName::from("a"), tuning);
         for n in 1..=ENGINES {
             let listed = UpstreamListing {
@@ -107,7 +111,7 @@
                 leaving: false,
                 cold_for: None,
             };
-            registry.upsert(listed, Some(LIMITS));
+            registry.upsert(listed, Some(limits));
         }
         let (shares, waiting) = (Shares::new(ms(4000)), WaitingRequests::default());
         Owner { registry, shares, waiting, role: Some(Role::Owner) }
@@ -583,6 +587,19 @@
     assert!(limit(0.95) < limit(0.9));
 }
 
+/// It would have waited for its whole time, and taken the place of one that fits.
+#[test]
+fn a_prompt_larger_than_any_engines_memory_is_refused_at_once() {
+    let limits = EngineLimits { memory_tokens: 5_000, ..LIMITS };
+    let mut owner = Owner::with_limits(tuning(true, 0.7), limits);
+    owner.fill_slots(NOW - ms(500));
+    let too_large = owner.request(1, 1, 4_961, NOW);
+    let Admission::Decided(Err(denial), 1) = too_large else { panic!("{too_large:?}") };
+    assert_eq!(denial.cause, ChoiceError::Full);
+    let fits = owner.request(2, 1, 4_960, NOW);
+    assert!(matches!(fits, Admission::Queued { .. }), "{fits:?}");
+}
+
 /// A crashed engine has no backlog. While 35 of 140 were down, requests were refused at once at a
 /// believed wait of zero, since the queue's engines seemed free and yet took nothing.
 #[test]
