Bound waits by the expected first token where requests wait at the owner

What callers saw: answers came late, since a request might wait for 0.7 of its target in the queue and at its engine, however long its prompt takes to read.

Cause: a fixed share of the target was taken as what may be waited. Now a request waits as long as its first token, as expected at the engine that would return it soonest, still comes in time with a quarter in reserve; at least an eighth of the target. It goes to an engine only if that can begin within 20 ms, or is expected to return the first token in time.

--- a/src/placement/admit.rs
+++ b/src/placement/admit.rs
@@ -37,6 +37,10 @@
 /// The target latency divided by this is the wait that costs a caller nothing.
 const FREE_WAIT_DIVISOR: u32 = 8;
 
+/// First tokens may take longer than expected by this factor and still come in time: engines' steps
+/// vary, and requests of other boxes arrive meanwhile.
+const FIRST_TOKEN_MARGIN: f64 = 1.25;
+
 /// What the owner of the engines, or their standby, is asked to do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Purpose {
@@ -152,17 +156,18 @@
     now: Duration,
     redirect: impl FnOnce(&UpstreamRegistry, Obstacle<'_>) -> Option<EngineGroup>,
 ) -> Result<Choice, Denial> {
-    admit_with_limit(registry, shares, query, Duration::MAX, now, redirect)
+    admit_with_limit(registry, shares, query, None, now, redirect)
 }
 
-/// Like [`admit_or_redirect`], but while the engines are saturated, only workspaces that have used
-/// little of their share may wait longer than `backlog_max` at an engine. An engine's backlog can't
-/// be reordered: one workspace that fills it up makes all others wait.
+/// Like [`admit_or_redirect`]. With a `backlog_max`, no request waits at an engine that would return
+/// its first token too late, and while the engines are saturated, only workspaces that have used
+/// little of their share may wait longer than this at one. An engine's backlog can't be reordered:
+/// one workspace that fills it up makes all others wait.
 pub fn admit_with_limit(
     registry: &mut UpstreamRegistry,
     shares: &mut Shares,
     query: PlacementQuery<'_>,
-    backlog_max: Duration,
+    backlog_max: Option<Duration>,
     now: Duration,
     redirect: impl FnOnce(&UpstreamRegistry, Obstacle<'_>) -> Option<EngineGroup>,
 ) -> Result<Choice, Denial> {
@@ -171,7 +176,7 @@
     let share_used = query.workspace.map_or(0.0, |w| shares.share_used(w, charge, now));
     let (busy, idle) = wait_limits(registry.tuning(), query.target_latency, share_used);
     let any_engine = share_used <= ANY_ENGINE_SHARE_MAX;
-    let busy = if any_engine { busy } else { busy.min(backlog_max) };
+    let busy = backlog_max.filter(|_| !any_engine).map_or(busy, |max| busy.min(max));
     let remaining = busy.saturating_sub(query.waited);
     let criteria = SelectionCriteria {
         service: query.service,
@@ -180,6 +185,7 @@
         wait_max: remaining,
         wait_max_idle: idle.saturating_sub(query.waited),
         first_token_target: Some(query.target_latency.saturating_sub(query.waited)),
+        first_token_max: backlog_max.map(|_| first_token_max(query)),
         any_engine,
         group: query.group,
         version_filter: query.version_filter,
@@ -244,8 +250,8 @@
     })
 }
 
-/// Places a request that has waited in a queue on any engine with a wait of at most `wait_max`. If
-/// there is none, nothing is counted: the request keeps waiting.
+/// Places a request that has waited in a queue on any engine with a wait of at most `wait_max` that
+/// returns the first token in time. If there is none, nothing is counted: the request keeps waiting.
 pub fn place_queued(
     registry: &mut UpstreamRegistry,
     shares: &mut Shares,
@@ -259,6 +265,7 @@
         version_filter: query.version_filter,
         zone: query.zone,
         source: query.source,
+        first_token_max: Some(first_token_max(query)),
         role: query.role,
         ..any
     };
@@ -305,17 +312,24 @@
     COPY_TOKENS_MIN <= choice.prefill_tokens.saturating_sub(own)
 }
 
-/// Returns how long a request may wait in a queue. A workspace that has used its share may wait only
-/// as long as costs its caller nothing: it asks for more than fits, so longer waits would not serve
-/// more of its requests, only each of them later. One that has used little of it may wait as long as
-/// at an engine, and one between these the less the more it has used.
-pub fn queue_limit(tuning: Tuning, target_latency: Duration, share_used: f64) -> Duration {
-    let within = target_latency.mul_f64(tuning.wait_share);
-    let over = (target_latency / FREE_WAIT_DIVISOR).min(within);
+/// Returns how long a request may wait in a queue, if its first token takes this long once an engine
+/// begins. A workspace that has used its share may wait only as long as costs its caller nothing: it
+/// asks for more than fits, so longer waits would not serve more of its requests, only each of them
+/// later. One that has used little of it may wait as long as the answer still comes in time, and one
+/// between these the less the more it has used.
+pub fn queue_limit(target_latency: Duration, first_token: Duration, share_used: f64) -> Duration {
+    let over = target_latency / FREE_WAIT_DIVISOR;
+    let latest = first_token.mul_f64(FIRST_TOKEN_MARGIN);
+    let within = target_latency.saturating_sub(latest).max(over);
     let part = ((1.0 - share_used) / (1.0 - ANY_ENGINE_SHARE_MAX)).clamp(0.0, 1.0);
     over + (within - over).mul_f64(part)
 }
 
+/// The longest expected time to a request's first token with which it still comes in time.
+fn first_token_max(query: PlacementQuery<'_>) -> Duration {
+    query.target_latency.saturating_sub(query.waited).div_f64(FIRST_TOKEN_MARGIN)
+}
+
 /// Returns the longest acceptable wait for an engine where the engines are saturated, and where
 /// they are idle. The wait is limited, not the time to the first token, so that long prompts are
 /// refused no more often than short ones. As the engines saturate, a workspace beyond its share may
--- a/src/placement/choice.rs
+++ b/src/placement/choice.rs
@@ -13,6 +13,9 @@
 use crate::placement::cold::Role;
 use crate::proxy::adapter::Prompt;
 
+/// An engine with a wait of at most this can begin another prompt: part of one step.
+pub const BEGIN_WAIT_MAX: Duration = Duration::from_millis(20);
+
 /// An engine that has part of a prompt cached, from which another engine may copy it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CopySource {
@@ -35,6 +38,9 @@
     pub wait_max_idle: Duration,
     /// When the first token is due; `None` if at no particular time.
     pub first_token_target: Option<Duration>,
+    /// The longest acceptable time to the first token at an engine that can't begin at once; `None`
+    /// if only the wait is limited.
+    pub first_token_max: Option<Duration>,
     /// Whether any engine with an acceptable wait will do, or only the one with the lowest cost.
     pub any_engine: bool,
     /// The engines that may be chosen; `None` allows all of the service.
@@ -68,6 +74,7 @@
             wait_max,
             wait_max_idle: wait_max,
             first_token_target: None,
+            first_token_max: None,
             any_engine: true,
             group: None,
             version_filter: VersionFilter::Any,
--- a/src/placement/registry/queueing.rs
+++ b/src/placement/registry/queueing.rs
@@ -5,6 +5,7 @@
 use crate::fleet::owners::EngineGroup;
 use crate::placement::engine::Engine;
 use crate::placement::registry::UpstreamRegistry;
+use crate::placement::speed::Work;
 use crate::proxy::adapter::Prompt;
 
 impl UpstreamRegistry {
@@ -50,6 +51,25 @@
         engines.peek().is_none() || engines.any(|engine| engine.can_hold(prompt))
     }
 
+    /// The shortest time in which any available engine of a group would return a prompt's first
+    /// token if it began now; `None` if there is no engine.
+    pub fn shortest_first_token(
+        &self,
+        service: &str,
+        group: EngineGroup,
+        prompt: &Prompt,
+        now: Duration,
+    ) -> Option<Duration> {
+        let speed = self.speed(service);
+        let prefill = |engine: &Engine| {
+            let cached = engine.cached_tokens(prompt);
+            engine.prefill_seconds(Work::prefill(cached, prompt.tokens - cached), speed, now)
+        };
+        let shortest =
+            self.available_engines(service, group, now).map(prefill).min_by(f64::total_cmp)?;
+        Duration::try_from_secs_f64(shortest + speed.fixed_seconds()).ok()
+    }
+
     /// Like the upstreams that a selection considers first: crashed engines have no backlog.
     fn available_engines(
         &self,
--- a/src/placement/registry/selection.rs
+++ b/src/placement/registry/selection.rs
@@ -5,6 +5,7 @@
 
 use crate::fleet::owners::EngineGroup;
 use crate::fleet::rollout::VersionFilter;
+use crate::placement::choice::BEGIN_WAIT_MAX;
 use crate::placement::choice::Choice;
 use crate::placement::choice::ChoiceError;
 use crate::placement::choice::CopySource;
@@ -55,6 +56,12 @@
         self.plan.as_ref().map_or(Duration::ZERO, |p| p.wait)
     }
 
+    /// Whether the engine can begin at once, or returns the first token by then.
+    fn is_in_time(&self, first_token_max: Option<Duration>) -> bool {
+        let Some((plan, latest)) = self.plan.as_ref().zip(first_token_max) else { return true };
+        plan.wait <= BEGIN_WAIT_MAX || plan.first_token() <= latest
+    }
+
     /// Engines that produce the first token in time come first, by cost. The others follow, by cost
     /// and lateness.
     fn cmp(&self, other: &Candidate<'_>) -> Ordering {
@@ -81,7 +88,9 @@
         let [when_idle, when_busy] =
             [criteria.wait_max_idle, criteria.wait_max].map(|d| d.as_secs_f64());
         let wait_max = when_idle * (1.0 - saturation) + when_busy * saturation;
-        let is_within_wait_max = |c: &&Candidate<'_>| c.wait().as_secs_f64() <= wait_max;
+        let is_within_wait_max = |c: &&Candidate<'_>| {
+            c.wait().as_secs_f64() <= wait_max && c.is_in_time(criteria.first_token_max)
+        };
         let any_engine = criteria.any_engine || saturation < LOW_SATURATION;
         let cheapest = candidates.iter().min_by(|a, b| a.cost.total_cmp(&b.cost));
         let may_choose = any_engine || cheapest.as_ref().is_some_and(is_within_wait_max);
--- a/src/placement/waiting.rs
+++ b/src/placement/waiting.rs
@@ -17,6 +17,7 @@
 use crate::placement::admit::Obstacle;
 use crate::placement::admit::PlacementQuery;
 use crate::placement::admit::Purpose;
+use crate::placement::choice::BEGIN_WAIT_MAX;
 use crate::placement::choice::Choice;
 use crate::placement::choice::ChoiceError;
 use crate::placement::choice::CopySource;
@@ -30,9 +31,6 @@
 use crate::proxy::adapter::Prompt;
 use crate::proxy::routing_table::Rank;
 
-/// An engine with a wait of at most this can begin another prompt: part of one step.
-const BEGIN_WAIT_MAX: Duration = Duration::from_millis(20);
-
 /// Requests tried at a time while no engine is free, because some may wait at the engine.
 const CANDIDATES_MAX_BUSY: usize = 2;
 
@@ -339,7 +337,8 @@
             });
         }
     }
-    let admitted = admit::admit_with_limit(registry, shares, query, BEGIN_WAIT_MAX, now, redirect);
+    let admitted =
+        admit::admit_with_limit(registry, shares, query, Some(BEGIN_WAIT_MAX), now, redirect);
     let denial = match admitted {
         Ok(choice) => return Ok(choice),
         Err(denial) => denial,
@@ -364,15 +363,17 @@
     item: Item<T>,
     now: Duration,
 ) -> Admission<T> {
-    let tuning = registry.tuning();
     let work = registry.speed(query.service).prefill_seconds(Work::prefill(0, query.prompt.tokens));
+    let group = item.query.group;
+    let first_token = registry.shortest_first_token(query.service, group, query.prompt, now);
+    let first_token = first_token.unwrap_or_default();
     let engine_wait = match denial.cause {
         ChoiceError::Busy { wait } => wait.saturating_sub(BEGIN_WAIT_MAX),
         _ => queue.time_to_drain(work, now),
     };
     queue.set_engine_wait(engine_wait, now);
-    let limit = admit::queue_limit(tuning, query.target_latency, denial.share_used);
-    let longest = admit::queue_limit(tuning, query.target_latency, 0.0);
+    let limit = admit::queue_limit(query.target_latency, first_token, denial.share_used);
+    let longest = admit::queue_limit(query.target_latency, first_token, 0.0);
     let workspace = query.workspace.cloned().unwrap_or_else(WorkspaceName::none);
     let granted = shares.recently_admitted(&workspace, now);
     let within = limit.saturating_sub(query.waited);
@@ -435,6 +436,8 @@
             let queued = queue.get(request)?;
             let wait_max = longest_engine_wait(queued, now);
             let query = queued.item.query.as_query(role);
+            let waited = query.waited + now.saturating_sub(queued.queued_at);
+            let query = PlacementQuery { waited, ..query };
             let choice = admit::place_queued(registry, shares, query, wait_max, now).ok()?;
             Some((request, choice))
         });
