--- a/src/proxy/engine_placement.rs
+++ b/src/proxy/engine_placement.rs
@@ -27,6 +27,7 @@
 use crate::placement::choice::CopySource;
 use crate::placement::cold::Role;
 use crate::placement::connected;
+use crate::placement::decision_ids::DecisionIds;
 use crate::placement::redirect;
 use crate::placement::redirect::Asked;
 use crate::placement::redirect::Attempts;
@@ -79,7 +80,7 @@
     pub decided_by: IpAddr,
     /// That box's role for the engines.
     pub role: Role,
-    /// Identifies the attempt at the boxes that have recorded it.
+    /// Identifies the decision at the boxes that have recorded it.
     pub request: u64,
     /// The boxes that have recorded it, if it is placed. In a small fleet all have, and this is
     /// empty.
@@ -175,15 +176,22 @@
     }
 }
 
-/// Places a request, or says why it isn't placed.
-pub async fn place(hub: &Arc<Hub>, query: PlacementQuery<'_>) -> PlacementDecision {
+/// Places a request, or says why it isn't placed. Decisions after the first one get their ids from
+/// `ids`.
+pub async fn place(
+    hub: &Arc<Hub>,
+    query: PlacementQuery<'_>,
+    ids: &mut DecisionIds,
+) -> PlacementDecision {
     let owners = hub.peers().owners();
     if owners.is_empty() {
         return place_and_broadcast(hub, query);
     }
     let began = hub.now();
     let target_latency = query.target_latency;
-    let (waited, has_headroom) = (query.waited, hub.headroom().is_enabled());
+    let waited = query.waited;
+    let has_headroom = hub.headroom().is_enabled()
+        && hub.read(|view| view.registry().has_headroom_of(query.service));
     let passed = || waited + hub.now().saturating_sub(began);
     let attempts = Attempts { count: 0, last: None, passed: waited, target_latency, has_headroom };
     let mut query = query;
@@ -203,7 +211,8 @@
         query.is_last_group = step.is_last();
         asked.push(group);
         headroom::record_step(hub, step.named, "asked");
-        let decision = place_with_copy_source(hub, query, &owners, group, group_owners).await;
+        let decision = place_with_copy_source(hub, query, ids, &owners, group, group_owners).await;
+        query.request = ids.next_id();
         let Some(decision) = decision else {
             let last = Some(Asked::NoResponse(step));
             let attempts = Attempts { count: asked.len(), last, passed: passed(), ..attempts };
@@ -237,6 +246,7 @@
 async fn place_with_copy_source(
     hub: &Arc<Hub>,
     query: PlacementQuery<'_>,
+    ids: &mut DecisionIds,
     owners: &OwnerTable,
     group: EngineGroup,
     group_owners: GroupOwners,
@@ -245,14 +255,11 @@
     if !decision.may_be_cached_elsewhere() {
         return Some(decision);
     }
-    let source = find_copy_source(hub, query, owners, group).await;
-    place_in_group(
-        hub,
-        PlacementQuery { source, purpose: Purpose::Place, ..query },
-        group,
-        group_owners,
-    )
-    .await
+    let lookup = PlacementQuery { request: ids.next_id(), ..query };
+    let source = find_copy_source(hub, lookup, owners, group).await;
+    let (request, purpose) = (ids.next_id(), Purpose::Place);
+    let query = PlacementQuery { request, source, purpose, ..query };
+    place_in_group(hub, query, group, group_owners).await
 }
 
 /// Places a request by this box's own state, and broadcasts the result. Used in small fleets.
@@ -276,7 +283,8 @@
     PlacementDecision { result, decided_by, role, request, recorded_by, queued, alternative: None }
 }
 
-/// Places a request by the incomplete state of this box, when neither owner nor standby responds.
+/// Places a request by the incomplete state of this box, when neither owner nor standby responds or
+/// can be asked.
 fn place_without_owner(hub: &Hub, query: PlacementQuery<'_>) -> PlacementDecision {
     let role = Role::Unassigned;
     let result =
@@ -284,13 +292,11 @@
     let mut recorded_by = Vec::new();
     if let Ok(choice) = &result {
         let owners = hub.peers().owners().owners_of_hash(upstream::name_hash(&choice.upstream));
-        recorded_by.extend(owners.into_iter().flat_map(GroupOwners::boxes));
         // Without the workspace: its usage is sent by `report_share_usage`.
-        notify_owners(
-            hub,
-            &choice.upstream,
-            &placed_message(&PlacementQuery { workspace: None, ..query }, choice),
-        );
+        let message = placed_message(&PlacementQuery { workspace: None, ..query }, choice);
+        if notify_owners(hub, &choice.upstream, &message) {
+            recorded_by.extend(owners.into_iter().flat_map(GroupOwners::boxes));
+        }
     }
     let (decided_by, request) = (hub.peers().own_ip(), query.request);
     let queued = Duration::ZERO;
@@ -298,7 +304,7 @@
 }
 
 /// Has a request placed by the owner of a group of engines or its standby; `None` if neither
-/// responds.
+/// responds, or the request is too large to ask them.
 async fn place_in_group(
     hub: &Arc<Hub>,
     query: PlacementQuery<'_>,
@@ -368,6 +374,8 @@
                 withdraw(hub, request, group_owners.boxes());
                 continue;
             }
+            // The same for the next box, unless that is this one.
+            Err(NoDecision::NotAsked) => continue,
             Err(NoDecision::Unresponsive) => {
                 info!(hub.log(), "owner did not respond"; "ip" => %ip, "group" => %group)
             }
@@ -378,7 +386,7 @@
     None
 }
 
-/// The id of an attempt at the box that is asked to place it. Each box gets its own id, since its
+/// The id of a decision at the box that is asked for it. Each box gets its own id, since its
 /// decision may arrive too late, after another box has decided.
 pub fn request_id_at(request: u64, ip: IpAddr) -> u64 {
     xxh3_64_with_seed(ip.to_string().as_bytes(), request)
@@ -479,8 +487,11 @@
 ) -> Result<OwnerDecision, NoDecision> {
     let requests = hub.owner_requests();
     let response = requests.register(request);
-    hub.peers().send_now(ip, message);
-    let withdraw = || hub.peers().send_now(ip, &Message::Withdrawn { request });
+    if !hub.peers().send_now(ip, message) {
+        requests.forget(request);
+        return Err(NoDecision::NotAsked);
+    }
+    let withdraw = || _ = hub.peers().send_now(ip, &Message::Withdrawn { request });
     let (timeout, stall_threshold) = (OWNER_RESPONSE_TIMEOUT, STALL_THRESHOLD);
     placement_queue::await_decision(requests, request, response, timeout, stall_threshold, withdraw)
         .await
@@ -555,7 +566,8 @@
 }
 
 /// Sends a placement to the other one of a group's owner and standby, and to boxes that also place
-/// requests there. Returns these boxes. The workspace is left out: its usage is sent by
+/// requests there. Returns these boxes; none if the prompt exceeds a datagram, so that the sender
+/// sends them a record without it. The workspace is left out: its usage is sent by
 /// [`report_share_usage`].
 pub fn notify_other_deciders(
     hub: &Hub,
@@ -566,8 +578,8 @@
     let others =
         in_progress::other_deciders(hub, upstream::name_hash(&choice.upstream), group_owners);
     let message = placed_message(&PlacementQuery { workspace: None, ..*query }, choice);
-    hub.peers().send_batched(others.iter().copied(), &message);
-    others
+    let is_sent = hub.peers().send_batched(others.iter().copied(), &message);
+    if is_sent { others } else { Vec::new() }
 }
 
 fn placed_message(query: &PlacementQuery<'_>, choice: &Choice) -> Message {
@@ -612,13 +624,13 @@
 }
 
 /// Sends a message to the boxes that track the state of an engine. In a small fleet, all boxes do.
-pub fn notify_owners(hub: &Hub, name: &UpstreamName, message: &Message) {
+/// Returns false if owners don't get it because it exceeds a datagram.
+pub fn notify_owners(hub: &Hub, name: &UpstreamName, message: &Message) -> bool {
     let owners = hub.peers().owners();
     if owners.is_empty() {
         hub.peers().broadcast(message);
-        return;
-    }
-    if let Some(group_owners) = owners.owners_of_hash(upstream::name_hash(name)) {
-        hub.peers().send_batched(group_owners.boxes(), message);
+        return true;
     }
+    let group_owners = owners.owners_of_hash(upstream::name_hash(name));
+    group_owners.is_none_or(|owners| hub.peers().send_batched(owners.boxes(), message))
 }
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -14,6 +14,7 @@
 use slog::warn;
 use tokio::sync::Notify;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Clock;
 use crate::fleet::in_progress::received::ReceivedReports;
@@ -125,6 +126,7 @@
             waiting: WaitingRequests::default(),
         };
         let own_requests = RequestTable::new(peers.own_ip(), peers.incarnation());
+        let started = Duration::from_millis(peers.incarnation());
         let held_bound = (cfg.memory_bytes as f64 * cfg.held_share) as usize;
         let hub = Arc::new(Hub {
             inner: Mutex::new(inner),
@@ -142,7 +144,7 @@
             own_requests: Mutex::new(own_requests),
             received_reports: Mutex::default(),
             queue_changed: Notify::new(),
-            headroom: HeadroomState::new(cfg.tuning.small_batch),
+            headroom: HeadroomState::new(cfg.tuning.small_batch, started),
             suspects: Suspects::default(),
             rollouts: RolloutState::new(cfg.exposure),
             probe_requested: Notify::new(),
@@ -335,6 +337,7 @@
         let result = f(&mut inner.view, self.now());
         let changes = inner.view.take_changes();
         let reaches_store = inner.view.reaches_store();
+        self.headroom.set_enabled(inner.view.registry().has_headroom());
         self.examine_queue(&inner);
         drop(inner);
         for change in changes {
@@ -531,6 +534,13 @@
         ReuseRule { is_once_only, trusts_announced }
     }
 
+    /// The hash of the name of an upstream's zone; zero if the upstream isn't listed.
+    pub fn zone_hash(&self, upstream: &UpstreamName) -> u64 {
+        self.read(|view| {
+            view.registry().get(upstream).map_or(0, |listed| xxh3_64(listed.zone.as_bytes()))
+        })
+    }
+
     /// Short hashes of engines of a group to which this box has an idle connection for a request.
     pub fn connected(
         &self,
@@ -579,7 +589,7 @@
         match change {
             Change::Configured(version) => info!(self.log, "configured"; "version" => version),
             Change::Listed(count) => info!(self.log, "upstreams listed"; "count" => count),
-            Change::Upstream(listed) => {
+            Change::Upstream(listed, _) => {
                 info!(self.log, "upstream"; "name" => listed.name.as_str(),
                     "service" => listed.service.as_str(), "addr" => %listed.addr);
             }
@@ -589,7 +599,7 @@
             Change::ReportedLeaving(name) => {
                 info!(self.log, "upstream reported as leaving"; "name" => name.as_str());
             }
-            Change::Gone(name) => {
+            Change::Gone(name, _) => {
                 info!(self.log, "upstream gone"; "name" => name.as_str());
                 suspects::entry_removed(self, name);
             }
@@ -624,11 +634,13 @@
             Change::Leaving(name) => {
                 self.peers.send_to_followers(&Message::Leaving { upstream: name.clone() });
             }
-            Change::Gone(name) => {
-                self.peers.send_to_followers(&Message::Gone { upstream: name.clone() });
+            Change::Gone(name, revision) => {
+                let message = Message::Gone { upstream: name.clone(), revision: *revision };
+                self.peers.send_to_followers(&message);
             }
-            Change::Upstream(listed) => {
-                self.peers.send_to_followers(&Message::Listed(listed.clone()));
+            Change::Upstream(listed, written) => {
+                let message = Message::Listed { listing: listed.clone(), written: *written };
+                self.peers.send_to_followers(&message);
             }
             Change::Configured(_) => self.peers.request_heartbeat(),
             Change::Listed(_)
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -8,13 +8,14 @@
 
 use crate::fleet::draining::DrainNotice;
 use crate::fleet::fingerprint::Fingerprint;
-use crate::fleet::headroom::GroupHeadroom;
+use crate::fleet::headroom::HeadroomAnnouncement;
 use crate::fleet::in_progress::InProgressReport;
 use crate::fleet::in_progress::RequestRecord;
 use crate::fleet::in_progress::ShortId;
 use crate::fleet::members::HeartbeatMessage;
 use crate::fleet::owners::EngineGroup;
 use crate::fleet::quarantine::SuspectReport;
+use crate::fleet::revision::Revision;
 use crate::fleet::rollout::VersionFilter;
 use crate::fleet::rollout::regression::ResponseReport;
 use crate::names::ServiceName;
@@ -42,7 +43,7 @@
     Placed {
         /// The upstream.
         upstream: UpstreamName,
-        /// Identifies the attempt to send it.
+        /// Identifies the decision to send it.
         request: u64,
         /// The prompt.
         prompt: PromptMessage,
@@ -67,7 +68,7 @@
     FirstToken {
         /// The upstream.
         upstream: UpstreamName,
-        /// Identifies the attempt to send it.
+        /// Identifies the decision to send it.
         request: u64,
         /// Time since the request was sent, in milliseconds.
         took_ms: u32,
@@ -76,13 +77,13 @@
     Ended {
         /// The upstream.
         upstream: UpstreamName,
-        /// Identifies the attempt to send it.
+        /// Identifies the decision to send it.
         request: u64,
     },
     /// A placement is withdrawn: the request went to another upstream, or to none because the
     /// decision came too late. It must not be counted at the upstream that was chosen.
     Withdrawn {
-        /// Identifies the attempt to send it.
+        /// Identifies the decision to send it.
         request: u64,
     },
     /// A connection to an upstream failed; other boxes should probe it before they send it
@@ -100,7 +101,12 @@
     /// Tokens that workspaces requested and were granted at the sender.
     ShareUsage(Vec<ShareUsage>),
     /// The store lists an upstream that is new or has changed.
-    Listed(UpstreamListing),
+    Listed {
+        /// The upstream.
+        listing: UpstreamListing,
+        /// The revision of its entry, if known.
+        written: Option<Revision>,
+    },
     /// The store lists an upstream as leaving.
     Leaving {
         /// The upstream.
@@ -110,6 +116,8 @@
     Gone {
         /// The upstream.
         upstream: UpstreamName,
+        /// A revision of the store that lacks it, if known.
+        revision: Option<Revision>,
     },
     /// Outcomes of responses of a service of which a new version is being rolled out.
     ResponseReports {
@@ -137,13 +145,13 @@
     RequestRecords(Vec<RequestRecord>),
     /// The owner has queued a request, and decides within this time.
     Queued {
-        /// Identifies the attempt to send it.
+        /// Identifies the decision to send it.
         request: u64,
         /// Time until the decision is sent at the latest, in milliseconds.
         within_ms: u32,
     },
     /// Free capacity of the groups that the sender owns.
-    Headroom(Vec<GroupHeadroom>),
+    Headroom(HeadroomAnnouncement),
 }
 
 impl Message {
@@ -165,7 +173,7 @@
 /// Asks the owner of a group of engines to place a request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PlacementRequest {
-    /// Identifies the attempt to send the request.
+    /// Identifies the decision.
     pub request: u64,
     /// The engines to choose from.
     pub group: EngineGroup,
@@ -202,7 +210,7 @@
 /// An owner's decision on a [`PlacementRequest`] or a [`PlainPlacementRequest`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PlacementResponse {
-    /// The attempt that the decision is for.
+    /// Identifies the decision.
     pub request: u64,
     /// The chosen upstream, or why none is chosen.
     pub result: Result<Choice, Denial>,
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -381,12 +381,14 @@
         let target = Target {
             addr: choice.addr,
             name_hash: name_hash(&choice.upstream),
+            zone_hash: self.hub.zone_hash(&choice.upstream),
             quota: self.hub.connection_quota(
                 &choice.upstream,
                 self.connections_max,
                 choice.is_counted,
             ),
             reuse_rule: self.hub.reuse_rule(&choice.upstream, self.is_once_only()),
+            gives_up_stalled: self.hold.is_some(),
         };
         let withheld = || {
             let reason = notices::reason_to_withhold(&self.hub, &placed);
--- a/src/proxy/upstream_connections.rs
+++ b/src/proxy/upstream_connections.rs
@@ -39,7 +39,10 @@
 use crate::proxy::connection_reuse::ConnectionCounts;
 use crate::proxy::connection_reuse::OpenCause;
 use crate::proxy::connection_reuse::ReuseRule;
+use crate::proxy::link_activity::LinkActivity;
 use crate::proxy::notices::WithholdReason;
+use crate::proxy::upstream_io::UpstreamIo;
+use crate::proxy::upstream_io::WriteProgress;
 use crate::util;
 
 /// Timeout for connecting: several round trips within a region, but less than the retransmission of
@@ -97,6 +100,9 @@
     /// The response's body broke off.
     #[error(transparent)]
     Body(hyper::Error),
+    /// The upstream takes no more of the request.
+    #[error("the upstream doesn't take the request")]
+    NotTaken,
     /// The upstream has restarted since the request was sent.
     #[error("the upstream has restarted")]
     Restarted,
@@ -108,7 +114,7 @@
 impl Error {
     /// Whether the request certainly did not reach the upstream.
     pub fn is_unsent(&self) -> bool {
-        !matches!(self, Error::NoResponse(_) | Error::Body(_) | Error::Restarted)
+        !matches!(self, Error::NoResponse(_) | Error::Body(_) | Error::NotTaken | Error::Restarted)
     }
 
     /// Whether the connection was refused: the upstream's process has ended, but its machine is
@@ -174,9 +180,13 @@
     pub addr: SocketAddr,
     /// The hash of the upstream's name.
     pub name_hash: u64,
+    /// The hash of its zone's name.
+    pub zone_hash: u64,
     pub quota: ConnectionQuota,
     /// Which idle connections may be used.
     pub reuse_rule: ReuseRule,
+    /// Whether the request is given up if the upstream takes none of it for a while.
+    pub gives_up_stalled: bool,
 }
 
 /// The connections to all upstreams.
@@ -184,6 +194,7 @@
 pub struct UpstreamConnections {
     clock: Arc<Clock>,
     counts: ConnectionCounts,
+    links: LinkActivity,
     by_addr: Mutex<HashMap<SocketAddr, PerUpstream>>,
 }
 
@@ -191,6 +202,8 @@
 struct PerUpstream {
     /// The hash of the name of the upstream that a request was last sent to at this address.
     name_hash: Option<u64>,
+    /// The hash of its zone's name.
+    zone_hash: u64,
     /// See [`ReuseRule`].
     trusts_announced: bool,
     open: u32,
@@ -219,7 +232,7 @@
 }
 
 /// The part of a connection that does its I/O; it must be polled for any progress.
-type Driver = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+type Driver = http1::Connection<TokioIo<UpstreamIo<TcpStream>>, Full<Bytes>>;
 
 /// A connection in use by a request. The task that waits for the response also polls the driver, so
 /// that a chunk of a stream wakes one task and not three. Dropping it closes the connection, so
@@ -229,6 +242,9 @@
     tx: SendRequest<Full<Bytes>>,
     /// `None` once the connection has ended.
     driver: Option<Driver>,
+    progress: Arc<WriteProgress>,
+    /// When its last response was complete; before the first one, when it was opened.
+    last_used: Duration,
     /// The timeout of idle connections that the upstream last announced on it.
     announced: Option<Duration>,
     open_count: OpenCount,
@@ -244,6 +260,7 @@
 struct IdleConnection {
     tx: SendRequest<Full<Bytes>>,
     driver: Arc<Mutex<Option<Driver>>>,
+    progress: Arc<WriteProgress>,
     watcher: AbortHandle,
     idle_since: Duration,
     announced: Option<Duration>,
@@ -272,11 +289,14 @@
 }
 
 impl BusyConnection {
-    /// Keeps the connection for the next request, unless it has ended.
+    /// Keeps the connection for the next request, unless it has ended. A request that wasn't sent on
+    /// it leaves the time of its last use, from which the upstream's timeout counts.
     fn keep_idle(self) {
         let BusyConnection {
             tx,
             driver,
+            progress,
+            last_used: idle_since,
             announced,
             mut open_count,
             opened_at_ms,
@@ -293,12 +313,13 @@
             if driver.is_some() { Poll::Pending } else { Poll::Ready(()) }
         }));
         let (connections, addr) = (open_count.connections.clone(), open_count.addr);
-        let (watcher, idle_since) = (watcher.abort_handle(), connections.clock.now());
+        let watcher = watcher.abort_handle();
         connections.put_idle(
             addr,
             IdleConnection {
                 tx,
                 driver,
+                progress,
                 watcher,
                 idle_since,
                 announced,
@@ -335,12 +356,13 @@
         let IdleConnection {
             tx,
             driver,
+            progress,
             watcher,
+            idle_since: last_used,
             announced,
             mut open_count,
             opened_at_ms,
             is_authentic,
-            ..
         } = self;
         watcher.abort();
         let driver = driver.lock().expect("no panic under lock").take();
@@ -351,6 +373,8 @@
         is_usable.then(|| BusyConnection {
             tx,
             driver,
+            progress,
+            last_used,
             announced,
             open_count,
             opened_at_ms,
@@ -371,6 +395,7 @@
 #[derive(Debug)]
 pub struct UpstreamBody {
     incoming: Incoming,
+    zone_hash: u64,
     conn: BusyConnection,
 }
 
@@ -386,6 +411,9 @@
     /// announces in `headers`.
     pub fn keep(self, headers: &HeaderMap) {
         let mut conn = self.conn;
+        let connections = &conn.open_count.connections;
+        conn.last_used = connections.clock.now();
+        connections.links.record(self.zone_hash, conn.last_used);
         if let Some(timeout) = keep_alive_timeout(headers) {
             conn.announced = Some(timeout);
             conn.open_count.connections.counts.announced(timeout);
@@ -413,8 +441,8 @@
 impl UpstreamConnections {
     /// A set without connections.
     pub fn new(clock: Arc<Clock>) -> Arc<UpstreamConnections> {
-        let (counts, by_addr) = (ConnectionCounts::default(), Mutex::default());
-        Arc::new(UpstreamConnections { clock, counts, by_addr })
+        let (counts, links) = (ConnectionCounts::default(), LinkActivity::default());
+        Arc::new(UpstreamConnections { clock, counts, links, by_addr: Mutex::default() })
     }
 
     /// Connections opened, reused and closed since the start.
@@ -440,8 +468,8 @@
         req: Request<Full<Bytes>>,
         withheld: impl FnOnce() -> Option<WithholdReason>,
     ) -> Result<Response<UpstreamBody>, Error> {
-        let Target { addr, quota, reuse_rule, .. } = target;
-        let mut conn = match self.take_idle(addr, reuse_rule) {
+        let Target { addr, zone_hash, quota, reuse_rule, gives_up_stalled, .. } = target;
+        let mut conn = match self.take_idle(addr, zone_hash, reuse_rule) {
             Ok(conn) => conn,
             Err(cause) => self.connect(addr, quota, cause).await?,
         };
@@ -451,6 +479,9 @@
         }
         let response = conn.tx.send_request(req);
         tokio::pin!(response);
+        let progress = conn.progress.clone();
+        let stalled = progress.wait_stalled();
+        tokio::pin!(stalled);
         let (driver, restart_flag) = (&mut conn.driver, &conn.restart_flag);
         self.register_busy(target, conn.opened_at_ms, restart_flag);
         let resp = std::future::poll_fn(|cx| {
@@ -458,10 +489,15 @@
                 return Poll::Ready(Err(Error::Restarted));
             }
             poll_driver(driver, cx);
-            response.as_mut().poll(cx).map_err(Error::NoResponse)
+            let polled = response.as_mut().poll(cx).map_err(Error::NoResponse);
+            if polled.is_pending() && gives_up_stalled && stalled.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(Err(Error::NotTaken));
+            }
+            polled
         });
         let resp = resp.await?;
-        Ok(resp.map(|incoming| UpstreamBody { incoming, conn }))
+        self.links.record(zone_hash, self.clock.now());
+        Ok(resp.map(|incoming| UpstreamBody { incoming, zone_hash, conn }))
     }
 
     /// Opens a connection and keeps it for the next request.
@@ -483,8 +519,12 @@
         let is_usable = |c: &IdleConnection| {
             !c.tx.is_closed() && reuse_rule.permits(c.idle_time(now), c.announced)
         };
+        let is_link_up = |u: &PerUpstream, c: &IdleConnection| {
+            !reuse_rule.needs_fresh_link(c.idle_time(now)) || self.links.is_fresh(u.zone_hash, now)
+        };
         let in_group = by_addr.values().filter(|u| u.name_hash.as_ref().is_some_and(in_group));
-        let upstreams = in_group.filter(|u| u.idle.iter().any(is_usable));
+        let upstreams =
+            in_group.filter(|u| u.idle.iter().any(|c| is_usable(c) && is_link_up(u, c)));
         let hashes = upstreams.filter_map(|u| u.name_hash);
         hashes.take(CONNECTED_MAX).map(connected::short_hash).collect()
     }
@@ -493,6 +533,7 @@
         let mut by_addr = self.by_addr.lock().expect("no panic under lock");
         let upstream = by_addr.entry(target.addr).or_default();
         upstream.name_hash = Some(target.name_hash);
+        upstream.zone_hash = target.zone_hash;
         upstream.trusts_announced = target.reuse_rule.trusts_announced;
         let busy = &mut upstream.busy;
         busy.retain(|(_, flag)| flag.strong_count() != 0);
@@ -553,6 +594,7 @@
     fn take_idle(
         &self,
         addr: SocketAddr,
+        zone_hash: u64,
         reuse_rule: ReuseRule,
     ) -> Result<BusyConnection, OpenCause> {
         let mut has_closed = false;
@@ -574,6 +616,16 @@
             if idle[at].is_usable() && !reuse_rule.permits(idle_time, idle[at].announced) {
                 return Err(OpenCause::IdleTooLong);
             }
+            if idle[at].is_usable()
+                && reuse_rule.needs_fresh_link(idle_time)
+                && !self.links.is_fresh(zone_hash, now)
+            {
+                // The new one takes its place in the quota.
+                let stale = idle.remove(at);
+                drop(by_addr);
+                stale.close(CloseCause::Expired);
+                return Err(OpenCause::StaleLink);
+            }
             let connection = idle.remove(at);
             // Dropping an `OpenCount` takes the lock.
             drop(by_addr);
@@ -589,7 +641,9 @@
         let mut by_addr = self.by_addr.lock().expect("no panic under lock");
         let upstream = by_addr.entry(addr).or_default();
         if upstream.idle.len() < IDLE_CONNECTIONS_MAX && upstream.open <= upstream.kept_max {
-            upstream.idle.push(connection);
+            let is_longer_idle = |c: &IdleConnection| c.idle_since <= connection.idle_since;
+            let at = upstream.idle.partition_point(is_longer_idle);
+            upstream.idle.insert(at, connection);
             return;
         }
         drop(by_addr);
@@ -609,8 +663,9 @@
             .map_err(|_| Error::ConnectTimeout)?
             .map_err(Error::Connect)?;
         set_tcp_options(&stream).map_err(Error::Connect)?;
+        let (io, progress) = UpstreamIo::new(stream);
         let (tx, driver) = http1::Builder::new()
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(io))
             .await
             .map_err(|e| Error::Connect(std::io::Error::other(e)))?;
         let (opened_at_ms, restart_flag) = (util::unix_millis(), Arc::default());
@@ -618,6 +673,8 @@
         Ok(BusyConnection {
             tx,
             driver: Some(driver),
+            progress,
+            last_used: self.clock.now(),
             announced: None,
             open_count,
             opened_at_ms,
--- a/tests/proxy_held_bytes.rs
+++ b/tests/proxy_held_bytes.rs
@@ -23,6 +23,7 @@
 use frostdyke::proxy::upstream_connections::ConnectionQuota;
 use frostdyke::proxy::upstream_connections::Target;
 use frostdyke::proxy::upstream_connections::UpstreamConnections;
+use frostdyke::proxy::upstream_io::UpstreamIo;
 use frostdyke::web;
 use frostdyke::web::BodyError;
 use http::Request;
@@ -35,6 +36,7 @@
 use slog::Discard;
 use slog::Logger;
 use slog::o;
+use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::time::Instant;
@@ -366,8 +368,10 @@
     let target = Target {
         addr: listener.local_addr().expect("it is bound"),
         name_hash: 1,
+        zone_hash: 1,
         quota: ConnectionQuota { open_max: 1, kept_max: 1 },
         reuse_rule: ReuseRule { is_once_only: true, trusts_announced: true },
+        gives_up_stalled: true,
     };
     let body = Full::new(Bytes::from(vec![0; 32 << 20]));
     let req = Request::post("/x").body(body).expect("it is valid");
@@ -380,6 +384,121 @@
     assert!(!e.is_unsent(), "{e}");
 }
 
+/// Bytes that the fake engine's connection buffers.
+const ENGINE_BUF: usize = 100;
+
+/// Writes a request of `len` bytes to an engine that takes a byte each `interval`, if any. Returns
+/// after which time it is given up; `None` if all is written.
+async fn given_up_after(len: usize, interval: Option<Duration>) -> Option<Duration> {
+    let (io, mut engine) = tokio::io::duplex(ENGINE_BUF);
+    let (mut io, progress) = UpstreamIo::new(io);
+    let (request, started) = (vec![0; len], Instant::now());
+    let engine = tokio::spawn(async move {
+        let Some(interval) = interval else { return std::future::pending().await };
+        loop {
+            tokio::time::sleep(interval).await;
+            engine.read_exact(&mut [0]).await.expect("a byte comes");
+        }
+    });
+    let (write, stalled) = (io.write_all(&request), progress.wait_stalled());
+    tokio::pin!(write, stalled);
+    let given_up = std::future::poll_fn(|cx| match write.as_mut().poll(cx) {
+        Poll::Ready(written) => {
+            written.expect("the engine is there");
+            Poll::Ready(None)
+        }
+        Poll::Pending => stalled.as_mut().poll(cx).map(|()| Some(started.elapsed())),
+    });
+    let given_up = given_up.await;
+    engine.abort();
+    given_up
+}
+
+/// Keep-alive and acknowledgement timers of the kernel don't end a request whose bytes a relay has
+/// accepted, or that a kernel keeps probing: it would hold its body until its deadline.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_the_engine_takes_nothing_of_is_given_up() {
+    assert_eq!(given_up_after(ENGINE_BUF, None).await, None, "it is written");
+    assert_eq!(given_up_after(ENGINE_BUF + 1, None).await, Some(millis(1000)));
+}
+
+/// An engine whose steps are long takes bytes in between; to give up its request costs a run.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_the_engine_takes_slowly_is_not_given_up() {
+    assert_eq!(given_up_after(ENGINE_BUF + 20, Some(millis(900))).await, None);
+    let stuck = given_up_after(ENGINE_BUF + 20, Some(millis(1100))).await;
+    assert_eq!(stuck, Some(millis(1000)));
+}
+
+/// Holders as a plain list that is searched each time.
+#[derive(Default)]
+struct HolderList(Vec<(HolderId, HoldKind, usize, Duration)>);
+
+impl HolderList {
+    fn set(&mut self, id: HolderId, kind: HoldKind, bytes: usize, now: Duration) {
+        if let Some(holder) = self.0.iter_mut().find(|h| h.0 == id)
+            && (holder.1, holder.2) != (kind, bytes)
+        {
+            *holder = (id, kind, bytes, now);
+        }
+    }
+
+    /// The holder that gives way, which is removed.
+    fn take_slowest(
+        &mut self,
+        stall_max: Option<Duration>,
+        now: Duration,
+    ) -> Option<(HolderId, usize)> {
+        let (stall_max, count) = (stall_max?, self.0.len());
+        let total: usize = self.0.iter().map(|h| h.2).sum();
+        let can = self.0.iter().filter(|h| h.1 != HoldKind::Sent && h.2 != 0);
+        let can = can.filter(|h| BOUND < total || total <= 2 * count * h.2);
+        let &(id, _, bytes, since) = can.min_by_key(|h| (h.3, usize::MAX - h.2, h.0))?;
+        if now - since < stall_max {
+            return None;
+        }
+        self.0.retain(|h| h.0 != id);
+        Some((id, bytes))
+    }
+}
+
+/// With thousands of holders, a search through all of them at each change costs more than the
+/// requests; the order that replaces it must choose the same holders.
+#[test]
+fn the_order_of_holders_agrees_with_a_search_through_all() {
+    let mut gave_way = 0;
+    for seed in 0..200 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let (mut held, mut list) = (HeldBytes::new(BOUND), HolderList::default());
+        // Few distinct times, so that many holders are equally slow.
+        let step_ms = rng.random_range(1..300);
+        for step in 0..500 {
+            let now = millis(step / 3 * step_ms);
+            let kind = HoldKind::ALL[rng.random_range(0..HoldKind::ALL.len())];
+            let known = (!list.0.is_empty()).then(|| rng.random_range(0..list.0.len()));
+            match (rng.random_range(0..5), known) {
+                (0, Some(at)) => held.end(list.0.swap_remove(at).0),
+                (1..4, Some(at)) => {
+                    let (id, bytes) = (list.0[at].0, rng.random_range(0..200));
+                    held.set(id, kind, bytes, now);
+                    list.set(id, kind, bytes, now);
+                }
+                _ => list.0.push((held.begin(kind, now), kind, 0, now)),
+            }
+            loop {
+                let expected = list.take_slowest(held.stall_max(), now);
+                let taken = held.take_slowest(now).map(|g| (g.id, g.bytes));
+                assert_eq!(taken, expected, "seed {seed}, step {step}");
+                gave_way += usize::from(taken.is_some());
+                if taken.is_none() {
+                    break;
+                }
+            }
+        }
+    }
+    assert!(1_000 < gave_way, "{gave_way}");
+}
+
 /// Below the bound, holders of little gave way beside a large one, though they freed next to
 /// nothing.
 #[test]
