Logs: the version that serves a request, and the attempt that a caller takes up

Callers saw streams that went on at another software version. Boxes' lines could not show it: which attempt a caller takes up was not read, and an upstream's version had to be looked up in the operators' log.

placed has upstream_version, resumes and after; stream resumed has both versions; frostdyke_streams_resumed_total counts by whether they are the same. No decision uses any of it. No line more than before.

Told apart by it: hypothesis 1 (placed with resumes, at another upstream_version than the placed of the attempt that it names), 2 (stream resumed with two versions), 3 (placed without upstream_version, or with another one than the record of the upstream).

--- a/src/proxy/adapter.rs
+++ b/src/proxy/adapter.rs
@@ -42,6 +42,15 @@
     pub prompt: Option<Prompt>,
     /// The last event that the caller received in an earlier attempt.
     pub resume_after: Option<u64>,
+    /// The id of the attempt that returned the first event of the stream that the caller resumes.
+    pub first_attempt: Option<String>,
+}
+
+impl RequestHead {
+    /// Whether the caller has received a part of the response in an earlier attempt.
+    pub fn is_resumption(&self) -> bool {
+        self.resume_after.is_some() || self.first_attempt.is_some()
+    }
 }
 
 /// The size of a model's input and output, and the parts of the input.
--- a/src/proxy/proxy_metrics.rs
+++ b/src/proxy/proxy_metrics.rs
@@ -9,6 +9,7 @@
 use opentelemetry::metrics::Histogram;
 
 use crate::metrics::Metrics;
+use crate::names::VersionName;
 use crate::names::WorkspaceName;
 use crate::placement::registry::own_speed::AdoptedSpeeds;
 use crate::placement::share::TokenCounts;
@@ -63,6 +64,7 @@
     queue_waits: Histogram<f64>,
     announcements: Counter<u64>,
     redirects: Counter<u64>,
+    streams_resumed: Counter<u64>,
 }
 
 impl ProxyMetrics {
@@ -107,6 +109,7 @@
             queue_waits: histogram("frostdyke_queue_seconds"),
             announcements: meter.u64_counter("frostdyke_headroom_announcements").build(),
             redirects: meter.u64_counter("frostdyke_redirects").build(),
+            streams_resumed: meter.u64_counter("frostdyke_streams_resumed").build(),
             metrics,
         }
     }
@@ -313,6 +316,17 @@
         self.half_open_probes.add(1, &[]);
     }
 
+    /// Counts a broken stream that this box resumes at another upstream, by whether both have the
+    /// same version.
+    pub fn stream_resumed(&self, began_at: Option<&VersionName>, version: Option<&VersionName>) {
+        let version = match began_at.zip(version) {
+            Some((began_at, version)) if began_at == version => "same",
+            Some(_) => "other",
+            None => "unknown",
+        };
+        self.streams_resumed.add(1, &[KeyValue::new("version", version)]);
+    }
+
     /// Counts records of requests in progress that a report of their sender has corrected.
     pub fn requests_corrected(&self, how: &'static str, count: usize) {
         if count != 0 {
--- a/src/proxy/stream_relay.rs
+++ b/src/proxy/stream_relay.rs
@@ -20,6 +20,7 @@
 use slog::info;
 use tokio::time::Sleep;
 
+use crate::names::VersionName;
 use crate::proxy::placed_request::PlacedRequest;
 use crate::proxy::request;
 use crate::proxy::request::RequestContext;
@@ -262,8 +263,12 @@
                 () = timed_out => None,
             };
             if let Some(resumed) = &resumed {
+                let (began_at, version) = (ctx.response_version.as_ref(), resumed.placed.version());
                 info!(ctx.hub.log(), "stream resumed"; "id" => &ctx.head.id, "after" => after,
-                    "upstream" => resumed.placed.upstream().as_str());
+                    "upstream" => resumed.placed.upstream().as_str(),
+                    "began_at_version" => began_at.map(VersionName::as_str),
+                    "upstream_version" => version.map(VersionName::as_str));
+                ctx.hub.metrics().stream_resumed(began_at, version);
             }
             (ctx, resumed)
         }));
--- a/src/proxy/upstream_selection.rs
+++ b/src/proxy/upstream_selection.rs
@@ -8,6 +8,7 @@
 
 use crate::fleet::rollout::VersionFilter;
 use crate::names::UpstreamName;
+use crate::names::VersionName;
 use crate::names::WorkspaceName;
 use crate::placement::admit::Denial;
 use crate::placement::admit::PlacementQuery;
@@ -233,7 +234,12 @@
         if choice.is_probe {
             self.hub.metrics().half_open_probe();
         }
+        let upstream_version = self.hub.read(|view| {
+            view.registry().get(&choice.upstream).map(|listed| listed.version.clone())
+        });
         info!(self.hub.log(), "placed"; "id" => &self.head.id, "route" => &self.route.name,
+            "resumes" => self.head.first_attempt.as_deref(), "after" => self.head.resume_after,
+            "upstream_version" => upstream_version.as_ref().map(VersionName::as_str),
             "workspace" => self.workspace.as_ref().map(WorkspaceName::as_str),
             "upstream" => choice.upstream.as_str(), "prompt" => self.head.prompt.as_ref().map_or(0, |p| p.tokens),
             "own" => self.head.prompt.as_ref().and_then(|p| p.parts.last()).map_or(0, |p| p.tokens),
