Streams go on only at the version that began them, at any box

Cause: which version began a stream lived in the process that relayed it, for one attempt, and counted only while a roll-out was ordered. A caller's next attempt, at any box, was placed like a new request (hypothesis 1); a box's own resumption had VersionFilter::Any without an order (2).

Ruled out as enough: a record after the first event (a kill in between loses it); records at the boxes that track the upstream (the caller doesn't name it); the version from a hash of the attempt (ambiguous whenever the versions change); a fact a stream in the store (its rates).

Change: the relaying box records the version before the first event is passed on, and announces it to the boxes that the caller may return to while several versions may be in use; a box without a record asks them; without any record the version follows only where no other can have begun the stream, by a history of versions that survives a restart of all boxes in the store. Not known or gone: 503 at once, not run, without Retry-After. VersionFilter::Only(version) at selection, at the owner's choice and right before the write. On the wire owners get names to exclude, so boxes of the build before understand it. Resumes of an older caller with several versions and no Resumes header are refused, too.

Why it works: no path guesses. A record is written before the caller has the event; a lost record makes the stream unknown, and unknown is refused (proptest: no combination of truthful replies gives another version).

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -12,4 +12,5 @@
 pub mod revision;
 pub mod rollout;
 pub mod store_watch;
+pub mod stream_versions;
 pub mod sync_state;
--- a/src/fleet/rollout.rs
+++ b/src/fleet/rollout.rs
@@ -15,6 +15,7 @@
 use serde::Serialize;
 
 use crate::fleet::revision::Revision;
+use crate::fleet::stream_versions::VersionId;
 use crate::names::ServiceName;
 use crate::names::VersionName;
 
@@ -111,6 +112,9 @@
     Target,
     /// Engines of all other versions.
     Others,
+    /// Engines of one version, because it began the stream. Other boxes don't receive this: boxes of
+    /// an earlier build can't decode it.
+    Only(VersionId),
 }
 
 /// Progress of a service's roll-out, as boxes report it to each other.
--- a/src/fleet/sync_state.rs
+++ b/src/fleet/sync_state.rs
@@ -7,7 +7,7 @@
 use crate::fleet::revision::Revision;
 
 /// An older report says nothing about what its box lists now.
-const REPORT_AGE_MAX: Duration = Duration::from_millis(1500);
+pub const REPORT_AGE_MAX: Duration = Duration::from_millis(1500);
 
 /// What another box last reported about its upstream list.
 #[derive(Clone, Copy, Debug)]
--- a/src/placement/registry.rs
+++ b/src/placement/registry.rs
@@ -27,6 +27,7 @@
 use crate::fleet::in_progress::LEASE;
 use crate::fleet::owners::EngineGroup;
 use crate::fleet::rollout::VersionFilter;
+use crate::fleet::stream_versions::VersionId;
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
 use crate::names::VersionName;
@@ -163,6 +164,9 @@
 
     fn matches_version_filter(&self, version_filter: VersionFilter, upstream: &Upstream) -> bool {
         let listed = &upstream.listed;
+        if let VersionFilter::Only(version) = version_filter {
+            return VersionId::new(&listed.service, &listed.version) == version;
+        }
         // The usual case comes first: nothing is being rolled out.
         version_filter == VersionFilter::Any
             || matches!(
@@ -172,13 +176,47 @@
             || self.version_filter_for(&listed.service, &listed.version) == version_filter
     }
 
-    /// Whether an upstream may get a request with this filter. An upstream that is not listed may.
+    /// Whether an upstream may get a request with this filter. An upstream that is not listed may,
+    /// unless its version matters.
     pub fn allows_version_filter(
         &self,
         name: &UpstreamName,
         version_filter: VersionFilter,
     ) -> bool {
-        self.upstreams.get(name).is_none_or(|u| self.matches_version_filter(version_filter, u))
+        let Some(upstream) = self.upstreams.get(name) else {
+            return !matches!(version_filter, VersionFilter::Only(_));
+        };
+        self.matches_version_filter(version_filter, upstream)
+    }
+
+    /// The versions of a service's upstreams, including those that are leaving.
+    pub fn versions(&self, service: &str) -> impl Iterator<Item = &VersionName> {
+        self.index.versions(service)
+    }
+
+    /// The versions of all services' upstreams, including those that are leaving.
+    pub fn all_versions(&self) -> impl Iterator<Item = (&ServiceName, &VersionName)> {
+        self.index.all_versions()
+    }
+
+    /// The upstreams of a service that have another version than this one.
+    pub fn of_other_versions(
+        &self,
+        service: &str,
+        group: Option<EngineGroup>,
+        version: VersionId,
+    ) -> impl Iterator<Item = &UpstreamName> {
+        self.index
+            .of_service(service, group)
+            .filter(move |name| !self.allows_version_filter(name, VersionFilter::Only(version)))
+    }
+
+    /// Whether a service has an upstream of this version that accepts requests.
+    pub fn accepts_version(&self, service: &str, version: VersionId) -> bool {
+        let of_service = self.index.of_service(service, None);
+        of_service.filter_map(|name| self.upstreams.get(name)).any(|u| {
+            self.is_accepting(u) && self.matches_version_filter(VersionFilter::Only(version), u)
+        })
     }
 
     /// Slots of a service's upstreams that accept requests: those of this version, and those of all
--- a/src/placement/registry/index.rs
+++ b/src/placement/registry/index.rs
@@ -11,6 +11,7 @@
 use crate::fleet::owners::EngineGroup;
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
+use crate::names::VersionName;
 use crate::placement::upstream::Upstream;
 use crate::util::mix_bits;
 
@@ -24,6 +25,8 @@
 pub(super) struct Index {
     by_hash: BTreeMap<ServiceName, BTreeMap<(u64, UpstreamName), IsEngine>>,
     leaving: BTreeSet<(ServiceName, UpstreamName)>,
+    /// Number of upstreams by service and version.
+    versions: BTreeMap<ServiceName, BTreeMap<VersionName, usize>>,
     addrs: FxHashMap<SocketAddr, u32>,
     engine_count: usize,
     digest: u64,
@@ -42,6 +45,8 @@
         } else {
             self.digest = self.digest.wrapping_add(mix_bits(u.hash));
         }
+        let versions = self.versions.entry(service.clone()).or_default();
+        *versions.entry(u.listed.version.clone()).or_default() += 1;
         let entries = self.by_hash.entry(service).or_default();
         entries.insert((u.hash, name), u.engine.is_some());
     }
@@ -56,6 +61,14 @@
                 self.addrs.remove(&listed.addr);
             }
         }
+        if let Some(versions) = self.versions.get_mut(&listed.service)
+            && let Some(count) = versions.get_mut(&listed.version)
+        {
+            *count -= 1;
+            if *count == 0 {
+                versions.remove(&listed.version);
+            }
+        }
         if listed.leaving {
             self.leaving.remove(&(listed.service.clone(), listed.name.clone()));
         } else {
@@ -94,6 +107,17 @@
             .map(|((_, name), _)| name)
     }
 
+    /// The versions of a service's upstreams.
+    pub(super) fn versions(&self, service: &str) -> impl Iterator<Item = &VersionName> {
+        self.versions.get(service).into_iter().flat_map(BTreeMap::keys)
+    }
+
+    /// The versions of all services' upstreams.
+    pub(super) fn all_versions(&self) -> impl Iterator<Item = (&ServiceName, &VersionName)> {
+        let services = self.versions.iter();
+        services.flat_map(|(service, versions)| versions.keys().map(move |v| (service, v)))
+    }
+
     /// The upstreams of a group, whatever their service.
     pub(super) fn of_group(&self, group: EngineGroup) -> impl Iterator<Item = &UpstreamName> {
         self.by_hash.keys().flat_map(move |service| self.of_service(service, Some(group)))
--- a/src/proxy/adapter.rs
+++ b/src/proxy/adapter.rs
@@ -300,6 +300,28 @@
     fn delete(&self, fingerprint: &Fingerprint) -> BoxFuture<'static, Result<(), StoreError>>;
 }
 
+/// Stores which versions of services are in use, of services that have several. The entries must
+/// outlive the boxes. Any box may write them. They may be lost when the store is restored from an
+/// older copy.
+pub trait VersionStore: Send + Sync {
+    /// Saves a version. One that is already saved is left unchanged.
+    fn save(
+        &self,
+        service: &ServiceName,
+        version: &VersionName,
+    ) -> BoxFuture<'static, Result<(), StoreError>>;
+
+    /// All saved versions; those of the last seconds may be missing.
+    fn load_all(&self) -> BoxFuture<'static, Result<Vec<(ServiceName, VersionName)>, StoreError>>;
+
+    /// Deletes a saved version.
+    fn delete(
+        &self,
+        service: &ServiceName,
+        version: &VersionName,
+    ) -> BoxFuture<'static, Result<(), StoreError>>;
+}
+
 /// Reports the progress of roll-outs where the operator reads it.
 pub trait RolloutReporter: Send + Sync {
     /// Writes the state of the roll-out of `target`, unless another one was ordered meanwhile or it
--- a/src/proxy/admission.rs
+++ b/src/proxy/admission.rs
@@ -16,6 +16,7 @@
 use crate::proxy::hub::Hub;
 use crate::proxy::refusal::Refusal;
 use crate::proxy::request::RequestContext;
+use crate::proxy::required_version::RequiredVersion;
 use crate::proxy::routing_table::Rank;
 use crate::proxy::routing_table::Route;
 use crate::proxy::routing_table::RoutingTable;
@@ -61,7 +62,8 @@
         deadline: arrived + timeout,
         tried: Vec::new(),
         sends: 0,
-        response_version: None,
+        required_version: RequiredVersion::Any,
+        is_version_recorded: false,
         broken_sends: 0,
         in_flight_guard: hub.track_request(),
         unsent_guard: Some(hub.track_unsent()),
--- a/src/proxy/box_api.rs
+++ b/src/proxy/box_api.rs
@@ -19,6 +19,7 @@
 
 use crate::fleet::owners::EngineGroup;
 use crate::fleet::quarantine::SuspectReport;
+use crate::fleet::stream_versions::StreamVersionsReport;
 use crate::placement::registry::learned::LearnedReport;
 use crate::proxy::ShutdownPhase;
 use crate::proxy::http_client;
@@ -48,6 +49,9 @@
 /// Path of the requests that a box holds back, encoded with postcard.
 const HELD_PATH: &str = "/v1/held";
 
+/// Path of the versions that began streams, encoded with postcard.
+const STREAM_VERSIONS_PATH: &str = "/v1/stream-versions";
+
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
@@ -118,6 +122,11 @@
     Ok(postcard::from_bytes(&fetch(addr, HELD_PATH).await?)?)
 }
 
+/// Fetches which versions began streams from another box.
+pub async fn fetch_stream_versions(addr: SocketAddr) -> Result<StreamVersionsReport, FetchError> {
+    Ok(postcard::from_bytes(&fetch(addr, STREAM_VERSIONS_PATH).await?)?)
+}
+
 async fn fetch(addr: SocketAddr, path: &str) -> Result<Bytes, FetchError> {
     let (status, body) = HttpClient::new(addr).get(path, REQUEST_TIMEOUT).await?;
     if status != StatusCode::OK {
@@ -198,6 +207,9 @@
             }
             LEARNED_PATH => Some(self.learned(None)),
             HELD_PATH => Some(self.held()),
+            STREAM_VERSIONS_PATH => {
+                Some(postcard_response(&self.hub.stream_versions().report(self.hub.now())))
+            }
             METRICS_PATH => Some(Response::new(Bytes::from(self.hub.metrics().render()))),
             path => Some(
                 self.parameterized(path).unwrap_or_else(|| empty_response(StatusCode::NOT_FOUND)),
--- a/src/proxy/engine_placement.rs
+++ b/src/proxy/engine_placement.rs
@@ -17,6 +17,7 @@
 use crate::fleet::owners::GroupOwners;
 use crate::fleet::owners::OwnerTable;
 use crate::fleet::rollout::VersionFilter;
+use crate::fleet::stream_versions::VersionId;
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
 use crate::placement::admit::Denial;
@@ -435,8 +436,8 @@
         workspace: query.workspace.cloned(),
         rank: query.rank,
         zone: hub.peers().zone().clone(),
-        excluded: excluded_in(query, group),
-        version_filter: query.version_filter,
+        excluded: excluded_in(hub, query, group),
+        version_filter: sent_version_filter(hub, query.service, query.version_filter),
         latency_target_ms: duration_ms(query.target_latency),
         waited_ms: duration_ms(query.waited),
         source: query.source,
@@ -447,10 +448,39 @@
     }
 }
 
-/// The excluded upstreams that belong to a group.
-fn excluded_in(query: &PlacementQuery<'_>, group: EngineGroup) -> Vec<UpstreamName> {
+/// The excluded upstreams that belong to a group, and those of other versions if one is required.
+fn excluded_in(hub: &Hub, query: &PlacementQuery<'_>, group: EngineGroup) -> Vec<UpstreamName> {
     let in_group = query.excluded.iter().filter(|name| group.contains(upstream::name_hash(name)));
-    in_group.take(EXCLUDED_MAX).cloned().collect()
+    let others = of_other_versions(hub, query.service, Some(group), query.version_filter);
+    in_group.cloned().chain(others).take(EXCLUDED_MAX).collect()
+}
+
+/// The upstreams of a service that don't have the required version; none if no single one is
+/// required.
+pub fn of_other_versions(
+    hub: &Hub,
+    service: &str,
+    group: Option<EngineGroup>,
+    version_filter: VersionFilter,
+) -> Vec<UpstreamName> {
+    let VersionFilter::Only(version) = version_filter else { return Vec::new() };
+    hub.read(|view| view.registry().of_other_versions(service, group, version).cloned().collect())
+}
+
+/// The filter that is sent to an owner. Boxes of an earlier build can't decode
+/// [`VersionFilter::Only`]; the upstreams of other versions are excluded by name instead.
+pub fn sent_version_filter(
+    hub: &Hub,
+    service: &str,
+    version_filter: VersionFilter,
+) -> VersionFilter {
+    let VersionFilter::Only(version) = version_filter else { return version_filter };
+    hub.read(|view| {
+        let registry = view.registry();
+        let mut versions = registry.versions(service);
+        let required = versions.find(|name| VersionId::new(service, name) == version);
+        required.map_or(VersionFilter::Any, |name| registry.version_filter_for(service, name))
+    })
 }
 
 /// A duration in milliseconds, as messages between boxes carry it.
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -56,6 +56,7 @@
 use crate::proxy::rollouts::RolloutState;
 use crate::proxy::routing_table::RoutingTable;
 use crate::proxy::settings::Settings;
+use crate::proxy::stream_versions::StreamVersions;
 use crate::proxy::suspects;
 use crate::proxy::suspects::Suspects;
 use crate::proxy::upstream_connections::ConnectionQuota;
@@ -83,6 +84,7 @@
     headroom: HeadroomState,
     suspects: Suspects,
     rollouts: RolloutState,
+    stream_versions: StreamVersions,
     probe_requested: Notify,
     is_warm: AtomicBool,
     streams: Arc<AtomicUsize>,
@@ -147,6 +149,7 @@
             headroom: HeadroomState::new(cfg.tuning.small_batch, started),
             suspects: Suspects::default(),
             rollouts: RolloutState::new(cfg.exposure),
+            stream_versions: StreamVersions::default(),
             probe_requested: Notify::new(),
             is_warm: AtomicBool::new(false),
             streams: Arc::default(),
@@ -493,6 +496,11 @@
         &self.rollouts
     }
 
+    /// Which versions began streams.
+    pub fn stream_versions(&self) -> &StreamVersions {
+        &self.stream_versions
+    }
+
     /// Accesses the shares of workspaces at engines.
     pub fn shares<T>(&self, f: impl FnOnce(&mut Shares) -> T) -> T {
         f(&mut self.inner.lock().expect("no panic under lock").shares)
@@ -615,6 +623,7 @@
                 warn!(self.log, "store came back from an older copy"; "era" => era);
                 self.metrics.store_restored();
                 self.suspects.save_again();
+                self.stream_versions.save_again();
             }
             Change::Restarted(name, addr, started_at_ms) => {
                 let cut = self.upstream_connections.close_before_restart(*addr, *started_at_ms);
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -18,6 +18,9 @@
 use crate::fleet::revision::Revision;
 use crate::fleet::rollout::VersionFilter;
 use crate::fleet::rollout::regression::ResponseReport;
+use crate::fleet::stream_versions::StreamId;
+use crate::fleet::stream_versions::StreamRecord;
+use crate::fleet::stream_versions::VersionEvidence;
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
 use crate::names::VersionName;
@@ -152,6 +155,12 @@
     },
     /// Free capacity of the groups that the sender owns.
     Headroom(HeadroomAnnouncement),
+    /// The versions that began streams of the sender.
+    StreamRecords(Vec<StreamRecord>),
+    /// Asks which version began a stream.
+    StreamQuery(StreamQuery),
+    /// The reply to [`Message::StreamQuery`].
+    StreamReply(StreamReply),
 }
 
 impl Message {
@@ -207,6 +216,28 @@
     pub connected: Vec<u16>,
 }
 
+/// Asks which version began a stream that a caller resumes at the asking box.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamQuery {
+    /// Identifies the query at the asking box.
+    pub query: u64,
+    /// The stream; `None` if the caller doesn't name it.
+    pub stream: Option<StreamId>,
+    /// The service.
+    pub service: ServiceName,
+}
+
+/// What a box knows of a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamReply {
+    /// The query.
+    pub query: u64,
+    /// The record of the stream, if the box has one.
+    pub record: Option<StreamRecord>,
+    /// What it knows without one.
+    pub evidence: VersionEvidence,
+}
+
 /// An owner's decision on a [`PlacementRequest`] or a [`PlainPlacementRequest`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PlacementResponse {
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -36,6 +36,7 @@
 pub mod reachability;
 pub mod refusal;
 pub mod request;
+pub mod required_version;
 pub mod response_body;
 pub mod retry_budget;
 pub mod rollouts;
@@ -43,6 +44,7 @@
 pub mod settings;
 pub mod state_updates;
 pub mod stream_relay;
+pub mod stream_versions;
 pub mod suspects;
 pub mod upstream_connections;
 pub mod upstream_io;
@@ -83,6 +85,7 @@
 use crate::proxy::adapter::RolloutReporter;
 use crate::proxy::adapter::StoreWatcher;
 use crate::proxy::adapter::SuspectStore;
+use crate::proxy::adapter::VersionStore;
 use crate::proxy::capacity::StreamLimiter;
 use crate::proxy::connection_limiter::ConnectionLimiter;
 use crate::proxy::connection_reuse::ConnectionLog;
@@ -142,6 +145,8 @@
     pub store_watcher: Arc<dyn StoreWatcher>,
     /// Persists reports on requests that may crash upstreams.
     pub suspect_store: Arc<dyn SuspectStore>,
+    /// Persists which versions of services are in use.
+    pub version_store: Arc<dyn VersionStore>,
     /// Reports the progress of roll-outs to the operator.
     pub rollout_reporter: Arc<dyn RolloutReporter>,
 }
@@ -194,6 +199,9 @@
     if !cfg.is_first_start {
         tokio::spawn(suspects::load_saved(hub.clone(), deps.suspect_store));
     }
+    let version_store = deps.version_store;
+    tokio::spawn(stream_versions::save(hub.clone(), version_store.clone()));
+    tokio::spawn(stream_versions::load(hub.clone(), version_store, cfg.is_first_start));
     store_due.send_replace(hub.peers().is_store_due());
     tokio::spawn(run_housekeeping(hub.clone(), store_due));
     tokio::spawn(reachability::run(hub.clone()));
@@ -264,6 +272,7 @@
         hub.change(view::View::expire);
         hub.suspects().expire(hub.now());
         own_speeds::log_changes(&hub);
+        stream_versions::refresh(&hub);
         let engines = hub.read(|view| view.registry().engine_count());
         if hub.peers().refresh(engines) {
             let owners = hub.peers().owners();
--- a/src/proxy/notices.rs
+++ b/src/proxy/notices.rs
@@ -14,6 +14,7 @@
 
 use crate::fleet::draining::DrainNotice;
 use crate::fleet::owners::GroupOwners;
+use crate::fleet::rollout::VersionFilter;
 use crate::names::UpstreamName;
 use crate::placement::upstream;
 use crate::proxy::adapter::EngineQueryError;
@@ -48,6 +49,9 @@
     /// This box backs off from the upstream, or the upstream's slow start after a backoff admits no
     /// more requests for now.
     Backoff,
+    /// The upstream isn't of the version that began the stream: its entry has changed since it was
+    /// chosen, or the box that chose it lists another one.
+    Version,
 }
 
 impl WithholdReason {
@@ -56,15 +60,23 @@
         match self {
             WithholdReason::Closed => "closed",
             WithholdReason::Backoff => "backoff",
+            WithholdReason::Version => "version",
         }
     }
 }
 
 /// Returns why a request must not be sent to the upstream on which it is placed; `None` if it may
 /// be.
-pub fn reason_to_withhold(hub: &Hub, placed: &PlacedRequest) -> Option<WithholdReason> {
+pub fn reason_to_withhold(
+    hub: &Hub,
+    placed: &PlacedRequest,
+    version_filter: VersionFilter,
+) -> Option<WithholdReason> {
     let (upstream, now) = (placed.upstream(), hub.now());
     hub.read(|view| {
+        if !view.registry().allows_version_filter(upstream, version_filter) {
+            return Some(WithholdReason::Version);
+        }
         if view.is_barred(upstream) {
             return Some(WithholdReason::Closed);
         }
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -32,6 +32,8 @@
 use crate::fleet::store_watch;
 use crate::fleet::store_watch::WatchInputs;
 use crate::fleet::store_watch::ZoneBox;
+use crate::fleet::stream_versions;
+use crate::fleet::stream_versions::StreamId;
 use crate::fleet::sync_state;
 use crate::fleet::sync_state::SyncState;
 use crate::fleet::sync_state::UpstreamListReport;
@@ -539,6 +541,62 @@
         })
     }
 
+    /// Returns the boxes that hold the record of a stream in a large fleet.
+    pub fn stream_holders(&self, stream: StreamId) -> BTreeSet<IpAddr> {
+        let now = self.now();
+        let (zone, fleet) = self.members(|members| {
+            let fleet: Vec<IpAddr> = members.live(now).map(|(ip, _)| ip).collect();
+            (members.live_in_zone(&self.zone, now), fleet)
+        });
+        stream_versions::holders(stream, &zone, &fleet)
+    }
+
+    /// Returns the boxes to ask which version began a stream: in a small fleet all, otherwise those
+    /// that hold its record.
+    pub fn boxes_to_ask(&self, stream: Option<StreamId>) -> Vec<IpAddr> {
+        if !self.owners().is_empty() {
+            let stream = stream.into_iter();
+            return stream.flat_map(|stream| self.stream_holders(stream)).collect();
+        }
+        let now = self.now();
+        self.members(|members| members.live(now).map(|(ip, _)| ip).collect())
+    }
+
+    /// Returns the address of a live box, drawn anew each time.
+    pub fn any_box(&self) -> Option<SocketAddr> {
+        let now = self.now();
+        self.members(|members| {
+            let reports = members.live(now).filter_map(|(_, member)| member.report.as_ref());
+            reports.map(|report| report.addr).choose(&mut rand::rng())
+        })
+    }
+
+    /// Whether this box's list of upstreams, which is complete up to `revision`, is as recent as
+    /// that of a box that reaches the store.
+    pub fn follows_store(&self, revision: Revision) -> bool {
+        let now = self.now();
+        let is_followed = |(report, age): (&BoxReport, Duration)| {
+            report.reaches_store && age < sync_state::REPORT_AGE_MAX && report.revision <= revision
+        };
+        self.members(|members| {
+            let mut reports =
+                members.live(now).filter_map(|(_, member)| member.report_with_age(now));
+            reports.any(is_followed)
+        })
+    }
+
+    /// Whether this box has the lowest address among the live boxes that reach the store, if it
+    /// does.
+    pub fn is_first_with_store(&self) -> bool {
+        let now = self.now();
+        let reaches_store =
+            |member: &Member| member.report.as_ref().is_some_and(|report| report.reaches_store);
+        self.members(|members| {
+            let mut others = members.live(now).filter(|(_, member)| reaches_store(member));
+            others.all(|(ip, _)| self.me.ip() < ip)
+        })
+    }
+
     /// Returns a hash of a name that differs between boxes.
     pub fn own_draw(&self, name: &str) -> u32 {
         xxh3_64(format!("{}/{name}", self.me.ip()).as_bytes()) as u32
--- a/src/proxy/plain_placement.rs
+++ b/src/proxy/plain_placement.rs
@@ -101,8 +101,10 @@
             continue;
         }
         let request = engine_placement::request_id_at(query.request, ip);
-        let message =
-            Message::PlainPlacementRequest(placement_request(&PlainQuery { request, ..query }));
+        let message = Message::PlainPlacementRequest(placement_request(
+            hub,
+            &PlainQuery { request, ..query },
+        ));
         match engine_placement::request_decision(hub, ip, request, &message).await {
             Ok(OwnerDecision { result: Ok(choice), recorded_by, .. })
                 if engine_placement::is_stale_choice(hub, ip, &choice, query.version_filter) =>
@@ -196,14 +198,17 @@
     result
 }
 
-fn placement_request(query: &PlainQuery<'_>) -> PlainPlacementRequest {
+fn placement_request(hub: &Hub, query: &PlainQuery<'_>) -> PlainPlacementRequest {
+    let (service, version_filter) = (query.service, query.version_filter);
+    let others = engine_placement::of_other_versions(hub, service, None, version_filter);
+    let excluded = query.excluded.iter().cloned().chain(others);
     PlainPlacementRequest {
         request: query.request,
         service: ServiceName::from(query.service),
         workspace: query.workspace.cloned(),
         zone: query.zone.clone(),
-        excluded: query.excluded.iter().take(engine_placement::EXCLUDED_MAX).cloned().collect(),
-        version_filter: query.version_filter,
+        excluded: excluded.take(engine_placement::EXCLUDED_MAX).collect(),
+        version_filter: engine_placement::sent_version_filter(hub, service, version_filter),
         latency_target_ms: engine_placement::duration_ms(query.target_latency),
         waited_ms: engine_placement::duration_ms(query.waited),
         is_repeatable: query.is_repeatable,
--- a/src/proxy/proxy_metrics.rs
+++ b/src/proxy/proxy_metrics.rs
@@ -21,6 +21,7 @@
 use crate::proxy::hub::Hub;
 use crate::proxy::own_speeds;
 use crate::proxy::placed_request::FirstTokenTiming;
+use crate::proxy::stream_versions::Source;
 use crate::proxy::view::View;
 
 /// Bucket bounds of the time histograms, denser around the usual target latencies.
@@ -65,6 +66,7 @@
     announcements: Counter<u64>,
     redirects: Counter<u64>,
     streams_resumed: Counter<u64>,
+    stream_versions_found: Counter<u64>,
 }
 
 impl ProxyMetrics {
@@ -109,6 +111,7 @@
             queue_waits: histogram("frostdyke_queue_seconds"),
             announcements: meter.u64_counter("frostdyke_headroom_announcements").build(),
             redirects: meter.u64_counter("frostdyke_redirects").build(),
+            stream_versions_found: meter.u64_counter("frostdyke_stream_versions_found").build(),
             streams_resumed: meter.u64_counter("frostdyke_streams_resumed").build(),
             metrics,
         }
@@ -139,6 +142,8 @@
         gauge("frostdyke_proxy_turned_away", |hub| hub.rejected() as u64);
         gauge("frostdyke_proxy_connections", |hub| hub.connections() as u64);
         gauge("frostdyke_held_bytes", |hub| hub.held().map_or(0, |held| held.total() as u64));
+        gauge("frostdyke_stream_versions", |hub| hub.stream_versions().record_count() as u64);
+        gauge("frostdyke_stream_versions_evicted", |hub| hub.stream_versions().evicted_count());
         gauge("frostdyke_messages_oversized", |hub| hub.peers().oversized_count());
         gauge("frostdyke_boxes_alive", |hub| hub.peers().live_count() as u64 + 1);
         gauge("frostdyke_groups_kept", |hub| {
@@ -327,6 +332,11 @@
         self.streams_resumed.add(1, &[KeyValue::new("version", version)]);
     }
 
+    /// Counts a caller's attempt to resume a stream, by how its version was found out.
+    pub fn stream_version_found(&self, source: Source) {
+        self.stream_versions_found.add(1, &[KeyValue::new("source", source.code())]);
+    }
+
     /// Counts records of requests in progress that a report of their sender has corrected.
     pub fn requests_corrected(&self, how: &'static str, count: usize) {
         if count != 0 {
--- a/src/proxy/refusal.rs
+++ b/src/proxy/refusal.rs
@@ -63,6 +63,13 @@
         /// When a retry is worthwhile.
         retry_after: Duration,
     },
+    /// The caller resumes a stream, and it isn't known which version began it. Not run.
+    #[error("it isn't known which version began this stream; not run; send a new request")]
+    VersionUnknown,
+    /// The caller resumes a stream, and the service has no upstream of the version that began it.
+    /// Not run.
+    #[error("no upstream has the version that began this stream; not run; send a new request")]
+    VersionGone,
     /// An upstream's response was truncated or invalid; the request may have run.
     #[error("the upstream failed; the request may have run")]
     Broken,
@@ -86,6 +93,8 @@
             Refusal::NoUpstream { .. } => "no-upstream",
             Refusal::Overloaded { .. } => "overloaded",
             Refusal::CrashesUpstreams { .. } => "ends-upstreams",
+            Refusal::VersionUnknown => "version-unknown",
+            Refusal::VersionGone => "version-gone",
             Refusal::Broken => "broken",
             Refusal::TimedOut => "timed-out",
         }
@@ -103,7 +112,9 @@
             | Refusal::BoxBusy
             | Refusal::NoUpstream { .. }
             | Refusal::Overloaded { .. }
-            | Refusal::CrashesUpstreams { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            | Refusal::CrashesUpstreams { .. }
+            | Refusal::VersionUnknown
+            | Refusal::VersionGone => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::Broken => StatusCode::BAD_GATEWAY,
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -23,7 +23,6 @@
 use crate::fleet::fingerprint::RequestContent;
 use crate::names::ServiceName;
 use crate::names::UpstreamName;
-use crate::names::VersionName;
 use crate::names::WorkspaceName;
 use crate::placement::choice::Choice;
 use crate::placement::upstream::Health;
@@ -44,6 +43,7 @@
 use crate::proxy::reachability;
 use crate::proxy::refusal;
 use crate::proxy::refusal::Refusal;
+use crate::proxy::required_version::RequiredVersion;
 use crate::proxy::response_body;
 use crate::proxy::response_body::Body;
 use crate::proxy::routing_table::Rank;
@@ -105,8 +105,10 @@
     pub tried: Vec<UpstreamName>,
     /// Sends so far.
     pub sends: u32,
-    /// The version of the upstream that began the response.
-    pub response_version: Option<VersionName>,
+    /// Which version must serve the request.
+    pub required_version: RequiredVersion,
+    /// Whether the version has been recorded for the boxes that the caller may return to.
+    pub is_version_recorded: bool,
     /// Sends that broke off.
     pub broken_sends: u32,
     /// The expected and the actual time of the first token, once it has arrived.
@@ -234,6 +236,9 @@
 
     /// Sends the request, repeatedly if necessary, until there is a response to pass on.
     async fn send_until_response(&mut self) -> Result<Box<UpstreamResponse>, Refusal> {
+        if self.route.streaming && self.head.is_resumption() {
+            self.find_required_version().await?;
+        }
         let mut unsent_attempts = 0;
         let mut earlier = EarlierSends::default();
         loop {
@@ -249,10 +254,7 @@
                 Err(cause) => return earlier.give_up(cause),
             };
             match self.send(&choice, placed, None).await {
-                SendOutcome::Response(response) => {
-                    self.response_version = response.placed.version().cloned();
-                    return Ok(response);
-                }
+                SendOutcome::Response(response) => return Ok(response),
                 SendOutcome::NotSent(e) => {
                     info!(self.hub.log(), "request not sent"; "id" => &self.head.id,
                         "upstream" => choice.upstream.as_str(), "error" => util::error_chain(&e));
@@ -390,8 +392,9 @@
             reuse_rule: self.hub.reuse_rule(&choice.upstream, self.is_once_only()),
             gives_up_stalled: self.hold.is_some(),
         };
+        let version_filter = self.required_version_filter();
         let withheld = || {
-            let reason = notices::reason_to_withhold(&self.hub, &placed);
+            let reason = notices::reason_to_withhold(&self.hub, &placed, version_filter);
             if reason.is_none() {
                 self.set_held(HoldKind::Sent);
             }
@@ -501,8 +504,9 @@
 
     /// Requests the rest of a broken stream from another upstream.
     pub async fn resume(&mut self, after: Option<u64>) -> Option<Box<UpstreamResponse>> {
-        let is_repeatable =
-            self.route.repeat == Repeat::AfterEvent && self.sends < self.route.max_upstreams;
+        let is_repeatable = self.route.repeat == Repeat::AfterEvent
+            && self.sends < self.route.max_upstreams
+            && self.required_version != RequiredVersion::Unknown;
         while is_repeatable
             && !self.remaining().is_zero()
             && self.check_quarantine().await.is_none()
--- a/src/proxy/rollouts.rs
+++ b/src/proxy/rollouts.rs
@@ -112,22 +112,13 @@
         self.with(|inner| inner.rollouts.version_filter(service, draw, now))
     }
 
-    /// Returns which versions may resume a response that an engine of the version `started_by` has
-    /// started.
-    pub fn version_filter_for(
-        &self,
-        service: &str,
-        started_by: &VersionName,
-        now: Duration,
-    ) -> VersionFilter {
-        if !self.has_rollouts() {
-            return VersionFilter::Any;
-        }
-        self.with(|inner| match inner.rollouts.target(service, now) {
-            None => VersionFilter::Any,
-            Some(target) if target == started_by => VersionFilter::Target,
-            Some(_) => VersionFilter::Others,
-        })
+    /// Whether a version must get no more requests, because its roll-out was reverted.
+    pub fn is_withdrawn(&self, service: &str, version: &VersionName, now: Duration) -> bool {
+        self.has_rollouts()
+            && self.with(|inner| {
+                inner.rollouts.target(service, now) == Some(version)
+                    && inner.rollouts.share(service, now) == Some(0.0)
+            })
     }
 
     /// Whether a request for which the new version has no capacity may go to other versions.
--- a/src/proxy/state_updates.rs
+++ b/src/proxy/state_updates.rs
@@ -23,6 +23,7 @@
 use crate::proxy::notices;
 use crate::proxy::placement_queue;
 use crate::proxy::rollouts;
+use crate::proxy::stream_versions;
 use crate::proxy::suspects;
 use crate::proxy::view::View;
 
@@ -189,6 +190,9 @@
         Message::UnknownRequests(ids) => in_progress::handle_unknown(hub, &ids, sender),
         Message::RequestRecords(records) => in_progress::handle_records(hub, &records, sender),
         Message::Headroom(announcement) => headroom::receive(hub, &announcement, sender),
+        Message::StreamRecords(records) => stream_versions::handle_records(hub, &records),
+        Message::StreamQuery(query) => stream_versions::handle_query(hub, &query, sender),
+        Message::StreamReply(reply) => stream_versions::handle_reply(hub, reply, sender),
         // Handled by `Peers`.
         Message::Heartbeat(_)
         | Message::PlacementRequest(_)
--- a/src/proxy/stream_relay.rs
+++ b/src/proxy/stream_relay.rs
@@ -226,7 +226,12 @@
         if ctx.route.repeat != Repeat::AfterEvent {
             return Some(chunk);
         }
-        Some(self.events.push(&chunk)).filter(|events| !events.is_empty())
+        let events = self.events.push(&chunk);
+        if events.is_empty() {
+            return None;
+        }
+        ctx.require_version_of(&source.placed);
+        Some(events)
     }
 
     /// Ends a stream that is complete; returns the bytes that have not been passed on yet.
@@ -263,7 +268,7 @@
                 () = timed_out => None,
             };
             if let Some(resumed) = &resumed {
-                let (began_at, version) = (ctx.response_version.as_ref(), resumed.placed.version());
+                let (began_at, version) = (ctx.began_at_version(), resumed.placed.version());
                 info!(ctx.hub.log(), "stream resumed"; "id" => &ctx.head.id, "after" => after,
                     "upstream" => resumed.placed.upstream().as_str(),
                     "began_at_version" => began_at.map(VersionName::as_str),
--- /dev/null
+++ b/src/proxy/stream_versions.rs
@@ -0,0 +1,414 @@
+//! Finds out which version of a service's software began a stream that a caller resumes at this
+//! box, and announces the versions of this box's own streams.
+//!
+//! While only one version may be in use, records stay at the box that relays the stream. As soon as
+//! there may be others, records are sent to the boxes that callers may return to, before the first
+//! event is passed on. A box without a record asks these boxes.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use rustc_hash::FxHashMap;
+use slog::debug;
+use slog::info;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::fleet::stream_versions;
+use crate::fleet::stream_versions::StreamId;
+use crate::fleet::stream_versions::StreamRecord;
+use crate::fleet::stream_versions::StreamRecords;
+use crate::fleet::stream_versions::StreamVersionsReport;
+use crate::fleet::stream_versions::VersionEvidence;
+use crate::fleet::stream_versions::VersionHistory;
+use crate::fleet::stream_versions::VersionId;
+use crate::names::ServiceName;
+use crate::names::VersionName;
+use crate::proxy::adapter::VersionStore;
+use crate::proxy::box_api;
+use crate::proxy::hub::Hub;
+use crate::proxy::message::Message;
+use crate::proxy::message::StreamQuery;
+use crate::proxy::message::StreamReply;
+
+/// How long to wait for replies to a query, and how often it is sent to a box that doesn't reply,
+/// since a datagram may be lost. A reply takes several round trips within a region, and the pauses
+/// of a healthy box under load.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(40);
+const QUERY_ATTEMPTS: usize = 2;
+
+/// Records per message, so that it fits a datagram.
+const RECORDS_PER_MESSAGE: usize = 40;
+
+/// Time between attempts to load records and versions after the start, and their number.
+const LOAD_INTERVAL: Duration = Duration::from_millis(500);
+const LOAD_ATTEMPTS_MAX: u32 = 120;
+
+/// A box that has found no other one after this many attempts is the only one.
+const LONE_ATTEMPTS: u32 = 20;
+
+/// Time between checks whether the versions in the store have to change.
+const SAVE_INTERVAL: Duration = Duration::from_millis(1000);
+
+/// How the version of a stream was found out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// This box has a record.
+    Recorded,
+    /// Other boxes have one.
+    Asked,
+    /// No other version may have begun the stream.
+    OnlyVersion,
+    /// It isn't known.
+    Unknown,
+}
+
+impl Source {
+    /// The source as a word for logs and metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            Source::Recorded => "recorded",
+            Source::Asked => "asked",
+            Source::OnlyVersion => "only-version",
+            Source::Unknown => "unknown",
+        }
+    }
+}
+
+/// Which versions began streams, as far as this box knows.
+#[derive(Debug, Default)]
+pub struct StreamVersions {
+    inner: Mutex<Inner>,
+    queries: Mutex<Queries>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    records: StreamRecords,
+    history: VersionHistory,
+    /// Versions that are in the store because of this box, or were when it started.
+    saved: BTreeSet<(ServiceName, VersionName)>,
+}
+
+/// Queries that await replies.
+#[derive(Debug, Default)]
+struct Queries {
+    last: u64,
+    pending: FxHashMap<u64, mpsc::UnboundedSender<(IpAddr, StreamReply)>>,
+}
+
+impl StreamVersions {
+    fn with<T>(&self, f: impl FnOnce(&mut Inner) -> T) -> T {
+        f(&mut self.inner.lock().expect("no panic under lock"))
+    }
+
+    fn queries<T>(&self, f: impl FnOnce(&mut Queries) -> T) -> T {
+        f(&mut self.queries.lock().expect("no panic under lock"))
+    }
+
+    /// Number of records.
+    pub fn record_count(&self) -> usize {
+        self.with(|inner| inner.records.len())
+    }
+
+    /// Number of records that gave way to others.
+    pub fn evicted_count(&self) -> u64 {
+        self.with(|inner| inner.records.evicted())
+    }
+
+    /// Saves the versions in the store again, since it was restored from an older copy.
+    pub fn save_again(&self) {
+        self.with(|inner| inner.saved.clear());
+    }
+
+    /// What a box that has just started needs.
+    pub fn report(&self, now: Duration) -> StreamVersionsReport {
+        self.with(|inner| StreamVersionsReport {
+            records: inner.records.all(now),
+            history: inner.history.all(now),
+            is_complete: inner.history.is_complete(now),
+        })
+    }
+}
+
+/// Records which version began a stream that this box relays, before its first event is passed on.
+pub fn record(hub: &Hub, service: &ServiceName, record: StreamRecord) {
+    let now = hub.now();
+    let due = hub.stream_versions().with(|inner| {
+        inner.records.record_own(service, record, now);
+        let is_needed = record.version.is_none()
+            || !inner.history.is_complete(now)
+            || 1 < inner.history.of_service(service, now).len();
+        if is_needed { inner.records.take_unannounced(service, now) } else { Vec::new() }
+    });
+    announce(hub, &due);
+}
+
+/// Updates the versions that may be in use, and announces own streams that began while there was
+/// only one; to be called several times a second.
+pub fn refresh(hub: &Hub) {
+    let now = hub.now();
+    let listed: Vec<(ServiceName, VersionName)> = hub.read(|view| {
+        let versions = view.registry().all_versions();
+        versions.map(|(service, version)| (service.clone(), version.clone())).collect()
+    });
+    let due: Vec<StreamRecord> = hub.stream_versions().with(|inner| {
+        listed.iter().for_each(|(service, version)| inner.history.note(service, version, now));
+        inner.history.expire(now);
+        inner.records.expire(now);
+        let ambiguous = inner.history.ambiguous(now);
+        ambiguous.keys().flat_map(|s| inner.records.take_unannounced(s, now)).collect()
+    });
+    announce(hub, &due);
+}
+
+/// Sends own records to the boxes that callers may return to. They are sent at once and in
+/// datagrams of their own: boxes of an earlier build ignore the rest of a datagram that they can't
+/// decode.
+fn announce(hub: &Hub, records: &[StreamRecord]) {
+    if hub.peers().owners().is_empty() {
+        for records in records.chunks(RECORDS_PER_MESSAGE) {
+            hub.peers().broadcast_now(&Message::StreamRecords(records.to_vec()));
+        }
+        return;
+    }
+    for record in records {
+        let message = Message::StreamRecords(vec![*record]);
+        for ip in hub.peers().stream_holders(record.stream) {
+            hub.peers().send_now(ip, &message);
+        }
+    }
+}
+
+/// Applies another box's records.
+pub fn handle_records(hub: &Hub, records: &[StreamRecord]) {
+    let now = hub.now();
+    hub.stream_versions().with(|inner| {
+        records.iter().for_each(|record| inner.records.merge(record, now));
+    });
+}
+
+/// Replies to another box's query.
+pub fn handle_query(hub: &Hub, query: &StreamQuery, from: IpAddr) {
+    let reply = StreamReply {
+        query: query.query,
+        record: query.stream.and_then(|stream| recorded(hub, stream)),
+        evidence: own_evidence(hub, &query.service),
+    };
+    hub.peers().send_now(from, &Message::StreamReply(reply));
+}
+
+/// Delivers a reply to the task that awaits it, if there still is one.
+pub fn handle_reply(hub: &Hub, reply: StreamReply, from: IpAddr) {
+    hub.stream_versions().queries(|queries| {
+        if let Some(tx) = queries.pending.get(&reply.query) {
+            // The task may just have ended.
+            let _ = tx.send((from, reply));
+        }
+    });
+}
+
+/// Finds out which version began a stream of the service; `None` if it can't be told. `stream` is
+/// `None` if the caller doesn't name it.
+pub async fn find(
+    hub: &Hub,
+    stream: Option<StreamId>,
+    service: &ServiceName,
+) -> (Option<VersionId>, Source) {
+    if let Some(record) = stream.and_then(|stream| recorded(hub, stream)) {
+        return (record.version, Source::Recorded);
+    }
+    let boxes = hub.peers().boxes_to_ask(stream);
+    let (id, rx) = hub.stream_versions().queries(|queries| {
+        let (tx, rx) = mpsc::unbounded_channel();
+        queries.last += 1;
+        queries.pending.insert(queries.last, tx);
+        (queries.last, rx)
+    });
+    let pending = PendingQuery { hub, id, rx };
+    let message = Message::StreamQuery(StreamQuery { query: id, stream, service: service.clone() });
+    let replies = pending.ask(&boxes, &message).await;
+    let records: Vec<Option<VersionId>> =
+        replies.values().filter_map(|reply| Some(reply.record?.version)).collect();
+    // A majority of all boxes, of which `known_count` includes those that died lately.
+    let is_majority = hub.peers().known_count() < 2 * (replies.len() + 1);
+    let evidence: Vec<VersionEvidence> = replies
+        .into_values()
+        .map(|reply| reply.evidence)
+        .chain([own_evidence(hub, service)])
+        .collect();
+    let version = stream_versions::resolve(&records, &evidence, is_majority);
+    let source = match (version, records.is_empty()) {
+        (None, _) => Source::Unknown,
+        (Some(_), false) => Source::Asked,
+        (Some(_), true) => Source::OnlyVersion,
+    };
+    (version, source)
+}
+
+/// A query that awaits replies until it is dropped.
+struct PendingQuery<'a> {
+    hub: &'a Hub,
+    id: u64,
+    rx: mpsc::UnboundedReceiver<(IpAddr, StreamReply)>,
+}
+
+impl PendingQuery<'_> {
+    /// Asks boxes until all have replied, one of them has a record, or the time is up.
+    async fn ask(mut self, boxes: &[IpAddr], message: &Message) -> BTreeMap<IpAddr, StreamReply> {
+        let mut replies = BTreeMap::new();
+        for _ in 0..QUERY_ATTEMPTS {
+            let missing = boxes.iter().filter(|ip| !replies.contains_key(*ip));
+            missing.for_each(|ip| _ = self.hub.peers().send_now(*ip, message));
+            let timeout_at = Instant::now() + REPLY_TIMEOUT;
+            while replies.len() < boxes.len() {
+                let received = tokio::time::timeout_at(timeout_at, self.rx.recv()).await;
+                let Ok(Some((from, reply))) = received else { break };
+                let has_record = reply.record.is_some();
+                replies.insert(from, reply);
+                if has_record {
+                    return replies;
+                }
+            }
+        }
+        replies
+    }
+}
+
+impl Drop for PendingQuery<'_> {
+    fn drop(&mut self) {
+        self.hub.stream_versions().queries(|queries| _ = queries.pending.remove(&self.id));
+    }
+}
+
+fn recorded(hub: &Hub, stream: StreamId) -> Option<StreamRecord> {
+    let now = hub.now();
+    hub.stream_versions().with(|inner| inner.records.get(stream, now))
+}
+
+fn own_evidence(hub: &Hub, service: &ServiceName) -> VersionEvidence {
+    let now = hub.now();
+    let (listed, reaches_store, revision) = hub.read(|view| {
+        let listed: BTreeSet<VersionName> = view.registry().versions(service).cloned().collect();
+        (listed, view.reaches_store(), view.revision())
+    });
+    hub.stream_versions().with(|inner| {
+        let versions = inner.history.of_service(service, now);
+        let id = |version: &VersionName| VersionId::new(service, version);
+        VersionEvidence {
+            versions: versions.iter().chain(&listed).map(id).collect(),
+            is_complete: inner.history.is_complete(now),
+            is_current: reaches_store || hub.peers().follows_store(revision),
+        }
+    })
+}
+
+/// Loads the records and versions that this box lacks after a restart: from another box, and the
+/// versions also from the store, since all boxes may have restarted at once.
+pub async fn load(hub: Arc<Hub>, store: Arc<dyn VersionStore>, is_first_start: bool) {
+    if is_first_start {
+        // No stream has begun before.
+        hub.stream_versions().with(|inner| inner.history.set_complete());
+        return;
+    }
+    let mut is_loaded = false;
+    for attempt in 0..LOAD_ATTEMPTS_MAX {
+        let is_fetched = fetch_from_box(&hub).await;
+        if !is_loaded && hub.peers().is_store_due() {
+            is_loaded = load_from_store(&hub, &*store).await;
+        }
+        let is_complete = hub.stream_versions().with(|inner| inner.history.is_complete(hub.now()));
+        if is_complete && (is_fetched || LONE_ATTEMPTS <= attempt) {
+            return;
+        }
+        tokio::time::sleep(LOAD_INTERVAL).await;
+    }
+}
+
+async fn fetch_from_box(hub: &Hub) -> bool {
+    let Some(addr) = hub.peers().any_box() else { return false };
+    let report = match box_api::fetch_stream_versions(addr).await {
+        Ok(report) => report,
+        Err(e) => {
+            debug!(hub.log(), "could not fetch versions of streams from box"; "addr" => %addr,
+                "error" => %e);
+            return false;
+        }
+    };
+    info!(hub.log(), "versions of streams fetched"; "addr" => %addr,
+        "records" => report.records.len(), "is_complete" => report.is_complete);
+    handle_records(hub, &report.records);
+    note_versions(hub, &report.history, report.is_complete);
+    true
+}
+
+async fn load_from_store(hub: &Hub, store: &dyn VersionStore) -> bool {
+    let all = match store.load_all().await {
+        Ok(all) => all,
+        Err(e) => {
+            info!(hub.log(), "versions of services not loaded"; "error" => %e);
+            return false;
+        }
+    };
+    let mut history: BTreeMap<ServiceName, BTreeSet<VersionName>> = BTreeMap::new();
+    for (service, version) in &all {
+        history.entry(service.clone()).or_default().insert(version.clone());
+    }
+    hub.stream_versions().with(|inner| inner.saved.extend(all));
+    note_versions(hub, &history, true);
+    true
+}
+
+fn note_versions(
+    hub: &Hub,
+    history: &BTreeMap<ServiceName, BTreeSet<VersionName>>,
+    is_complete: bool,
+) {
+    let now = hub.now();
+    hub.stream_versions().with(|inner| {
+        for (service, versions) in history {
+            versions.iter().for_each(|version| inner.history.note(service, version, now));
+        }
+        if is_complete {
+            inner.history.set_complete();
+        }
+    });
+}
+
+/// Keeps the versions of services that have several in the store, until the process ends. One box
+/// does so for all.
+pub async fn save(hub: Arc<Hub>, store: Arc<dyn VersionStore>) {
+    loop {
+        tokio::time::sleep(SAVE_INTERVAL).await;
+        if !hub.read(|view| view.reaches_store()) || !hub.peers().is_first_with_store() {
+            continue;
+        }
+        let now = hub.now();
+        let (due, obsolete) = hub.stream_versions().with(|inner| {
+            let ambiguous = inner.history.ambiguous(now);
+            let wanted: BTreeSet<(ServiceName, VersionName)> = ambiguous
+                .into_iter()
+                .flat_map(|(s, versions)| versions.into_iter().map(move |v| (s.clone(), v)))
+                .collect();
+            let due: Vec<_> = wanted.difference(&inner.saved).cloned().collect();
+            let obsolete: Vec<_> = inner.saved.difference(&wanted).cloned().collect();
+            (due, obsolete)
+        });
+        for entry in due {
+            match store.save(&entry.0, &entry.1).await {
+                Ok(()) => hub.stream_versions().with(|inner| _ = inner.saved.insert(entry)),
+                Err(e) => info!(hub.log(), "version of a service not saved"; "error" => %e),
+            }
+        }
+        for entry in obsolete {
+            match store.delete(&entry.0, &entry.1).await {
+                Ok(()) => hub.stream_versions().with(|inner| _ = inner.saved.remove(&entry)),
+                Err(e) => debug!(hub.log(), "version of a service not deleted"; "error" => %e),
+            }
+        }
+    }
+}
--- a/src/proxy/upstream_selection.rs
+++ b/src/proxy/upstream_selection.rs
@@ -42,7 +42,7 @@
         let version_filter = self.version_filter();
         let mut decision = self.decide(&mut ids, version_filter).await;
         let target_denied = version_filter == VersionFilter::Target && decision.result.is_err();
-        if target_denied && self.response_version.is_none() && self.may_fall_back() {
+        if target_denied && self.may_fall_back() {
             // A request that is placed after all doesn't count as refused.
             let PlacementDecision { request, decided_by, .. } = decision;
             engine_placement::withdraw(&self.hub, request, [decided_by].into_iter());
@@ -74,10 +74,12 @@
     /// The versions that may serve the request. A response that has begun is resumed by the version
     /// that began it.
     fn version_filter(&self) -> VersionFilter {
-        let (rollouts, now) = (self.hub.rollouts(), self.hub.now());
-        match &self.response_version {
-            Some(version) => rollouts.version_filter_for(&self.service, version, now),
-            None => rollouts.version_filter(&self.service, &self.head.id, now),
+        match self.required_version_filter() {
+            VersionFilter::Any => {
+                let now = self.hub.now();
+                self.hub.rollouts().version_filter(&self.service, &self.head.id, now)
+            }
+            required => required,
         }
     }
 
@@ -194,6 +196,9 @@
 
     /// The refusal of a request that isn't placed.
     fn refusal(&self, denial: &Denial) -> Refusal {
+        if denial.cause == ChoiceError::NoUpstream && !self.has_required_version() {
+            return Refusal::VersionGone;
+        }
         if let Some(wait) = denial.retry_after {
             let draw = xxh3_64(self.head.id.as_bytes());
             let retry_after = drain::retry_after(wait, draw, self.remaining());
