Resumption: a stream that broke off waits from then on, not since it arrived

Callers lost streams whose upstream broke off late: the box found an upstream but refused it as busy (wait_max 0), unless it was idle.

Cause: the time since the request arrived counted as its wait, so a stream that had run for longer than the target latency had none of it left. The time for which it ran is no wait; its caller waits since the break. Until the first complete event it does wait since it arrived, as before.

Evidence: not placed with wait_ms 2 and wait_max_ms 0 in the kept log of a_box_resumes_its_broken_streams_at_their_version; that test and streams_that_break_off_late_are_resumed_together (one version, four streams, one upstream left) failed before and pass now.

--- a/src/proxy/admission.rs
+++ b/src/proxy/admission.rs
@@ -59,6 +59,7 @@
         body: Bytes::new(),
         fingerprint: OnceLock::new(),
         arrived,
+        waiting_since: arrived,
         deadline: arrived + timeout,
         tried: Vec::new(),
         sends: 0,
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -99,6 +99,9 @@
     pub fingerprint: OnceLock<Fingerprint>,
     /// When the head arrived, by the hub's clock.
     pub arrived: Duration,
+    /// Since when the caller waits for the next event, by the hub's clock: since the request
+    /// arrived, or since its stream broke off.
+    pub waiting_since: Duration,
     /// When the response must be complete, by the hub's clock.
     pub deadline: Duration,
     /// Upstreams that it was sent to or that could not be reached.
--- a/src/proxy/stream_relay.rs
+++ b/src/proxy/stream_relay.rs
@@ -260,6 +260,9 @@
         // The next upstream sends the incomplete event again.
         let _ = self.events.take_partial();
         let after = self.events.last_id();
+        if after.is_some() {
+            ctx.waiting_since = ctx.hub.now();
+        }
         self.state = State::Resuming(Box::pin(async move {
             let timed_out = ctx.hub.clock().clone().sleep_until(ctx.deadline);
             let resumed = tokio::select! {
