Split routes: a resumed stream goes on at the service that began it

A caller that takes a stream up on a route with several services was drawn a service by the id of its new attempt, and refused as its version isn't there (503); before versions counted, it went on at another service.

Cause: the draw uses the attempt's id, though Route::target asks for the same draw for all attempts. The first attempt's id decides now, if the caller names it.

a_stream_goes_on_at_the_service_that_began_it failed before (b8 refused) and passes.

--- a/src/proxy/admission.rs
+++ b/src/proxy/admission.rs
@@ -42,7 +42,9 @@
     let workspace = workspace(&table, &route, &head).map_err(fail)?;
     let rank = Rank { workspace: workspace.map_or(0, |w| w.rank), route: route.rank };
     let workspace = workspace.map(|w| w.name.clone());
-    let split_draw = xxh3_64(head.id.as_bytes());
+    // A resumed stream goes on at the service that began it.
+    let first_attempt = head.first_attempt.as_ref().unwrap_or(&head.id);
+    let split_draw = xxh3_64(first_attempt.as_bytes());
     let service = route.target(split_draw).ok_or_else(|| fail(Refusal::NoRoute))?.clone();
     let connections_max = table.service(&service).map_or(u32::MAX, |s| s.max_connections);
     let timeout = head.timeout.map_or(route.timeout, |p| p.min(route.timeout));
