--- a/src/proxy/proxy_metrics.rs
+++ b/src/proxy/proxy_metrics.rs
@@ -143,6 +143,9 @@
         gauge("frostdyke_proxy_connections", |hub| hub.connections() as u64);
         gauge("frostdyke_held_bytes", |hub| hub.held().map_or(0, |held| held.total() as u64));
         gauge("frostdyke_stream_versions", |hub| hub.stream_versions().record_count() as u64);
+        gauge("frostdyke_stream_versions_loading", |hub| {
+            u64::from(hub.stream_versions().loaded_in().is_some())
+        });
         gauge("frostdyke_stream_versions_evicted", |hub| hub.stream_versions().evicted_count());
         gauge("frostdyke_messages_oversized", |hub| hub.peers().oversized_count());
         gauge("frostdyke_boxes_alive", |hub| hub.peers().live_count() as u64 + 1);
--- a/src/proxy/refusal.rs
+++ b/src/proxy/refusal.rs
@@ -64,11 +64,14 @@
         retry_after: Duration,
     },
     /// The caller resumes a stream, and it isn't known which version began it. Not run.
-    #[error("it isn't known which version began this stream; not run; send a new request")]
-    VersionUnknown,
+    #[error("it isn't known which version began this stream; not run")]
+    VersionUnknown {
+        /// When a retry is worthwhile, since this box has just started; `None` if never.
+        retry_after: Option<Duration>,
+    },
     /// The caller resumes a stream, and the service has no upstream of the version that began it.
     /// Not run.
-    #[error("no upstream has the version that began this stream; not run; send a new request")]
+    #[error("no upstream has the version that began this stream; not run")]
     VersionGone,
     /// An upstream's response was truncated or invalid; the request may have run.
     #[error("the upstream failed; the request may have run")]
@@ -93,7 +96,7 @@
             Refusal::NoUpstream { .. } => "no-upstream",
             Refusal::Overloaded { .. } => "overloaded",
             Refusal::CrashesUpstreams { .. } => "ends-upstreams",
-            Refusal::VersionUnknown => "version-unknown",
+            Refusal::VersionUnknown { .. } => "version-unknown",
             Refusal::VersionGone => "version-gone",
             Refusal::Broken => "broken",
             Refusal::TimedOut => "timed-out",
@@ -113,7 +116,7 @@
             | Refusal::NoUpstream { .. }
             | Refusal::Overloaded { .. }
             | Refusal::CrashesUpstreams { .. }
-            | Refusal::VersionUnknown
+            | Refusal::VersionUnknown { .. }
             | Refusal::VersionGone => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::Broken => StatusCode::BAD_GATEWAY,
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -127,6 +130,7 @@
             Refusal::NoUpstream { retry_after }
             | Refusal::Overloaded { retry_after }
             | Refusal::CrashesUpstreams { retry_after } => Some(*retry_after),
+            Refusal::VersionUnknown { retry_after } => *retry_after,
             _ => None,
         }
     }
--- a/src/proxy/required_version.rs
+++ b/src/proxy/required_version.rs
@@ -47,7 +47,8 @@
             "began_at_version" => name.as_ref().map(VersionName::as_str));
         hub.metrics().stream_version_found(source);
         if version.is_none() {
-            return Err(Refusal::VersionUnknown);
+            let retry_after = hub.stream_versions().loaded_in();
+            return Err(Refusal::VersionUnknown { retry_after });
         }
         let is_withdrawn =
             |name: &VersionName| hub.rollouts().is_withdrawn(service, name, hub.now());
--- a/src/proxy/stream_versions.rs
+++ b/src/proxy/stream_versions.rs
@@ -45,11 +45,11 @@
 const RECORDS_PER_MESSAGE: usize = 40;
 
 /// Time between attempts to load records and versions after the start, and their number.
-const LOAD_INTERVAL: Duration = Duration::from_millis(500);
-const LOAD_ATTEMPTS_MAX: u32 = 120;
+const LOAD_INTERVAL: Duration = Duration::from_millis(200);
+const LOAD_ATTEMPTS_MAX: u32 = 300;
 
 /// A box that has found no other one after this many attempts is the only one.
-const LONE_ATTEMPTS: u32 = 20;
+const LONE_ATTEMPTS: u32 = 50;
 
 /// Time between checks whether the versions in the store have to change.
 const SAVE_INTERVAL: Duration = Duration::from_millis(1000);
@@ -90,6 +90,8 @@
 struct Inner {
     records: StreamRecords,
     history: VersionHistory,
+    /// Whether this box has just started and still loads what other boxes and the store have.
+    is_loading: bool,
     /// Versions that are in the store because of this box, or were when it started.
     saved: BTreeSet<(ServiceName, VersionName)>,
 }
@@ -120,6 +122,12 @@
         self.with(|inner| inner.records.evicted())
     }
 
+    /// When this box probably has what other boxes and the store have; `None` if it has that, or
+    /// doesn't try any longer.
+    pub fn loaded_in(&self) -> Option<Duration> {
+        self.with(|inner| inner.is_loading).then_some(LOAD_INTERVAL)
+    }
+
     /// Saves the versions in the store again, since it was restored from an older copy.
     pub fn save_again(&self) {
         self.with(|inner| inner.saved.clear());
@@ -315,11 +323,17 @@
         hub.stream_versions().with(|inner| inner.history.set_complete());
         return;
     }
+    hub.stream_versions().with(|inner| inner.is_loading = true);
+    load_until_complete(&hub, &*store).await;
+    hub.stream_versions().with(|inner| inner.is_loading = false);
+}
+
+async fn load_until_complete(hub: &Hub, store: &dyn VersionStore) {
     let mut is_loaded = false;
     for attempt in 0..LOAD_ATTEMPTS_MAX {
-        let is_fetched = fetch_from_box(&hub).await;
+        let is_fetched = fetch_from_box(hub).await;
         if !is_loaded && hub.peers().is_store_due() {
-            is_loaded = load_from_store(&hub, &*store).await;
+            is_loaded = load_from_store(hub, store).await;
         }
         let is_complete = hub.stream_versions().with(|inner| inner.history.is_complete(hub.now()));
         if is_complete && (is_fetched || LONE_ATTEMPTS <= attempt) {
@@ -358,6 +372,7 @@
     for (service, version) in &all {
         history.entry(service.clone()).or_default().insert(version.clone());
     }
+    info!(hub.log(), "versions of services loaded"; "count" => all.len());
     hub.stream_versions().with(|inner| inner.saved.extend(all));
     note_versions(hub, &history, true);
     true
