--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -383,7 +383,7 @@
         if self.known.len() <= FULL_MESH_MAX || self.known.values().all(|m| m.sends_left == 0) {
             return None;
         }
-        // A box that hasn't been heard from since others stopped to reply may be cut off with them.
+        // A box that hasn't reported since others stopped replying may be cut off with them.
         let live = || self.live(now).filter(|(_, m)| !m.is_suspected());
         let recent = live().filter(|(_, m)| m.has_reported_within(PROBE_TIMEOUT, now));
         let mut to = recent.map(|(ip, _)| ip).choose_multiple(rng, FANOUT);
--- a/src/fleet/stream_versions.rs
+++ b/src/fleet/stream_versions.rs
@@ -69,7 +69,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamRecord {
     pub stream: StreamId,
-    /// `None` if it can't be told, so that the stream can't go on.
+    /// `None` if it isn't known, so that the stream can't go on.
     pub version: Option<VersionId>,
     /// How long its caller may still return, in milliseconds.
     pub ttl_ms: u32,
@@ -284,9 +284,9 @@
     pub is_current: bool,
 }
 
-/// The version that began a stream, by the records and the evidence of several boxes; `None` if it
-/// can't be told. `is_majority` if the evidence comes from most boxes of the fleet: while the store
-/// is unavailable, these together miss no version.
+/// The version that began a stream, by the records and the evidence of several boxes; `None` if
+/// these don't show it. `is_majority` if the evidence comes from most boxes of the fleet: while the
+/// store is unavailable, these together miss no version.
 pub fn resolve(
     records: &[Option<VersionId>],
     evidence: &[VersionEvidence],
--- a/src/proxy/stream_versions.rs
+++ b/src/proxy/stream_versions.rs
@@ -220,7 +220,7 @@
     });
 }
 
-/// Finds out which version began a stream of the service; `None` if it can't be told. `stream` is
+/// Finds out which version began a stream of the service; `None` if that isn't known. `stream` is
 /// `None` if the caller doesn't name it.
 pub async fn find(
     hub: &Hub,
--- a/tests/fleet_stream_versions.rs
+++ b/tests/fleet_stream_versions.rs
@@ -119,7 +119,8 @@
     assert!(records.get(stream(&(count - 1).to_string()), at(count)).is_some());
 }
 
-/// Guards against streams of the time before the second version appeared, which nobody else knows.
+/// Guards against streams of the time before the second version appeared, of which only their box
+/// has a record.
 #[test]
 fn own_records_are_announced_once() {
     let mut records = StreamRecords::default();
