Stream versions: an upstream's version is compared again before its first event is passed on

An engine may start again under its id, with other software. A caller that took a stream up got the events of the new version, if the entry changed after the request was written and before the first event, which takes as long as the prompt is read.

Cause: the version was checked at the choice and right before the write, the last time at which the request can be withheld, and not when the events come. Now the first event of each upstream is passed on only if the entry still has the version that began the stream; else the response ends (outcome other-version). A stream that begins at such an engine was already recorded as one that can't go on.

--- a/src/proxy/required_version.rs
+++ b/src/proxy/required_version.rs
@@ -30,6 +30,10 @@
     Unknown,
 }
 
+/// An upstream has another version than the one that began the stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OtherVersion;
+
 impl RequestContext {
     /// Finds out which version began the stream that the caller resumes.
     pub(super) async fn find_required_version(&mut self) -> Result<(), Refusal> {
@@ -79,17 +83,25 @@
         }
     }
 
-    /// Requires the version of the upstream that returned the first event, and records it for the
-    /// boxes that the caller may return to. To be called before the event is passed on.
-    pub(super) fn require_version_of(&mut self, placed: &PlacedRequest) {
-        if self.is_version_recorded {
-            return;
-        }
-        self.is_version_recorded = true;
+    /// Checks the version of an upstream whose first event is about to be passed on. The first one
+    /// decides which version is required, and is recorded for the boxes that the caller may return
+    /// to.
+    pub(super) fn check_version_of(&mut self, placed: &PlacedRequest) -> Result<(), OtherVersion> {
+        let version = self.confirmed_version(placed);
         if self.required_version == RequiredVersion::Any {
-            let version = self.confirmed_version(placed);
-            self.required_version = version.map_or(RequiredVersion::Unknown, RequiredVersion::Only);
+            self.required_version =
+                version.clone().map_or(RequiredVersion::Unknown, RequiredVersion::Only);
+        }
+        if self.began_at_version() != version.as_ref() {
+            return Err(OtherVersion);
+        }
+        if !std::mem::replace(&mut self.is_version_recorded, true) {
+            self.record_version();
         }
+        Ok(())
+    }
+
+    fn record_version(&self) {
         let Some(stream) = self.stream_id() else { return };
         let version = self.began_at_version().map(|name| VersionId::new(&self.service, name));
         let waits = self.head.timeout.unwrap_or_default().max(self.remaining());
--- a/src/proxy/stream_relay.rs
+++ b/src/proxy/stream_relay.rs
@@ -25,6 +25,7 @@
 use crate::proxy::request;
 use crate::proxy::request::RequestContext;
 use crate::proxy::request::UpstreamResponse;
+use crate::proxy::required_version::OtherVersion;
 use crate::proxy::response_body::Body;
 use crate::proxy::response_body::EventSplitter;
 use crate::proxy::routing_table::Repeat;
@@ -43,6 +44,8 @@
     TimedOut,
     /// It broke off at the upstream and could not be resumed.
     Broken,
+    /// The upstream that resumed it turned out not to have the version that began it.
+    OtherVersion,
 }
 
 impl End {
@@ -52,6 +55,7 @@
             End::CallerLeft => "caller-left",
             End::TimedOut => "timed-out",
             End::Broken => "broken",
+            End::OtherVersion => "other-version",
         }
     }
 }
@@ -61,6 +65,8 @@
     body: UpstreamBody,
     headers: HeaderMap,
     placed: PlacedRequest,
+    /// Whether its first event has been passed on.
+    has_passed_event: bool,
 }
 
 /// Where the next chunk comes from.
@@ -113,7 +119,8 @@
 fn relaying(upstream_response: UpstreamResponse) -> State {
     let UpstreamResponse { resp, placed } = upstream_response;
     let (head, body) = resp.into_parts();
-    State::Relaying(Box::new(Source { body, headers: head.headers, placed }))
+    let (headers, has_passed_event) = (head.headers, false);
+    State::Relaying(Box::new(Source { body, headers, placed, has_passed_event }))
 }
 
 impl hyper::body::Body for StreamRelay {
@@ -134,7 +141,12 @@
                     };
                     let next = match frame {
                         Some(Ok(frame)) => {
-                            self.receive_chunk(frame.into_data().unwrap_or_default())
+                            let chunk = frame.into_data().unwrap_or_default();
+                            let Ok(events) = self.receive_chunk(chunk) else {
+                                self.abort(End::OtherVersion, cx);
+                                return Poll::Pending;
+                            };
+                            events
                         }
                         Some(Err(e)) => {
                             self.handle_break(&e);
@@ -210,13 +222,14 @@
     }
 
     /// Receives a chunk and returns the bytes to pass on now: only complete events if the stream
-    /// may have to be resumed.
-    fn receive_chunk(&mut self, chunk: Bytes) -> Option<Bytes> {
-        let (Some(ctx), State::Relaying(source)) = (&mut self.ctx, &self.state) else {
-            return None;
+    /// may have to be resumed. An error means that the upstream's version isn't the one that began
+    /// the stream.
+    fn receive_chunk(&mut self, chunk: Bytes) -> Result<Option<Bytes>, OtherVersion> {
+        let (Some(ctx), State::Relaying(source)) = (&mut self.ctx, &mut self.state) else {
+            return Ok(None);
         };
         if chunk.is_empty() {
-            return None;
+            return Ok(None);
         }
         self.has_begun = true;
         self.chunks += 1;
@@ -224,20 +237,22 @@
             ctx.first_token.get_or_insert(first);
         }
         if ctx.route.repeat != Repeat::AfterEvent {
-            return Some(chunk);
+            return Ok(Some(chunk));
         }
         let events = self.events.push(&chunk);
         if events.is_empty() {
-            return None;
+            return Ok(None);
         }
-        ctx.require_version_of(&source.placed);
-        Some(events)
+        if !std::mem::replace(&mut source.has_passed_event, true) {
+            ctx.check_version_of(&source.placed)?;
+        }
+        Ok(Some(events))
     }
 
     /// Ends a stream that is complete; returns the bytes that have not been passed on yet.
     fn finish(&mut self) -> Bytes {
         if let State::Relaying(source) = std::mem::replace(&mut self.state, State::Ended) {
-            let Source { body, headers, placed } = *source;
+            let Source { body, headers, placed, .. } = *source;
             body.keep(&headers);
             placed.record_pace(self.chunks);
             placed.close(None);
