--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -45,6 +45,7 @@
         pub fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
         pub fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, len: u32) -> i32;
         pub fn connect(fd: i32, addr: *const u8, len: u32) -> i32;
+        pub fn listen(fd: i32, backlog: i32) -> i32;
     }
 }
 
@@ -387,6 +388,7 @@
 /// A route of the configuration.
 pub struct Route {
     pub name: &'static str,
+    /// The type of the route, or `resumable` for a streaming route that is.
     pub kind: &'static str,
     pub timeout_ms: u32,
 }
@@ -403,12 +405,13 @@
 /// A configuration of one plain service, whose routes' prefixes are their names.
 pub fn configuration(version: u64, routes: &[Route]) -> String {
     let route = |r: &Route| {
+        let is_resumable = r.kind == "resumable";
         format!(
             r#"{{"name":"r-{0}","host":"{HOST}","path_prefix":"/{0}/","route_type":"{1}","timeout_ms":{2},"target_latency_ms":150,"priority":2,"service":"{SERVICE}","max_attempts":2,"anonymous":false,"affinity":{3},"resumable":{3},"target_itl_ms":400}}"#,
             r.name,
-            r.kind,
+            if is_resumable { "streaming" } else { r.kind },
             r.timeout_ms,
-            r.kind == "streaming"
+            is_resumable
         )
     };
     let routes: Vec<String> = routes.iter().map(route).collect();
@@ -689,6 +692,23 @@
     }
 }
 
+/// Makes new connections to a listener hang, as those to a machine without power do: its queue is
+/// full, so the kernel drops their first packet. Nothing may accept from it any more. Returns the
+/// connections that fill the queue.
+pub fn silence(listener: &TcpListener) -> io::Result<Vec<TcpStream>> {
+    use std::os::fd::AsRawFd;
+
+    const CONNECT_TIMEOUT: Duration = Duration::from_millis(50);
+
+    // SAFETY: a system call without pointers, on a descriptor that is open.
+    if unsafe { sys::listen(listener.as_raw_fd(), 0) } != 0 {
+        return Err(io::Error::last_os_error());
+    }
+    let addr = listener.local_addr()?;
+    let fill = || TcpStream::connect_timeout(&addr, CONNECT_TIMEOUT).ok();
+    Ok(std::iter::from_fn(fill).collect())
+}
+
 /// Whether the run has the disruption.
 pub fn has_trouble() -> bool {
     std::env::var("TROUBLE").as_deref() != Ok("0")
