--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -35,16 +35,8 @@
 /// How long the proxies may take to get ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 
-pub const SIGHUP: i32 = 1;
-pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
-
 mod sys {
     unsafe extern "C" {
-        pub fn kill(pid: i32, signal: i32) -> i32;
-        pub fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
-        pub fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, len: u32) -> i32;
-        pub fn connect(fd: i32, addr: *const u8, len: u32) -> i32;
         pub fn listen(fd: i32, backlog: i32) -> i32;
     }
 }
@@ -178,8 +170,7 @@
     pub fn start() -> Arc<Store> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let addr = listener.local_addr().expect("an address");
-        let store =
-            Arc::new(Store { inner: Mutex::default(), changed: Condvar::new(), addr });
+        let store = Arc::new(Store { inner: Mutex::default(), changed: Condvar::new(), addr });
         let serving = store.clone();
         serve(listener, move |stream| serving.connection(stream));
         store
@@ -197,20 +188,6 @@
         self.changed.notify_all();
     }
 
-    /// Removes an object if it exists.
-    pub fn remove(&self, kind: &str, name: &str) {
-        let mut inner = self.inner.lock().unwrap();
-        let Some((_, spec)) = inner.objects.remove(&(kind.to_owned(), name.to_owned())) else {
-            return;
-        };
-        inner.revision += 1;
-        let revision = inner.revision;
-        let event = format!(r#"{{"gone":true,"object":{}}}"#, object(name, revision, &spec));
-        inner.history.push((revision, kind.to_owned(), event));
-        drop(inner);
-        self.changed.notify_all();
-    }
-
     fn connection(&self, stream: TcpStream) {
         let mut reader = BufReader::new(stream.try_clone().expect("a descriptor"));
         let mut stream = stream;
@@ -250,9 +227,8 @@
     fn get(&self, kind: &str, name: &str) -> (u16, String) {
         let inner = self.inner.lock().unwrap();
         let found = inner.objects.get(&(kind.to_owned(), name.to_owned()));
-        found.map_or((404, "{}".to_owned()), |(revision, spec)| {
-            (200, object(name, *revision, spec))
-        })
+        found
+            .map_or((404, "{}".to_owned()), |(revision, spec)| (200, object(name, *revision, spec)))
     }
 
     fn list(&self, kind: &str) -> (u16, String) {
@@ -299,23 +275,15 @@
 
 /// What an engine does with a request that it runs.
 pub trait EngineBehavior: Send + Sync + 'static {
-    /// Writes the response to a request, the `nth` one on its connection, counted from zero.
-    /// `head` has the id and the signature.
-    fn respond(&self, nth: usize, req: &Message, head: &str, stream: &mut TcpStream)
-    -> io::Result<()>;
+    /// Writes the response to a request. `head` has the id and the signature.
+    fn respond(&self, req: &Message, head: &str, stream: &mut TcpStream) -> io::Result<()>;
 }
 
 /// An engine of a plain service, which answers a request with a body of this many bytes.
 pub struct Answering(pub usize);
 
 impl EngineBehavior for Answering {
-    fn respond(
-        &self,
-        _nth: usize,
-        _req: &Message,
-        head: &str,
-        stream: &mut TcpStream,
-    ) -> io::Result<()> {
+    fn respond(&self, _req: &Message, head: &str, stream: &mut TcpStream) -> io::Result<()> {
         let body = vec![b'x'; self.0];
         stream.write_all(
             format!("HTTP/1.1 200 OK\r\n{head}Content-Length: {}\r\n\r\n", body.len()).as_bytes(),
@@ -349,7 +317,6 @@
     mut stream: TcpStream,
 ) -> io::Result<()> {
     let mut reader = BufReader::new(stream.try_clone()?);
-    let mut nth = 0;
     while let Some(req) = read_message(&mut reader) {
         let id = req.header("attempt-id");
         if id.is_empty() {
@@ -371,9 +338,8 @@
         record.line(format!("engine {name} runs {id}"));
         runs.lock().unwrap().push(Run { engine: name.to_owned(), id: id.to_owned() });
         let head = format!("Attempt-Id: {id}\r\nServer-Signature: {name}.{id}\r\n");
-        behavior.respond(nth, &req, &head, &mut stream)?;
+        behavior.respond(&req, &head, &mut stream)?;
         record.line(format!("engine {name} has answered {id}"));
-        nth += 1;
     }
     Ok(())
 }
@@ -455,23 +421,10 @@
         self.spawn(record)
     }
 
-    pub fn signal(&self, signal: i32, record: &Record) {
-        if let Some(child) = &self.child {
-            record.line(format!("box {} gets signal {signal}", self.name));
-            // SAFETY: a system call without pointers. The child hasn't been waited for, so its id
-            // is still its own.
-            unsafe { sys::kill(child.id() as i32, signal) };
-        }
-    }
-
-    /// Whether the process has ended.
-    pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))))
-    }
-
     pub fn kill(&mut self, record: &Record) {
-        self.signal(SIGKILL, record);
         if let Some(mut child) = self.child.take() {
+            record.line(format!("box {} is killed", self.name));
+            let _ = child.kill();
             let _ = child.wait();
         }
     }
@@ -486,10 +439,6 @@
         sent.is_ok()
             && read_message(&mut BufReader::new(stream)).is_some_and(|resp| resp.status() == 200)
     }
-
-    pub fn log_text(&self) -> String {
-        std::fs::read_to_string(&self.log).unwrap_or_default()
-    }
 }
 
 impl Drop for Proxy {
@@ -546,7 +495,8 @@
         let dir = std::env::temp_dir().join(format!("frostdyke-review-{pid}"));
         std::fs::create_dir_all(&dir)?;
         // Addresses that other runs at the same time don't have.
-        let ip = |n: usize| Ipv4Addr::new(127, 100 + (pid >> 8) as u8 % 100, pid as u8, 1 + n as u8);
+        let ip =
+            |n: usize| Ipv4Addr::new(127, 100 + (pid >> 8) as u8 % 100, pid as u8, 1 + n as u8);
         let [callers, ready, control, datagrams] = free_ports(ip(0))?;
         let at = |n: usize, port: u16| SocketAddr::V4(SocketAddrV4::new(ip(n), port));
         let seeds: Vec<String> = (0..ZONES.len()).map(|n| at(n, control).to_string()).collect();
@@ -633,13 +583,7 @@
 }
 
 /// The bytes of a client's request.
-pub fn request(
-    method: &str,
-    route: &str,
-    id: &str,
-    deadline_ms: u32,
-    body: &[u8],
-) -> Vec<u8> {
+pub fn request(method: &str, route: &str, id: &str, deadline_ms: u32, body: &[u8]) -> Vec<u8> {
     let head = format!(
         "{method} /{route}/2f HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\n\
          Deadline-Ms: {deadline_ms}\r\nKey: {KEY}\r\nContent-Length: {}\r\n\r\n",
@@ -656,42 +600,6 @@
     read_message(&mut BufReader::new(stream))
 }
 
-/// Connects with a small receive buffer and the segment size of an Ethernet, which loopback doesn't
-/// have by itself: the kernel then buffers as little for the client as on a network.
-pub fn connect_small(to: SocketAddr) -> io::Result<TcpStream> {
-    use std::os::fd::FromRawFd;
-
-    const AF_INET: i32 = 2;
-    const SOCK_STREAM: i32 = 1;
-    const SOL_SOCKET: i32 = 1;
-    const SO_RCVBUF: i32 = 8;
-    const IPPROTO_TCP: i32 = 6;
-    const TCP_MAXSEG: i32 = 2;
-    const RECEIVE_BUFFER: i32 = 4 << 10;
-    const SEGMENT: i32 = 1460;
-
-    let SocketAddr::V4(to) = to else { return Err(io::Error::other("not an IPv4 address")) };
-    let mut addr = [0u8; 16];
-    addr[..2].copy_from_slice(&(AF_INET as u16).to_ne_bytes());
-    addr[2..4].copy_from_slice(&to.port().to_be_bytes());
-    addr[4..8].copy_from_slice(&to.ip().octets());
-    // SAFETY: the pointers refer to live values of the given lengths, and the descriptor is passed
-    // to the stream that owns it from then on.
-    unsafe {
-        let fd = sys::socket(AF_INET, SOCK_STREAM, 0);
-        if fd < 0 {
-            return Err(io::Error::last_os_error());
-        }
-        let stream = TcpStream::from_raw_fd(fd);
-        sys::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &RECEIVE_BUFFER, 4);
-        sys::setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &SEGMENT, 4);
-        if sys::connect(fd, addr.as_ptr(), addr.len() as u32) != 0 {
-            return Err(io::Error::last_os_error());
-        }
-        Ok(stream)
-    }
-}
-
 /// Makes new connections to a listener hang, as those to a machine without power do: its queue is
 /// full, so the kernel drops their first packet. Nothing may accept from it any more. Returns the
 /// connections that fill the queue.
