Log which event a stream is resumed after, and where its id came from

The logs could not tell why: "stream resumed" had no id where no event had been passed on, "stream taken up" had only the id as parsed, and a malformed head was refused without its cause.

Hypotheses that the logs must tell apart: the caller's header is misread; the id of an event is misread; the header is changed on the first attempt already; the upstream sends an event again by itself.

Change, no behaviour: "stream taken up" has the header as received beside the parsed id, "stream resumed" has the id that the upstream gets and its source (event, caller or start), and a malformed head has a line with its fault.

--- a/src/proxy/adapter.rs
+++ b/src/proxy/adapter.rs
@@ -7,6 +7,7 @@
 
 use futures_util::future::BoxFuture;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::StatusCode;
 use http::request;
 use serde::Deserialize;
@@ -42,6 +43,8 @@
     pub prompt: Option<Prompt>,
     /// The last event that the caller received in an earlier attempt.
     pub resume_after: Option<u64>,
+    /// The header that names this event, as received.
+    pub last_event_id: Option<HeaderValue>,
     /// The id of the attempt that returned the first event of the stream that the caller resumes.
     pub first_attempt: Option<String>,
 }
--- a/src/proxy/admission.rs
+++ b/src/proxy/admission.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http::request;
 use hyper::body::Incoming;
+use slog::info;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::proxy::adapter::RequestHead;
@@ -31,10 +32,10 @@
     parts: request::Parts,
     arrived: Duration,
 ) -> Result<RequestContext, (Refusal, String)> {
-    let head = hub
-        .header_adapter()
-        .parse_request(&parts)
-        .map_err(|_| (Refusal::BadHead, String::new()))?;
+    let head = hub.header_adapter().parse_request(&parts).map_err(|e| {
+        info!(hub.log(), "malformed request head"; "fault" => e.0);
+        (Refusal::BadHead, String::new())
+    })?;
     let fail = |cause| (cause, head.id.clone());
     let table = hub.table().ok_or_else(|| fail(Refusal::NotConfigured))?;
     let path = parts.uri.path();
--- a/src/proxy/required_version.rs
+++ b/src/proxy/required_version.rs
@@ -47,6 +47,7 @@
         });
         info!(hub.log(), "stream taken up"; "id" => &self.head.id,
             "resumes" => self.head.first_attempt.as_deref(), "after" => self.head.resume_after,
+            "last_event_id" => self.head.last_event_id.as_ref().map(|id| format!("{id:?}")),
             "source" => source.code(),
             "began_at_version" => name.as_ref().map(VersionName::as_str));
         hub.metrics().stream_version_found(source);
--- a/src/proxy/stream_relay.rs
+++ b/src/proxy/stream_relay.rs
@@ -353,7 +353,13 @@
             };
             if let Some(resumed) = &resumed {
                 let (began_at, version) = (ctx.began_at_version(), resumed.placed.version());
-                info!(ctx.hub.log(), "stream resumed"; "id" => &ctx.head.id, "after" => after,
+                let after_source = match (after, ctx.head.resume_after) {
+                    (Some(_), _) => "event",
+                    (None, Some(_)) => "caller",
+                    (None, None) => "start",
+                };
+                info!(ctx.hub.log(), "stream resumed"; "id" => &ctx.head.id,
+                    "after" => after.or(ctx.head.resume_after), "after_source" => after_source,
                     "upstream" => resumed.placed.upstream().as_str(),
                     "began_at_version" => began_at.map(VersionName::as_str),
                     "upstream_version" => version.map(VersionName::as_str));
