Return the ids of events byte for byte; don't resume a stream after an event without one

By the ids of events also: a stream that began anew inside one answer, an event lost or twice, or a resumption refused as malformed.

Cause: `Last-Event-Id` and the ids of events were parsed as numbers, one as a double, and written again for the next upstream. An id is text that its upstream chose. And an id that can't be parsed counted as no event at all.

Ruled out by the logs of the commit before: the header is not changed on the first attempt (it has all digits there), the ids of events are exact below 2^64, the upstream sends what it is asked for.

Change: `EventId` holds the bytes as received, and nothing interprets them. `ResumePoint` says where a stream can be resumed: from its start, by the caller's own headers as they came; after an event; or nowhere, if its last event has no id that a request can return. Then it is aborted, logged and counted. Where "is there a number" decided more (an empty stream that is whole, the waiting time of the retry), the point decides. The fields of events are read as the specification of server-sent events says.

Why it works: no value of others is converted any more on this path, so there is no range and no form in which it could differ; what can't be returned has a case of its own, which no caller of `resume_point()` can take for "no event".

--- a/src/proxy/adapter.rs
+++ b/src/proxy/adapter.rs
@@ -7,7 +7,6 @@
 
 use futures_util::future::BoxFuture;
 use http::HeaderMap;
-use http::HeaderValue;
 use http::StatusCode;
 use http::request;
 use serde::Deserialize;
@@ -26,6 +25,7 @@
 use crate::names::UpstreamName;
 use crate::names::VersionName;
 use crate::names::ZoneName;
+use crate::proxy::event_id::EventId;
 use crate::proxy::routing_table::RoutingTable;
 
 /// The parsed head of a caller's request.
@@ -42,9 +42,7 @@
     /// The prompt, if the request is for a model.
     pub prompt: Option<Prompt>,
     /// The last event that the caller received in an earlier attempt.
-    pub resume_after: Option<u64>,
-    /// The header that names this event, as received.
-    pub last_event_id: Option<HeaderValue>,
+    pub resume_after: Option<EventId>,
     /// The id of the attempt that returned the first event of the stream that the caller resumes.
     pub first_attempt: Option<String>,
 }
@@ -103,8 +101,8 @@
     pub remaining: Duration,
     /// The workspace that is charged.
     pub workspace: Option<&'a str>,
-    /// The last event received, if a stream is resumed.
-    pub resume_after: Option<u64>,
+    /// The event after which the response is to begin. `None` if the caller's own headers say that.
+    pub resume_after: Option<&'a EventId>,
     /// Another engine, from which the upstream copies the cached parts of the prompt.
     pub copy_from: Option<std::net::SocketAddr>,
 }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -14,6 +14,8 @@
 pub mod connection_reuse;
 pub mod digests;
 pub mod engine_placement;
+pub mod event_id;
+pub mod event_stream;
 pub mod gossip;
 pub mod headroom;
 pub mod held_bytes;
--- a/src/proxy/proxy_metrics.rs
+++ b/src/proxy/proxy_metrics.rs
@@ -68,6 +68,7 @@
     announcements: Counter<u64>,
     redirects: Counter<u64>,
     streams_resumed: Counter<u64>,
+    streams_not_resumable: Counter<u64>,
     stream_versions_found: Counter<u64>,
     unusual_ends: Counter<u64>,
 }
@@ -117,6 +118,7 @@
             redirects: meter.u64_counter("frostdyke_redirects").build(),
             stream_versions_found: meter.u64_counter("frostdyke_stream_versions_found").build(),
             streams_resumed: meter.u64_counter("frostdyke_streams_resumed").build(),
+            streams_not_resumable: meter.u64_counter("frostdyke_streams_not_resumable").build(),
             unusual_ends: meter.u64_counter("frostdyke_unusual_ends").build(),
             metrics,
         }
@@ -341,6 +343,12 @@
         self.streams_resumed.add(1, &[KeyValue::new("version", version)]);
     }
 
+    /// Counts a broken stream that can't be resumed, since its last event has no id that can be
+    /// returned to an upstream.
+    pub fn stream_not_resumable(&self) {
+        self.streams_not_resumable.add(1, &[]);
+    }
+
     /// Counts a caller's attempt to resume a stream, by how its version was found out.
     pub fn stream_version_found(&self, source: Source) {
         self.stream_versions_found.add(1, &[KeyValue::new("source", source.code())]);
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -34,6 +34,8 @@
 use crate::proxy::adapter::UpstreamRequestInfo;
 use crate::proxy::adapter::Verdict;
 use crate::proxy::admission;
+use crate::proxy::event_id::EventId;
+use crate::proxy::event_stream::ResumePoint;
 use crate::proxy::held_bytes::HoldKind;
 use crate::proxy::held_tracker::HeldBody;
 use crate::proxy::held_tracker::Hold;
@@ -444,12 +446,12 @@
     }
 
     /// Sends the request to an upstream. With `resume_after`, the response is to begin after that
-    /// event.
+    /// event; without, as the caller's own headers say.
     async fn send(
         &mut self,
         choice: &Choice,
         placed: PlacedRequest,
-        resume_after: Option<u64>,
+        resume_after: Option<&EventId>,
     ) -> SendOutcome {
         self.unsent_guard = None;
         self.tried.push(choice.upstream.clone());
@@ -584,7 +586,14 @@
     }
 
     /// Requests the rest of a broken stream from another upstream.
-    pub async fn resume(&mut self, after: Option<u64>) -> Option<Box<UpstreamResponse>> {
+    pub async fn resume(&mut self, point: &ResumePoint) -> Option<Box<UpstreamResponse>> {
+        if *point == ResumePoint::Nowhere {
+            // Any upstream would send an event again.
+            info!(self.hub.log(), "stream not resumed"; "id" => &self.head.id,
+                "cause" => "the last event has no id that can be returned");
+            self.hub.metrics().stream_not_resumable();
+            return None;
+        }
         let is_repeatable = self.route.repeat == Repeat::AfterEvent
             && self.sends < self.route.max_upstreams
             && self.required_version != RequiredVersion::Unknown;
@@ -594,7 +603,7 @@
             && self.try_take_retry()
         {
             let (choice, placed) = self.place().await.ok()?;
-            match self.send(&choice, placed, after.or(self.head.resume_after)).await {
+            match self.send(&choice, placed, point.event()).await {
                 SendOutcome::Response(response) => return Some(response),
                 SendOutcome::NotSent(_) | SendOutcome::NotRun => {}
                 SendOutcome::MayHaveRun(_) => return None,
@@ -603,7 +612,7 @@
         None
     }
 
-    fn request_for(&self, choice: &Choice, resume_after: Option<u64>) -> Request<Full<Bytes>> {
+    fn request_for(&self, choice: &Choice, resume_after: Option<&EventId>) -> Request<Full<Bytes>> {
         let out = UpstreamRequestInfo {
             upstream: &choice.upstream,
             remaining: self.remaining(),
--- a/src/proxy/required_version.rs
+++ b/src/proxy/required_version.rs
@@ -10,6 +10,7 @@
 use crate::fleet::stream_versions::StreamRecord;
 use crate::fleet::stream_versions::VersionId;
 use crate::names::VersionName;
+use crate::proxy::event_id::EventId;
 use crate::proxy::placed_request::PlacedRequest;
 use crate::proxy::refusal::Refusal;
 use crate::proxy::request::RequestContext;
@@ -46,8 +47,8 @@
             })
         });
         info!(hub.log(), "stream taken up"; "id" => &self.head.id,
-            "resumes" => self.head.first_attempt.as_deref(), "after" => self.head.resume_after,
-            "last_event_id" => self.head.last_event_id.as_ref().map(|id| format!("{id:?}")),
+            "resumes" => self.head.first_attempt.as_deref(),
+            "after" => self.head.resume_after.as_ref().map(EventId::to_string),
             "source" => source.code(),
             "began_at_version" => name.as_ref().map(VersionName::as_str));
         hub.metrics().stream_version_found(source);
--- a/src/proxy/stream_relay.rs
+++ b/src/proxy/stream_relay.rs
@@ -21,6 +21,9 @@
 use tokio::time::Sleep;
 
 use crate::names::VersionName;
+use crate::proxy::event_id::EventId;
+use crate::proxy::event_stream::EventSplitter;
+use crate::proxy::event_stream::ResumePoint;
 use crate::proxy::placed_request::PlacedRequest;
 use crate::proxy::reachability;
 use crate::proxy::request;
@@ -28,7 +31,6 @@
 use crate::proxy::request::UpstreamResponse;
 use crate::proxy::required_version::OtherVersion;
 use crate::proxy::response_body::Body;
-use crate::proxy::response_body::EventSplitter;
 use crate::proxy::response_end::EventBoundary;
 use crate::proxy::response_end::Framing;
 use crate::proxy::response_end::ResponseEnd;
@@ -269,6 +271,16 @@
         Ok(Some(events))
     }
 
+    /// Whether events of this response have been passed on. Known of streams that may be resumed.
+    fn has_passed_events(&self) -> bool {
+        *self.events.resume_point() != ResumePoint::Start
+    }
+
+    /// The last event for logs, if it has an id.
+    fn last_event(&self) -> Option<String> {
+        self.events.resume_point().event().map(EventId::to_string)
+    }
+
     fn take_source(&mut self) -> Option<Source> {
         match std::mem::replace(&mut self.state, State::Ended) {
             State::Relaying(source) => Some(*source),
@@ -282,7 +294,7 @@
         let source = self.take_source()?;
         self.log_unusual_end(&source);
         let ctx = self.ctx.as_ref()?;
-        let resumes = ctx.head.resume_after.is_some() || self.events.last_id().is_some();
+        let resumes = ctx.head.resume_after.is_some() || self.has_passed_events();
         let end = ResponseEnd::of_stream(source.body.framing(), &source.boundary, resumes);
         let Source { body, headers, placed, .. } = source;
         match end {
@@ -325,7 +337,7 @@
         info!(ctx.hub.log(), "unusual end of response"; "id" => &ctx.head.id,
             "upstream" => source.placed.upstream().as_str(), "framing" => framing.code(),
             "between_events" => is_between_events, "chunks" => self.chunks,
-            "last_event" => self.events.last_id());
+            "last_event" => self.last_event());
         ctx.hub.metrics().unusual_end(framing, is_between_events);
     }
 
@@ -336,30 +348,30 @@
             "content" => %ctx.fingerprint(), "parts" => ctx.parts_label(),
             "upstream" => placed.upstream().as_str(),
             "error" => util::error_chain(e),
-            "begun" => self.has_begun, "last_event" => self.events.last_id());
+            "begun" => self.has_begun, "last_event" => self.last_event(),
+            "resumable" => self.events.resume_point().code());
         ctx.record_break(placed, matches!(e, upstream_connections::Error::Restarted));
         // The next upstream sends the incomplete event again.
         let _ = self.events.take_partial();
-        let after = self.events.last_id();
-        if after.is_some() {
+        let point = self.events.resume_point().clone();
+        if self.has_passed_events() {
             ctx.waiting_since = ctx.hub.now();
         }
         self.state = State::Resuming(Box::pin(async move {
             let timed_out = ctx.hub.clock().clone().sleep_until(ctx.deadline);
             let resumed = tokio::select! {
                 biased;
-                resumed = ctx.resume(after) => resumed,
+                resumed = ctx.resume(&point) => resumed,
                 () = timed_out => None,
             };
             if let Some(resumed) = &resumed {
                 let (began_at, version) = (ctx.began_at_version(), resumed.placed.version());
-                let after_source = match (after, ctx.head.resume_after) {
-                    (Some(_), _) => "event",
-                    (None, Some(_)) => "caller",
-                    (None, None) => "start",
+                let (after, after_source) = match (point.event(), &ctx.head.resume_after) {
+                    (None, Some(id)) => (Some(id), "caller"),
+                    (after, _) => (after, point.code()),
                 };
                 info!(ctx.hub.log(), "stream resumed"; "id" => &ctx.head.id,
-                    "after" => after.or(ctx.head.resume_after), "after_source" => after_source,
+                    "after" => after.map(EventId::to_string), "after_source" => after_source,
                     "upstream" => resumed.placed.upstream().as_str(),
                     "began_at_version" => began_at.map(VersionName::as_str),
                     "upstream_version" => version.map(VersionName::as_str));
--- a/src/proxy/upstream_selection.rs
+++ b/src/proxy/upstream_selection.rs
@@ -23,6 +23,7 @@
 use crate::proxy::adapter::Prompt;
 use crate::proxy::engine_placement;
 use crate::proxy::engine_placement::PlacementDecision;
+use crate::proxy::event_id::EventId;
 use crate::proxy::placed_request::PlacedRequest;
 use crate::proxy::plain_placement;
 use crate::proxy::refusal::Refusal;
@@ -243,7 +244,8 @@
             view.registry().get(&choice.upstream).map(|listed| listed.version.clone())
         });
         info!(self.hub.log(), "placed"; "id" => &self.head.id, "route" => &self.route.name,
-            "resumes" => self.head.first_attempt.as_deref(), "after" => self.head.resume_after,
+            "resumes" => self.head.first_attempt.as_deref(),
+            "after" => self.head.resume_after.as_ref().map(EventId::to_string),
             "upstream_version" => upstream_version.as_ref().map(VersionName::as_str),
             "workspace" => self.workspace.as_ref().map(WorkspaceName::as_str),
             "upstream" => choice.upstream.as_str(), "prompt" => self.head.prompt.as_ref().map_or(0, |p| p.tokens),
--- a/tests/proxy_events.rs
+++ b/tests/proxy_events.rs
@@ -1,7 +1,9 @@
 //! Streams are split at the ends of events, and what the end of a response shows.
 
 use bytes::Bytes;
-use frostdyke::proxy::response_body::EventSplitter;
+use frostdyke::proxy::event_id::EventId;
+use frostdyke::proxy::event_stream::EventSplitter;
+use frostdyke::proxy::event_stream::ResumePoint;
 use frostdyke::proxy::response_end::EventBoundary;
 use frostdyke::proxy::response_end::Framing;
 use frostdyke::proxy::response_end::ResponseEnd;
@@ -14,17 +16,21 @@
 use proptest::collection;
 use proptest::prelude::*;
 
+fn after(id: &str) -> ResumePoint {
+    ResumePoint::After(EventId::from_field(id.as_bytes()).expect("a header can hold it"))
+}
+
 /// A stream is resumed after its last complete event; half an event would reach the caller twice.
 #[test]
 fn an_event_is_forwarded_when_complete() {
     let mut splitter = EventSplitter::default();
     assert_eq!(splitter.push(b"id: 1\ndata: a"), "");
-    assert_eq!(splitter.last_id(), None);
+    assert_eq!(*splitter.resume_point(), ResumePoint::Start);
     assert_eq!(splitter.push(b"\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
-    assert_eq!(splitter.last_id(), Some(1));
+    assert_eq!(*splitter.resume_point(), after("1"));
     assert_eq!(splitter.take_partial(), "id: 2\nda");
     assert_eq!(splitter.push(b"id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
-    assert_eq!(splitter.last_id(), Some(2));
+    assert_eq!(*splitter.resume_point(), after("2"));
 }
 
 proptest! {
@@ -45,7 +51,7 @@
         }
         forwarded.extend_from_slice(&splitter.push(rest));
         prop_assert_eq!(forwarded, stream.as_bytes());
-        prop_assert_eq!(splitter.last_id(), Some(12));
+        prop_assert_eq!(splitter.resume_point(), &after("12"));
     }
 }
 
