Don't pass an error on as a part of a stream

Cause: `resume()` passed on whatever response was to be passed on. On a first try the status goes to the caller with it; a resumption has no head left to carry one.

Ruled out: 5xx and refusals, which were no response to pass on before, either.

Change: only a success goes on with a stream; anything else aborts it, with a log line.

Found on the way of an upstream that rejects an id.

--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -604,7 +604,17 @@
         {
             let (choice, placed) = self.place().await.ok()?;
             match self.send(&choice, placed, point.event()).await {
-                SendOutcome::Response(response) => return Some(response),
+                SendOutcome::Response(response) if response.resp.status().is_success() => {
+                    return Some(response);
+                }
+                SendOutcome::Response(response) => {
+                    // Its body is no part of the stream.
+                    info!(self.hub.log(), "stream not resumed"; "id" => &self.head.id,
+                        "cause" => "the upstream responded without a stream",
+                        "upstream" => choice.upstream.as_str(),
+                        "status" => response.resp.status().as_u16());
+                    return None;
+                }
                 SendOutcome::NotSent(_) | SendOutcome::NotRun => {}
                 SendOutcome::MayHaveRun(_) => return None,
             }
