--- a/src/placement/cold.rs
+++ b/src/placement/cold.rs
@@ -112,7 +112,7 @@
     pub fn mark_cold(&mut self, until: Duration, now: Duration) -> bool {
         // Reports of the same cold start differ by their delay in transit.
         const SAME_START_TOLERANCE: Duration = Duration::from_millis(1500);
-        let is_new = self.until.max(now) + SAME_START_TOLERANCE < until;
+        let is_new = self.until.max(now).saturating_add(SAME_START_TOLERANCE) < until;
         if is_new {
             self.since = now;
         }
--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -327,7 +327,8 @@
     /// Returns whether this is a new cold start.
     pub fn mark_cold(&mut self, cold_remaining: Option<Duration>, now: Duration) -> bool {
         let Some(limits) = self.limits.cold else { return false };
-        self.cold_start.mark_cold(now + cold_remaining.unwrap_or(limits.duration), now)
+        let cold_remaining = cold_remaining.unwrap_or(limits.duration);
+        self.cold_start.mark_cold(now.saturating_add(cold_remaining), now)
     }
 
     /// How long the engine stays cold.
--- a/tests/fleet_cold.rs
+++ b/tests/fleet_cold.rs
@@ -233,3 +233,13 @@
     );
     assert_eq!(cold_for(&owner.registry), Some(Duration::from_secs(5)));
 }
+
+/// Guards against a panic, which would poison the registry for all requests of a box, by a cold time
+/// beyond the range of the clock.
+#[test]
+fn a_cold_time_beyond_the_range_of_the_clock_does_not_panic() {
+    let mut owner = Decider::new(Role::Owner, true);
+    let now = Duration::from_secs(1);
+    assert!(owner.registry.mark_cold(&engine(), Some(Duration::MAX), now));
+    assert!(Some(Duration::from_secs(3600)) < owner.registry.listings(now)[0].cold_for);
+}
