Recognize events whose lines end with a carriage return

What callers saw: of an upstream that ends lines with a carriage return alone, or mixes line ends, no event was passed on before the stream had ended, on routes whose streams may be resumed; a break lost all of them. Without framing such a stream was taken for broken.

Cause: the splitter of events and the check of a response's end each knew `\n\n` and `\r\n\r\n` only.

Change: one function for both. Uniform line ends are recognized with their last byte; a carriage return behind a line feed once the next byte shows that it isn't half of a line end.

Ruled out: a cost for other streams, as they are searched from the end of the buffer, as before.

--- a/src/proxy/event_stream.rs
+++ b/src/proxy/event_stream.rs
@@ -129,9 +129,19 @@
     })
 }
 
+/// The length of the longest of the ends that [`ends_event`] knows.
+pub(super) const EVENT_END_MAX_BYTES: usize = 3;
+
+/// Whether these bytes end with an empty line, whatever follows. A carriage return after a line feed
+/// isn't one yet, since a line feed may follow.
+pub(super) fn ends_event(bytes: &[u8]) -> bool {
+    [&b"\n\n"[..], b"\r\r", b"\n\r\n", b"\r\r\n"].iter().any(|end| bytes.ends_with(end))
+}
+
 /// The index after the last empty line.
 fn end_of_last_event(buf: &[u8]) -> Option<usize> {
-    let lf = buf.windows(2).rposition(|w| w == b"\n\n").map(|at| at + 2);
-    let crlf = buf.windows(4).rposition(|w| w == b"\r\n\r\n").map(|at| at + 4);
-    lf.max(crlf)
+    (1..=buf.len()).rev().find(|at| {
+        let (before, after) = buf.split_at(*at);
+        ends_event(before) || before.ends_with(b"\n\r") && !after.is_empty()
+    })
 }
--- a/src/proxy/response_end.rs
+++ b/src/proxy/response_end.rs
@@ -9,6 +9,9 @@
 use hyper::body::Body;
 use serde::de::IgnoredAny;
 
+use crate::proxy::event_stream::EVENT_END_MAX_BYTES;
+use crate::proxy::event_stream::ends_event;
+
 /// What marks the end of a response's body (RFC 9112, section 6.3).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
@@ -44,9 +47,6 @@
     }
 }
 
-/// The longest end of an event: an empty line after the end of another.
-const EVENT_END_MAX_BYTES: usize = 4;
-
 /// Whether an event stream is between two events.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct EventBoundary {
@@ -117,8 +117,3 @@
     let is_json = media_type == "application/json" || media_type.ends_with("+json");
     is_json && serde_json::from_slice::<IgnoredAny>(body).is_err()
 }
-
-/// Whether these bytes end with an empty line.
-fn ends_event(bytes: &[u8]) -> bool {
-    bytes.ends_with(b"\n\n") || bytes.ends_with(b"\r\n\r\n")
-}
--- a/tests/event_ids.rs
+++ b/tests/event_ids.rs
@@ -30,6 +30,10 @@
         ("id: 1\ndata: a\n\nid: 2\nda", after("1")),
         ("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", after("2")),
         ("id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n", after("2")),
+        ("id: 1\rdata: a\r\rid: 2\rdata: b\r\r", after("2")),
+        ("id: 1\rdata: a\r\rid: 2\rda", after("1")),
+        ("id: 1\ndata: a\n\r\nid: 2\r\ndata: b\r\n\nid: 3", after("2")),
+        ("id: 1\r\ndata: a\r\r\nid: 2", after("1")),
         ("id: 007\ndata: a\n\n", after("007")),
         ("id: 1.50\ndata: a\n\n", after("1.50")),
         ("id: -1\ndata: a\n\n", after("-1")),
@@ -66,6 +70,30 @@
     }
 }
 
+/// Guards against events that wait for the end of their stream, whichever line end it uses.
+#[test]
+fn an_event_is_passed_on_with_its_last_byte() {
+    for event in ["id: 1\ndata: a\n\n", "id: 1\r\ndata: a\r\n\r\n", "id: 1\rdata: a\r\r"] {
+        let mut splitter = EventSplitter::default();
+        for _ in 0..3 {
+            let (rest, last) = event.split_at(event.len() - 1);
+            assert_eq!(splitter.push(rest.as_bytes()), "", "{event:?}");
+            assert_eq!(splitter.push(last.as_bytes()), event);
+        }
+    }
+}
+
+/// Guards against an event that is passed on without an empty line's last byte and taken for another.
+#[test]
+fn a_carriage_return_may_be_half_of_a_line_end() {
+    let mut splitter = EventSplitter::default();
+    assert_eq!(splitter.push(b"id: 1\ndata: a\n\r"), "");
+    assert_eq!(splitter.push(b"\n"), "id: 1\ndata: a\n\r\n");
+    assert_eq!(splitter.push(b"id: 2\ndata: b\n\r"), "");
+    assert_eq!(splitter.push(b"id: 3"), "id: 2\ndata: b\n\r");
+    assert_eq!(*splitter.resume_point(), after("2"));
+}
+
 /// Guards against a stream that goes on elsewhere after an unusable id, although a later event has a
 /// usable one.
 #[test]
@@ -114,7 +142,7 @@
         ids in collection::vec(id_bytes(), 1..6),
         cuts in collection::vec(1usize..40, 0..40),
         has_space: bool,
-        line_end in prop_oneof![Just("\n"), Just("\r\n")],
+        line_end in prop_oneof![Just("\n"), Just("\r\n"), Just("\r")],
     ) {
         let (space, event_end) = (if has_space { " " } else { "" }, line_end.repeat(2));
         let mut stream = Vec::new();
--- a/tests/proxy_events.rs
+++ b/tests/proxy_events.rs
@@ -94,10 +94,12 @@
         "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
         "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n",
         "data: a\n\n: comment\ndata: b\n\n",
+        "id: 1\rdata: a\r\rid: 2\rdata: b\r\r",
+        "id: 1\ndata: a\n\r\nid: 2\r\ndata: b\r\n\n",
     ] {
-        let ends: Vec<usize> = (1..=stream.len())
-            .filter(|at| stream[..*at].ends_with("\n\n") || stream[..*at].ends_with("\r\n\r\n"))
-            .collect();
+        let is_end =
+            |at: &usize| ["\n\n", "\n\r\n", "\r\r"].iter().any(|end| stream[..*at].ends_with(end));
+        let ends: Vec<usize> = (1..=stream.len()).filter(is_end).collect();
         assert_eq!(ends.len(), 2);
         for at in 1..=stream.len() {
             let boundary = boundary_after(&[&stream.as_bytes()[..at]]);
