Log and count a stream as not resumable only where it could have been resumed

`response broke off` said that a stream could be resumed from its start where its route allows no resumption, and a stream whose upstreams were used up counted as one without an id. Logs and a counter only; no test asserts them beyond `event_ids`.

--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -587,16 +587,16 @@
 
     /// Requests the rest of a broken stream from another upstream.
     pub async fn resume(&mut self, point: &ResumePoint) -> Option<Box<UpstreamResponse>> {
-        if *point == ResumePoint::Nowhere {
+        let is_repeatable = self.route.repeat == Repeat::AfterEvent
+            && self.sends < self.route.max_upstreams
+            && self.required_version != RequiredVersion::Unknown;
+        if is_repeatable && *point == ResumePoint::Nowhere {
             // Any upstream would send an event again.
             info!(self.hub.log(), "stream not resumed"; "id" => &self.head.id,
                 "cause" => "the last event has no id that can be returned");
             self.hub.metrics().stream_not_resumable();
             return None;
         }
-        let is_repeatable = self.route.repeat == Repeat::AfterEvent
-            && self.sends < self.route.max_upstreams
-            && self.required_version != RequiredVersion::Unknown;
         while is_repeatable
             && !self.remaining().is_zero()
             && self.check_suspicion().await.is_none()
--- a/src/proxy/stream_relay.rs
+++ b/src/proxy/stream_relay.rs
@@ -349,7 +349,8 @@
             "upstream" => placed.upstream().as_str(),
             "error" => util::error_chain(e),
             "begun" => self.has_begun, "last_event" => self.last_event(),
-            "resumable" => self.events.resume_point().code());
+            "resumable" => (ctx.route.repeat == Repeat::AfterEvent)
+                .then(|| self.events.resume_point().code()));
         ctx.record_break(placed, matches!(e, upstream_connections::Error::Restarted));
         // The next upstream sends the incomplete event again.
         let _ = self.events.take_partial();
