Log which id an unusual response carries, what its connection had carried, and how often a refused request was sent

The line of an unusual response said whether it carries the request's id, but not whether it carries another or none, nor whether its connection had carried other responses; the line of a refusal didn't say whether the request had been sent. With them, a refusal of another request, a hold that gives way after a send and an upstream's own statement leave three different lines. No logic changes.

--- a/src/proxy/adapter.rs
+++ b/src/proxy/adapter.rs
@@ -116,9 +116,33 @@
     pub backoff: Option<Duration>,
 }
 
+/// Which request a response belongs to, by the id that it carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResponseId {
+    /// The request that it is checked against.
+    Own,
+    /// Another request.
+    Other,
+    /// It carries no id.
+    Missing,
+}
+
+impl ResponseId {
+    /// The kind as a word for logs and metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            ResponseId::Own => "own",
+            ResponseId::Other => "other",
+            ResponseId::Missing => "missing",
+        }
+    }
+}
+
 /// What the head of an upstream's response says about the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Verdict {
+    /// The id that it carries.
+    pub response_id: ResponseId,
     /// Whether it carries the id of this request.
     pub matches_request: bool,
     /// Whether it says that the request has not run and never will.
--- a/src/proxy/proxy_metrics.rs
+++ b/src/proxy/proxy_metrics.rs
@@ -15,6 +15,7 @@
 use crate::placement::share::TokenCounts;
 use crate::placement::waiting::Outcome;
 use crate::proxy::adapter::Notice;
+use crate::proxy::adapter::ResponseId;
 use crate::proxy::connection_reuse::CloseCause;
 use crate::proxy::connection_reuse::ConnectionCounts;
 use crate::proxy::connection_reuse::OpenCause;
@@ -71,6 +72,7 @@
     streams_not_resumable: Counter<u64>,
     stream_versions_found: Counter<u64>,
     unusual_ends: Counter<u64>,
+    unusual_responses: Counter<u64>,
 }
 
 impl ProxyMetrics {
@@ -120,6 +122,7 @@
             streams_resumed: meter.u64_counter("frostdyke_streams_resumed").build(),
             streams_not_resumable: meter.u64_counter("frostdyke_streams_not_resumable").build(),
             unusual_ends: meter.u64_counter("frostdyke_unusual_ends").build(),
+            unusual_responses: meter.u64_counter("frostdyke_unusual_responses").build(),
             metrics,
         }
     }
@@ -363,6 +366,17 @@
         self.unusual_ends.add(1, &labels);
     }
 
+    /// Counts a response that isn't simply passed on, by the id that it carries and whether its
+    /// connection had carried another response before.
+    pub fn unusual_response(&self, taken_for: &'static str, id: ResponseId, is_reused: bool) {
+        let labels = [
+            KeyValue::new("taken_for", taken_for),
+            KeyValue::new("response_id", id.code()),
+            KeyValue::new("reused", is_reused),
+        ];
+        self.unusual_responses.add(1, &labels);
+    }
+
     /// Counts records of requests in progress that a report of their sender has corrected.
     pub fn requests_corrected(&self, how: &'static str, count: usize) {
         if count != 0 {
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -243,7 +243,7 @@
         info!(hub.log(), "request refused"; "id" => &self.head.id, "cause" => cause.code(),
             "route" => &self.route.name,
             "workspace" => self.workspace.as_ref().map(WorkspaceName::as_str),
-            "content" => self.fingerprint.get().map(Fingerprint::to_string),
+            "content" => self.fingerprint.get().map(Fingerprint::to_string), "sends" => self.sends,
             "version" => hub.version());
         hub.metrics().refused(cause.code());
         if let (Some(workspace), Some(prompt)) = (&self.workspace, &self.head.prompt) {
@@ -579,10 +579,18 @@
         verdict: Verdict,
         taken_for: &'static str,
     ) {
+        let history = resp.body().connection_history();
         info!(self.hub.log(), "unusual response from upstream"; "id" => &self.head.id,
             "upstream" => placed.upstream().as_str(), "status" => resp.status().as_u16(),
-            "taken_for" => taken_for, "own" => verdict.matches_request, "signed" => verdict.signed,
-            "try" => self.tried.len());
+            "taken_for" => taken_for, "own" => verdict.matches_request,
+            "response_id" => verdict.response_id.code(), "signed" => verdict.signed,
+            "responses_before" => history.responses,
+            "idle_ms" => history.idle_time.as_millis() as u64, "try" => self.tried.len());
+        self.hub.metrics().unusual_response(
+            taken_for,
+            verdict.response_id,
+            history.responses != 0,
+        );
     }
 
     /// Requests the rest of a broken stream from another upstream.
--- a/src/proxy/upstream_connections.rs
+++ b/src/proxy/upstream_connections.rs
@@ -270,9 +270,20 @@
     opened_at_ms: u64,
     /// Whether the intended upstream has responded on it.
     is_authentic: bool,
+    /// What it had done before the current request.
+    history: ConnectionHistory,
     restart_flag: Arc<RestartFlag>,
 }
 
+/// What a connection had done before a request was sent on it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConnectionHistory {
+    /// Responses that arrived on it.
+    pub responses: u32,
+    /// How long it had been idle.
+    pub idle_time: Duration,
+}
+
 /// A connection without a request. A task watches it for a close by the upstream and for
 /// unsolicited bytes.
 #[derive(Debug)]
@@ -286,6 +297,8 @@
     open_count: OpenCount,
     opened_at_ms: u64,
     is_authentic: bool,
+    /// Responses that arrived on it.
+    responses: u32,
 }
 
 /// Counts a connection while it is open.
@@ -320,6 +333,7 @@
             mut open_count,
             opened_at_ms,
             is_authentic,
+            history,
             ..
         } = self;
         open_count.close_cause = CloseCause::ByUpstream;
@@ -345,6 +359,7 @@
                 open_count,
                 opened_at_ms,
                 is_authentic,
+                responses: history.responses,
             },
         );
     }
@@ -370,7 +385,8 @@
     }
 
     /// Takes the connection into use. Returns `None` if it has ended.
-    fn into_busy(self) -> Option<BusyConnection> {
+    fn into_busy(self, now: Duration) -> Option<BusyConnection> {
+        let idle_time = self.idle_time(now);
         let is_usable = self.is_usable();
         let IdleConnection {
             tx,
@@ -382,6 +398,7 @@
             mut open_count,
             opened_at_ms,
             is_authentic,
+            responses,
         } = self;
         watcher.abort();
         let driver = driver.lock().expect("no panic under lock").take();
@@ -398,6 +415,7 @@
             open_count,
             opened_at_ms,
             is_authentic,
+            history: ConnectionHistory { responses, idle_time },
             restart_flag,
         })
     }
@@ -426,6 +444,11 @@
         self.framing
     }
 
+    /// What the connection had done before the request.
+    pub fn connection_history(&self) -> ConnectionHistory {
+        self.conn.history
+    }
+
     /// Records whether this response is from the intended upstream. Returns whether any response on
     /// this connection was.
     pub fn record_authentic(&mut self, is_authentic: bool) -> bool {
@@ -453,6 +476,7 @@
         let mut conn = self.conn;
         let connections = &conn.open_count.connections;
         conn.last_used = connections.clock.now();
+        conn.history.responses += 1;
         connections.links.record(self.zone_hash, conn.last_used);
         if let Some(timeout) = keep_alive_timeout(headers) {
             conn.announced = Some(timeout);
@@ -697,7 +721,7 @@
             let connection = idle.remove(at);
             // Dropping an `OpenCount` takes the lock.
             drop(by_addr);
-            if let Some(conn) = connection.into_busy() {
+            if let Some(conn) = connection.into_busy(now) {
                 self.counts.reused();
                 return Ok(conn);
             }
@@ -747,6 +771,7 @@
             open_count,
             opened_at_ms,
             is_authentic: false,
+            history: ConnectionHistory::default(),
             restart_flag,
         })
     }
