--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -586,11 +586,7 @@
             "response_id" => verdict.response_id.code(), "signed" => verdict.signed,
             "responses_before" => history.responses,
             "idle_ms" => history.idle_time.as_millis() as u64, "try" => self.tried.len());
-        self.hub.metrics().unusual_response(
-            taken_for,
-            verdict.response_id,
-            history.responses != 0,
-        );
+        self.hub.metrics().unusual_response(taken_for, verdict.response_id, history.responses != 0);
     }
 
     /// Requests the rest of a broken stream from another upstream.
