Take a response for "not run" only where it concerns this very request

Cause: a response that says "not run" was believed also where it carries no id. On a kept connection such a response may be a surplus one, in the place where the next is due, and the upstream runs the request that it reads after it. The class: a statement is believed though nothing ties it to the request. Ruled out: a deadline, a break or a restart after the send, which end as 502 or 504 (read); surplus refusals with another id, or with an empty one that isn't a 400, which were rejected before (the same test held for them). Change: the adapter says which id a response carries, and takes one without an id for a refusal only if it is a 400, the one kind that the protocol allows without. response_check decides: it refuses this request if it carries the request's id, or is such a 400 and the first response on its connection. Everything else that says "not run" is unattributed: the request may have run, so that once-only ones get 502 and repeatable ones are sent elsewhere. Why it works: on a connection that has carried nothing else, there is no other request that a 400 could refuse.

--- a/src/proxy/adapter.rs
+++ b/src/proxy/adapter.rs
@@ -123,7 +123,7 @@
     Own,
     /// Another request.
     Other,
-    /// It carries no id.
+    /// It carries no id, or an empty one.
     Missing,
 }
 
@@ -143,11 +143,13 @@
 pub struct Verdict {
     /// The id that it carries.
     pub response_id: ResponseId,
-    /// Whether it carries the id of this request.
+    /// Whether it has the same id as this request; a request without an id gets a response without
+    /// one.
     pub matches_request: bool,
-    /// Whether it says that the request has not run and never will.
-    pub not_run: bool,
-    /// Whether another upstream has taken over the address.
+    /// Whether it says, in a valid form, that a request has not run and never will. Which request
+    /// that is depends on the id.
+    pub says_not_run: bool,
+    /// Whether it says that another upstream has taken over the address.
     pub misdirected: bool,
     /// Whether it is signed, as all responses to requests that ran are.
     pub signed: bool,
@@ -159,7 +161,7 @@
     /// Whether the response certainly comes from the intended upstream: it carries the id of the
     /// request, isn't misdirected, and if successful is signed or says that the request never ran.
     pub fn is_authentic(&self, status: StatusCode) -> bool {
-        let has_proof = self.signed || self.not_run || !status.is_success();
+        let has_proof = self.signed || self.says_not_run || !status.is_success();
         self.matches_request && !self.misdirected && has_proof
     }
 }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -41,6 +41,7 @@
 pub mod request;
 pub mod required_version;
 pub mod response_body;
+pub mod response_check;
 pub mod response_end;
 pub mod retry_budget;
 pub mod rollouts;
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -54,6 +54,8 @@
 use crate::proxy::required_version::RequiredVersion;
 use crate::proxy::response_body;
 use crate::proxy::response_body::Body;
+use crate::proxy::response_check::Meaning;
+use crate::proxy::response_check::ResponseHead;
 use crate::proxy::response_end::Framing;
 use crate::proxy::response_end::ResponseEnd;
 use crate::proxy::routing_table::Rank;
@@ -536,39 +538,44 @@
         began: Instant,
     ) -> SendOutcome {
         let status = resp.status();
-        if verdict.misdirected || verdict.not_run {
-            self.log_unusual_response(&resp, &placed, verdict, "not-run");
-            let broken = verdict.misdirected.then_some(Health::Broken);
-            placed.withdraw(Some(broken.unwrap_or(Health::Failed)));
-            return SendOutcome::NotRun;
-        }
-        let is_invalid = !verdict.matches_request
-            || (status.is_success() && !verdict.signed)
-            || resp.headers().contains_key(CONTENT_ENCODING);
-        if is_invalid {
-            self.log_unusual_response(&resp, &placed, verdict, "odd");
-            placed.record_failure();
-            placed.close(Some(Health::Failed));
-            return SendOutcome::MayHaveRun(None);
-        }
-        if is_read_as_not_run(status) {
-            self.log_unusual_response(&resp, &placed, verdict, "unclear");
-            // Callers read the status as "not run", but the upstream doesn't state that.
-            placed.close(Some(Health::Failed));
-            return SendOutcome::MayHaveRun(None);
+        let head = ResponseHead {
+            status,
+            verdict,
+            is_first: resp.body().connection_history().responses == 0,
+            is_encoded: resp.headers().contains_key(CONTENT_ENCODING),
+        };
+        let meaning = head.meaning();
+        if meaning != Meaning::Final {
+            self.log_unusual_response(&resp, &placed, verdict, meaning.code());
         }
-        let response = Box::new(UpstreamResponse { resp, placed });
-        if status.is_server_error() {
-            self.log_unusual_response(&response.resp, &response.placed, verdict, "failed");
-            response.placed.record_health(Health::Failed);
-            response.placed.record_failure();
-            return SendOutcome::MayHaveRun(Some(response));
+        let failed = if verdict.misdirected { Health::Broken } else { Health::Failed };
+        match meaning {
+            Meaning::Final => {}
+            Meaning::Failed => {
+                placed.record_health(failed);
+                placed.record_failure();
+                let response = UpstreamResponse { resp, placed };
+                return SendOutcome::MayHaveRun(Some(Box::new(response)));
+            }
+            Meaning::NotRun => {
+                placed.withdraw(Some(failed));
+                return SendOutcome::NotRun;
+            }
+            Meaning::Unattributed | Meaning::Invalid => {
+                placed.record_failure();
+                placed.close(Some(failed));
+                return SendOutcome::MayHaveRun(None);
+            }
+            Meaning::Unclear => {
+                placed.close(Some(failed));
+                return SendOutcome::MayHaveRun(None);
+            }
         }
-        response.placed.record_health(Health::Good(began.elapsed()));
+        placed.record_health(Health::Good(began.elapsed()));
         if self.head.prompt.is_none() {
-            response.placed.record_first_token();
+            placed.record_first_token();
         }
-        SendOutcome::Response(response)
+        SendOutcome::Response(Box::new(UpstreamResponse { resp, placed }))
     }
 
     /// Logs a response that isn't simply passed on.
@@ -730,14 +737,3 @@
     *resp.headers_mut() = headers;
     resp
 }
-
-/// Whether callers read a status as a promise that the request has not run and never will.
-fn is_read_as_not_run(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::SERVICE_UNAVAILABLE
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-    )
-}
