--- a/src/proxy/adapter.rs
+++ b/src/proxy/adapter.rs
@@ -123,7 +123,7 @@
     Own,
     /// Another request.
     Other,
-    /// It carries no id, or an empty one.
+    /// It carries no id.
     Missing,
 }
 
@@ -149,7 +149,7 @@
     /// Whether it says, in a valid form, that a request has not run and never will. Which request
     /// that is depends on the id.
     pub says_not_run: bool,
-    /// Whether it says that another upstream has taken over the address.
+    /// Whether it says that another upstream has taken over the address of the intended one.
     pub misdirected: bool,
     /// Whether it is signed, as all responses to requests that ran are.
     pub signed: bool,
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -561,12 +561,13 @@
                 placed.withdraw(Some(failed));
                 return SendOutcome::NotRun;
             }
-            Meaning::Unattributed | Meaning::Invalid => {
+            Meaning::Invalid => {
                 placed.record_failure();
                 placed.close(Some(failed));
                 return SendOutcome::MayHaveRun(None);
             }
-            Meaning::Unclear => {
+            // Neither says anything about the upstream's version.
+            Meaning::Unattributed | Meaning::Unclear => {
                 placed.close(Some(failed));
                 return SendOutcome::MayHaveRun(None);
             }
