Withhold a request that has given way

What callers would see: a request that is refused for lack of memory as not run, and is sent all the same (REFUSED). Not shown: on one thread, the flag is polled before the send, and nothing between sets it. That depends on the order of two futures and on what they call, so the check right before the write looks at the flag, too.

--- a/src/proxy/notices.rs
+++ b/src/proxy/notices.rs
@@ -54,6 +54,8 @@
     Version,
     /// A part of the prompt crashes engines.
     Suspect,
+    /// The request has given way, so that its caller gets a refusal.
+    GaveWay,
 }
 
 impl WithholdReason {
@@ -64,6 +66,7 @@
             WithholdReason::Backoff => "backoff",
             WithholdReason::Version => "version",
             WithholdReason::Suspect => "suspect",
+            WithholdReason::GaveWay => "gave-way",
         }
     }
 }
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -235,6 +235,11 @@
         self.hold.iter().for_each(|hold| hold.set(kind, self.body.len()));
     }
 
+    /// Whether the request gives way before it was sent, so that it must not be sent any more.
+    fn has_given_way(&self) -> bool {
+        self.hold.as_ref().is_some_and(Hold::gave_way)
+    }
+
     /// Time until the deadline.
     pub(super) fn remaining(&self) -> Duration {
         self.deadline.saturating_sub(self.hub.now())
@@ -475,7 +480,8 @@
         let version_filter = self.required_version_filter();
         let withheld = || {
             let reason = notices::reason_to_withhold(&self.hub, &placed, version_filter)
-                .or_else(|| self.has_withheld_part().then_some(WithholdReason::Suspect));
+                .or_else(|| self.has_withheld_part().then_some(WithholdReason::Suspect))
+                .or_else(|| self.has_given_way().then_some(WithholdReason::GaveWay));
             if reason.is_none() {
                 self.set_held(HoldKind::Sent);
                 if self.is_trial {
