Read the answer that was begun first on up to the bound

Cause: from 0.9 of the bound on, no buffered answer is read. Two that together pass 0.9 both stop short of their ends (4,190,826 of 4,193,304 bytes in the first log), neither releases its bytes, and the one without progress for 250 ms gives way: a deadlock that only a loss ends. Ruled out: a slow upstream or a slow caller (the log has no read for 250 ms, at 0.95 of the bound). Change: the answer that was begun first is read on up to the bound, so that one always comes to its end. Why it works: waiting is ordered by age, so there is no cycle.

--- a/src/proxy/held_bytes.rs
+++ b/src/proxy/held_bytes.rs
@@ -118,14 +118,16 @@
     total: usize,
     next_id: u64,
     holders: BTreeMap<HolderId, Holder>,
+    /// Buffered answers, the one that was begun first in front.
+    answers: BTreeSet<HolderId>,
     by_slowness: BTreeSet<SlownessKey>,
 }
 
 impl HeldBytes {
     /// No holders, with a bound for the bytes of all.
     pub fn new(bound: usize) -> HeldBytes {
-        let (holders, by_slowness) = (BTreeMap::new(), BTreeSet::new());
-        HeldBytes { bound, total: 0, next_id: 0, holders, by_slowness }
+        let (holders, answers, by_slowness) = (BTreeMap::new(), BTreeSet::new(), BTreeSet::new());
+        HeldBytes { bound, total: 0, next_id: 0, holders, answers, by_slowness }
     }
 
     /// The bytes held.
@@ -143,6 +145,7 @@
         let id = HolderId(self.next_id);
         self.next_id += 1;
         self.holders.insert(id, Holder { kind, bytes: 0, progressed_at: now });
+        self.note_kind(id, kind);
         id
     }
 
@@ -159,10 +162,20 @@
         self.total = self.total - holder.bytes + bytes;
         *holder = Holder { kind, bytes, progressed_at: now };
         self.by_slowness.extend(holder.slowness_key(id));
+        self.note_kind(id, kind);
+    }
+
+    fn note_kind(&mut self, id: HolderId, kind: HoldKind) {
+        if kind == HoldKind::Answer {
+            self.answers.insert(id);
+        } else {
+            self.answers.remove(&id);
+        }
     }
 
     /// Removes a holder, if it hasn't given way.
     pub fn end(&mut self, id: HolderId) {
+        self.answers.remove(&id);
         if let Some(holder) = self.holders.remove(&id) {
             self.total -= holder.bytes;
             if let Some(key) = holder.slowness_key(id) {
@@ -178,11 +191,17 @@
         Some(GaveWay { id, kind, bytes, stalled: now.saturating_sub(progressed_at) })
     }
 
-    /// Whether a source of this kind may be read further.
+    /// Whether all sources of this kind may be read further.
     pub fn may_read(&self, kind: HoldKind) -> bool {
         (self.total as f64) < self.bound as f64 * kind.pressure()
     }
 
+    /// Whether this holder's source may be read further. The answer that was begun first may also
+    /// take the rest of the bound: answers of which none is read would never release their bytes.
+    pub fn may_read_on(&self, id: HolderId, kind: HoldKind) -> bool {
+        self.may_read(kind) || (self.answers.first() == Some(&id) && self.total < self.bound)
+    }
+
     /// Removes and returns a holder that must give way now, if any: the one that has made no
     /// progress for the longest time, if that is longer than holders may stall now.
     pub fn take_slowest(&mut self, now: Duration) -> Option<GaveWay> {
--- a/src/proxy/held_tracker.rs
+++ b/src/proxy/held_tracker.rs
@@ -151,7 +151,7 @@
     }
 
     fn may_read(&self, kind: HoldKind) -> bool {
-        self.tracker.inner.lock().expect("no panic under lock").held.may_read(kind)
+        self.tracker.inner.lock().expect("no panic under lock").held.may_read_on(self.id, kind)
     }
 }
 
--- a/tests/proxy_held_bytes.rs
+++ b/tests/proxy_held_bytes.rs
@@ -66,6 +66,31 @@
     assert_eq!(held.take_slowest(millis(10)), None, "none is slow");
 }
 
+/// Guards against answers that wait for each other: none is read, none is complete, and one that its
+/// caller waits for gives way.
+#[test]
+fn answers_that_fit_together_are_read_to_their_ends() {
+    const LEN: usize = BOUND / 2;
+    let mut held = HeldBytes::new(BOUND);
+    let mut answers: Vec<(HolderId, usize)> =
+        (0..2).map(|_| (hold(&mut held, HoldKind::Answer, 0, millis(0)), 0)).collect();
+    for ms in (0..2000).step_by(10) {
+        answers.retain_mut(|(id, bytes)| {
+            if held.may_read_on(*id, HoldKind::Answer) {
+                *bytes += 10;
+                held.set(*id, HoldKind::Answer, *bytes, millis(ms));
+            }
+            let is_complete = *bytes == LEN;
+            if is_complete {
+                held.end(*id);
+            }
+            !is_complete
+        });
+        assert_eq!(held.take_slowest(millis(ms)), None, "after {ms} ms, {answers:?}");
+    }
+    assert_eq!((answers.len(), held.total()), (0, 0));
+}
+
 /// A quick holder must not give way for a slow one, however much it holds.
 #[test]
 fn the_slowest_gives_way_at_the_bound() {
