Save the only version of a service, too

What callers saw (reported by operators of a system like ours): the only version of a service had just been replaced when all boxes were killed at once and came back; streams that callers took up then were answered 200 and joined from two versions (ORDER). Cause: versions were saved in the store only while a service had several. The one that had served alone was written with the second one, up to two seconds after that joined; a restart before found nothing saved and one version listed, and took that for proof. The class: absence taken for proof. Change: the versions of every service are saved, also a single one. Evidence: stream_versions::a_version_whose_engines_have_just_left_is_remembered_when_all_boxes_restart failed before (status 200, events 1 and 2 of v1, 3 to 5 of v2) and passes now, with its fifteen neighbours. Why it works: what began a stream was in use for longer than saving takes, so it is in the store or in the list. Remains: a version that joins and leaves within the two seconds before; a store that takes no writes meanwhile.

--- a/src/proxy/stream_versions.rs
+++ b/src/proxy/stream_versions.rs
@@ -92,7 +92,7 @@
     history: VersionHistory,
     /// Whether this box has just started and still loads what other boxes and the store have.
     is_loading: bool,
-    /// Versions that are in the store because of this box, or were when it started.
+    /// Versions that are in the store because of this box, or were when it loaded them.
     saved: BTreeSet<(ServiceName, VersionName)>,
 }
 
@@ -394,8 +394,9 @@
     });
 }
 
-/// Keeps the versions of services that have several in the store, until the process ends. One box
-/// does so for all.
+/// Keeps the versions of all services in the store, until the process ends. One box does so for all.
+/// Also the only version of a service is kept: it may be replaced and all boxes restart before two
+/// versions are written.
 pub async fn save(hub: Arc<Hub>, store: Arc<dyn VersionStore>) {
     loop {
         tokio::time::sleep(SAVE_INTERVAL).await;
@@ -404,8 +405,8 @@
         }
         let now = hub.now();
         let (due, obsolete) = hub.stream_versions().with(|inner| {
-            let ambiguous = inner.history.ambiguous(now);
-            let wanted: BTreeSet<(ServiceName, VersionName)> = ambiguous
+            let versions = inner.history.all(now);
+            let wanted: BTreeSet<(ServiceName, VersionName)> = versions
                 .into_iter()
                 .flat_map(|(s, versions)| versions.into_iter().map(move |v| (s.clone(), v)))
                 .collect();
