Log what a take-up of a stream rests on

`stream taken up` said `only-version`, but not on what grounds, so a box that asked in vain and answered by an old list looked like one that was right. It now carries how many boxes were asked, how many replied, how many had a complete history, and when the list last changed here.

Nothing is decided otherwise: `find` returns the same version and source in a struct.

--- a/src/proxy/required_version.rs
+++ b/src/proxy/required_version.rs
@@ -15,6 +15,7 @@
 use crate::proxy::refusal::Refusal;
 use crate::proxy::request::RequestContext;
 use crate::proxy::stream_versions;
+use crate::proxy::stream_versions::Finding;
 
 /// A caller may return this long after the time for which it waits, since clocks and the network
 /// aren't exact.
@@ -39,7 +40,8 @@
     /// Finds out which version began the stream that the caller resumes.
     pub(super) async fn find_required_version(&mut self) -> Result<(), Refusal> {
         let (hub, service) = (&self.hub, &self.service);
-        let (version, source) = stream_versions::find(hub, self.stream_id(), service).await;
+        let finding = stream_versions::find(hub, self.stream_id(), service).await;
+        let Finding { version, source, .. } = finding;
         let name = version.and_then(|version| {
             hub.read(|view| {
                 let mut versions = view.registry().versions(service);
@@ -49,7 +51,9 @@
         info!(hub.log(), "stream taken up"; "id" => &self.head.id,
             "resumes" => self.head.first_attempt.as_deref(),
             "after" => self.head.resume_after.as_ref().map(EventId::to_string),
-            "source" => source.code(),
+            "source" => source.code(), "asked" => finding.asked, "replied" => finding.replied,
+            "complete" => finding.complete,
+            "list_changed_ms" => finding.list_changed_ago.map(|ago| ago.as_millis() as u64),
             "began_at_version" => name.as_ref().map(VersionName::as_str));
         hub.metrics().stream_version_found(source);
         if version.is_none() {
--- a/src/proxy/state_updates.rs
+++ b/src/proxy/state_updates.rs
@@ -49,7 +49,10 @@
         StoreUpdate::UpstreamRemoved { name, revision } => {
             hub.change(|view, now| view.entry_removed(&name, Some(revision), now))
         }
-        StoreUpdate::CompleteUpTo(revision) => hub.change(|view, _| view.complete_up_to(revision)),
+        StoreUpdate::CompleteUpTo(revision) => {
+            hub.stream_versions().record_list_change(hub.now());
+            hub.change(|view, _| view.complete_up_to(revision));
+        }
         StoreUpdate::EvacuatedZones(all) => hub.change(|view, now| view.evacuate(&all, now)),
         StoreUpdate::EvacuationOrders { orders, revision } => hub.change(|view, now| {
             let evacuated = view.evacuated().with_orders(&orders, revision);
--- a/src/proxy/stream_versions.rs
+++ b/src/proxy/stream_versions.rs
@@ -79,6 +79,23 @@
     }
 }
 
+/// Which version began a stream, and what shows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Finding {
+    /// `None` if it isn't known.
+    pub version: Option<VersionId>,
+    pub source: Source,
+    /// Number of other boxes that were asked.
+    pub asked: usize,
+    /// Number of those that replied.
+    pub replied: usize,
+    /// Number of boxes, including this one, whose history lacks no version.
+    pub complete: usize,
+    /// Time since the store last delivered a change of the list of upstreams to this box, if it
+    /// ever did.
+    pub list_changed_ago: Option<Duration>,
+}
+
 /// Which versions began streams, as far as this box knows.
 #[derive(Debug, Default)]
 pub struct StreamVersions {
@@ -94,6 +111,8 @@
     is_loading: bool,
     /// Versions that are in the store because of this box, or were when it started.
     saved: BTreeSet<(ServiceName, VersionName)>,
+    /// When the store last delivered a change of the list of upstreams.
+    list_changed_at: Option<Duration>,
 }
 
 /// Queries that await replies.
@@ -133,6 +152,11 @@
         self.with(|inner| inner.saved.clear());
     }
 
+    /// Records that the store has delivered a change of the list of upstreams.
+    pub fn record_list_change(&self, now: Duration) {
+        self.with(|inner| inner.list_changed_at = Some(now));
+    }
+
     /// What a box that has just started needs.
     pub fn report(&self, now: Duration) -> StreamVersionsReport {
         self.with(|inner| StreamVersionsReport {
@@ -220,30 +244,29 @@
     });
 }
 
-/// Finds out which version began a stream of the service; `None` if that isn't known. `stream` is
-/// `None` if the caller doesn't name it.
-pub async fn find(
-    hub: &Hub,
-    stream: Option<StreamId>,
-    service: &ServiceName,
-) -> (Option<VersionId>, Source) {
+/// Finds out which version began a stream of the service. `stream` is `None` if the caller doesn't
+/// name it.
+pub async fn find(hub: &Hub, stream: Option<StreamId>, service: &ServiceName) -> Finding {
+    let now = hub.now();
+    let list_changed_at = hub.stream_versions().with(|inner| inner.list_changed_at);
+    let unasked = Finding {
+        version: None,
+        source: Source::Recorded,
+        asked: 0,
+        replied: 0,
+        complete: 0,
+        list_changed_ago: list_changed_at.map(|at| now.saturating_sub(at)),
+    };
     if let Some(record) = stream.and_then(|stream| recorded(hub, stream)) {
-        return (record.version, Source::Recorded);
+        return Finding { version: record.version, ..unasked };
     }
     let boxes = hub.peers().boxes_to_ask(stream);
-    let (id, rx) = hub.stream_versions().queries(|queries| {
-        let (tx, rx) = mpsc::unbounded_channel();
-        queries.last += 1;
-        queries.pending.insert(queries.last, tx);
-        (queries.last, rx)
-    });
-    let pending = PendingQuery { hub, id, rx };
-    let message = Message::StreamQuery(StreamQuery { query: id, stream, service: service.clone() });
-    let replies = pending.ask(&boxes, &message).await;
+    let replies = ask(hub, &boxes, stream, service).await;
     let records: Vec<Option<VersionId>> =
         replies.values().filter_map(|reply| Some(reply.record?.version)).collect();
     // A majority of all boxes, of which `known_count` includes those that died lately.
     let is_majority = hub.peers().known_count() < 2 * (replies.len() + 1);
+    let replied = replies.len();
     let evidence: Vec<VersionEvidence> = replies
         .into_values()
         .map(|reply| reply.evidence)
@@ -255,7 +278,26 @@
         (Some(_), false) => Source::Asked,
         (Some(_), true) => Source::OnlyVersion,
     };
-    (version, source)
+    let complete = evidence.iter().filter(|evidence| evidence.is_complete).count();
+    Finding { version, source, asked: boxes.len(), replied, complete, ..unasked }
+}
+
+/// Asks boxes which version began a stream.
+async fn ask(
+    hub: &Hub,
+    boxes: &[IpAddr],
+    stream: Option<StreamId>,
+    service: &ServiceName,
+) -> BTreeMap<IpAddr, StreamReply> {
+    let (id, rx) = hub.stream_versions().queries(|queries| {
+        let (tx, rx) = mpsc::unbounded_channel();
+        queries.last += 1;
+        queries.pending.insert(queries.last, tx);
+        (queries.last, rx)
+    });
+    let pending = PendingQuery { hub, id, rx };
+    let message = Message::StreamQuery(StreamQuery { query: id, stream, service: service.clone() });
+    pending.ask(boxes, &message).await
 }
 
 /// A query that awaits replies until it is dropped.
