Take a version for the only one only if a read of the store after the request shows it

Cause: `resolve` took a box's belief that it reaches the store (`View::reaches_store`, true from one success to the next failure) for proof that its list is current. A watch of the entries pauses for a second after each change, may hang while probes are answered, and the box may have stood still. Evidence has no time there. Besides, completeness and currency could come from different boxes, which both miss a version that was listed between the last read of one and the start of the other.

Ruled out: a shorter pause (a smaller window, and more calls by every box all the time); an age limit on the last read (a stream may begin and break within milliseconds); asking boxes to confirm to each other (they are the ones that can't be reached, and they pause in the same second, after the same change).

Change: a box that finds no record, and no more than one version, reads the changes of the entries since the revision that it has, by a call of its own that begins after the request arrived (`store_confirmation`, `VersionLog`). Versions of entries that are gone again count. The history must be complete at the box whose list is confirmed. If the store doesn't confirm, a majority of boxes still counts, as before; else the caller is refused with "not run" and a Retry-After, without one if several versions are known. A watch now also reports that it ended without a change (`ReadUpTo`), as the store would have forgotten the revision of the last change. Replies between boxes are unchanged; `is_current` of a reply is still sent for boxes of earlier builds, and no longer used.

Why it works: a stream began before its caller returns, at an engine whose entry some box had read before; so a linearizable read that begins later includes that entry or its removal.

--- a/src/fleet/stream_versions.rs
+++ b/src/fleet/stream_versions.rs
@@ -290,13 +290,22 @@
     pub versions: BTreeSet<VersionId>,
     /// Whether no other version may have.
     pub is_complete: bool,
-    /// Whether the box reaches the store, so that it misses no new version.
+    /// Whether it misses no version that the store listed before the request arrived. Boxes of
+    /// earlier builds take the replying box's belief that it reaches the store for that.
     pub is_current: bool,
 }
 
+/// The versions in the evidence of several boxes.
+pub fn all_versions(evidence: &[VersionEvidence]) -> BTreeSet<VersionId> {
+    evidence.iter().flat_map(|e| e.versions.iter().copied()).collect()
+}
+
 /// The version that began a stream, by the records and the evidence of several boxes; `None` if
-/// these don't show it. `is_majority` if the evidence comes from most boxes of the fleet: while the
-/// store is unavailable, these together miss no version.
+/// these don't show it. One box must have noted all versions up to when the request arrived: a
+/// complete history of one box and a current list of another may both miss a version that was
+/// listed in between. `is_majority` if the evidence comes from most boxes of the fleet: a box that
+/// began the stream at a version that these don't list is cut off from them, and none of them has
+/// read the store since.
 pub fn resolve(
     records: &[Option<VersionId>],
     evidence: &[VersionEvidence],
@@ -305,10 +314,8 @@
     if let Some((first, others)) = records.split_first() {
         return first.filter(|_| others.iter().all(|other| other == first));
     }
-    let versions: BTreeSet<VersionId> =
-        evidence.iter().flat_map(|e| e.versions.iter().copied()).collect();
-    let is_complete = evidence.iter().any(|e| e.is_complete);
-    let is_current = is_majority || evidence.iter().any(|e| e.is_current);
-    let is_certain = versions.len() == 1 && is_complete && is_current;
+    let versions = all_versions(evidence);
+    let misses_none = evidence.iter().any(|e| e.is_complete && (e.is_current || is_majority));
+    let is_certain = versions.len() == 1 && misses_none;
     versions.first().copied().filter(|_| is_certain)
 }
--- a/src/proxy/adapter.rs
+++ b/src/proxy/adapter.rs
@@ -238,6 +238,8 @@
     },
     /// The updates of upstreams so far are complete up to this revision of the store.
     CompleteUpTo(Revision),
+    /// The same, also after a watch that ended without a change.
+    ReadUpTo(Revision),
     /// All zones that are evacuated.
     EvacuatedZones(EvacuatedZones),
     /// Zones are evacuated, or their evacuation is revoked.
@@ -355,6 +357,23 @@
     ) -> BoxFuture<'static, Result<(), StoreError>>;
 }
 
+/// Versions of upstreams that the store listed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VersionChanges {
+    /// The service and version of each entry that was written or removed.
+    pub versions: Vec<(ServiceName, VersionName)>,
+    /// The revision of the store up to which these are complete.
+    pub up_to: Revision,
+}
+
+/// Reads the versions of upstreams from the store, beside the watch.
+pub trait VersionLog: Send + Sync {
+    /// The versions of all entries that were written or removed after a revision. They are complete
+    /// up to a revision that the store had after the call began. Of entries of which the store no
+    /// longer has the history, and in another era of the store, those that are listed now.
+    fn since(&self, since: Revision) -> BoxFuture<'static, Result<VersionChanges, StoreError>>;
+}
+
 /// Reports the progress of roll-outs where the operator reads it.
 pub trait RolloutReporter: Send + Sync {
     /// Writes the state of the roll-out of `target`, unless another one was ordered meanwhile or it
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -40,6 +40,7 @@
 use crate::placement::waiting::WaitingRequests;
 use crate::proxy::adapter::EngineClient;
 use crate::proxy::adapter::HeaderAdapter;
+use crate::proxy::adapter::VersionLog;
 use crate::proxy::capacity;
 use crate::proxy::connection_reuse::ReuseRule;
 use crate::proxy::engine_placement::OwnerRequests;
@@ -73,6 +74,7 @@
     clock: Arc<Clock>,
     header_adapter: Arc<dyn HeaderAdapter>,
     engine_client: Arc<dyn EngineClient>,
+    version_log: Arc<dyn VersionLog>,
     upstream_connections: Arc<UpstreamConnections>,
     peers: Peers,
     metrics: ProxyMetrics,
@@ -118,6 +120,7 @@
         clock: Arc<Clock>,
         header_adapter: Arc<dyn HeaderAdapter>,
         engine_client: Arc<dyn EngineClient>,
+        version_log: Arc<dyn VersionLog>,
         peers: Peers,
         metrics: ProxyMetrics,
         log: Logger,
@@ -137,6 +140,7 @@
             inner: Mutex::new(inner),
             header_adapter,
             engine_client,
+            version_log,
             upstream_connections: UpstreamConnections::new(clock.clone()),
             held: (held_bound != 0)
                 .then(|| HeldTracker::new(held_bound, clock.clone(), metrics.clone(), log.clone())),
@@ -180,6 +184,11 @@
         &*self.engine_client
     }
 
+    /// Reads the versions of upstreams from the store.
+    pub fn version_log(&self) -> &dyn VersionLog {
+        &*self.version_log
+    }
+
     /// Counts a request as in flight until the guard is dropped.
     pub fn track_request(&self) -> CountGuard {
         CountGuard::new(self.in_flight.clone())
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -48,6 +48,7 @@
 pub mod routing_table;
 pub mod settings;
 pub mod state_updates;
+pub mod store_confirmation;
 pub mod stream_relay;
 pub mod stream_versions;
 pub mod suspect_saver;
@@ -91,6 +92,7 @@
 use crate::proxy::adapter::RolloutReporter;
 use crate::proxy::adapter::StoreWatcher;
 use crate::proxy::adapter::SuspectStore;
+use crate::proxy::adapter::VersionLog;
 use crate::proxy::adapter::VersionStore;
 use crate::proxy::capacity::StreamLimiter;
 use crate::proxy::connection_limiter::ConnectionLimiter;
@@ -162,6 +164,8 @@
     pub part_store: Arc<dyn SuspectStore>,
     /// Persists which versions of services are in use.
     pub version_store: Arc<dyn VersionStore>,
+    /// Reads the versions of upstreams.
+    pub version_log: Arc<dyn VersionLog>,
     /// Reports the progress of roll-outs to the operator.
     pub rollout_reporter: Arc<dyn RolloutReporter>,
 }
@@ -194,8 +198,16 @@
     let peers = Peers::new(&cfg, socket, clock.clone());
     peers.add_seeds(&cfg.seeds);
     let engine_client = deps.engine_client.clone();
-    let hub =
-        Hub::new(&cfg, clock, deps.header_adapter, engine_client, peers, metrics, log.clone());
+    let hub = Hub::new(
+        &cfg,
+        clock,
+        deps.header_adapter,
+        engine_client,
+        deps.version_log,
+        peers,
+        metrics,
+        log.clone(),
+    );
     info!(log, "started"; "callers" => %cfg.callers, "zone" => cfg.identity.zone.as_str());
 
     let (phase, shutdown) = watch::channel(ShutdownPhase::Running);
--- a/src/proxy/refusal.rs
+++ b/src/proxy/refusal.rs
@@ -66,7 +66,8 @@
     /// The caller resumes a stream, and it isn't known which version began it. Not run.
     #[error("it isn't known which version began this stream; not run")]
     VersionUnknown {
-        /// When a retry is worthwhile, since this box has just started; `None` if never.
+        /// When a retry is worthwhile, since this box has just started or the store doesn't confirm
+        /// which versions are in use; `None` if never.
         retry_after: Option<Duration>,
     },
     /// The caller resumes a stream, and the service has no upstream of the version that began it.
--- a/src/proxy/required_version.rs
+++ b/src/proxy/required_version.rs
@@ -21,6 +21,9 @@
 /// aren't exact.
 const RETURN_SLACK: Duration = Duration::from_secs(5);
 
+/// The store may confirm which versions are in use this long after it didn't.
+const CONFIRMATION_RETRY: Duration = Duration::from_millis(500);
+
 /// Which version of the service's software must serve a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RequiredVersion {
@@ -52,12 +55,13 @@
             "resumes" => self.head.first_attempt.as_deref(),
             "after" => self.head.resume_after.as_ref().map(EventId::to_string),
             "source" => source.code(), "asked" => finding.asked, "replied" => finding.replied,
-            "complete" => finding.complete,
+            "complete" => finding.complete, "confirmed" => finding.is_confirmed,
             "list_changed_ms" => finding.list_changed_ago.map(|ago| ago.as_millis() as u64),
             "began_at_version" => name.as_ref().map(VersionName::as_str));
         hub.metrics().stream_version_found(source);
         if version.is_none() {
-            let retry_after = hub.stream_versions().loaded_in();
+            let confirmed_in = finding.may_be_known_later.then_some(CONFIRMATION_RETRY);
+            let retry_after = hub.stream_versions().loaded_in().or(confirmed_in);
             return Err(Refusal::VersionUnknown { retry_after });
         }
         let is_withdrawn =
--- a/src/proxy/state_updates.rs
+++ b/src/proxy/state_updates.rs
@@ -53,6 +53,7 @@
             hub.stream_versions().record_list_change(hub.now());
             hub.change(|view, _| view.complete_up_to(revision));
         }
+        StoreUpdate::ReadUpTo(revision) => hub.stream_versions().record_read(revision),
         StoreUpdate::EvacuatedZones(all) => hub.change(|view, now| view.evacuate(&all, now)),
         StoreUpdate::EvacuationOrders { orders, revision } => hub.change(|view, now| {
             let evacuated = view.evacuated().with_orders(&orders, revision);
@@ -76,7 +77,10 @@
             }
             hub.change(|view, _| view.store_lost());
         }
-        StoreUpdate::WatchStopped => hub.change(|view, _| view.store_left_to_others()),
+        StoreUpdate::WatchStopped => {
+            hub.stream_versions().record_watch_stopped();
+            hub.change(|view, _| view.store_left_to_others());
+        }
         StoreUpdate::Available => {
             if !hub.read(View::reaches_store) {
                 info!(hub.log(), "store reached");
--- a/src/proxy/stream_versions.rs
+++ b/src/proxy/stream_versions.rs
@@ -18,6 +18,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use crate::fleet::revision::Revision;
 use crate::fleet::stream_versions;
 use crate::fleet::stream_versions::StreamId;
 use crate::fleet::stream_versions::StreamRecord;
@@ -28,12 +29,15 @@
 use crate::fleet::stream_versions::VersionId;
 use crate::names::ServiceName;
 use crate::names::VersionName;
+use crate::proxy::adapter::VersionChanges;
 use crate::proxy::adapter::VersionStore;
 use crate::proxy::box_api;
 use crate::proxy::hub::Hub;
 use crate::proxy::message::Message;
 use crate::proxy::message::StreamQuery;
 use crate::proxy::message::StreamReply;
+use crate::proxy::store_confirmation;
+use crate::proxy::store_confirmation::StoreConfirmation;
 
 /// How long to wait for replies to a query, and how often it is sent to a box that doesn't reply,
 /// since a datagram may be lost. A reply takes several round trips within a region, and the pauses
@@ -91,6 +95,11 @@
     pub replied: usize,
     /// Number of boxes, including this one, whose history lacks no version.
     pub complete: usize,
+    /// Whether a read of the store that began after the request arrived shows that this box misses
+    /// no version.
+    pub is_confirmed: bool,
+    /// Whether a retry may find the version: the store didn't confirm that there is no other one.
+    pub may_be_known_later: bool,
     /// Time since the store last delivered a change of the list of upstreams to this box, if it
     /// ever did.
     pub list_changed_ago: Option<Duration>,
@@ -101,6 +110,7 @@
 pub struct StreamVersions {
     inner: Mutex<Inner>,
     queries: Mutex<Queries>,
+    confirmation: StoreConfirmation,
 }
 
 #[derive(Debug, Default)]
@@ -113,6 +123,8 @@
     saved: BTreeSet<(ServiceName, VersionName)>,
     /// When the store last delivered a change of the list of upstreams.
     list_changed_at: Option<Duration>,
+    /// The revision of the store up to which the versions are noted, while this box watches it.
+    noted_up_to: Option<Revision>,
 }
 
 /// Queries that await replies.
@@ -157,6 +169,34 @@
         self.with(|inner| inner.list_changed_at = Some(now));
     }
 
+    /// Records that this box has all changes up to a revision, by a watch.
+    pub fn record_read(&self, up_to: Revision) {
+        self.with(|inner| inner.noted_up_to = inner.noted_up_to.max(Some(up_to)));
+    }
+
+    /// Records that other boxes watch the store.
+    pub fn record_watch_stopped(&self) {
+        self.with(|inner| inner.noted_up_to = None);
+    }
+
+    /// The revision of the store up to which the versions are noted; `None` while other boxes watch
+    /// it.
+    pub(super) fn noted_up_to(&self) -> Option<Revision> {
+        self.with(|inner| inner.noted_up_to)
+    }
+
+    /// Notes the versions of entries that have changed.
+    pub(super) fn note_changes(&self, changes: &VersionChanges, now: Duration) {
+        self.with(|inner| {
+            let versions = changes.versions.iter();
+            versions.for_each(|(service, version)| inner.history.note(service, version, now));
+        });
+    }
+
+    pub(super) fn confirmation(&self) -> &StoreConfirmation {
+        &self.confirmation
+    }
+
     /// What a box that has just started needs.
     pub fn report(&self, now: Duration) -> StreamVersionsReport {
         self.with(|inner| StreamVersionsReport {
@@ -229,11 +269,17 @@
     let reply = StreamReply {
         query: query.query,
         record: query.stream.and_then(|stream| recorded(hub, stream)),
-        evidence: own_evidence(hub, &query.service),
+        evidence: own_evidence(hub, &query.service, is_believed_current(hub)),
     };
     hub.peers().send_now(from, &Message::StreamReply(reply));
 }
 
+/// Whether this box's list is probably current, for boxes of earlier builds, which rely on it.
+fn is_believed_current(hub: &Hub) -> bool {
+    let (reaches_store, revision) = hub.read(|view| (view.reaches_store(), view.revision()));
+    reaches_store || hub.peers().follows_store(revision)
+}
+
 /// Delivers a reply to the task that awaits it, if there still is one.
 pub fn handle_reply(hub: &Hub, reply: StreamReply, from: IpAddr) {
     hub.stream_versions().queries(|queries| {
@@ -255,6 +301,8 @@
         asked: 0,
         replied: 0,
         complete: 0,
+        is_confirmed: false,
+        may_be_known_later: false,
         list_changed_ago: list_changed_at.map(|at| now.saturating_sub(at)),
     };
     if let Some(record) = stream.and_then(|stream| recorded(hub, stream)) {
@@ -267,19 +315,38 @@
     // A majority of all boxes, of which `known_count` includes those that died lately.
     let is_majority = hub.peers().known_count() < 2 * (replies.len() + 1);
     let replied = replies.len();
-    let evidence: Vec<VersionEvidence> = replies
-        .into_values()
-        .map(|reply| reply.evidence)
-        .chain([own_evidence(hub, service)])
-        .collect();
+    // What other boxes know may be older than the stream.
+    let of_others =
+        replies.into_values().map(|reply| VersionEvidence { is_current: false, ..reply.evidence });
+    let mut evidence: Vec<VersionEvidence> =
+        of_others.chain([own_evidence(hub, service, false)]).collect();
+    let is_ambiguous = 1 < stream_versions::all_versions(&evidence).len();
+    let mut is_confirmed = false;
+    if records.is_empty() && !is_ambiguous {
+        is_confirmed = store_confirmation::confirm(hub).await;
+        evidence.push(own_evidence(hub, service, is_confirmed));
+    }
     let version = stream_versions::resolve(&records, &evidence, is_majority);
     let source = match (version, records.is_empty()) {
         (None, _) => Source::Unknown,
         (Some(_), false) => Source::Asked,
         (Some(_), true) => Source::OnlyVersion,
     };
-    let complete = evidence.iter().filter(|evidence| evidence.is_complete).count();
-    Finding { version, source, asked: boxes.len(), replied, complete, ..unasked }
+    let is_complete = |evidence: &&VersionEvidence| evidence.is_complete;
+    let complete = evidence.iter().take(replied + 1).filter(is_complete).count();
+    let is_single = stream_versions::all_versions(&evidence).len() <= 1;
+    let may_be_known_later = version.is_none() && records.is_empty() && is_single && 0 < complete;
+    let asked = boxes.len();
+    Finding {
+        version,
+        source,
+        asked,
+        replied,
+        complete,
+        is_confirmed,
+        may_be_known_later,
+        ..unasked
+    }
 }
 
 /// Asks boxes which version began a stream.
@@ -340,19 +407,19 @@
     hub.stream_versions().with(|inner| inner.records.get(stream, now))
 }
 
-fn own_evidence(hub: &Hub, service: &ServiceName) -> VersionEvidence {
+/// What this box knows of a stream without a record. `is_current` if it misses no version that the
+/// store listed before the request arrived.
+fn own_evidence(hub: &Hub, service: &ServiceName, is_current: bool) -> VersionEvidence {
     let now = hub.now();
-    let (listed, reaches_store, revision) = hub.read(|view| {
-        let listed: BTreeSet<VersionName> = view.registry().versions(service).cloned().collect();
-        (listed, view.reaches_store(), view.revision())
-    });
+    let listed: BTreeSet<VersionName> =
+        hub.read(|view| view.registry().versions(service).cloned().collect());
     hub.stream_versions().with(|inner| {
         let versions = inner.history.of_service(service, now);
         let id = |version: &VersionName| VersionId::new(service, version);
         VersionEvidence {
             versions: versions.iter().chain(&listed).map(id).collect(),
             is_complete: inner.history.is_complete(now),
-            is_current: reaches_store || hub.peers().follows_store(revision),
+            is_current,
         }
     })
 }
--- a/src/proxy/view.rs
+++ b/src/proxy/view.rs
@@ -264,6 +264,12 @@
         self.reaches_store
     }
 
+    /// Whether the store was restored from an older copy, and upstreams that run may not have
+    /// written their entries again.
+    pub fn is_restoring(&self, now: Duration) -> bool {
+        now < self.restore_grace_until
+    }
+
     /// Takes the changes since the last call.
     pub fn take_changes(&mut self) -> Vec<Change> {
         std::mem::take(&mut self.changes)
--- a/tests/fleet_stream_versions.rs
+++ b/tests/fleet_stream_versions.rs
@@ -220,6 +220,85 @@
     }
 }
 
+/// Guards against a version that was listed after the last read of one box and before the start of
+/// another: neither has noted it.
+#[test]
+fn a_complete_history_and_a_current_list_of_two_boxes_are_no_proof() {
+    let cut_off = evidence(&["v1"], true, false);
+    let just_started = evidence(&["v1"], false, true);
+    let known = [cut_off, just_started.clone()];
+    assert_eq!(stream_versions::resolve(&[], &known, false), None);
+    let sure = evidence(&["v1"], true, true);
+    assert_eq!(stream_versions::resolve(&[], &[sure, just_started], false), version("v1"));
+}
+
+/// A fleet of which each box has read the store up to some time. Engines of v2 write their entries
+/// at zero.
+struct Fleet {
+    boxes: Vec<IpAddr>,
+    /// Whether each box has read the store since then.
+    has_read: Vec<bool>,
+}
+
+impl Fleet {
+    /// What a box replies. It takes its list for current.
+    fn reply(&self, ip: &IpAddr) -> VersionEvidence {
+        let n = self.boxes.iter().position(|known| known == ip).expect("a box of the fleet");
+        let versions: &[&str] = if self.has_read[n] { &["v1", "v2"] } else { &["v1"] };
+        evidence(versions, true, false)
+    }
+
+    /// The version that the first box finds for a stream without a record, by the replies of the
+    /// holders that can be reached and by a read of the store, if that succeeds.
+    fn find(&self, stream: StreamId, cut_off: &BTreeSet<IpAddr>, reads: bool) -> Option<VersionId> {
+        let zone = &self.boxes[..self.boxes.len() / 3];
+        let asked = stream_versions::holders(stream, zone, &self.boxes);
+        let replies = asked.iter().filter(|ip| !cut_off.contains(*ip) && **ip != self.boxes[0]);
+        let mut known: Vec<VersionEvidence> = replies.map(|ip| self.reply(ip)).collect();
+        let is_majority = self.boxes.len() < 2 * (known.len() + 1);
+        let versions: &[&str] = if reads || self.has_read[0] { &["v1", "v2"] } else { &["v1"] };
+        known.push(evidence(versions, true, reads));
+        stream_versions::resolve(&[], &known, is_majority)
+    }
+}
+
+/// Guards against a box that is out of step in a larger fleet: just the holders of the stream's
+/// record are cut off, or they are as far behind as the box.
+#[test]
+fn a_box_out_of_step_finds_no_version_while_its_holders_are_cut_off() {
+    for count in [64, 300, 985] {
+        let boxes = boxes(count);
+        for n in 0..50 {
+            let stream = stream(&n.to_string());
+            let holders = stream_versions::holders(stream, &boxes[..boxes.len() / 3], &boxes);
+            for has_read in [false, true] {
+                // All others have read the store, or none has.
+                let mut fleet =
+                    Fleet { has_read: vec![has_read; boxes.len()], boxes: boxes.clone() };
+                fleet.has_read[0] = false;
+                for cut_off in [holders.clone(), BTreeSet::new()] {
+                    for reads in [false, true] {
+                        let found = fleet.find(stream, &cut_off, reads);
+                        assert_eq!(found, None, "{count} boxes, stream {n}, {cut_off:?}, {reads}");
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Guards against needless refusals in a larger fleet: there is one version, and a read of the store
+/// shows that, whether or not the holders reply.
+#[test]
+fn a_read_of_the_store_is_proof_while_the_holders_are_cut_off() {
+    for replies in 0..4 {
+        let mut known = vec![evidence(&["v1"], true, false); replies];
+        assert_eq!(stream_versions::resolve(&[], &known, false), None);
+        known.push(evidence(&["v1"], true, true));
+        assert_eq!(stream_versions::resolve(&[], &known, false), version("v1"));
+    }
+}
+
 fn boxes(count: u32) -> Vec<IpAddr> {
     (0..count).map(|n| IpAddr::V4(Ipv4Addr::from_bits(0x0a00_0000 + n))).collect()
 }
