Note the versions of entries that come and go within one reply of a watch

Cause: of the changes in one reply, `upstream_change_updates` passes on the last one of each upstream, so an entry that was added and removed meanwhile is a removal of something unknown. The versions of the last 120 s are noted from the list several times a second; what the list never held isn't noted.

Ruled out: passing on all changes (requests would be sent to engines that are gone).

Change: the watch reports the versions of all changes in a reply beside the updates (`StoreUpdate::Versions`). A version that another box reports as listed is noted, too, also by a box that watches the store itself and may be behind.

Why it works: a removal carries the entry as it was, so each change of the reply names its version, and a history without a gap is what the confirmation by the store continues.

--- a/src/proxy/adapter.rs
+++ b/src/proxy/adapter.rs
@@ -238,8 +238,9 @@
     },
     /// The updates of upstreams so far are complete up to this revision of the store.
     CompleteUpTo(Revision),
-    /// The same, also after a watch that ended without a change.
-    ReadUpTo(Revision),
+    /// The versions in these updates, also of entries that were added and removed within them, and
+    /// the revision up to which they are complete. Also after a watch that ended without a change.
+    Versions(VersionChanges),
     /// All zones that are evacuated.
     EvacuatedZones(EvacuatedZones),
     /// Zones are evacuated, or their evacuation is revoked.
--- a/src/proxy/state_updates.rs
+++ b/src/proxy/state_updates.rs
@@ -53,7 +53,9 @@
             hub.stream_versions().record_list_change(hub.now());
             hub.change(|view, _| view.complete_up_to(revision));
         }
-        StoreUpdate::ReadUpTo(revision) => hub.stream_versions().record_read(revision),
+        StoreUpdate::Versions(changes) => {
+            hub.stream_versions().record_read(&changes, hub.now());
+        }
         StoreUpdate::EvacuatedZones(all) => hub.change(|view, now| view.evacuate(&all, now)),
         StoreUpdate::EvacuationOrders { orders, revision } => hub.change(|view, now| {
             let evacuated = view.evacuated().with_orders(&orders, revision);
@@ -173,6 +175,8 @@
         }
         Message::DrainNotice(notice) => notices::receive(hub, &notice, sender),
         Message::Listed { listing, written } => {
+            // Also if this box watches the store, and may be behind.
+            stream_versions::note_version(hub, &listing.service, &listing.version);
             hub.change(|view, now| view.reported_listed(listing, written, now))
         }
         Message::Gone { upstream, revision } => {
--- a/src/proxy/stream_versions.rs
+++ b/src/proxy/stream_versions.rs
@@ -169,9 +169,10 @@
         self.with(|inner| inner.list_changed_at = Some(now));
     }
 
-    /// Records that this box has all changes up to a revision, by a watch.
-    pub fn record_read(&self, up_to: Revision) {
-        self.with(|inner| inner.noted_up_to = inner.noted_up_to.max(Some(up_to)));
+    /// Notes what a watch has delivered.
+    pub fn record_read(&self, changes: &VersionChanges, now: Duration) {
+        self.note_changes(changes, now);
+        self.with(|inner| inner.noted_up_to = inner.noted_up_to.max(Some(changes.up_to)));
     }
 
     /// Records that other boxes watch the store.
@@ -487,6 +488,12 @@
     true
 }
 
+/// Notes a version that another box reports as listed.
+pub fn note_version(hub: &Hub, service: &ServiceName, version: &VersionName) {
+    let now = hub.now();
+    hub.stream_versions().with(|inner| inner.history.note(service, version, now));
+}
+
 fn note_versions(
     hub: &Hub,
     history: &BTreeMap<ServiceName, BTreeSet<VersionName>>,
