Tie replies about streams to the process that asked

What callers could see: a stream that goes on at a version that another stream began with. Not seen, found by reading.

Cause: each process of a box numbered its queries from 1. A late reply to a query of the process before a restart carries a number that a query of the new process has, too, and its record or versions were taken for those of the new query's stream.

Ruled out elsewhere: questions to owners carry ids hashed from the caller's attempt, records of requests ids that include the box's address and the start of its process; a late reply to those concerns the same request.

Change: the numbers begin at `util::id_base` of the box's address, the start of its process and "stream-query", as tickets and grants do. No message changes; numbers are some eight bytes long instead of one.

Evidence: fleet_stream_versions::queries_of_two_processes_of_a_box_have_different_numbers, with the former start at 0: of 10,000 numbers each, left: 10000 in common, right: 0. After: 20 of 20 tests of fleet_stream_versions.

--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -134,6 +134,7 @@
             waiting: WaitingRequests::default(),
         };
         let own_requests = RequestTable::new(peers.own_ip(), peers.incarnation());
+        let stream_versions = StreamVersions::new(peers.own_ip(), peers.incarnation());
         let started = Duration::from_millis(peers.incarnation());
         let held_bound = (cfg.memory_bytes as f64 * cfg.held_share) as usize;
         let hub = Arc::new(Hub {
@@ -157,7 +158,7 @@
             suspects: Suspects::default(),
             part_suspects: PartSuspects::default(),
             rollouts: RolloutState::new(cfg.exposure),
-            stream_versions: StreamVersions::default(),
+            stream_versions,
             probe_requested: Notify::new(),
             is_warm: AtomicBool::new(false),
             streams: Arc::default(),
--- a/src/proxy/stream_versions.rs
+++ b/src/proxy/stream_versions.rs
@@ -38,6 +38,7 @@
 use crate::proxy::message::StreamReply;
 use crate::proxy::store_confirmation;
 use crate::proxy::store_confirmation::StoreConfirmation;
+use crate::util;
 
 /// How long to wait for replies to a query, and how often it is sent to a box that doesn't reply,
 /// since a datagram may be lost. A reply takes several round trips within a region, and the pauses
@@ -130,11 +131,29 @@
 /// Queries that await replies.
 #[derive(Debug, Default)]
 struct Queries {
+    /// The number of the last query.
     last: u64,
     pending: FxHashMap<u64, mpsc::UnboundedSender<(IpAddr, StreamReply)>>,
 }
 
 impl StreamVersions {
+    /// The state of a box that knows nothing. `incarnation` distinguishes the starts of its
+    /// process.
+    pub fn new(own_ip: IpAddr, incarnation: u64) -> StreamVersions {
+        let last = util::id_base(&own_ip.to_string(), incarnation, "stream-query");
+        let queries = Mutex::new(Queries { last, ..Queries::default() });
+        StreamVersions { queries, ..StreamVersions::default() }
+    }
+
+    /// Returns the number of the next query. A late reply to a query of an earlier process of this
+    /// box has another number.
+    pub fn next_query(&self) -> u64 {
+        self.queries(|queries| {
+            queries.last += 1;
+            queries.last
+        })
+    }
+
     fn with<T>(&self, f: impl FnOnce(&mut Inner) -> T) -> T {
         f(&mut self.inner.lock().expect("no panic under lock"))
     }
@@ -357,12 +376,9 @@
     stream: Option<StreamId>,
     service: &ServiceName,
 ) -> BTreeMap<IpAddr, StreamReply> {
-    let (id, rx) = hub.stream_versions().queries(|queries| {
-        let (tx, rx) = mpsc::unbounded_channel();
-        queries.last += 1;
-        queries.pending.insert(queries.last, tx);
-        (queries.last, rx)
-    });
+    let id = hub.stream_versions().next_query();
+    let (tx, rx) = mpsc::unbounded_channel();
+    hub.stream_versions().queries(|queries| _ = queries.pending.insert(id, tx));
     let pending = PendingQuery { hub, id, rx };
     let message = Message::StreamQuery(StreamQuery { query: id, stream, service: service.clone() });
     pending.ask(boxes, &message).await
--- a/tests/fleet_stream_versions.rs
+++ b/tests/fleet_stream_versions.rs
@@ -25,6 +25,7 @@
 use frostdyke::placement::tuning::Tuning;
 use frostdyke::proxy::adapter::UpstreamListing;
 use frostdyke::proxy::message::Message;
+use frostdyke::proxy::stream_versions::StreamVersions;
 use proptest::prelude::*;
 
 const TTL_MS: u32 = 20_000;
@@ -339,6 +340,21 @@
     assert!(STREAMS_PER_S * HOLDERS * len <= BUDGET_BYTES_PER_S / 2, "{len} bytes");
 }
 
+/// Guards against a late reply to a query of a box's earlier process that is taken for one to a
+/// query of the next process.
+#[test]
+fn queries_of_two_processes_of_a_box_have_different_numbers() {
+    const QUERIES: usize = 10_000;
+    let ip = boxes(1)[0];
+    let numbers = |incarnation| -> BTreeSet<u64> {
+        let process = StreamVersions::new(ip, incarnation);
+        (0..QUERIES).map(|_| process.next_query()).collect()
+    };
+    let (before, after) = (numbers(1_733_395_200_000), numbers(1_733_395_201_500));
+    assert_eq!((before.len(), after.len()), (QUERIES, QUERIES));
+    assert_eq!(before.intersection(&after).count(), 0);
+}
+
 fn registry(upstreams: &[(&str, &str)]) -> UpstreamRegistry {
     let mut registry = UpstreamRegistry::new(ZoneName::from("a"), Tuning::default());
     upstreams.iter().for_each(|(name, version)| registry.upsert(listing(name, version), None));
