Don't take a history of versions with a gap for complete

Cause: after a 410 a watch lists all entries and goes on. The history of versions, once complete, stayed so, although the changes in between are unknown.

Ruled out: never to be complete before 120 s have passed (a store that forgets early would have all streams without a record refused).

Change: a list that follows a read of the same era, by the watch or by the confirmation, is noted as a gap. The box then loads the history again as after a restart, from another box or the versions in the store; refusals meanwhile carry Retry-After. What the box knew before the confirmation no longer counts beside what it knows after. A new era is no gap: a restored store can't fill it, and nothing is confirmed until upstreams have written their entries again.

Why it works: completeness claims every version of 120 s; it is given up when changes may have been missed, and regained only from who has them or by time.

--- a/src/fleet/stream_versions.rs
+++ b/src/fleet/stream_versions.rs
@@ -210,6 +210,8 @@
     /// Until when each version counts.
     versions: BTreeMap<ServiceName, BTreeMap<VersionName, Duration>>,
     is_complete: bool,
+    /// Since when no change was missed.
+    unbroken_since: Duration,
 }
 
 impl VersionHistory {
@@ -229,9 +231,14 @@
         self.is_complete = true;
     }
 
-    /// Whether the history lacks no version. `uptime` is the time since this box started.
-    pub fn is_complete(&self, uptime: Duration) -> bool {
-        self.is_complete || VERSION_RETENTION <= uptime
+    /// Records that changes until now were missed.
+    pub fn note_gap(&mut self, now: Duration) {
+        (self.is_complete, self.unbroken_since) = (false, now);
+    }
+
+    /// Whether the history lacks no version. `now` is the time since this box started.
+    pub fn is_complete(&self, now: Duration) -> bool {
+        self.is_complete || self.unbroken_since + VERSION_RETENTION <= now
     }
 
     /// The versions that may have begun a stream of the service.
--- a/src/proxy/adapter.rs
+++ b/src/proxy/adapter.rs
@@ -363,6 +363,9 @@
 pub struct VersionChanges {
     /// The service and version of each entry that was written or removed.
     pub versions: Vec<(ServiceName, VersionName)>,
+    /// The revision after which these are all; `None` if they are only those of the entries listed
+    /// now.
+    pub since: Option<Revision>,
     /// The revision of the store up to which these are complete.
     pub up_to: Revision,
 }
--- a/src/proxy/stream_versions.rs
+++ b/src/proxy/stream_versions.rs
@@ -15,6 +15,7 @@
 use rustc_hash::FxHashMap;
 use slog::debug;
 use slog::info;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -112,6 +113,8 @@
     inner: Mutex<Inner>,
     queries: Mutex<Queries>,
     confirmation: StoreConfirmation,
+    /// Notified when the history has a gap.
+    gap_noted: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -205,12 +208,25 @@
         self.with(|inner| inner.noted_up_to)
     }
 
-    /// Notes the versions of entries that have changed.
+    /// Notes the versions of entries that have changed. If the store no longer has all changes since
+    /// the last, the history has a gap, which other boxes or the store may fill. A store that was
+    /// restored from an older copy can't; upstreams that run write their entries again.
     pub(super) fn note_changes(&self, changes: &VersionChanges, now: Duration) {
-        self.with(|inner| {
+        let is_gap = self.with(|inner| {
             let versions = changes.versions.iter();
             versions.for_each(|(service, version)| inner.history.note(service, version, now));
+            let noted = inner.noted_up_to.as_mut().filter(|noted| **noted < changes.up_to);
+            let Some(noted) = noted.filter(|_| changes.since.is_none()) else { return false };
+            let is_same_store = noted.era == changes.up_to.era;
+            *noted = changes.up_to;
+            if is_same_store {
+                inner.history.note_gap(now);
+            }
+            is_same_store
         });
+        if is_gap {
+            self.gap_noted.notify_one();
+        }
     }
 
     pub(super) fn confirmation(&self) -> &StoreConfirmation {
@@ -344,6 +360,8 @@
     let mut is_confirmed = false;
     if records.is_empty() && !is_ambiguous {
         is_confirmed = store_confirmation::confirm(hub).await;
+        // The read may also have shown that the history has a gap.
+        evidence.pop();
         evidence.push(own_evidence(hub, service, is_confirmed));
     }
     let version = stream_versions::resolve(&records, &evidence, is_majority);
@@ -352,8 +370,7 @@
         (Some(_), false) => Source::Asked,
         (Some(_), true) => Source::OnlyVersion,
     };
-    let is_complete = |evidence: &&VersionEvidence| evidence.is_complete;
-    let complete = evidence.iter().take(replied + 1).filter(is_complete).count();
+    let complete = evidence.iter().filter(|evidence| evidence.is_complete).count();
     let is_single = stream_versions::all_versions(&evidence).len() <= 1;
     let may_be_known_later = version.is_none() && records.is_empty() && is_single && 0 < complete;
     let asked = boxes.len();
@@ -441,17 +458,22 @@
     })
 }
 
-/// Loads the records and versions that this box lacks after a restart: from another box, and the
-/// versions also from the store, since all boxes may have restarted at once.
+/// Loads the records and versions that this box lacks after a restart, and each time that its
+/// history has a gap, until the process ends: from another box, and the versions also from the
+/// store, since all boxes may have restarted at once.
 pub async fn load(hub: Arc<Hub>, store: Arc<dyn VersionStore>, is_first_start: bool) {
     if is_first_start {
         // No stream has begun before.
         hub.stream_versions().with(|inner| inner.history.set_complete());
-        return;
+        hub.stream_versions().gap_noted.notified().await;
+    }
+    loop {
+        hub.stream_versions().with(|inner| inner.is_loading = true);
+        load_until_complete(&hub, &*store).await;
+        hub.stream_versions().with(|inner| inner.is_loading = false);
+        hub.stream_versions().gap_noted.notified().await;
+        info!(hub.log(), "versions of services may have been missed");
     }
-    hub.stream_versions().with(|inner| inner.is_loading = true);
-    load_until_complete(&hub, &*store).await;
-    hub.stream_versions().with(|inner| inner.is_loading = false);
 }
 
 async fn load_until_complete(hub: &Hub, store: &dyn VersionStore) {
--- a/tests/fleet_stream_versions.rs
+++ b/tests/fleet_stream_versions.rs
@@ -166,6 +166,21 @@
     assert!(history.is_complete(at(0)));
 }
 
+/// Guards against a history that counts as complete although changes were missed.
+#[test]
+fn a_history_with_a_gap_is_complete_again_after_a_while_or_if_it_was_loaded() {
+    let mut history = VersionHistory::default();
+    history.set_complete();
+    let gap = VERSION_RETENTION + at(5000);
+    history.note_gap(gap);
+    assert!(!history.is_complete(gap));
+    assert!(!history.is_complete(gap + VERSION_RETENTION - at(1)));
+    assert!(history.is_complete(gap + VERSION_RETENTION));
+    history.note_gap(gap);
+    history.set_complete();
+    assert!(history.is_complete(gap));
+}
+
 /// Guards against a record that is overruled by what is listed.
 #[test]
 fn a_record_decides_whatever_versions_are_known() {
