--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -103,6 +103,13 @@
     late_max: Duration,
 }
 
+/// Adapters to the product that embeds the proxy, which requests use.
+pub struct Adapters {
+    pub header_adapter: Arc<dyn HeaderAdapter>,
+    pub engine_client: Arc<dyn EngineClient>,
+    pub version_log: Arc<dyn VersionLog>,
+}
+
 struct Inner {
     view: View,
     budget: RetryBudget,
@@ -118,9 +125,7 @@
     pub fn new(
         cfg: &Settings,
         clock: Arc<Clock>,
-        header_adapter: Arc<dyn HeaderAdapter>,
-        engine_client: Arc<dyn EngineClient>,
-        version_log: Arc<dyn VersionLog>,
+        adapters: Adapters,
         peers: Peers,
         metrics: ProxyMetrics,
         log: Logger,
@@ -139,9 +144,9 @@
         let held_bound = (cfg.memory_bytes as f64 * cfg.held_share) as usize;
         let hub = Arc::new(Hub {
             inner: Mutex::new(inner),
-            header_adapter,
-            engine_client,
-            version_log,
+            header_adapter: adapters.header_adapter,
+            engine_client: adapters.engine_client,
+            version_log: adapters.version_log,
             upstream_connections: UpstreamConnections::new(clock.clone()),
             held: (held_bound != 0)
                 .then(|| HeldTracker::new(held_bound, clock.clone(), metrics.clone(), log.clone())),
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -97,6 +97,7 @@
 use crate::proxy::capacity::StreamLimiter;
 use crate::proxy::connection_limiter::ConnectionLimiter;
 use crate::proxy::connection_reuse::ConnectionLog;
+use crate::proxy::hub::Adapters;
 use crate::proxy::hub::Hub;
 use crate::proxy::oversized::OversizedLog;
 use crate::proxy::part_suspects::SavedParts;
@@ -197,17 +198,12 @@
     let clock = Clock::new(Box::new(SinceBoot));
     let peers = Peers::new(&cfg, socket, clock.clone());
     peers.add_seeds(&cfg.seeds);
-    let engine_client = deps.engine_client.clone();
-    let hub = Hub::new(
-        &cfg,
-        clock,
-        deps.header_adapter,
-        engine_client,
-        deps.version_log,
-        peers,
-        metrics,
-        log.clone(),
-    );
+    let adapters = Adapters {
+        header_adapter: deps.header_adapter,
+        engine_client: deps.engine_client.clone(),
+        version_log: deps.version_log,
+    };
+    let hub = Hub::new(&cfg, clock, adapters, peers, metrics, log.clone());
     info!(log, "started"; "callers" => %cfg.callers, "zone" => cfg.identity.zone.as_str());
 
     let (phase, shutdown) = watch::channel(ShutdownPhase::Running);
