--- a/src/proxy/adapter.rs
+++ b/src/proxy/adapter.rs
@@ -238,6 +238,9 @@
     },
     /// The updates of upstreams so far are complete up to this revision of the store.
     CompleteUpTo(Revision),
+    /// The versions in these updates, also of entries that were added and removed within them, and
+    /// the revision up to which they are complete. Also after a watch that ended without a change.
+    Versions(VersionChanges),
     /// All zones that are evacuated.
     EvacuatedZones(EvacuatedZones),
     /// Zones are evacuated, or their evacuation is revoked.
@@ -354,6 +357,26 @@
     ) -> BoxFuture<'static, Result<(), StoreError>>;
 }
 
+/// Versions of upstreams that the store listed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VersionChanges {
+    /// The service and version of each entry that was written or removed.
+    pub versions: Vec<(ServiceName, VersionName)>,
+    /// The revision after which these are all; `None` if they are only those of the entries listed
+    /// now.
+    pub since: Option<Revision>,
+    /// The revision of the store up to which these are complete.
+    pub up_to: Revision,
+}
+
+/// Reads the versions of upstreams from the store, beside the watch.
+pub trait VersionLog: Send + Sync {
+    /// The versions of all entries that were written or removed after a revision. They are complete
+    /// up to a revision that the store had after the call began. Of entries of which the store no
+    /// longer has the history, and in another era of the store, those that are listed now.
+    fn since(&self, since: Revision) -> BoxFuture<'static, Result<VersionChanges, StoreError>>;
+}
+
 /// Reports the progress of roll-outs where the operator reads it.
 pub trait RolloutReporter: Send + Sync {
     /// Writes the state of the roll-out of `target`, unless another one was ordered meanwhile or it
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -48,6 +48,7 @@
 pub mod routing_table;
 pub mod settings;
 pub mod state_updates;
+pub mod store_confirmation;
 pub mod stream_relay;
 pub mod stream_versions;
 pub mod suspect_saver;
@@ -91,10 +92,12 @@
 use crate::proxy::adapter::RolloutReporter;
 use crate::proxy::adapter::StoreWatcher;
 use crate::proxy::adapter::SuspectStore;
+use crate::proxy::adapter::VersionLog;
 use crate::proxy::adapter::VersionStore;
 use crate::proxy::capacity::StreamLimiter;
 use crate::proxy::connection_limiter::ConnectionLimiter;
 use crate::proxy::connection_reuse::ConnectionLog;
+use crate::proxy::hub::Adapters;
 use crate::proxy::hub::Hub;
 use crate::proxy::oversized::OversizedLog;
 use crate::proxy::part_suspects::SavedParts;
@@ -162,6 +165,8 @@
     pub part_store: Arc<dyn SuspectStore>,
     /// Persists which versions of services are in use.
     pub version_store: Arc<dyn VersionStore>,
+    /// Reads the versions of upstreams.
+    pub version_log: Arc<dyn VersionLog>,
     /// Reports the progress of roll-outs to the operator.
     pub rollout_reporter: Arc<dyn RolloutReporter>,
 }
@@ -193,9 +198,12 @@
     let clock = Clock::new(Box::new(SinceBoot));
     let peers = Peers::new(&cfg, socket, clock.clone());
     peers.add_seeds(&cfg.seeds);
-    let engine_client = deps.engine_client.clone();
-    let hub =
-        Hub::new(&cfg, clock, deps.header_adapter, engine_client, peers, metrics, log.clone());
+    let adapters = Adapters {
+        header_adapter: deps.header_adapter,
+        engine_client: deps.engine_client.clone(),
+        version_log: deps.version_log,
+    };
+    let hub = Hub::new(&cfg, clock, adapters, peers, metrics, log.clone());
     info!(log, "started"; "callers" => %cfg.callers, "zone" => cfg.identity.zone.as_str());
 
     let (phase, shutdown) = watch::channel(ShutdownPhase::Running);
--- a/src/proxy/state_updates.rs
+++ b/src/proxy/state_updates.rs
@@ -49,7 +49,13 @@
         StoreUpdate::UpstreamRemoved { name, revision } => {
             hub.change(|view, now| view.entry_removed(&name, Some(revision), now))
         }
-        StoreUpdate::CompleteUpTo(revision) => hub.change(|view, _| view.complete_up_to(revision)),
+        StoreUpdate::CompleteUpTo(revision) => {
+            hub.stream_versions().record_list_change(hub.now());
+            hub.change(|view, _| view.complete_up_to(revision));
+        }
+        StoreUpdate::Versions(changes) => {
+            hub.stream_versions().record_read(&changes, hub.now());
+        }
         StoreUpdate::EvacuatedZones(all) => hub.change(|view, now| view.evacuate(&all, now)),
         StoreUpdate::EvacuationOrders { orders, revision } => hub.change(|view, now| {
             let evacuated = view.evacuated().with_orders(&orders, revision);
@@ -73,7 +79,10 @@
             }
             hub.change(|view, _| view.store_lost());
         }
-        StoreUpdate::WatchStopped => hub.change(|view, _| view.store_left_to_others()),
+        StoreUpdate::WatchStopped => {
+            hub.stream_versions().record_watch_stopped();
+            hub.change(|view, _| view.store_left_to_others());
+        }
         StoreUpdate::Available => {
             if !hub.read(View::reaches_store) {
                 info!(hub.log(), "store reached");
@@ -166,6 +175,8 @@
         }
         Message::DrainNotice(notice) => notices::receive(hub, &notice, sender),
         Message::Listed { listing, written } => {
+            // Also if this box watches the store, and may be behind.
+            stream_versions::note_version(hub, &listing.service, &listing.version);
             hub.change(|view, now| view.reported_listed(listing, written, now))
         }
         Message::Gone { upstream, revision } => {
--- a/src/proxy/stream_versions.rs
+++ b/src/proxy/stream_versions.rs
@@ -15,9 +15,11 @@
 use rustc_hash::FxHashMap;
 use slog::debug;
 use slog::info;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use crate::fleet::revision::Revision;
 use crate::fleet::stream_versions;
 use crate::fleet::stream_versions::StreamId;
 use crate::fleet::stream_versions::StreamRecord;
@@ -28,12 +30,16 @@
 use crate::fleet::stream_versions::VersionId;
 use crate::names::ServiceName;
 use crate::names::VersionName;
+use crate::proxy::adapter::VersionChanges;
 use crate::proxy::adapter::VersionStore;
 use crate::proxy::box_api;
 use crate::proxy::hub::Hub;
 use crate::proxy::message::Message;
 use crate::proxy::message::StreamQuery;
 use crate::proxy::message::StreamReply;
+use crate::proxy::store_confirmation;
+use crate::proxy::store_confirmation::StoreConfirmation;
+use crate::util;
 
 /// How long to wait for replies to a query, and how often it is sent to a box that doesn't reply,
 /// since a datagram may be lost. A reply takes several round trips within a region, and the pauses
@@ -79,11 +85,36 @@
     }
 }
 
+/// Which version began a stream, and what shows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Finding {
+    /// `None` if it isn't known.
+    pub version: Option<VersionId>,
+    pub source: Source,
+    /// Number of other boxes that were asked.
+    pub asked: usize,
+    /// Number of those that replied.
+    pub replied: usize,
+    /// Number of boxes, including this one, whose history lacks no version.
+    pub complete: usize,
+    /// Whether a read of the store that began after the request arrived shows that this box misses
+    /// no version.
+    pub is_confirmed: bool,
+    /// Whether a retry may find the version: the store didn't confirm that there is no other one.
+    pub may_be_known_later: bool,
+    /// Time since the store last delivered a change of the list of upstreams to this box, if it
+    /// ever did.
+    pub list_changed_ago: Option<Duration>,
+}
+
 /// Which versions began streams, as far as this box knows.
 #[derive(Debug, Default)]
 pub struct StreamVersions {
     inner: Mutex<Inner>,
     queries: Mutex<Queries>,
+    confirmation: StoreConfirmation,
+    /// Notified when the history has a gap.
+    gap_noted: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -94,16 +125,38 @@
     is_loading: bool,
     /// Versions that are in the store because of this box, or were when it loaded them.
     saved: BTreeSet<(ServiceName, VersionName)>,
+    /// When the store last delivered a change of the list of upstreams.
+    list_changed_at: Option<Duration>,
+    /// The revision of the store up to which the versions are noted, while this box watches it.
+    noted_up_to: Option<Revision>,
 }
 
 /// Queries that await replies.
 #[derive(Debug, Default)]
 struct Queries {
+    /// The number of the last query.
     last: u64,
     pending: FxHashMap<u64, mpsc::UnboundedSender<(IpAddr, StreamReply)>>,
 }
 
 impl StreamVersions {
+    /// The state of a box that knows nothing. `incarnation` distinguishes the starts of its
+    /// process.
+    pub fn new(own_ip: IpAddr, incarnation: u64) -> StreamVersions {
+        let last = util::id_base(&own_ip.to_string(), incarnation, "stream-query");
+        let queries = Mutex::new(Queries { last, ..Queries::default() });
+        StreamVersions { queries, ..StreamVersions::default() }
+    }
+
+    /// Returns the number of the next query. A late reply to a query of an earlier process of this
+    /// box has another number.
+    pub fn next_query(&self) -> u64 {
+        self.queries(|queries| {
+            queries.last += 1;
+            queries.last
+        })
+    }
+
     fn with<T>(&self, f: impl FnOnce(&mut Inner) -> T) -> T {
         f(&mut self.inner.lock().expect("no panic under lock"))
     }
@@ -133,6 +186,53 @@
         self.with(|inner| inner.saved.clear());
     }
 
+    /// Records that the store has delivered a change of the list of upstreams.
+    pub fn record_list_change(&self, now: Duration) {
+        self.with(|inner| inner.list_changed_at = Some(now));
+    }
+
+    /// Notes what a watch has delivered.
+    pub fn record_read(&self, changes: &VersionChanges, now: Duration) {
+        self.note_changes(changes, now);
+        self.with(|inner| inner.noted_up_to = inner.noted_up_to.max(Some(changes.up_to)));
+    }
+
+    /// Records that other boxes watch the store.
+    pub fn record_watch_stopped(&self) {
+        self.with(|inner| inner.noted_up_to = None);
+    }
+
+    /// The revision of the store up to which the versions are noted; `None` while other boxes watch
+    /// it.
+    pub(super) fn noted_up_to(&self) -> Option<Revision> {
+        self.with(|inner| inner.noted_up_to)
+    }
+
+    /// Notes the versions of entries that have changed. If the store no longer has all changes since
+    /// the last, the history has a gap, which other boxes or the store may fill. A store that was
+    /// restored from an older copy can't; upstreams that run write their entries again.
+    pub(super) fn note_changes(&self, changes: &VersionChanges, now: Duration) {
+        let is_gap = self.with(|inner| {
+            let versions = changes.versions.iter();
+            versions.for_each(|(service, version)| inner.history.note(service, version, now));
+            let noted = inner.noted_up_to.as_mut().filter(|noted| **noted < changes.up_to);
+            let Some(noted) = noted.filter(|_| changes.since.is_none()) else { return false };
+            let is_same_store = noted.era == changes.up_to.era;
+            *noted = changes.up_to;
+            if is_same_store {
+                inner.history.note_gap(now);
+            }
+            is_same_store
+        });
+        if is_gap {
+            self.gap_noted.notify_one();
+        }
+    }
+
+    pub(super) fn confirmation(&self) -> &StoreConfirmation {
+        &self.confirmation
+    }
+
     /// What a box that has just started needs.
     pub fn report(&self, now: Duration) -> StreamVersionsReport {
         self.with(|inner| StreamVersionsReport {
@@ -205,11 +305,17 @@
     let reply = StreamReply {
         query: query.query,
         record: query.stream.and_then(|stream| recorded(hub, stream)),
-        evidence: own_evidence(hub, &query.service),
+        evidence: own_evidence(hub, &query.service, is_believed_current(hub)),
     };
     hub.peers().send_now(from, &Message::StreamReply(reply));
 }
 
+/// Whether this box's list is probably current, for boxes of earlier builds, which rely on it.
+fn is_believed_current(hub: &Hub) -> bool {
+    let (reaches_store, revision) = hub.read(|view| (view.reaches_store(), view.revision()));
+    reaches_store || hub.peers().follows_store(revision)
+}
+
 /// Delivers a reply to the task that awaits it, if there still is one.
 pub fn handle_reply(hub: &Hub, reply: StreamReply, from: IpAddr) {
     hub.stream_versions().queries(|queries| {
@@ -220,42 +326,79 @@
     });
 }
 
-/// Finds out which version began a stream of the service; `None` if that isn't known. `stream` is
-/// `None` if the caller doesn't name it.
-pub async fn find(
-    hub: &Hub,
-    stream: Option<StreamId>,
-    service: &ServiceName,
-) -> (Option<VersionId>, Source) {
+/// Finds out which version began a stream of the service. `stream` is `None` if the caller doesn't
+/// name it.
+pub async fn find(hub: &Hub, stream: Option<StreamId>, service: &ServiceName) -> Finding {
+    let now = hub.now();
+    let list_changed_at = hub.stream_versions().with(|inner| inner.list_changed_at);
+    let unasked = Finding {
+        version: None,
+        source: Source::Recorded,
+        asked: 0,
+        replied: 0,
+        complete: 0,
+        is_confirmed: false,
+        may_be_known_later: false,
+        list_changed_ago: list_changed_at.map(|at| now.saturating_sub(at)),
+    };
     if let Some(record) = stream.and_then(|stream| recorded(hub, stream)) {
-        return (record.version, Source::Recorded);
+        return Finding { version: record.version, ..unasked };
     }
     let boxes = hub.peers().boxes_to_ask(stream);
-    let (id, rx) = hub.stream_versions().queries(|queries| {
-        let (tx, rx) = mpsc::unbounded_channel();
-        queries.last += 1;
-        queries.pending.insert(queries.last, tx);
-        (queries.last, rx)
-    });
-    let pending = PendingQuery { hub, id, rx };
-    let message = Message::StreamQuery(StreamQuery { query: id, stream, service: service.clone() });
-    let replies = pending.ask(&boxes, &message).await;
+    let replies = ask(hub, &boxes, stream, service).await;
     let records: Vec<Option<VersionId>> =
         replies.values().filter_map(|reply| Some(reply.record?.version)).collect();
     // A majority of all boxes, of which `known_count` includes those that died lately.
     let is_majority = hub.peers().known_count() < 2 * (replies.len() + 1);
-    let evidence: Vec<VersionEvidence> = replies
-        .into_values()
-        .map(|reply| reply.evidence)
-        .chain([own_evidence(hub, service)])
-        .collect();
+    let replied = replies.len();
+    // What other boxes know may be older than the stream.
+    let of_others =
+        replies.into_values().map(|reply| VersionEvidence { is_current: false, ..reply.evidence });
+    let mut evidence: Vec<VersionEvidence> =
+        of_others.chain([own_evidence(hub, service, false)]).collect();
+    let is_ambiguous = 1 < stream_versions::all_versions(&evidence).len();
+    let mut is_confirmed = false;
+    if records.is_empty() && !is_ambiguous {
+        is_confirmed = store_confirmation::confirm(hub).await;
+        // The read may also have shown that the history has a gap.
+        evidence.pop();
+        evidence.push(own_evidence(hub, service, is_confirmed));
+    }
     let version = stream_versions::resolve(&records, &evidence, is_majority);
     let source = match (version, records.is_empty()) {
         (None, _) => Source::Unknown,
         (Some(_), false) => Source::Asked,
         (Some(_), true) => Source::OnlyVersion,
     };
-    (version, source)
+    let complete = evidence.iter().filter(|evidence| evidence.is_complete).count();
+    let is_single = stream_versions::all_versions(&evidence).len() <= 1;
+    let may_be_known_later = version.is_none() && records.is_empty() && is_single && 0 < complete;
+    let asked = boxes.len();
+    Finding {
+        version,
+        source,
+        asked,
+        replied,
+        complete,
+        is_confirmed,
+        may_be_known_later,
+        ..unasked
+    }
+}
+
+/// Asks boxes which version began a stream.
+async fn ask(
+    hub: &Hub,
+    boxes: &[IpAddr],
+    stream: Option<StreamId>,
+    service: &ServiceName,
+) -> BTreeMap<IpAddr, StreamReply> {
+    let id = hub.stream_versions().next_query();
+    let (tx, rx) = mpsc::unbounded_channel();
+    hub.stream_versions().queries(|queries| _ = queries.pending.insert(id, tx));
+    let pending = PendingQuery { hub, id, rx };
+    let message = Message::StreamQuery(StreamQuery { query: id, stream, service: service.clone() });
+    pending.ask(boxes, &message).await
 }
 
 /// A query that awaits replies until it is dropped.
@@ -298,34 +441,39 @@
     hub.stream_versions().with(|inner| inner.records.get(stream, now))
 }
 
-fn own_evidence(hub: &Hub, service: &ServiceName) -> VersionEvidence {
+/// What this box knows of a stream without a record. `is_current` if it misses no version that the
+/// store listed before the request arrived.
+fn own_evidence(hub: &Hub, service: &ServiceName, is_current: bool) -> VersionEvidence {
     let now = hub.now();
-    let (listed, reaches_store, revision) = hub.read(|view| {
-        let listed: BTreeSet<VersionName> = view.registry().versions(service).cloned().collect();
-        (listed, view.reaches_store(), view.revision())
-    });
+    let listed: BTreeSet<VersionName> =
+        hub.read(|view| view.registry().versions(service).cloned().collect());
     hub.stream_versions().with(|inner| {
         let versions = inner.history.of_service(service, now);
         let id = |version: &VersionName| VersionId::new(service, version);
         VersionEvidence {
             versions: versions.iter().chain(&listed).map(id).collect(),
             is_complete: inner.history.is_complete(now),
-            is_current: reaches_store || hub.peers().follows_store(revision),
+            is_current,
         }
     })
 }
 
-/// Loads the records and versions that this box lacks after a restart: from another box, and the
-/// versions also from the store, since all boxes may have restarted at once.
+/// Loads the records and versions that this box lacks after a restart, and each time that its
+/// history has a gap, until the process ends: from another box, and the versions also from the
+/// store, since all boxes may have restarted at once.
 pub async fn load(hub: Arc<Hub>, store: Arc<dyn VersionStore>, is_first_start: bool) {
     if is_first_start {
         // No stream has begun before.
         hub.stream_versions().with(|inner| inner.history.set_complete());
-        return;
+        hub.stream_versions().gap_noted.notified().await;
+    }
+    loop {
+        hub.stream_versions().with(|inner| inner.is_loading = true);
+        load_until_complete(&hub, &*store).await;
+        hub.stream_versions().with(|inner| inner.is_loading = false);
+        hub.stream_versions().gap_noted.notified().await;
+        info!(hub.log(), "versions of services may have been missed");
     }
-    hub.stream_versions().with(|inner| inner.is_loading = true);
-    load_until_complete(&hub, &*store).await;
-    hub.stream_versions().with(|inner| inner.is_loading = false);
 }
 
 async fn load_until_complete(hub: &Hub, store: &dyn VersionStore) {
@@ -378,6 +526,12 @@
     true
 }
 
+/// Notes a version that another box reports as listed.
+pub fn note_version(hub: &Hub, service: &ServiceName, version: &VersionName) {
+    let now = hub.now();
+    hub.stream_versions().with(|inner| inner.history.note(service, version, now));
+}
+
 fn note_versions(
     hub: &Hub,
     history: &BTreeMap<ServiceName, BTreeSet<VersionName>>,
