Don't take most boxes for proof while one of them reaches the store

Cause: where the store doesn't confirm a list in time, replies of most boxes counted as proof. Their watches pause in the same second after the same change, so all of them may miss the version.

Ruled out: a longer wait for the store (callers have to be refused within the route's target latency).

Change: most boxes count only if none of them, nor this one, reaches the store. The former belief `is_current` of a reply is used for that, so replies don't change.

Why it works: a box that reaches no store can have read a version last only before the outage; one that does can read it any time.

--- a/src/proxy/stream_versions.rs
+++ b/src/proxy/stream_versions.rs
@@ -310,7 +310,7 @@
     hub.peers().send_now(from, &Message::StreamReply(reply));
 }
 
-/// Whether this box's list is probably current, for boxes of earlier builds, which rely on it.
+/// Whether this box's list is probably current. It may be behind by as much as a watch pauses.
 fn is_believed_current(hub: &Hub) -> bool {
     let (reaches_store, revision) = hub.read(|view| (view.reaches_store(), view.revision()));
     reaches_store || hub.peers().follows_store(revision)
@@ -348,8 +348,11 @@
     let replies = ask(hub, &boxes, stream, service).await;
     let records: Vec<Option<VersionId>> =
         replies.values().filter_map(|reply| Some(reply.record?.version)).collect();
-    // A majority of all boxes, of which `known_count` includes those that died lately.
-    let is_majority = hub.peers().known_count() < 2 * (replies.len() + 1);
+    // A majority of all boxes, of which `known_count` includes those that died lately. Boxes that
+    // reach the store may all be behind it, by as much as a watch pauses.
+    let is_store_reached =
+        is_believed_current(hub) || replies.values().any(|reply| reply.evidence.is_current);
+    let is_majority = !is_store_reached && hub.peers().known_count() < 2 * (replies.len() + 1);
     let replied = replies.len();
     // What other boxes know may be older than the stream.
     let of_others =
