Count a list that doesn't continue from what was known as a gap in the history of versions

What callers would see: a stream that goes on at another version (ORDER). Found by an independent review of the confirmed reads. Cause: a gap was only noticed by a box that already watched the store. One that follows others and gets a list since the store has forgotten its changes, and one that takes a watch over, noted none, and counted as complete. A box that could not read the store in its first two minutes counted as complete by its uptime alone. A confirmation that saw a new era moved on to it, so that the next one saw no change of era. Change: a list is compared with the revision up to which the box knew the upstreams; if it is later, there is a gap. Without a read the uptime counts from the first one. A new era is only entered by the watch. Evidence: two tests of tests/fleet_stream_versions fail when a list is compared only with an own watch (a_list_after_a_while_without_a_watch_is_a_gap, a_history_counts_from_the_first_read_of_the_store), and pass now; out_of_step, stream_versions, restored, behind, feed pass.

--- a/src/fleet/stream_versions.rs
+++ b/src/fleet/stream_versions.rs
@@ -231,6 +231,12 @@
         self.is_complete = true;
     }
 
+    /// Records that the store was read for the first time: whether versions were missed before isn't
+    /// known.
+    pub fn note_first_read(&mut self, now: Duration) {
+        self.unbroken_since = now;
+    }
+
     /// Records that changes until now were missed.
     pub fn note_gap(&mut self, now: Duration) {
         (self.is_complete, self.unbroken_since) = (false, now);
--- a/src/proxy/state_updates.rs
+++ b/src/proxy/state_updates.rs
@@ -54,7 +54,8 @@
             hub.change(|view, _| view.complete_up_to(revision));
         }
         StoreUpdate::Versions(changes) => {
-            hub.stream_versions().record_read(&changes, hub.now());
+            let known = hub.read(View::revision);
+            hub.stream_versions().record_read(&changes, known, hub.now());
         }
         StoreUpdate::EvacuatedZones(all) => hub.change(|view, now| view.evacuate(&all, now)),
         StoreUpdate::EvacuationOrders { orders, revision } => hub.change(|view, now| {
--- a/src/proxy/store_confirmation.rs
+++ b/src/proxy/store_confirmation.rs
@@ -71,10 +71,11 @@
 
 /// Reads what the store lists beyond what this box has noted.
 async fn read(hub: &Hub) -> Result<(), StoreError> {
-    let since = hub.stream_versions().noted_up_to().unwrap_or_else(|| hub.read(|v| v.revision()));
+    let known = hub.read(|view| view.revision());
+    let since = hub.stream_versions().noted_up_to().unwrap_or(known);
     let changes = hub.version_log().since(since).await?;
     let VersionChanges { up_to, .. } = changes;
-    hub.stream_versions().note_changes(&changes, hub.now());
+    hub.stream_versions().note_changes(&changes, known, hub.now());
     let is_restored = since.era != up_to.era || hub.read(|view| view.is_restoring(hub.now()));
     if is_restored {
         return Err(StoreError::Unavailable("restored from an older copy".to_owned()));
--- a/src/proxy/stream_versions.rs
+++ b/src/proxy/stream_versions.rs
@@ -191,9 +191,10 @@
         self.with(|inner| inner.list_changed_at = Some(now));
     }
 
-    /// Notes what a watch has delivered.
-    pub fn record_read(&self, changes: &VersionChanges, now: Duration) {
-        self.note_changes(changes, now);
+    /// Notes what a watch has delivered. `known` is the revision up to which this box knew the list
+    /// of upstreams before.
+    pub fn record_read(&self, changes: &VersionChanges, known: Revision, now: Duration) {
+        self.note_changes(changes, known, now);
         self.with(|inner| inner.noted_up_to = inner.noted_up_to.max(Some(changes.up_to)));
     }
 
@@ -208,21 +209,33 @@
         self.with(|inner| inner.noted_up_to)
     }
 
-    /// Notes the versions of entries that have changed. If the store no longer has all changes since
-    /// the last, the history has a gap, which other boxes or the store may fill. A store that was
-    /// restored from an older copy can't; upstreams that run write their entries again.
-    pub(super) fn note_changes(&self, changes: &VersionChanges, now: Duration) {
+    /// Notes the versions of entries that have changed. If a list doesn't continue from what this box
+    /// knew, up to the revision `known` where it doesn't watch the store, the history has a gap, which
+    /// other boxes or the store may fill. A store that was restored from an older copy can't;
+    /// upstreams that run write their entries again.
+    pub(super) fn note_changes(&self, changes: &VersionChanges, known: Revision, now: Duration) {
         let is_gap = self.with(|inner| {
             let versions = changes.versions.iter();
             versions.for_each(|(service, version)| inner.history.note(service, version, now));
-            let noted = inner.noted_up_to.as_mut().filter(|noted| **noted < changes.up_to);
-            let Some(noted) = noted.filter(|_| changes.since.is_none()) else { return false };
-            let is_same_store = noted.era == changes.up_to.era;
-            *noted = changes.up_to;
-            if is_same_store {
+            let known = inner.noted_up_to.unwrap_or(known);
+            let is_same_store = known.era == changes.up_to.era;
+            if let Some(noted) = &mut inner.noted_up_to
+                && is_same_store
+            {
+                *noted = changes.up_to.max(*noted);
+            }
+            if changes.since.is_some() {
+                return false;
+            }
+            if known.is_none() {
+                inner.history.note_first_read(now);
+                return false;
+            }
+            let is_gap = is_same_store && known < changes.up_to;
+            if is_gap {
                 inner.history.note_gap(now);
             }
-            is_same_store
+            is_gap
         });
         if is_gap {
             self.gap_noted.notify_one();
--- a/tests/fleet_stream_versions.rs
+++ b/tests/fleet_stream_versions.rs
@@ -5,6 +5,7 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use frostdyke::fleet::revision::Revision;
 use frostdyke::fleet::rollout::VersionFilter;
 use frostdyke::fleet::stream_versions;
 use frostdyke::fleet::stream_versions::RECORD_TTL_MAX;
@@ -24,6 +25,7 @@
 use frostdyke::placement::registry::UpstreamRegistry;
 use frostdyke::placement::tuning::Tuning;
 use frostdyke::proxy::adapter::UpstreamListing;
+use frostdyke::proxy::adapter::VersionChanges;
 use frostdyke::proxy::message::Message;
 use frostdyke::proxy::stream_versions::StreamVersions;
 use proptest::prelude::*;
@@ -181,6 +183,39 @@
     assert!(history.is_complete(gap));
 }
 
+/// Guards against a history that counts as complete by the uptime of a box that could not read the store.
+#[test]
+fn a_history_counts_from_the_first_read_of_the_store() {
+    let versions = StreamVersions::default();
+    let read = at(10_000) + VERSION_RETENTION;
+    versions.record_read(&listed_up_to(10), Revision::default(), read);
+    assert!(!versions.report(read + VERSION_RETENTION - at(1)).is_complete);
+    assert!(versions.report(read + VERSION_RETENTION).is_complete);
+}
+
+/// Guards against a list that doesn't continue from what a box knew, and is taken for all that there
+/// was: the box takes a watch over, or it followed others and the store has forgotten its changes.
+#[test]
+fn a_list_after_a_while_without_a_watch_is_a_gap() {
+    let versions = StreamVersions::default();
+    versions.record_read(&listed_up_to(10), Revision::default(), at(0));
+    let since = Some(Revision::new(0, 10));
+    let changes = VersionChanges { versions: Vec::new(), since, up_to: Revision::new(0, 12) };
+    versions.record_read(&changes, Revision::new(0, 10), at(1000));
+    versions.record_watch_stopped();
+    let now = VERSION_RETENTION + at(5000);
+    assert!(versions.report(now).is_complete);
+    versions.record_read(&listed_up_to(20), Revision::new(0, 20), now);
+    assert!(versions.report(now).is_complete, "the list was known");
+    versions.record_watch_stopped();
+    versions.record_read(&listed_up_to(30), Revision::new(0, 25), now);
+    assert!(!versions.report(now).is_complete);
+}
+
+fn listed_up_to(number: u64) -> VersionChanges {
+    VersionChanges { versions: Vec::new(), since: None, up_to: Revision::new(0, number) }
+}
+
 /// Guards against a record that is overruled by what is listed.
 #[test]
 fn a_record_decides_whatever_versions_are_known() {
