Count boxes that were known lately when most of them are asked

What callers would see: a stream that goes on at another version (ORDER), where a part of the fleet is cut off from the others and from the store for more than half a minute. Cause: boxes that don't answer for 30 s are forgotten, so that the part takes itself for most boxes. Evidence: boxes_that_were_known_lately_count_as_boxes, without a network. A cut of that length was not played.

--- a/src/fleet/stream_versions.rs
+++ b/src/fleet/stream_versions.rs
@@ -275,6 +275,29 @@
     }
 }
 
+/// The largest of the values of the last [`VERSION_RETENTION`] at least, and of twice that at most.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RecentMax {
+    since: Duration,
+    current: usize,
+    previous: usize,
+}
+
+impl RecentMax {
+    /// Records a value.
+    pub fn record(&mut self, value: usize, now: Duration) {
+        if self.since + VERSION_RETENTION <= now {
+            (self.since, self.previous, self.current) = (now, self.current, 0);
+        }
+        self.current = self.current.max(value);
+    }
+
+    /// The largest value.
+    pub fn max(&self) -> usize {
+        self.current.max(self.previous)
+    }
+}
+
 /// Boxes of the sender's zone, and of the whole fleet, that hold the record of a stream in a large
 /// fleet. Callers usually return to a box of the same zone.
 const ZONE_HOLDERS: usize = 2;
--- a/src/proxy/stream_versions.rs
+++ b/src/proxy/stream_versions.rs
@@ -21,6 +21,7 @@
 
 use crate::fleet::revision::Revision;
 use crate::fleet::stream_versions;
+use crate::fleet::stream_versions::RecentMax;
 use crate::fleet::stream_versions::StreamId;
 use crate::fleet::stream_versions::StreamRecord;
 use crate::fleet::stream_versions::StreamRecords;
@@ -129,6 +130,8 @@
     list_changed_at: Option<Duration>,
     /// The revision of the store up to which the versions are noted, while this box watches it.
     noted_up_to: Option<Revision>,
+    /// Number of boxes that this one knows of, and knew of lately.
+    fleet_size: RecentMax,
 }
 
 /// Queries that await replies.
@@ -278,7 +281,9 @@
         versions.map(|(service, version)| (service.clone(), version.clone())).collect()
     });
     let due: Vec<StreamRecord> = hub.stream_versions().with(|inner| {
+    let boxes = hub.peers().known_count();
         listed.iter().for_each(|(service, version)| inner.history.note(service, version, now));
+        inner.fleet_size.record(boxes, now);
         inner.history.expire(now);
         inner.records.expire(now);
         let ambiguous = inner.history.ambiguous(now);
@@ -365,7 +370,9 @@
     // reach the store may all be behind it, by as much as a watch pauses.
     let is_store_reached =
         is_believed_current(hub) || replies.values().any(|reply| reply.evidence.is_current);
-    let is_majority = !is_store_reached && hub.peers().known_count() < 2 * (replies.len() + 1);
+    let boxes_max = hub.stream_versions().with(|inner| inner.fleet_size.max());
+    let is_majority =
+        !is_store_reached && boxes_max.max(hub.peers().known_count()) < 2 * (replies.len() + 1);
     let replied = replies.len();
     // What other boxes know may be older than the stream.
     let of_others =
--- a/tests/fleet_stream_versions.rs
+++ b/tests/fleet_stream_versions.rs
@@ -10,6 +10,7 @@
 use frostdyke::fleet::stream_versions;
 use frostdyke::fleet::stream_versions::RECORD_TTL_MAX;
 use frostdyke::fleet::stream_versions::RECORDS_MAX;
+use frostdyke::fleet::stream_versions::RecentMax;
 use frostdyke::fleet::stream_versions::StreamId;
 use frostdyke::fleet::stream_versions::StreamRecord;
 use frostdyke::fleet::stream_versions::StreamRecords;
@@ -216,6 +217,23 @@
     VersionChanges { versions: Vec::new(), since: None, up_to: Revision::new(0, number) }
 }
 
+/// Guards against a part of the fleet that takes itself for most boxes, since it has forgotten those
+/// from which it is cut off.
+#[test]
+fn boxes_that_were_known_lately_count_as_boxes() {
+    let mut size = RecentMax::default();
+    size.record(9, at(0));
+    let mut now = at(0);
+    while now < VERSION_RETENTION {
+        size.record(3, now);
+        assert_eq!(size.max(), 9, "{now:?}");
+        now += at(1000);
+    }
+    size.record(3, 2 * VERSION_RETENTION);
+    size.record(3, 3 * VERSION_RETENTION);
+    assert_eq!(size.max(), 3);
+}
+
 /// Guards against a record that is overruled by what is listed.
 #[test]
 fn a_record_decides_whatever_versions_are_known() {
