Have a box that takes over keeping versions in the store write and delete them anew

What callers would see: after a kill of all boxes, a stream that goes on at another version (ORDER), or streams of a service that are refused for two minutes after each restart. Cause: a box believes for good that what it once loaded is still saved. Another box may have deleted it, and then a version that is rolled back in isn't written; and an entry whose writer died before it deleted it is deleted by none. Change: a box that takes over reads what is saved, counts that as in use for now, and writes all versions again; a version that is already there is left unchanged. What is listed is noted before anything is deleted, since a box that stood still may have let its history lapse. Evidence: read. The tests of restarts pass (stream_versions); a change of the box that saves was not played.

--- a/src/proxy/stream_versions.rs
+++ b/src/proxy/stream_versions.rs
@@ -184,7 +184,8 @@
         self.with(|inner| inner.is_loading).then_some(LOAD_INTERVAL)
     }
 
-    /// Saves the versions in the store again, since it was restored from an older copy.
+    /// Saves the versions in the store again, which may lack some: it was restored from an older copy,
+    /// or another box has kept them.
     pub fn save_again(&self) {
         self.with(|inner| inner.saved.clear());
     }
@@ -280,10 +281,10 @@
         let versions = view.registry().all_versions();
         versions.map(|(service, version)| (service.clone(), version.clone())).collect()
     });
-    let due: Vec<StreamRecord> = hub.stream_versions().with(|inner| {
     let boxes = hub.peers().known_count();
-        listed.iter().for_each(|(service, version)| inner.history.note(service, version, now));
+    let due: Vec<StreamRecord> = hub.stream_versions().with(|inner| {
         inner.fleet_size.record(boxes, now);
+        listed.iter().for_each(|(service, version)| inner.history.note(service, version, now));
         inner.history.expire(now);
         inner.records.expire(now);
         let ambiguous = inner.history.ambiguous(now);
@@ -539,16 +540,39 @@
             return false;
         }
     };
-    let mut history: BTreeMap<ServiceName, BTreeSet<VersionName>> = BTreeMap::new();
-    for (service, version) in &all {
-        history.entry(service.clone()).or_default().insert(version.clone());
-    }
+    let history = by_service(&all);
     info!(hub.log(), "versions of services loaded"; "count" => all.len());
     hub.stream_versions().with(|inner| inner.saved.extend(all));
     note_versions(hub, &history, true);
     true
 }
 
+/// Prepares this box to keep the versions in the store: what another box has saved counts as in use
+/// for now, so that it is deleted once it isn't, and all versions are written again. Returns whether
+/// the store has responded.
+async fn take_over_saved(hub: &Hub, store: &dyn VersionStore) -> bool {
+    let all = match store.load_all().await {
+        Ok(all) => all,
+        Err(e) => {
+            debug!(hub.log(), "versions of services not loaded"; "error" => %e);
+            return false;
+        }
+    };
+    note_versions(hub, &by_service(&all), false);
+    hub.stream_versions().save_again();
+    true
+}
+
+fn by_service(
+    versions: &[(ServiceName, VersionName)],
+) -> BTreeMap<ServiceName, BTreeSet<VersionName>> {
+    let mut all: BTreeMap<ServiceName, BTreeSet<VersionName>> = BTreeMap::new();
+    for (service, version) in versions {
+        all.entry(service.clone()).or_default().insert(version.clone());
+    }
+    all
+}
+
 /// Notes a version that another box reports as listed.
 pub fn note_version(hub: &Hub, service: &ServiceName, version: &VersionName) {
     let now = hub.now();
@@ -575,11 +599,19 @@
 /// Also the only version of a service is kept: it may be replaced and all boxes restart before two
 /// versions are written.
 pub async fn save(hub: Arc<Hub>, store: Arc<dyn VersionStore>) {
+    let mut is_saving = false;
     loop {
         tokio::time::sleep(SAVE_INTERVAL).await;
         if !hub.read(|view| view.reaches_store()) || !hub.peers().is_first_with_store() {
+            is_saving = false;
+            continue;
+        }
+        if !is_saving {
+            // Other boxes may have written and deleted versions since.
+            is_saving = take_over_saved(&hub, &*store).await;
             continue;
         }
+        refresh(&hub);
         let now = hub.now();
         let (due, obsolete) = hub.stream_versions().with(|inner| {
             let versions = inner.history.all(now);
