--- a/src/proxy/required_version.rs
+++ b/src/proxy/required_version.rs
@@ -14,6 +14,7 @@
 use crate::proxy::placed_request::PlacedRequest;
 use crate::proxy::refusal::Refusal;
 use crate::proxy::request::RequestContext;
+use crate::proxy::store_confirmation;
 use crate::proxy::stream_versions;
 use crate::proxy::stream_versions::Finding;
 
@@ -60,7 +61,9 @@
             "began_at_version" => name.as_ref().map(VersionName::as_str));
         hub.metrics().stream_version_found(source);
         if version.is_none() {
-            let confirmed_in = finding.may_be_known_later.then_some(CONFIRMATION_RETRY);
+            let next_read = store_confirmation::interval(hub.peers().known_count());
+            let confirmed_in =
+                finding.may_be_known_later.then_some(CONFIRMATION_RETRY.max(next_read));
             let retry_after = hub.stream_versions().loaded_in().or(confirmed_in);
             return Err(Refusal::VersionUnknown { retry_after });
         }
--- a/src/proxy/stream_versions.rs
+++ b/src/proxy/stream_versions.rs
@@ -347,7 +347,7 @@
 
 /// Finds out which version began a stream of the service. `stream` is `None` if the caller doesn't
 /// name it.
-pub async fn find(hub: &Hub, stream: Option<StreamId>, service: &ServiceName) -> Finding {
+pub async fn find(hub: &Arc<Hub>, stream: Option<StreamId>, service: &ServiceName) -> Finding {
     let now = hub.now();
     let list_changed_at = hub.stream_versions().with(|inner| inner.list_changed_at);
     let unasked = Finding {
