Bound an event that is held back, and search each byte of it once

What callers saw: all requests at a box waited while one upstream wrote a stream without the end of an event. Cause: the splitter of streams that may be resumed kept all bytes without an end, and searched all of them again, backwards, at each chunk: work by the square of the length, on the box's only thread, and memory without a bound. Ruled out: the search for the last id, which sees complete events only (read). Change: the search begins where the last one ended. A carriage return at the end of what was searched may still become an empty line by what follows, so that place is looked at once more. An incomplete event over EVENT_BYTES_MAX (4 MiB, as the longest buffered response) is no event stream: the response counts as broken, its connection is closed, and the line "response broke off" has the error "an event is longer than 4194304 bytes". Why it works: each byte is compared once as the last byte of an end, whatever the chunks. What remains: a box whose other tasks wait for a turn while bytes arrive; next.

--- a/src/proxy/event_stream.rs
+++ b/src/proxy/event_stream.rs
@@ -40,6 +40,10 @@
     }
 }
 
+/// Longest event that is held back, in bytes: as long as the longest response that is buffered.
+/// What is longer is no event stream.
+pub const EVENT_BYTES_MAX: usize = 4 << 20;
+
 /// Holds back an incomplete event, so that a broken stream can be resumed after its last complete
 /// one.
 #[derive(Debug, Default)]
@@ -51,8 +55,9 @@
 impl EventSplitter {
     /// Adds bytes and returns all events that are complete now.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
+        let searched = self.partial.len();
         self.partial.extend_from_slice(bytes);
-        let Some(end) = end_of_last_event(&self.partial) else { return Bytes::new() };
+        let Some(end) = end_of_last_event(&self.partial, searched) else { return Bytes::new() };
         let events = self.partial.split_to(end).freeze();
         if let Some(point) = point_after(&events) {
             self.resume_point = point;
@@ -65,6 +70,11 @@
         &self.resume_point
     }
 
+    /// Whether the incomplete event is longer than [`EVENT_BYTES_MAX`].
+    pub fn is_too_long(&self) -> bool {
+        EVENT_BYTES_MAX < self.partial.len()
+    }
+
     /// Takes the bytes of the event that is still incomplete.
     pub fn take_partial(&mut self) -> Bytes {
         let len = self.partial.remaining();
@@ -138,9 +148,10 @@
     [&b"\n\n"[..], b"\r\r", b"\n\r\n", b"\r\r\n"].iter().any(|end| bytes.ends_with(end))
 }
 
-/// The index after the last empty line.
-fn end_of_last_event(buf: &[u8]) -> Option<usize> {
-    (1..=buf.len()).rev().find(|at| {
+/// The index after the last empty line; the first `searched` bytes have none. A carriage return at
+/// their end may be one by what follows.
+fn end_of_last_event(buf: &[u8], searched: usize) -> Option<usize> {
+    (searched.max(1)..=buf.len()).rev().find(|at| {
         let (before, after) = buf.split_at(*at);
         ends_event(before) || before.ends_with(b"\n\r") && !after.is_empty()
     })
--- a/src/proxy/stream_relay.rs
+++ b/src/proxy/stream_relay.rs
@@ -155,6 +155,7 @@
                                 self.abort(End::OtherVersion, cx);
                                 return Poll::Pending;
                             };
+                            self.check_event_length();
                             events
                         }
                         Some(Err(e)) => {
@@ -271,6 +272,15 @@
         Ok(Some(events))
     }
 
+    /// Breaks a response off whose incomplete event is too long.
+    fn check_event_length(&mut self) {
+        if self.events.is_too_long()
+            && let Some(source) = self.take_source()
+        {
+            self.handle_break(source.placed, &upstream_connections::Error::EventTooLong);
+        }
+    }
+
     /// Whether events of this response have been passed on. Known of streams that may be resumed.
     fn has_passed_events(&self) -> bool {
         *self.events.resume_point() != ResumePoint::Start
--- a/src/proxy/upstream_connections.rs
+++ b/src/proxy/upstream_connections.rs
@@ -39,6 +39,7 @@
 use crate::proxy::connection_reuse::ConnectionCounts;
 use crate::proxy::connection_reuse::OpenCause;
 use crate::proxy::connection_reuse::ReuseRule;
+use crate::proxy::event_stream::EVENT_BYTES_MAX;
 use crate::proxy::link_activity::LinkActivity;
 use crate::proxy::notices::WithholdReason;
 use crate::proxy::response_end::Framing;
@@ -112,6 +113,9 @@
     /// The response ended with its connection before it was complete.
     #[error("the response ended before it was complete")]
     Incomplete,
+    /// An event of a stream is too long.
+    #[error("an event is longer than {EVENT_BYTES_MAX} bytes")]
+    EventTooLong,
     /// The upstream takes no more of the request.
     #[error("the upstream doesn't take the request")]
     NotTaken,
@@ -131,6 +135,7 @@
             Error::NoResponse(_)
                 | Error::Body(_)
                 | Error::Incomplete
+                | Error::EventTooLong
                 | Error::NotTaken
                 | Error::Restarted
         )
--- a/tests/proxy_events.rs
+++ b/tests/proxy_events.rs
@@ -1,7 +1,11 @@
 //! Streams are split at the ends of events, and what the end of a response shows.
 
+use std::time::Duration;
+use std::time::Instant;
+
 use bytes::Bytes;
 use frostdyke::proxy::event_id::EventId;
+use frostdyke::proxy::event_stream::EVENT_BYTES_MAX;
 use frostdyke::proxy::event_stream::EventSplitter;
 use frostdyke::proxy::event_stream::ResumePoint;
 use frostdyke::proxy::response_end::EventBoundary;
@@ -166,3 +170,76 @@
         prop_assert_eq!(boundary.is_between_events(), stream.is_empty() || stream.ends_with(b"\n\n"));
     }
 }
+
+/// The end of the last event by a search of all bytes.
+fn end_by_search_of_all(bytes: &[u8]) -> usize {
+    let is_end = |at: &usize| {
+        let (before, after) = bytes.split_at(*at);
+        let ends = [&b"\n\n"[..], b"\r\r", b"\n\r\n", b"\r\r\n"];
+        ends.iter().any(|end| before.ends_with(end))
+            || before.ends_with(b"\n\r") && !after.is_empty()
+    };
+    (1..=bytes.len()).rev().find(is_end).unwrap_or(0)
+}
+
+proptest! {
+    /// Guards against an end of an event that is missed, or found too early, where a search goes on
+    /// after the bytes of an earlier one.
+    #[test]
+    fn events_are_those_that_a_search_of_all_bytes_finds(
+        stream in collection::vec(prop_oneof![Just(b'\n'), Just(b'\r'), Just(b'a')], 0..60),
+        cuts in collection::vec(1usize..5, 0..60),
+        taken_at in 0usize..60,
+    ) {
+        let (mut rest, mut splitter) = (&stream[..], EventSplitter::default());
+        let mut held = Vec::new();
+        for (n, cut) in cuts.into_iter().enumerate() {
+            let (chunk, later) = rest.split_at(cut.min(rest.len()));
+            rest = later;
+            held.extend_from_slice(chunk);
+            let wanted: Vec<u8> = held.drain(..end_by_search_of_all(&held)).collect();
+            prop_assert_eq!(splitter.push(chunk), wanted);
+            if n == taken_at {
+                prop_assert_eq!(splitter.take_partial(), std::mem::take(&mut held));
+            }
+        }
+        prop_assert_eq!(splitter.take_partial(), held);
+    }
+}
+
+/// Time to split an event of `chunks` chunks of 1 KB; the shortest of some.
+fn time_to_split(chunks: usize) -> Duration {
+    let chunk = [b'x'; 1 << 10];
+    let split = |_| {
+        let (started, mut splitter) = (Instant::now(), EventSplitter::default());
+        (0..chunks).for_each(|_| assert_eq!(splitter.push(&chunk), ""));
+        assert_eq!(splitter.push(b"\n\n").len(), chunks * chunk.len() + 2);
+        started.elapsed()
+    };
+    (0..5).map(split).min().expect("some")
+}
+
+/// Guards against work that grows with the square of an event's length: eight times the bytes take
+/// 64 times as long then.
+#[test]
+fn the_work_for_a_long_event_is_linear() {
+    let (short, long) = (time_to_split(128), time_to_split(1024));
+    println!("128 KB take {short:?}, 1 MB {long:?}");
+    assert!(long < 24 * short, "128 KB take {short:?}, 1 MB {long:?}");
+}
+
+/// Guards against an event that is kept without a bound, and against a bound that long events of
+/// other streams meet.
+#[test]
+fn an_event_is_too_long_over_its_bound() {
+    let chunk = vec![b'x'; 16 << 10];
+    let mut splitter = EventSplitter::default();
+    for _ in 0..EVENT_BYTES_MAX / chunk.len() {
+        splitter.push(&chunk);
+        assert!(!splitter.is_too_long());
+    }
+    splitter.push(b"x");
+    assert!(splitter.is_too_long());
+    assert_eq!(splitter.push(b"\n\n").len(), EVENT_BYTES_MAX + 3);
+    assert!(!splitter.is_too_long());
+}
