Give other tasks a turn while bytes of a server arrive without end

What callers saw: requests at a box waited for seconds, or were not answered at all, while one upstream wrote chunks of one byte, an unframed body or interim heads without end; the same if the store did. Cause: a connection that always has bytes ready was read on: each read may have 400 KB, a poll 128 reads, and the chunks of what was read were passed on one after the other without a yield. All on the box's only thread. Change: UpstreamIo, now also under the box's own calls, reads at most 16 KiB at a time, and after that many bytes yields until the other tasks and the I/O driver had a turn. Each frame of an upstream's body takes a unit of tokio's budget. Why it works: the work between two turns is bounded by bytes and by frames, whatever the server sends.

--- a/src/proxy/http_client.rs
+++ b/src/proxy/http_client.rs
@@ -23,6 +23,7 @@
 use tokio::task::AbortHandle;
 
 use crate::proxy::upstream_connections;
+use crate::proxy::upstream_io::UpstreamIo;
 
 /// Time limit for connecting, whatever the timeout of the call.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -144,7 +145,8 @@
         .map_err(|_| Error::Timeout)??;
     // A call may wait long for its response; this detects a partition before then.
     upstream_connections::set_tcp_options(&stream)?;
-    let (tx, conn) = http1::handshake(TokioIo::new(stream)).await?;
+    let (io, _) = UpstreamIo::new(stream);
+    let (tx, conn) = http1::handshake(TokioIo::new(io)).await?;
     let driver = tokio::spawn(async move {
         // The pending call gets the error.
         let _ = conn.await;
--- a/src/proxy/upstream_connections.rs
+++ b/src/proxy/upstream_connections.rs
@@ -30,6 +30,7 @@
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
+use tokio::task::coop;
 
 use crate::clock::Clock;
 use crate::fleet::owners::EngineGroup;
@@ -502,8 +503,12 @@
         if self.conn.restart_flag.is_set(cx) {
             return Poll::Ready(Some(Err(Error::Restarted)));
         }
-        poll_driver(&mut self.conn.driver, cx);
-        Pin::new(&mut self.incoming).poll_frame(cx).map_err(Error::Body)
+        // Small chunks take the more turns: a task that always finds one would keep others waiting.
+        let frame = std::pin::pin!(coop::cooperative(std::future::poll_fn(|cx| {
+            poll_driver(&mut self.conn.driver, cx);
+            Pin::new(&mut self.incoming).poll_frame(cx)
+        })));
+        frame.poll(cx).map_err(Error::Body)
     }
 }
 
--- a/src/proxy/upstream_io.rs
+++ b/src/proxy/upstream_io.rs
@@ -1,4 +1,5 @@
-//! The I/O of a connection to an upstream, with the time since when the upstream takes no bytes.
+//! The I/O of a connection to a server: since when the server takes no bytes, and how much is read
+//! before other tasks get a turn.
 
 use std::io;
 use std::io::IoSlice;
@@ -18,11 +19,17 @@
 /// of a process that is merely busy, and as long as the kernel waits for an acknowledgement.
 const STALL_MAX: Duration = Duration::from_secs(1);
 
+/// Longest read, and what is read before other tasks get a turn, in bytes. A server may write faster
+/// than its bytes are processed.
+const TURN_BYTES: usize = 16 << 10;
+
 /// Passes bytes through and records in a [`WriteProgress`] whether the peer takes them.
 #[derive(Debug)]
 pub struct UpstreamIo<I> {
     io: I,
     progress: Arc<WriteProgress>,
+    /// Bytes read since other tasks had a turn.
+    turn_bytes: usize,
 }
 
 /// Whether the peer takes the bytes that are written.
@@ -75,7 +82,7 @@
     /// Wraps a connection that has just been opened.
     pub fn new(io: I) -> (UpstreamIo<I>, Arc<WriteProgress>) {
         let progress = Arc::<WriteProgress>::default();
-        (UpstreamIo { io, progress: progress.clone() }, progress)
+        (UpstreamIo { io, progress: progress.clone(), turn_bytes: 0 }, progress)
     }
 }
 
@@ -85,8 +92,41 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_read(cx, buf)
+        if TURN_BYTES <= self.turn_bytes {
+            self.turn_bytes = 0;
+            return yield_turn(cx);
+        }
+        let before = buf.filled().len();
+        let polled = poll_short_read(Pin::new(&mut self.io), cx, buf);
+        match polled {
+            Poll::Ready(_) => self.turn_bytes += buf.filled().len() - before,
+            Poll::Pending => self.turn_bytes = 0,
+        }
+        polled
+    }
+}
+
+/// Pending once; the task is woken after the others that are ready.
+fn yield_turn<T>(cx: &mut Context<'_>) -> Poll<T> {
+    let turn = std::pin::pin!(tokio::task::yield_now());
+    let _ = turn.poll(cx);
+    Poll::Pending
+}
+
+/// Reads at most [`TURN_BYTES`].
+fn poll_short_read(
+    io: Pin<&mut impl AsyncRead>,
+    cx: &mut Context<'_>,
+    buf: &mut ReadBuf<'_>,
+) -> Poll<io::Result<()>> {
+    if buf.remaining() <= TURN_BYTES {
+        return io.poll_read(cx, buf);
     }
+    let mut short = ReadBuf::new(buf.initialize_unfilled_to(TURN_BYTES));
+    let polled = io.poll_read(cx, &mut short);
+    let len = short.filled().len();
+    buf.advance(len);
+    polled
 }
 
 impl<I: AsyncWrite + Unpin> AsyncWrite for UpstreamIo<I> {
