Bound the bytes before the head of a response

What callers saw: a request whose upstream wrote interim heads (103) without end got 504 at its deadline, and other callers waited, or were refused, meanwhile. Cause: hyper skips interim heads as long as they arrive; its bound holds for one head. Ruled out: reading by turns alone; with it, another caller was still refused (503, overloaded) in the same test. Change: what is read while the head of a response is awaited is bounded to 512 KiB, more than hyper allows a single head. The connection fails then, and the line "no response from upstream" has the error "the head of the response is longer than 524288 bytes". The same for the box's own calls. Why it works: hyper takes a head out of what was read before it reads on, so a bound before each read can't meet a head that is complete.

--- a/src/proxy/http_client.rs
+++ b/src/proxy/http_client.rs
@@ -2,6 +2,7 @@
 //! connection open between calls.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -24,6 +25,7 @@
 
 use crate::proxy::upstream_connections;
 use crate::proxy::upstream_io::UpstreamIo;
+use crate::proxy::upstream_io::WriteProgress;
 
 /// Time limit for connecting, whatever the timeout of the call.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -58,6 +60,7 @@
 #[derive(Debug)]
 struct Conn {
     tx: SendRequest<Full<Bytes>>,
+    progress: Arc<WriteProgress>,
     driver: AbortHandle,
 }
 
@@ -133,7 +136,9 @@
         req.headers_mut().insert(HOST, host);
     }
     conn.tx.ready().await?;
+    conn.progress.set_awaits_head(true);
     let resp = conn.tx.send_request(req).await?;
+    conn.progress.set_awaits_head(false);
     let (head, body) = resp.into_parts();
     let body = Limited::new(body, BODY_BYTES_MAX).collect().await;
     Ok((conn, head, body.map_err(Error::Body)?.to_bytes()))
@@ -145,11 +150,11 @@
         .map_err(|_| Error::Timeout)??;
     // A call may wait long for its response; this detects a partition before then.
     upstream_connections::set_tcp_options(&stream)?;
-    let (io, _) = UpstreamIo::new(stream);
+    let (io, progress) = UpstreamIo::new(stream);
     let (tx, conn) = http1::handshake(TokioIo::new(io)).await?;
     let driver = tokio::spawn(async move {
         // The pending call gets the error.
         let _ = conn.await;
     });
-    Ok(Conn { tx, driver: driver.abort_handle() })
+    Ok(Conn { tx, progress, driver: driver.abort_handle() })
 }
--- a/src/proxy/upstream_connections.rs
+++ b/src/proxy/upstream_connections.rs
@@ -551,9 +551,10 @@
             conn.keep_idle();
             return Err(Error::Withheld(reason));
         }
+        let progress = conn.progress.clone();
+        progress.set_awaits_head(true);
         let response = conn.tx.send_request(req);
         tokio::pin!(response);
-        let progress = conn.progress.clone();
         let stalled = progress.wait_stalled();
         tokio::pin!(stalled);
         let (driver, restart_flag) = (&mut conn.driver, &conn.restart_flag);
@@ -570,6 +571,7 @@
             polled
         });
         let resp = resp.await?;
+        progress.set_awaits_head(false);
         self.links.record(zone_hash, self.clock.now());
         let framing = Framing::new(resp.headers(), resp.body());
         Ok(resp.map(|incoming| UpstreamBody { incoming, framing, zone_hash, quota, conn }))
--- a/src/proxy/upstream_io.rs
+++ b/src/proxy/upstream_io.rs
@@ -6,6 +6,8 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -23,6 +25,15 @@
 /// than its bytes are processed.
 const TURN_BYTES: usize = 16 << 10;
 
+/// Longest head of a response, with interim responses before it, in bytes. `hyper` bounds a single
+/// head to less.
+const HEAD_BYTES_MAX: usize = 512 << 10;
+
+/// The head of a response is too long.
+#[derive(Debug, thiserror::Error)]
+#[error("the head of the response is longer than {HEAD_BYTES_MAX} bytes")]
+struct HeadTooLong;
+
 /// Passes bytes through and records in a [`WriteProgress`] whether the peer takes them.
 #[derive(Debug)]
 pub struct UpstreamIo<I> {
@@ -30,6 +41,8 @@
     progress: Arc<WriteProgress>,
     /// Bytes read since other tasks had a turn.
     turn_bytes: usize,
+    /// Bytes read since the head of a response is awaited.
+    head_bytes: usize,
 }
 
 /// Whether the peer takes the bytes that are written.
@@ -37,9 +50,16 @@
 pub struct WriteProgress {
     /// Since when it has taken none; `None` if nothing waits to be written.
     stalled_since: Mutex<Option<Instant>>,
+    /// Whether the head of a response is awaited.
+    awaits_head: AtomicBool,
 }
 
 impl WriteProgress {
+    /// Sets whether the head of a response is awaited, which bounds what is read until then.
+    pub fn set_awaits_head(&self, awaits_head: bool) {
+        self.awaits_head.store(awaits_head, Ordering::Relaxed);
+    }
+
     /// Resolves once the peer has taken nothing for [`STALL_MAX`]. Must be polled after each poll
     /// of the connection; while nothing is stalled, there is no timer.
     pub async fn wait_stalled(&self) {
@@ -82,7 +102,7 @@
     /// Wraps a connection that has just been opened.
     pub fn new(io: I) -> (UpstreamIo<I>, Arc<WriteProgress>) {
         let progress = Arc::<WriteProgress>::default();
-        (UpstreamIo { io, progress: progress.clone(), turn_bytes: 0 }, progress)
+        (UpstreamIo { io, progress: progress.clone(), turn_bytes: 0, head_bytes: 0 }, progress)
     }
 }
 
@@ -96,10 +116,19 @@
             self.turn_bytes = 0;
             return yield_turn(cx);
         }
+        if !self.progress.awaits_head.load(Ordering::Relaxed) {
+            self.head_bytes = 0;
+        } else if HEAD_BYTES_MAX <= self.head_bytes {
+            return Poll::Ready(Err(io::Error::other(HeadTooLong)));
+        }
         let before = buf.filled().len();
         let polled = poll_short_read(Pin::new(&mut self.io), cx, buf);
         match polled {
-            Poll::Ready(_) => self.turn_bytes += buf.filled().len() - before,
+            Poll::Ready(_) => {
+                let len = buf.filled().len() - before;
+                self.turn_bytes += len;
+                self.head_bytes += len;
+            }
             Poll::Pending => self.turn_bytes = 0,
         }
         polled
