Collect a body into one buffer

What callers saw: a box's memory grew by 156 MB for one buffered response of 4 MiB in chunks of one byte. Cause: a body's frames were kept apart until all were there; each takes more than its bytes, and may keep the whole buffer that it was read into. The bound counts bytes of content only. Ruled out: the copy at the end, which takes its length once more. Change: web::collect_body copies each frame into one buffer and drops it; read_body and http_client use it. Why it works: what is held is the content, and what its buffer has allocated beyond.

--- a/src/proxy/http_client.rs
+++ b/src/proxy/http_client.rs
@@ -14,9 +14,7 @@
 use http::header::CONTENT_TYPE;
 use http::header::HOST;
 use http::response;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -26,6 +24,7 @@
 use crate::proxy::upstream_connections;
 use crate::proxy::upstream_io::UpstreamIo;
 use crate::proxy::upstream_io::WriteProgress;
+use crate::web;
 
 /// Time limit for connecting, whatever the timeout of the call.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -140,8 +139,8 @@
     let resp = conn.tx.send_request(req).await?;
     conn.progress.set_awaits_head(false);
     let (head, body) = resp.into_parts();
-    let body = Limited::new(body, BODY_BYTES_MAX).collect().await;
-    Ok((conn, head, body.map_err(Error::Body)?.to_bytes()))
+    let body = web::collect_body(body, BODY_BYTES_MAX).await.map_err(Error::Body)?;
+    Ok((conn, head, body))
 }
 
 async fn connect(addr: SocketAddr) -> Result<Conn, Error> {
--- a/src/web.rs
+++ b/src/web.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -130,13 +131,28 @@
     if (max as u64) < body.size_hint().lower() {
         return Err(BodyError::TooLong);
     }
-    match tokio::time::timeout(timeout, Limited::new(body, max).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
+    match tokio::time::timeout(timeout, collect_body(body, max)).await {
+        Ok(Ok(body)) => Ok(body),
         Ok(Err(e)) if e.is::<LengthLimitError>() => Err(BodyError::TooLong),
         Ok(Err(_)) | Err(_) => Err(BodyError::Truncated),
     }
 }
 
+/// Reads a body of at most `max` bytes into one buffer. Its frames aren't kept: each of them takes
+/// more than its bytes, and may keep the whole buffer that it was read into.
+pub async fn collect_body<B>(body: B, max: usize) -> Result<Bytes, Box<dyn Error + Send + Sync>>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let mut body = std::pin::pin!(Limited::new(body, max));
+    let mut all = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        all.extend_from_slice(&frame?.into_data().unwrap_or_default());
+    }
+    Ok(all.freeze())
+}
+
 async fn handle(
     req: Request<Incoming>,
     body_max: usize,
