--- a/src/proxy/http_client.rs
+++ b/src/proxy/http_client.rs
@@ -2,6 +2,7 @@
 //! connection open between calls.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,9 +14,7 @@
 use http::header::CONTENT_TYPE;
 use http::header::HOST;
 use http::response;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -23,6 +22,9 @@
 use tokio::task::AbortHandle;
 
 use crate::proxy::upstream_connections;
+use crate::proxy::upstream_io::UpstreamIo;
+use crate::proxy::upstream_io::WriteProgress;
+use crate::web;
 
 /// Time limit for connecting, whatever the timeout of the call.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -57,6 +59,7 @@
 #[derive(Debug)]
 struct Conn {
     tx: SendRequest<Full<Bytes>>,
+    progress: Arc<WriteProgress>,
     driver: AbortHandle,
 }
 
@@ -132,10 +135,12 @@
         req.headers_mut().insert(HOST, host);
     }
     conn.tx.ready().await?;
+    conn.progress.set_awaits_head(true);
     let resp = conn.tx.send_request(req).await?;
+    conn.progress.set_awaits_head(false);
     let (head, body) = resp.into_parts();
-    let body = Limited::new(body, BODY_BYTES_MAX).collect().await;
-    Ok((conn, head, body.map_err(Error::Body)?.to_bytes()))
+    let body = web::collect_body(body, BODY_BYTES_MAX).await.map_err(Error::Body)?;
+    Ok((conn, head, body))
 }
 
 async fn connect(addr: SocketAddr) -> Result<Conn, Error> {
@@ -144,10 +149,11 @@
         .map_err(|_| Error::Timeout)??;
     // A call may wait long for its response; this detects a partition before then.
     upstream_connections::set_tcp_options(&stream)?;
-    let (tx, conn) = http1::handshake(TokioIo::new(stream)).await?;
+    let (io, progress) = UpstreamIo::new(stream);
+    let (tx, conn) = http1::handshake(TokioIo::new(io)).await?;
     let driver = tokio::spawn(async move {
         // The pending call gets the error.
         let _ = conn.await;
     });
-    Ok(Conn { tx, driver: driver.abort_handle() })
+    Ok(Conn { tx, progress, driver: driver.abort_handle() })
 }
--- a/src/proxy/upstream_connections.rs
+++ b/src/proxy/upstream_connections.rs
@@ -30,6 +30,7 @@
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
+use tokio::task::coop;
 
 use crate::clock::Clock;
 use crate::fleet::owners::EngineGroup;
@@ -39,6 +40,7 @@
 use crate::proxy::connection_reuse::ConnectionCounts;
 use crate::proxy::connection_reuse::OpenCause;
 use crate::proxy::connection_reuse::ReuseRule;
+use crate::proxy::event_stream::EVENT_BYTES_MAX;
 use crate::proxy::link_activity::LinkActivity;
 use crate::proxy::notices::WithholdReason;
 use crate::proxy::response_end::Framing;
@@ -112,6 +114,9 @@
     /// The response ended with its connection before it was complete.
     #[error("the response ended before it was complete")]
     Incomplete,
+    /// An event of a stream is too long.
+    #[error("an event is longer than {EVENT_BYTES_MAX} bytes")]
+    EventTooLong,
     /// The upstream takes no more of the request.
     #[error("the upstream doesn't take the request")]
     NotTaken,
@@ -131,6 +136,7 @@
             Error::NoResponse(_)
                 | Error::Body(_)
                 | Error::Incomplete
+                | Error::EventTooLong
                 | Error::NotTaken
                 | Error::Restarted
         )
@@ -497,8 +503,12 @@
         if self.conn.restart_flag.is_set(cx) {
             return Poll::Ready(Some(Err(Error::Restarted)));
         }
-        poll_driver(&mut self.conn.driver, cx);
-        Pin::new(&mut self.incoming).poll_frame(cx).map_err(Error::Body)
+        // Small chunks take the more turns: a task that always finds one would keep others waiting.
+        let frame = std::pin::pin!(coop::cooperative(std::future::poll_fn(|cx| {
+            poll_driver(&mut self.conn.driver, cx);
+            Pin::new(&mut self.incoming).poll_frame(cx)
+        })));
+        frame.poll(cx).map_err(Error::Body)
     }
 }
 
@@ -541,9 +551,10 @@
             conn.keep_idle();
             return Err(Error::Withheld(reason));
         }
+        let progress = conn.progress.clone();
+        progress.set_awaits_head(true);
         let response = conn.tx.send_request(req);
         tokio::pin!(response);
-        let progress = conn.progress.clone();
         let stalled = progress.wait_stalled();
         tokio::pin!(stalled);
         let (driver, restart_flag) = (&mut conn.driver, &conn.restart_flag);
@@ -560,6 +571,7 @@
             polled
         });
         let resp = resp.await?;
+        progress.set_awaits_head(false);
         self.links.record(zone_hash, self.clock.now());
         let framing = Framing::new(resp.headers(), resp.body());
         Ok(resp.map(|incoming| UpstreamBody { incoming, framing, zone_hash, quota, conn }))
