Count the head of each response by itself

What callers would see: calls to the store or to other boxes that fail now and then, since a kept connection ends after half a megabyte of responses. Cause: the bytes before a head were counted on until the connection was read while no head was awaited; a response without a body leaves no such read. Change: awaiting a head begins the count. Evidence: proxy_upstream_io::the_head_of_each_response_is_bounded_by_itself fails without it (40 responses of 100 KB), and passes now; a single head is still bounded.

--- a/src/proxy/upstream_io.rs
+++ b/src/proxy/upstream_io.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
@@ -41,8 +42,6 @@
     progress: Arc<WriteProgress>,
     /// Bytes read since other tasks had a turn.
     turn_bytes: usize,
-    /// Bytes read since the head of a response is awaited.
-    head_bytes: usize,
 }
 
 /// Whether the peer takes the bytes that are written.
@@ -50,13 +49,15 @@
 pub struct WriteProgress {
     /// Since when it has taken none; `None` if nothing waits to be written.
     stalled_since: Mutex<Option<Instant>>,
-    /// Whether the head of a response is awaited.
+    /// Whether the head of a response is awaited, and the bytes read since.
     awaits_head: AtomicBool,
+    head_bytes: AtomicUsize,
 }
 
 impl WriteProgress {
     /// Sets whether the head of a response is awaited, which bounds what is read until then.
     pub fn set_awaits_head(&self, awaits_head: bool) {
+        self.head_bytes.store(0, Ordering::Relaxed);
         self.awaits_head.store(awaits_head, Ordering::Relaxed);
     }
 
@@ -75,6 +76,11 @@
         }
     }
 
+    fn is_head_too_long(&self) -> bool {
+        self.awaits_head.load(Ordering::Relaxed)
+            && HEAD_BYTES_MAX <= self.head_bytes.load(Ordering::Relaxed)
+    }
+
     fn stalled_since(&self) -> Option<Instant> {
         *self.stalled_since.lock().expect("no panic under lock")
     }
@@ -102,7 +108,7 @@
     /// Wraps a connection that has just been opened.
     pub fn new(io: I) -> (UpstreamIo<I>, Arc<WriteProgress>) {
         let progress = Arc::<WriteProgress>::default();
-        (UpstreamIo { io, progress: progress.clone(), turn_bytes: 0, head_bytes: 0 }, progress)
+        (UpstreamIo { io, progress: progress.clone(), turn_bytes: 0 }, progress)
     }
 }
 
@@ -116,9 +122,7 @@
             self.turn_bytes = 0;
             return yield_turn(cx);
         }
-        if !self.progress.awaits_head.load(Ordering::Relaxed) {
-            self.head_bytes = 0;
-        } else if HEAD_BYTES_MAX <= self.head_bytes {
+        if self.progress.is_head_too_long() {
             return Poll::Ready(Err(io::Error::other(HeadTooLong)));
         }
         let before = buf.filled().len();
@@ -127,7 +131,7 @@
             Poll::Ready(_) => {
                 let len = buf.filled().len() - before;
                 self.turn_bytes += len;
-                self.head_bytes += len;
+                self.progress.head_bytes.fetch_add(len, Ordering::Relaxed);
             }
             Poll::Pending => self.turn_bytes = 0,
         }
