--- a/src/proxy/adapter.rs
+++ b/src/proxy/adapter.rs
@@ -123,7 +123,7 @@
     Own,
     /// Another request.
     Other,
-    /// It carries no id, or an empty one.
+    /// It carries no id.
     Missing,
 }
 
@@ -149,7 +149,7 @@
     /// Whether it says, in a valid form, that a request has not run and never will. Which request
     /// that is depends on the id.
     pub says_not_run: bool,
-    /// Whether it says that another upstream has taken over the address.
+    /// Whether it says that another upstream has taken over the address of the intended one.
     pub misdirected: bool,
     /// Whether it is signed, as all responses to requests that ran are.
     pub signed: bool,
@@ -238,6 +238,9 @@
     },
     /// The updates of upstreams so far are complete up to this revision of the store.
     CompleteUpTo(Revision),
+    /// The versions in these updates, also of entries that were added and removed within them, and
+    /// the revision up to which they are complete. Also after a watch that ended without a change.
+    Versions(VersionChanges),
     /// All zones that are evacuated.
     EvacuatedZones(EvacuatedZones),
     /// Zones are evacuated, or their evacuation is revoked.
@@ -333,8 +336,7 @@
     fn delete(&self, fingerprint: &Fingerprint) -> BoxFuture<'static, Result<(), StoreError>>;
 }
 
-/// Stores which versions of services are in use, of services that have several. The entries must
-/// outlive the boxes. Any box may write them. They may be lost when the store is restored from an
+/// Stores which versions of services are in use. The entries must outlive the boxes. Any box may write them. They may be lost when the store is restored from an
 /// older copy.
 pub trait VersionStore: Send + Sync {
     /// Saves a version. One that is already saved is left unchanged.
@@ -355,6 +357,26 @@
     ) -> BoxFuture<'static, Result<(), StoreError>>;
 }
 
+/// Versions of upstreams that the store listed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VersionChanges {
+    /// The service and version of each entry that was written or removed.
+    pub versions: Vec<(ServiceName, VersionName)>,
+    /// The revision after which these are all; `None` if they are only those of the entries listed
+    /// now.
+    pub since: Option<Revision>,
+    /// The revision of the store up to which these are complete.
+    pub up_to: Revision,
+}
+
+/// Reads the versions of upstreams from the store, beside the watch.
+pub trait VersionLog: Send + Sync {
+    /// The versions of all entries that were written or removed after a revision. They are complete
+    /// up to a revision that the store had after the call began. Of entries of which the store no
+    /// longer has the history, and in another era of the store, those that are listed now.
+    fn since(&self, since: Revision) -> BoxFuture<'static, Result<VersionChanges, StoreError>>;
+}
+
 /// Reports the progress of roll-outs where the operator reads it.
 pub trait RolloutReporter: Send + Sync {
     /// Writes the state of the roll-out of `target`, unless another one was ordered meanwhile or it
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -40,6 +40,7 @@
 use crate::placement::waiting::WaitingRequests;
 use crate::proxy::adapter::EngineClient;
 use crate::proxy::adapter::HeaderAdapter;
+use crate::proxy::adapter::VersionLog;
 use crate::proxy::capacity;
 use crate::proxy::connection_reuse::ReuseRule;
 use crate::proxy::engine_placement::OwnerRequests;
@@ -73,6 +74,7 @@
     clock: Arc<Clock>,
     header_adapter: Arc<dyn HeaderAdapter>,
     engine_client: Arc<dyn EngineClient>,
+    version_log: Arc<dyn VersionLog>,
     upstream_connections: Arc<UpstreamConnections>,
     peers: Peers,
     metrics: ProxyMetrics,
@@ -101,6 +103,13 @@
     late_max: Duration,
 }
 
+/// Adapters to the product that embeds the proxy, which requests use.
+pub struct Adapters {
+    pub header_adapter: Arc<dyn HeaderAdapter>,
+    pub engine_client: Arc<dyn EngineClient>,
+    pub version_log: Arc<dyn VersionLog>,
+}
+
 struct Inner {
     view: View,
     budget: RetryBudget,
@@ -116,8 +125,7 @@
     pub fn new(
         cfg: &Settings,
         clock: Arc<Clock>,
-        header_adapter: Arc<dyn HeaderAdapter>,
-        engine_client: Arc<dyn EngineClient>,
+        adapters: Adapters,
         peers: Peers,
         metrics: ProxyMetrics,
         log: Logger,
@@ -131,12 +139,14 @@
             waiting: WaitingRequests::default(),
         };
         let own_requests = RequestTable::new(peers.own_ip(), peers.incarnation());
+        let stream_versions = StreamVersions::new(peers.own_ip(), peers.incarnation());
         let started = Duration::from_millis(peers.incarnation());
         let held_bound = (cfg.memory_bytes as f64 * cfg.held_share) as usize;
         let hub = Arc::new(Hub {
             inner: Mutex::new(inner),
-            header_adapter,
-            engine_client,
+            header_adapter: adapters.header_adapter,
+            engine_client: adapters.engine_client,
+            version_log: adapters.version_log,
             upstream_connections: UpstreamConnections::new(clock.clone()),
             held: (held_bound != 0)
                 .then(|| HeldTracker::new(held_bound, clock.clone(), metrics.clone(), log.clone())),
@@ -153,7 +163,7 @@
             suspects: Suspects::default(),
             part_suspects: PartSuspects::default(),
             rollouts: RolloutState::new(cfg.exposure),
-            stream_versions: StreamVersions::default(),
+            stream_versions,
             probe_requested: Notify::new(),
             is_warm: AtomicBool::new(false),
             streams: Arc::default(),
@@ -180,6 +190,11 @@
         &*self.engine_client
     }
 
+    /// Reads the versions of upstreams from the store.
+    pub fn version_log(&self) -> &dyn VersionLog {
+        &*self.version_log
+    }
+
     /// Counts a request as in flight until the guard is dropped.
     pub fn track_request(&self) -> CountGuard {
         CountGuard::new(self.in_flight.clone())
--- a/src/proxy/required_version.rs
+++ b/src/proxy/required_version.rs
@@ -14,12 +14,17 @@
 use crate::proxy::placed_request::PlacedRequest;
 use crate::proxy::refusal::Refusal;
 use crate::proxy::request::RequestContext;
+use crate::proxy::store_confirmation;
 use crate::proxy::stream_versions;
+use crate::proxy::stream_versions::Finding;
 
 /// A caller may return this long after the time for which it waits, since clocks and the network
 /// aren't exact.
 const RETURN_SLACK: Duration = Duration::from_secs(5);
 
+/// The store may confirm which versions are in use this long after it didn't.
+const CONFIRMATION_RETRY: Duration = Duration::from_millis(500);
+
 /// Which version of the service's software must serve a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RequiredVersion {
@@ -39,7 +44,8 @@
     /// Finds out which version began the stream that the caller resumes.
     pub(super) async fn find_required_version(&mut self) -> Result<(), Refusal> {
         let (hub, service) = (&self.hub, &self.service);
-        let (version, source) = stream_versions::find(hub, self.stream_id(), service).await;
+        let finding = stream_versions::find(hub, self.stream_id(), service).await;
+        let Finding { version, source, .. } = finding;
         let name = version.and_then(|version| {
             hub.read(|view| {
                 let mut versions = view.registry().versions(service);
@@ -49,11 +55,16 @@
         info!(hub.log(), "stream taken up"; "id" => &self.head.id,
             "resumes" => self.head.first_attempt.as_deref(),
             "after" => self.head.resume_after.as_ref().map(EventId::to_string),
-            "source" => source.code(),
+            "source" => source.code(), "asked" => finding.asked, "replied" => finding.replied,
+            "complete" => finding.complete, "confirmed" => finding.is_confirmed,
+            "list_changed_ms" => finding.list_changed_ago.map(|ago| ago.as_millis() as u64),
             "began_at_version" => name.as_ref().map(VersionName::as_str));
         hub.metrics().stream_version_found(source);
         if version.is_none() {
-            let retry_after = hub.stream_versions().loaded_in();
+            let next_read = store_confirmation::interval(hub.peers().known_count());
+            let confirmed_in =
+                finding.may_be_known_later.then_some(CONFIRMATION_RETRY.max(next_read));
+            let retry_after = hub.stream_versions().loaded_in().or(confirmed_in);
             return Err(Refusal::VersionUnknown { retry_after });
         }
         let is_withdrawn =
