--- a/src/proxy/adapter.rs
+++ b/src/proxy/adapter.rs
@@ -336,8 +336,8 @@
     fn delete(&self, fingerprint: &Fingerprint) -> BoxFuture<'static, Result<(), StoreError>>;
 }
 
-/// Stores which versions of services are in use. The entries must outlive the boxes. Any box may write them. They may be lost when the store is restored from an
-/// older copy.
+/// Stores which versions of services are in use. The entries must outlive the boxes. Any box may
+/// write them. They may be lost when the store is restored from an older copy.
 pub trait VersionStore: Send + Sync {
     /// Saves a version. One that is already saved is left unchanged.
     fn save(
