Revert "Count broken connections of one upstream as one crash at most"

Why: its bound isn't true. An upstream may restart under its id within a quarter of a second, and crash under the same content again, before the list shows a newer instance; counted by connection, three breaks stop the content, whatever is known of the upstream.

--- a/src/proxy/suspects.rs
+++ b/src/proxy/suspects.rs
@@ -105,27 +105,14 @@
 }
 
 impl Inner {
-    /// Returns the number of upstreams whose recent broken connections on this box are unexplained
-    /// and concern matching requests.
-    fn unexplained(&self, now: Duration, is_match: impl Fn(&BrokenRequest) -> bool) -> usize {
-        let is_unexplained =
-            |w: &&Waiting| !w.is_answered && now < w.broken.at + UNEXPLAINED_MAX_AGE;
-        let unexplained = self.waiting.iter().filter(is_unexplained).map(|w| &w.broken);
-        let instances = unexplained.filter(|broken| is_match(broken)).map(|broken| broken.instance);
-        instances.collect::<BTreeSet<u64>>().len()
-    }
-
-    /// Adds a broken request. Returns whether its upstream has crashed; otherwise the request waits
-    /// for proof of that.
-    fn add_broken(&mut self, broken: BrokenRequest, is_crash: bool) -> bool {
-        if is_crash || self.crashed.contains_key(&broken.upstream) {
-            return true;
-        }
-        if WAITING_MAX <= self.waiting.len() {
-            self.waiting.pop_front();
-        }
-        self.waiting.push_back(Waiting { broken, is_answered: false });
-        false
+    /// Returns the number of recent unexplained broken connections of a request.
+    fn unexplained(&self, fingerprint: &Fingerprint, now: Duration) -> usize {
+        let is_match = |w: &&Waiting| {
+            w.broken.fingerprint == *fingerprint
+                && !w.is_answered
+                && now < w.broken.at + UNEXPLAINED_MAX_AGE
+        };
+        self.waiting.iter().filter(is_match).count()
     }
 
     /// Takes the broken requests of an upstream. Those after which it has answered are taken only
@@ -169,18 +156,12 @@
         })
     }
 
-    /// Adds a request whose connection to its upstream broke. Returns whether the upstream has
-    /// crashed, as `is_crash` or earlier connections show.
-    pub fn add_broken(&self, broken: BrokenRequest, is_crash: bool) -> bool {
-        self.with(|inner| inner.add_broken(broken, is_crash))
-    }
-
     /// Whether the request reaches the limit of crashes if the unexplained broken connections on
     /// this box are crashes.
     pub fn would_reach_crash_limit(&self, fingerprint: &Fingerprint, now: Duration) -> bool {
         self.with(|inner| {
-            let unexplained = inner.unexplained(now, |broken| broken.fingerprint == *fingerprint);
-            CRASHES_MAX <= inner.quarantine.crash_count(fingerprint) + unexplained
+            CRASHES_MAX
+                <= inner.quarantine.crash_count(fingerprint) + inner.unexplained(fingerprint, now)
         })
     }
 
@@ -192,7 +173,15 @@
     /// Returns the number of upstreams whose recent broken connections on this box are unexplained
     /// and concern requests with a part of a prompt.
     pub fn unexplained_with_part(&self, part: &Fingerprint, now: Duration) -> usize {
-        self.with(|inner| inner.unexplained(now, |broken| broken.parts.contains(part)))
+        self.with(|inner| {
+            let is_match = |w: &&Waiting| {
+                !w.is_answered
+                    && now < w.broken.at + UNEXPLAINED_MAX_AGE
+                    && w.broken.parts.contains(part)
+            };
+            let instances = inner.waiting.iter().filter(is_match).map(|w| w.broken.instance);
+            instances.collect::<BTreeSet<u64>>().len()
+        })
     }
 
     /// Removes expired state.
@@ -225,7 +214,17 @@
 /// Records that a request's connection to its upstream broke. `is_crash` if the upstream is known
 /// to have crashed.
 pub fn connection_broken(hub: &Hub, broken: BrokenRequest, is_crash: bool) {
-    if hub.suspects().add_broken(broken.clone(), is_crash) {
+    let has_crashed = hub.suspects().with(|inner| {
+        if is_crash || inner.crashed.contains_key(&broken.upstream) {
+            return true;
+        }
+        if WAITING_MAX <= inner.waiting.len() {
+            inner.waiting.pop_front();
+        }
+        inner.waiting.push_back(Waiting { broken: broken.clone(), is_answered: false });
+        false
+    });
+    if has_crashed {
         record_crash(hub, &broken.upstream, std::slice::from_ref(&broken));
     }
 }
