Remove requests without a prompt from their engine's count when they end

The line `placed` has `running` one higher each time. Callers that state Token-Count don't meet it, and the users' protocol has requests for engines state it.

Cause: a request without a prompt is placed like one for a plain service and recorded in the upstream's plain queue (`begin_plain`), but its end and its withdrawal were looked for among the engine's requests only, as the upstream has an engine. The record stayed until its lease ended: 2 s here, 2.5 s at other boxes. The end that was not found was also remembered as an early one, so that a placement with the same id would be ignored for a second (read, not run).

Change: the end and the withdrawal of a request remove it from both records of an upstream. An id is in one of them, or in both if the sender's own report has added it to the engine's, so no other request is affected.

--- a/src/placement/registry.rs
+++ b/src/placement/registry.rs
@@ -354,10 +354,10 @@
 
     /// Removes a request that has ended. Returns whether there was a record of it.
     pub fn remove_request(&mut self, name: &UpstreamName, request: u64) -> bool {
-        self.upstreams.get_mut(name).is_some_and(|upstream| match &mut upstream.engine {
-            Some(engine) => engine.remove_request(request),
-            None => upstream.plain.remove_request(request),
-        })
+        let Some(upstream) = self.upstreams.get_mut(name) else { return false };
+        // Requests without a prompt are recorded apart at an engine, too.
+        let was_plain = upstream.plain.remove_request(request);
+        upstream.engine.as_mut().is_some_and(|engine| engine.remove_request(request)) || was_plain
     }
 
     /// Removes a request that has ended. If there is no record of it, one that arrives soon is
@@ -373,13 +373,11 @@
         let mut is_known = false;
         for name in &self.busy {
             let Some(upstream) = self.upstreams.get_mut(name) else { continue };
-            is_known |= match &mut upstream.engine {
-                Some(engine) => {
-                    let speed = self.speeds.get(&upstream.listed.service);
-                    let speed = speed.unwrap_or(&self.default_speed);
-                    engine.withdraw(request, speed, self.tuning, now)
-                }
-                None => upstream.plain.remove_request(request),
+            is_known |= upstream.plain.remove_request(request);
+            if let Some(engine) = &mut upstream.engine {
+                let speed = self.speeds.get(&upstream.listed.service);
+                let speed = speed.unwrap_or(&self.default_speed);
+                is_known |= engine.withdraw(request, speed, self.tuning, now);
             }
         }
         if !is_known {
--- a/tests/fleet_in_progress.rs
+++ b/tests/fleet_in_progress.rs
@@ -33,7 +33,9 @@
 use frostdyke::names::ZoneName;
 use frostdyke::placement::admit::Purpose;
 use frostdyke::placement::choice::SelectionCriteria;
+use frostdyke::placement::cold::Role;
 use frostdyke::placement::engine::Placement;
+use frostdyke::placement::plain::PlainQuery;
 use frostdyke::placement::registry::UpstreamRegistry;
 use frostdyke::placement::registry::in_progress::RecordFault;
 use frostdyke::placement::tuning::Tuning;
@@ -1075,6 +1077,41 @@
     assert!(records[0].1.has_first_token);
 }
 
+/// Requests without a prompt that a new one would meet at the first engine.
+fn running_without_prompt(registry: &UpstreamRegistry) -> usize {
+    let query = PlainQuery {
+        request: id(0),
+        service: "llm",
+        workspace: None,
+        excluded: &[],
+        version_filter: VersionFilter::Any,
+        target_latency: millis(500),
+        waited: Duration::ZERO,
+        zone: &ZoneName::from("zone-0"),
+        sender: None,
+        is_repeatable: false,
+        role: Role::Unassigned,
+    };
+    let (choice, _) = registry.choose_plain(query, Duration::ZERO).expect("an engine is listed");
+    choice.running
+}
+
+/// Guards against requests without a prompt that occupy a slot of their engine after their end, or
+/// after they were withdrawn, until their lease expires.
+#[test]
+fn a_request_without_a_prompt_leaves_its_engine_at_its_end() {
+    for sender in [None, Some(ip(1))] {
+        let mut registry = registry(1);
+        registry.begin_plain(&engine(0), id(1), sender, Duration::ZERO);
+        registry.begin_plain(&engine(0), id(2), sender, Duration::ZERO);
+        assert_eq!(running_without_prompt(&registry), 2);
+        registry.end_request(&engine(0), id(1), millis(10));
+        assert_eq!(running_without_prompt(&registry), 1, "{sender:?}: one has ended");
+        registry.withdraw(id(2), millis(10));
+        assert_eq!(running_without_prompt(&registry), 0, "{sender:?}: both have ended");
+    }
+}
+
 /// The placement reaches the standby by way of the owner, the end directly: it may be first.
 #[test]
 fn an_end_that_overtakes_its_placement_leaves_no_record() {
