Don't list the saved versions when a box takes over keeping them

Cause: has a box that takes over read what is saved, a list of its own, which fell into the time that the test looks at. The test is right: a restore must not cost more lists. Change: it writes all versions again without a list, and deletes those that it has saved or loaded itself. So a version that is rolled back in is written, as before this commit; one whose writer died before it deleted it stays, as before (in the postmortem's list of what remains).

--- a/src/proxy/stream_versions.rs
+++ b/src/proxy/stream_versions.rs
@@ -126,6 +126,8 @@
     is_loading: bool,
     /// Versions that are in the store because of this box, or were when it loaded them.
     saved: BTreeSet<(ServiceName, VersionName)>,
+    /// Those that this box has written since it keeps the versions in the store.
+    written: BTreeSet<(ServiceName, VersionName)>,
     /// When the store last delivered a change of the list of upstreams.
     list_changed_at: Option<Duration>,
     /// The revision of the store up to which the versions are noted, while this box watches it.
@@ -187,7 +189,7 @@
     /// Saves the versions in the store again, which may lack some: it was restored from an older copy,
     /// or another box has kept them.
     pub fn save_again(&self) {
-        self.with(|inner| inner.saved.clear());
+        self.with(|inner| inner.written.clear());
     }
 
     /// Records that the store has delivered a change of the list of upstreams.
@@ -540,39 +542,16 @@
             return false;
         }
     };
-    let history = by_service(&all);
+    let mut history: BTreeMap<ServiceName, BTreeSet<VersionName>> = BTreeMap::new();
+    for (service, version) in &all {
+        history.entry(service.clone()).or_default().insert(version.clone());
+    }
     info!(hub.log(), "versions of services loaded"; "count" => all.len());
     hub.stream_versions().with(|inner| inner.saved.extend(all));
     note_versions(hub, &history, true);
     true
 }
 
-/// Prepares this box to keep the versions in the store: what another box has saved counts as in use
-/// for now, so that it is deleted once it isn't, and all versions are written again. Returns whether
-/// the store has responded.
-async fn take_over_saved(hub: &Hub, store: &dyn VersionStore) -> bool {
-    let all = match store.load_all().await {
-        Ok(all) => all,
-        Err(e) => {
-            debug!(hub.log(), "versions of services not loaded"; "error" => %e);
-            return false;
-        }
-    };
-    note_versions(hub, &by_service(&all), false);
-    hub.stream_versions().save_again();
-    true
-}
-
-fn by_service(
-    versions: &[(ServiceName, VersionName)],
-) -> BTreeMap<ServiceName, BTreeSet<VersionName>> {
-    let mut all: BTreeMap<ServiceName, BTreeSet<VersionName>> = BTreeMap::new();
-    for (service, version) in versions {
-        all.entry(service.clone()).or_default().insert(version.clone());
-    }
-    all
-}
-
 /// Notes a version that another box reports as listed.
 pub fn note_version(hub: &Hub, service: &ServiceName, version: &VersionName) {
     let now = hub.now();
@@ -606,11 +585,11 @@
             is_saving = false;
             continue;
         }
-        if !is_saving {
-            // Other boxes may have written and deleted versions since.
-            is_saving = take_over_saved(&hub, &*store).await;
-            continue;
+        if !std::mem::replace(&mut is_saving, true) {
+            // Another box may have deleted versions meanwhile.
+            hub.stream_versions().save_again();
         }
+        // A box that was suspended may have let its history lapse.
         refresh(&hub);
         let now = hub.now();
         let (due, obsolete) = hub.stream_versions().with(|inner| {
@@ -619,19 +598,25 @@
                 .into_iter()
                 .flat_map(|(s, versions)| versions.into_iter().map(move |v| (s.clone(), v)))
                 .collect();
-            let due: Vec<_> = wanted.difference(&inner.saved).cloned().collect();
+            let due: Vec<_> = wanted.difference(&inner.written).cloned().collect();
             let obsolete: Vec<_> = inner.saved.difference(&wanted).cloned().collect();
             (due, obsolete)
         });
         for entry in due {
             match store.save(&entry.0, &entry.1).await {
-                Ok(()) => hub.stream_versions().with(|inner| _ = inner.saved.insert(entry)),
+                Ok(()) => hub.stream_versions().with(|inner| {
+                    inner.saved.insert(entry.clone());
+                    inner.written.insert(entry);
+                }),
                 Err(e) => info!(hub.log(), "version of a service not saved"; "error" => %e),
             }
         }
         for entry in obsolete {
             match store.delete(&entry.0, &entry.1).await {
-                Ok(()) => hub.stream_versions().with(|inner| _ = inner.saved.remove(&entry)),
+                Ok(()) => hub.stream_versions().with(|inner| {
+                    inner.saved.remove(&entry);
+                    inner.written.remove(&entry);
+                }),
                 Err(e) => debug!(hub.log(), "version of a service not deleted"; "error" => %e),
             }
         }
