--- a/review/common-2/main.rs
+++ b/review/common-2/main.rs
@@ -4,6 +4,8 @@
 
 #[path = "../4/case.rs"]
 mod case_4;
+#[path = "../5/case.rs"]
+mod case_5;
 
 use std::time::Duration;
 
@@ -28,6 +30,7 @@
     let record = rig::Record::create(record);
     let run = match case.as_str() {
         "4" => case_4::run,
+        "5" => case_5::run,
         _ => std::process::exit(rig::NOT_RUN),
     };
     let status = run(&record).unwrap_or_else(|| {
