--- a/review/common-2/main.rs
+++ b/review/common-2/main.rs
@@ -6,6 +6,8 @@
 mod case_4;
 #[path = "../5/case.rs"]
 mod case_5;
+#[path = "../6/case.rs"]
+mod case_6;
 
 use std::time::Duration;
 
@@ -31,6 +33,7 @@
     let run = match case.as_str() {
         "4" => case_4::run,
         "5" => case_5::run,
+        "6" => case_6::run,
         _ => std::process::exit(rig::NOT_RUN),
     };
     let status = run(&record).unwrap_or_else(|| {
