--- a/review/common-2/main.rs
+++ b/review/common-2/main.rs
@@ -8,6 +8,8 @@
 mod case_5;
 #[path = "../6/case.rs"]
 mod case_6;
+#[path = "../7/case.rs"]
+mod case_7;
 
 use std::time::Duration;
 
@@ -34,6 +36,7 @@
         "4" => case_4::run,
         "5" => case_5::run,
         "6" => case_6::run,
+        "7" => case_7::run,
         _ => std::process::exit(rig::NOT_RUN),
     };
     let status = run(&record).unwrap_or_else(|| {
