--- a/review/common-2/main.rs
+++ b/review/common-2/main.rs
@@ -10,6 +10,8 @@
 mod case_6;
 #[path = "../7/case.rs"]
 mod case_7;
+#[path = "../8/case.rs"]
+mod case_8;
 
 use std::time::Duration;
 
@@ -37,6 +39,7 @@
         "5" => case_5::run,
         "6" => case_6::run,
         "7" => case_7::run,
+        "8" => case_8::run,
         _ => std::process::exit(rig::NOT_RUN),
     };
     let status = run(&record).unwrap_or_else(|| {
