--- a/review/common-2/rig.rs
+++ b/review/common-2/rig.rs
@@ -1013,7 +1013,7 @@
 }
 
 /// Asks a box whether it is ready, as the platform does.
-fn asks_ready(addr: SocketAddr) -> bool {
+pub fn asks_ready(addr: SocketAddr) -> bool {
     let Ok(mut stream) = TcpStream::connect_timeout(&addr, Duration::from_millis(500)) else {
         return false;
     };
