--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -24,7 +24,7 @@
 const ASKED_MS: u64 = 16_000;
 
 pub fn run(record: &Arc<Record>) -> Option<i32> {
-    let mut rig = Rig::new(record.clone());
+    let mut rig = Rig::new(record.clone(), 7);
     let relay = Relay::start(rig.store_addr);
     rig.store_addr = relay.addr;
     let rig = Arc::new(rig);
--- a/review/common-2/rig.rs
+++ b/review/common-2/rig.rs
@@ -838,6 +838,7 @@
     /// Where the boxes find the store.
     pub store_addr: SocketAddr,
     next_id: AtomicU64,
+    case: u8,
 }
 
 impl Drop for Rig {
@@ -849,9 +850,14 @@
     }
 }
 
-/// The address of the box with this number. All are loopback addresses.
-fn box_ip(n: usize) -> IpAddr {
-    IpAddr::from([127, 74, 1, 10 + n as u8])
+/// The address of the box with this number in a case. All are loopback addresses.
+fn box_ip(case: u8, n: usize) -> IpAddr {
+    IpAddr::from([127, 74, case, 10 + n as u8])
+}
+
+/// The address of all engines of a case.
+fn engine_ip(case: u8) -> IpAddr {
+    IpAddr::from([127, 74, case, 1])
 }
 
 fn free_addr(ip: IpAddr) -> SocketAddr {
@@ -877,13 +883,13 @@
 };
 
 impl Rig {
-    pub fn new(record: Arc<Record>) -> Rig {
+    pub fn new(record: Arc<Record>, case: u8) -> Rig {
         let dir = std::env::temp_dir().join(format!("frostdyke-review-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a temporary folder");
         let store = Arc::new(Store::default());
         let store_addr = store.serve();
         let (runs, next_id) = (Arc::default(), AtomicU64::new(1));
-        Rig { record, store, runs, dir, store_addr, next_id }
+        Rig { record, store, runs, dir, store_addr, next_id, case }
     }
 
     /// An id for a client attempt.
@@ -894,7 +900,7 @@
     /// Starts the boxes, one for each of `zones`, and waits until all are ready. The balancer asks
     /// each once a second from then on.
     pub fn start_boxes(&self, zones: &[&str], machine: Machine) -> Option<Vec<BoxProcess>> {
-        let ips: Vec<IpAddr> = (0..zones.len()).map(box_ip).collect();
+        let ips: Vec<IpAddr> = (0..zones.len()).map(|n| box_ip(self.case, n)).collect();
         let port = (20_000..30_000).find(|port| {
             let all: Vec<_> = ips.iter().map(|ip| UdpSocket::bind((*ip, *port))).collect();
             all.iter().all(Result::is_ok)
@@ -972,7 +978,7 @@
         zone: &str,
         settings: EngineSettings,
     ) -> Option<Engine> {
-        let addr = addr.unwrap_or_else(|| free_addr(IpAddr::from([127, 74, 2, 1])));
+        let addr = addr.unwrap_or_else(|| free_addr(engine_ip(self.case)));
         let EngineSettings { work_ms, body_bytes, slots } = settings;
         let mut command = Command::new(std::env::current_exe().ok()?);
         command.args(["engine", &addr.to_string(), id]);
