--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -6,7 +6,7 @@
 use crate::rig::*;
 
 const SERVICE: &str = "ledger-api";
-const ENGINE: EngineSettings = EngineSettings { work_ms: 30, body_bytes: 800, slots: 6 };
+const ENGINE: EngineSettings = EngineSettings { work_ms: 30, body_bytes: 800, slots: 6, lines: 0 };
 const ZONES: [&str; 3] = ["a", "b", "c"];
 
 /// The bounds `contact_ms` and `config_ms` of the deployment.
--- a/review/common-2/rig.rs
+++ b/review/common-2/rig.rs
@@ -47,6 +47,8 @@
 
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
+pub const SIGCONT: i32 = 18;
+pub const SIGSTOP: i32 = 19;
 const PR_SET_PDEATHSIG: i32 = 1;
 const SOL_SOCKET: i32 = 1;
 const SO_RCVBUF: i32 = 8;
@@ -643,6 +645,7 @@
 #[derive(Clone, Debug)]
 pub struct Run {
     pub engine: String,
+    pub id: String,
     /// Milliseconds since the start of the record.
     pub at: u64,
 }
@@ -653,16 +656,27 @@
     pub work_ms: u64,
     pub body_bytes: usize,
     pub slots: usize,
+    /// If not zero, answers have no length: so many lines follow each other after `work_ms`, and the
+    /// connection ends.
+    pub lines: usize,
 }
 
-/// The main function of an engine process: ADDRESS ID WORK_MS BODY_BYTES SLOTS. It prints a line
+/// A line of an answer without a length.
+pub const LINE: &str = "this line is part of an answer\n";
+
+/// The main function of an engine process: ADDRESS ID WORK_MS BODY_BYTES SLOTS
+/// LINES. It prints a line
 /// for each request that it begins to run. A line on its standard input says that it leaves.
 pub fn run_engine(args: &[String]) -> i32 {
     let Ok(listener) = TcpListener::bind(&args[0]) else { return NOT_RUN };
     let id = args[1].clone();
     let number = |n: usize| args[n].parse::<usize>().unwrap_or(0);
-    let settings =
-        EngineSettings { work_ms: number(2) as u64, body_bytes: number(3), slots: number(4) };
+    let settings = EngineSettings {
+        work_ms: number(2) as u64,
+        body_bytes: number(3),
+        slots: number(4),
+        lines: number(5),
+    };
     let is_leaving = Arc::new(AtomicBool::new(false));
     let leaving = is_leaving.clone();
     thread::spawn(move || {
@@ -705,6 +719,12 @@
             *free -= 1;
             drop(free);
             println!("RUN {} {} {}", unix_ms(), attempt, request.path);
+            if settings.lines != 0 {
+                let _ = send_lines(&mut stream, id, &attempt, settings);
+                *slots.0.lock().unwrap() += 1;
+                slots.1.notify_one();
+                return;
+            }
             sleep_ms(settings.work_ms);
             *slots.0.lock().unwrap() += 1;
             slots.1.notify_one();
@@ -723,6 +743,25 @@
     }
 }
 
+/// Sends an answer without a length, line by line.
+fn send_lines(
+    stream: &mut TcpStream,
+    id: &str,
+    attempt: &str,
+    settings: EngineSettings,
+) -> std::io::Result<()> {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nInstance-Id: {id}\r\nAttempt-Id: {attempt}\r\n\
+         Server-Signature: sig-{id}\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes())?;
+    for _ in 0..settings.lines {
+        sleep_ms(settings.work_ms);
+        stream.write_all(LINE.as_bytes())?;
+    }
+    Ok(())
+}
+
 /// A running engine process.
 pub struct Engine {
     pub id: String,
@@ -732,11 +771,16 @@
 }
 
 impl Engine {
-    /// Kills the process. Its entry lapses after three heartbeats without a write.
-    pub fn kill(&mut self, rig: &Rig) {
+    /// Kills the process.
+    pub fn crash(&mut self, rig: &Rig) {
         send_signal(self.child.id(), SIGKILL);
         let _ = self.child.wait();
         rig.record.line(&format!("engine {} is killed", self.id));
+    }
+
+    /// Kills the process. Its entry lapses after three heartbeats without a write.
+    pub fn kill(&mut self, rig: &Rig) {
+        self.crash(rig);
         let (store, record, id) = (rig.store.clone(), rig.record.clone(), self.id.clone());
         thread::spawn(move || {
             thread::sleep(HEARTBEAT * 3);
@@ -782,7 +826,8 @@
     format!(
         "{{\"service\":\"{service}\",\"address\":\"{addr}\",\"zone\":\"{zone}\",\
          \"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"cold_remaining_ms\":0,\
-         \"sequence\":1}}"
+         \"sequence\":1,\"born\":{}}}",
+        unix_ms()
     )
 }
 
@@ -979,10 +1024,11 @@
         settings: EngineSettings,
     ) -> Option<Engine> {
         let addr = addr.unwrap_or_else(|| free_addr(engine_ip(self.case)));
-        let EngineSettings { work_ms, body_bytes, slots } = settings;
+        let EngineSettings { work_ms, body_bytes, slots, lines: line_count } = settings;
         let mut command = Command::new(std::env::current_exe().ok()?);
         command.args(["engine", &addr.to_string(), id]);
         command.args([work_ms.to_string(), body_bytes.to_string(), slots.to_string()]);
+        command.arg(line_count.to_string());
         command.stdin(Stdio::piped()).stdout(Stdio::piped());
         let mut child = spawn(&mut command)?;
         let mut lines = BufReader::new(child.stdout.take()?).lines();
@@ -996,7 +1042,7 @@
                 let ["RUN", at, attempt, path] = words[..] else { continue };
                 let at = record.at(at.parse().unwrap_or(0));
                 record.line_at(at, &format!("engine {engine} runs {attempt} {path}"));
-                runs.lock().unwrap().push(Run { engine: engine.clone(), at });
+                runs.lock().unwrap().push(Run { engine: engine.clone(), id: attempt.to_owned(), at });
             }
         });
         let entry = entry(service, addr, zone, slots);
