--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -1,93 +1,94 @@
-//! Open connections to the store go silent, and the configuration changes after that.
+//! An engine drains while a box that has just started reads the pages of the list of engines.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 
 use crate::rig::*;
 
 const SERVICE: &str = "ledger-api";
-const ENGINE: EngineSettings = EngineSettings { work_ms: 30, body_bytes: 800, slots: 6, lines: 0 };
+const ENGINE: EngineSettings = EngineSettings { work_ms: 60, body_bytes: 800, slots: 6, ..SOUND };
 const ZONES: [&str; 3] = ["a", "b", "c"];
 
-/// The bounds `contact_ms` and `config_ms` of the deployment.
-const CONTACT_MS: u64 = 3000;
-const CONFIG_MS: u64 = 2000;
-
-/// Connections on which a box waits for this go silent: one of the three that it has to the store.
-const SILENCED: &str = "/objects/config?watch=";
+/// Engines of another service, so that the list has two pages.
+const OTHER_SERVICE: &str = "notes-api";
+const OTHER_ENGINES: usize = 57;
 
-/// The keys of the tenant; version 5 of the configuration takes the second one away.
-const KEPT_KEY: &str = "asnmgkcuyj8pjbvk9m68";
-const REVOKED_KEY: &str = "k7b2ex5wa5xwyhks8nbk";
+/// The bounds `contact_ms` and `drain_ms` of the deployment.
+const CONTACT_MS: u64 = 3000;
+const DRAIN_MS: u64 = 2000;
 
-/// How long clients use the key after it was taken away.
-const ASKED_MS: u64 = 16_000;
+/// How long the engine serves on after the store has taken that it drains.
+const SERVES_ON_MS: u64 = 12_000;
 
 pub fn run(record: &Arc<Record>) -> Option<i32> {
-    let mut rig = Rig::new(record.clone(), 7);
-    let relay = Relay::start(rig.store_addr);
-    rig.store_addr = relay.addr;
-    let rig = Arc::new(rig);
-    // Requests of this route need a key. The tenant has two.
-    let routes = [route("cash", "safe", SERVICE, 1000, 150).replace("\"anonymous\":true", "\"anonymous\":false")];
-    let after = configuration(5, &routes, SERVICE, 16384);
-    let both_keys = format!("\"{KEPT_KEY}\",\"{REVOKED_KEY}\"");
-    let before = configuration(1, &routes, SERVICE, 16384).replace(&format!("\"{KEPT_KEY}\""), &both_keys);
-    rig.store.put("config", "main", &before);
+    let rig = Arc::new(Rig::new(record.clone(), 6));
+    let table = configuration(1, &[route("cash", "safe", SERVICE, 1000, 150)], SERVICE, 16384);
+    rig.store.put("config", "main", &table);
     let mut engines = Vec::new();
-    for (id, zone) in ["i-e1", "i-e2", "i-e3"].iter().zip(ZONES) {
+    for (id, zone) in ["i-a1", "i-a2", "i-a3"].iter().zip(ZONES) {
         engines.push(rig.start_engine(id, None, SERVICE, zone, ENGINE)?);
     }
-    let boxes = rig.start_boxes(&ZONES, WALLET_MACHINE)?;
-    sleep_ms(3000);
-    if has_trouble() {
-        let (silent, others) = relay.silence(SILENCED);
-        record.say(&format!("{silent} open connections to the store go silent, {others} don't"));
+    let mut others = Vec::new();
+    for n in 0..OTHER_ENGINES {
+        let id = format!("i-b{n:02}");
+        others.push(rig.start_engine(&id, None, OTHER_SERVICE, ZONES[n % 3], ENGINE)?);
     }
-    // The silence counts as a reset of the machines' connections: they are in touch after this.
-    sleep_ms(CONTACT_MS + 1000);
-    rig.store.put("config", "main", &after);
-    let acknowledged_at = record.now();
-    record.line("the store acknowledges version 5 of the configuration, without the second key");
+    let mut boxes = rig.start_boxes(&ZONES, WALLET_MACHINE)?;
+    sleep_ms(2000);
+    let is_over = Arc::new(AtomicBool::new(false));
     let mut clients = Vec::new();
-    for (n, b) in boxes.iter().enumerate() {
-        let (rig, addr) = (rig.clone(), b.callers);
+    for n in 0..18 {
+        let (addr, rig, is_over) = (boxes[n % 3].callers, rig.clone(), is_over.clone());
         clients.push(thread::spawn(move || {
-            let (mut late, mut stale, mut last) = (0, 0, 0);
             for number in 0.. {
-                let sent_at = rig.record.now() - acknowledged_at;
-                if ASKED_MS < sent_at {
-                    return (late, stale, last);
+                if is_over.load(Ordering::Relaxed) {
+                    return;
                 }
                 let call = Call {
                     method: "GET",
-                    path: format!("/cash/c{n}/{number}"),
+                    path: format!("/cash/box-{}/c{n}-{number}", n % 3),
                     id: rig.attempt_id(),
                     deadline_ms: 1000,
                     body: String::new(),
-                    more: format!("Key: {REVOKED_KEY}\r\n"),
+                    more: String::new(),
                 };
-                rig.record.line(&format!("client sends {} GET {} to box {n}", call.id, call.path));
+                rig.record.line(&format!("client sends {} GET {} to {addr}", call.id, call.path));
                 let answer = send(addr, &call);
                 rig.record.line(&format!("client gets {} for {} {}", answer.status, call.id, answer.fault));
-                if CONFIG_MS < sent_at {
-                    late += 1;
-                    if answer.is_served() {
-                        (stale, last) = (stale + 1, sent_at);
-                    }
-                }
-                sleep_ms(100);
+                sleep_ms(20);
             }
-            (late, stale, last)
         }));
     }
-    let mut total = 0;
-    for (n, client) in clients.into_iter().enumerate() {
-        let (late, stale, last) = client.join().ok()?;
-        record.say(&format!(
-            "box {n}: of {late} requests sent later than {CONFIG_MS} ms after the acknowledgement with the key taken away, {stale} ran, the last one {last} ms after it"
-        ));
-        total += stale;
+    sleep_ms(3000);
+    let acknowledged_at = Arc::new(Mutex::new(None));
+    let leaving = engines[0].leaving_entry(&rig);
+    let at = acknowledged_at.clone();
+    if has_trouble() {
+        rig.store.after_next_page(move || *at.lock().unwrap() = Some(leaving()));
+        record.line("box 0 is killed and started again");
+        boxes[0].kill_and_restart()?;
+        sleep_ms(2000);
+    } else {
+        *at.lock().unwrap() = Some(leaving());
     }
-    Some(if total == 0 { HELD } else { BROKEN })
+    engines[0].note_leaving();
+    let acknowledged_at = (*acknowledged_at.lock().unwrap())?;
+    sleep_ms(SERVES_ON_MS);
+    is_over.store(true, Ordering::Relaxed);
+    clients.into_iter().for_each(|client| _ = client.join());
+    let runs = rig.runs.lock().unwrap().clone();
+    // The box that was killed is in touch `contact_ms` after its start, which was earlier.
+    let bound = acknowledged_at + DRAIN_MS.max(CONTACT_MS + 1000);
+    let late = runs.iter().filter(|run| run.engine == engines[0].id && bound < run.at);
+    let late_count = late.clone().count();
+    let last = late.map(|run| run.at - acknowledged_at).max().unwrap_or(0);
+    record.say(&format!(
+        "requests that reached engine {} later than {} ms after the acknowledgement: {late_count}, the last one {last} ms after it",
+        engines[0].id,
+        bound - acknowledged_at
+    ));
+    Some(if late_count == 0 { HELD } else { BROKEN })
 }
--- a/review/common-2/rig.rs
+++ b/review/common-2/rig.rs
@@ -31,33 +31,12 @@
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, arg: u64, a: u64, b: u64, c: u64) -> i32;
-    fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, len: u32) -> i32;
-    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
-    fn connect(fd: i32, addr: *const SocketAddrIn, len: u32) -> i32;
-}
-
-/// `struct sockaddr_in`, with port and address in network order.
-#[repr(C)]
-struct SocketAddrIn {
-    family: u16,
-    port: [u8; 2],
-    addr: [u8; 4],
-    zero: [u8; 8],
 }
 
 pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
 const PR_SET_PDEATHSIG: i32 = 1;
-const SOL_SOCKET: i32 = 1;
-const SO_RCVBUF: i32 = 8;
-const AF_INET: i32 = 2;
-const SOCK_STREAM: i32 = 1;
-const SOCK_CLOEXEC: i32 = 0o2000000;
-const IPPROTO_TCP: i32 = 6;
-const TCP_MAXSEG: i32 = 2;
-const ETHERNET_SEGMENT_BYTES: i32 = 1448;
 
 /// Time between an engine's writes of its entry.
 pub const HEARTBEAT: Duration = Duration::from_millis(1200);
@@ -72,28 +51,6 @@
     unsafe { kill(pid as i32, signal) };
 }
 
-/// Connects with the segment size of an Ethernet link, whose windows are smaller than those of the
-/// loopback interface, and a receive buffer of this size.
-pub fn connect_as_over_ethernet(addr: SocketAddr, receive_bytes: i32) -> Option<TcpStream> {
-    use std::os::fd::FromRawFd;
-    let SocketAddr::V4(addr) = addr else { return None };
-    let to = SocketAddrIn {
-        family: AF_INET as u16,
-        port: addr.port().to_be_bytes(),
-        addr: addr.ip().octets(),
-        zero: [0; 8],
-    };
-    // SAFETY: the descriptor is open and owned by the stream; the pointers are to values of the given
-    // lengths.
-    unsafe {
-        let fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        let stream = (0 <= fd).then(|| TcpStream::from_raw_fd(fd))?;
-        setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &ETHERNET_SEGMENT_BYTES, 4);
-        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes, 4);
-        (connect(fd, &to, 16) == 0).then_some(stream)
-    }
-}
-
 pub fn unix_ms() -> u64 {
     SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
 }
@@ -646,6 +603,8 @@
 pub struct Run {
     pub engine: String,
     pub id: String,
+    /// The status of the engine's answer.
+    pub status: u16,
     /// Milliseconds since the start of the record.
     pub at: u64,
 }
@@ -659,13 +618,39 @@
     /// If not zero, answers have no length: so many lines follow each other after `work_ms`, and the
     /// connection ends.
     pub lines: usize,
+    /// Of a hundred requests, so many fail with the engine's own 500.
+    pub failed_percent: usize,
+    /// Of a hundred answers, so many are followed by a piece of a surplus one, which comes in the
+    /// place of the next answer.
+    pub surplus_percent: usize,
+}
+
+/// An engine without faults, whose fields are overridden.
+pub const SOUND: EngineSettings = EngineSettings {
+    work_ms: 30,
+    body_bytes: 800,
+    slots: 6,
+    lines: 0,
+    failed_percent: 0,
+    surplus_percent: 0,
+};
+
+/// The piece of a surplus answer: it breaks off in its status line.
+const SURPLUS: &[u8] = b"HTTP/1.1 200 ";
+
+/// A number from 0 to 99 that an attempt's id and `salt` decide.
+fn draw(attempt: &str, salt: u64) -> usize {
+    let hash = attempt.bytes().fold(0xcbf2_9ce4_8422_2325 ^ salt, |hash: u64, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    ((hash ^ (hash >> 29)).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33) as usize % 100
 }
 
 /// A line of an answer without a length.
 pub const LINE: &str = "this line is part of an answer\n";
 
 /// The main function of an engine process: ADDRESS ID WORK_MS BODY_BYTES SLOTS
-/// LINES. It prints a line
+/// LINES FAILED_PERCENT SURPLUS_PERCENT. It prints a line
 /// for each request that it begins to run. A line on its standard input says that it leaves.
 pub fn run_engine(args: &[String]) -> i32 {
     let Ok(listener) = TcpListener::bind(&args[0]) else { return NOT_RUN };
@@ -676,6 +661,8 @@
         body_bytes: number(3),
         slots: number(4),
         lines: number(5),
+        failed_percent: number(6),
+        surplus_percent: number(7),
     };
     let is_leaving = Arc::new(AtomicBool::new(false));
     let leaving = is_leaving.clone();
@@ -704,7 +691,14 @@
     let _ = stream.set_nodelay(true);
     let Ok(reading) = stream.try_clone() else { return };
     let mut reader = BufReader::new(reading);
+    let mut has_surplus = false;
     while let Some(request) = read_request(&mut reader) {
+        if std::mem::take(&mut has_surplus) {
+            println!("SURPLUS");
+            if stream.write_all(SURPLUS).is_err() {
+                return;
+            }
+        }
         let leaves = is_leaving.load(Ordering::Relaxed);
         let attempt = request.header("attempt-id").unwrap_or("").to_owned();
         let (status, more, body) = if request.path == "/healthz" {
@@ -718,7 +712,10 @@
             }
             *free -= 1;
             drop(free);
-            println!("RUN {} {} {}", unix_ms(), attempt, request.path);
+            let fails = draw(&attempt, 1) < settings.failed_percent;
+            has_surplus = draw(&attempt, 2) < settings.surplus_percent;
+            let status = if fails { 500 } else { 200 };
+            println!("RUN {} {} {} {status}", unix_ms(), attempt, request.path);
             if settings.lines != 0 {
                 let _ = send_lines(&mut stream, id, &attempt, settings);
                 *slots.0.lock().unwrap() += 1;
@@ -728,7 +725,7 @@
             sleep_ms(settings.work_ms);
             *slots.0.lock().unwrap() += 1;
             slots.1.notify_one();
-            (200, format!("Server-Signature: sig-{id}\r\n"), "x".repeat(settings.body_bytes))
+            (status, format!("Server-Signature: sig-{id}\r\n"), "x".repeat(settings.body_bytes))
         };
         let attempt = if attempt.is_empty() { attempt } else { format!("Attempt-Id: {attempt}\r\n") };
         let end = if leaves { "Connection: close\r\n" } else { "Keep-Alive: timeout=5\r\n" };
@@ -790,12 +787,6 @@
         });
     }
 
-    /// Tells the process and the store that the engine leaves. Returns when the store has taken it.
-    pub fn leave(&mut self, rig: &Rig) -> u64 {
-        self.note_leaving();
-        (self.leaving_entry(rig))()
-    }
-
     /// Tells the process that the engine leaves.
     pub fn note_leaving(&mut self) {
         if let Some(stdin) = &mut self.child.stdin {
@@ -1024,11 +1015,12 @@
         settings: EngineSettings,
     ) -> Option<Engine> {
         let addr = addr.unwrap_or_else(|| free_addr(engine_ip(self.case)));
-        let EngineSettings { work_ms, body_bytes, slots, lines: line_count } = settings;
+        let EngineSettings { work_ms, body_bytes, slots, .. } = settings;
         let mut command = Command::new(std::env::current_exe().ok()?);
         command.args(["engine", &addr.to_string(), id]);
         command.args([work_ms.to_string(), body_bytes.to_string(), slots.to_string()]);
-        command.arg(line_count.to_string());
+        let more = [settings.lines, settings.failed_percent, settings.surplus_percent];
+        command.args(more.map(|number| number.to_string()));
         command.stdin(Stdio::piped()).stdout(Stdio::piped());
         let mut child = spawn(&mut command)?;
         let mut lines = BufReader::new(child.stdout.take()?).lines();
@@ -1039,10 +1031,18 @@
         thread::spawn(move || {
             for line in lines.map_while(Result::ok) {
                 let words: Vec<&str> = line.split(' ').collect();
-                let ["RUN", at, attempt, path] = words[..] else { continue };
+                let ["RUN", at, attempt, path, status] = words[..] else {
+                    record.line(&format!("engine {engine}: {line}"));
+                    continue;
+                };
                 let at = record.at(at.parse().unwrap_or(0));
-                record.line_at(at, &format!("engine {engine} runs {attempt} {path}"));
-                runs.lock().unwrap().push(Run { engine: engine.clone(), id: attempt.to_owned(), at });
+                record.line_at(at, &format!("engine {engine} runs {attempt} {path}, answers {status}"));
+                runs.lock().unwrap().push(Run {
+                    engine: engine.clone(),
+                    id: attempt.to_owned(),
+                    status: status.parse().unwrap_or(0),
+                    at,
+                });
             }
         });
         let entry = entry(service, addr, zone, slots);
