--- a/review/common-2/rig.rs
+++ b/review/common-2/rig.rs
@@ -768,6 +768,11 @@
 }
 
 impl Engine {
+    /// The process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process.
     pub fn crash(&mut self, rig: &Rig) {
         send_signal(self.child.id(), SIGKILL);
