--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -57,7 +57,10 @@
                 };
                 rig.record.line(&format!("client sends {} GET {} to {addr}", call.id, call.path));
                 let answer = send(addr, &call);
-                rig.record.line(&format!("client gets {} for {} {}", answer.status, call.id, answer.fault));
+                rig.record.line(&format!(
+                    "client gets {} for {} {}",
+                    answer.status, call.id, answer.fault
+                ));
                 sleep_ms(20);
             }
         }));
--- a/review/common-2/rig.rs
+++ b/review/common-2/rig.rs
@@ -461,7 +461,11 @@
                 }
             }
             ("DELETE", Some(name)) => {
-                if self.remove(kind, name) { (200, "{}".to_owned()) } else { (404, "{}".to_owned()) }
+                if self.remove(kind, name) {
+                    (200, "{}".to_owned())
+                } else {
+                    (404, "{}".to_owned())
+                }
             }
             (method, name) => {
                 let body = String::from_utf8_lossy(&request.body).into_owned();
@@ -492,11 +496,13 @@
     /// Lists the objects of a kind whose names are greater than `after`.
     fn list(&self, kind: &str, after: &str) -> String {
         let objects = self.objects.lock().unwrap();
-        let of_kind = objects.all.iter().filter(|((k, name), _)| k == kind && after < name.as_str());
+        let of_kind =
+            objects.all.iter().filter(|((k, name), _)| k == kind && after < name.as_str());
         let items: Vec<String> = of_kind.map(|((_, name), object)| render(name, object)).collect();
         let has_more = PAGE_ITEMS < items.len();
         let page = items[..items.len().min(PAGE_ITEMS)].join(",");
-        let text = format!("{{\"items\":[{page}],\"more\":{has_more},\"at\":{}}}", objects.revision);
+        let text =
+            format!("{{\"items\":[{page}],\"more\":{has_more},\"at\":{}}}", objects.revision);
         drop(objects);
         if kind == "servers" && has_more {
             let hook = self.after_page.lock().unwrap().take();
@@ -727,7 +733,8 @@
             slots.1.notify_one();
             (status, format!("Server-Signature: sig-{id}\r\n"), "x".repeat(settings.body_bytes))
         };
-        let attempt = if attempt.is_empty() { attempt } else { format!("Attempt-Id: {attempt}\r\n") };
+        let attempt =
+            if attempt.is_empty() { attempt } else { format!("Attempt-Id: {attempt}\r\n") };
         let end = if leaves { "Connection: close\r\n" } else { "Keep-Alive: timeout=5\r\n" };
         let head = format!(
             "HTTP/1.1 {status} Status\r\nInstance-Id: {id}\r\n{attempt}{more}{end}\
@@ -1041,7 +1048,10 @@
                     continue;
                 };
                 let at = record.at(at.parse().unwrap_or(0));
-                record.line_at(at, &format!("engine {engine} runs {attempt} {path}, answers {status}"));
+                record.line_at(
+                    at,
+                    &format!("engine {engine} runs {attempt} {path}, answers {status}"),
+                );
                 runs.lock().unwrap().push(Run {
                     engine: engine.clone(),
                     id: attempt.to_owned(),
@@ -1094,7 +1104,12 @@
 }
 
 /// A configuration with these routes and one plain service, as JSON.
-pub fn configuration(version: u64, routes: &[String], service: &str, header_bytes: usize) -> String {
+pub fn configuration(
+    version: u64,
+    routes: &[String],
+    service: &str,
+    header_bytes: usize,
+) -> String {
     format!(
         "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"{service}\",\
          \"health_path\":\"/healthz\",\"max_conns\":110,\"protocol\":\"h1\",\"tls\":false}}],\
