Send no request late in a stop that might not end in time

What callers saw: in a planned stop (8 s), a request whose head came in the first 2.6 s but whose body ended later was sent to an upstream when the body was there, also on a route that runs requests once, and was cut without an answer at 7.7 s.

Cause: the listener looked at the phase of the stop when the head had come. Nothing looked again before the request was sent, whether it waited for its body or for an upstream, or was to be sent to another upstream because the first one had not run it.

Fix: from 2.6 s on nothing is sent any more, unless the request's deadline passes before the process ends, so that it ends in time whatever happens. What was never sent is refused as soon as that is known (503, not run, to be tried at another box); what an upstream had not run gets the same; what may have run is answered as before when it isn't repeated. A stream that is under way may still go on at another upstream. The phase moved to a file of its own, proxy/shutdown.rs, and to the hub, where requests see it.

A request that waits in an owner's queue is covered by reading only: it is the same select as for the body.

--- a/src/proxy/admission.rs
+++ b/src/proxy/admission.rs
@@ -66,6 +66,7 @@
         deadline: arrived + timeout,
         tried: Vec::new(),
         sends: 0,
+        is_sent: Arc::default(),
         required_version: RequiredVersion::Any,
         is_version_recorded: false,
         broken_sends: 0,
--- a/src/proxy/box_api.rs
+++ b/src/proxy/box_api.rs
@@ -15,16 +15,15 @@
 use http::header::CONTENT_TYPE;
 use serde::Serialize;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
 
 use crate::fleet::owners::EngineGroup;
 use crate::fleet::quarantine::SuspectReport;
 use crate::fleet::stream_versions::StreamVersionsReport;
 use crate::placement::registry::learned::LearnedReport;
-use crate::proxy::ShutdownPhase;
 use crate::proxy::http_client;
 use crate::proxy::http_client::HttpClient;
 use crate::proxy::hub::Hub;
+use crate::proxy::shutdown::ShutdownPhase;
 use crate::proxy::view::Snapshot;
 use crate::proxy::view::View;
 use crate::web;
@@ -76,12 +75,8 @@
 }
 
 /// Serves the readiness endpoint for the load balancer until the process ends.
-pub async fn serve_ready(
-    listener: TcpListener,
-    hub: Arc<Hub>,
-    stopping: watch::Receiver<ShutdownPhase>,
-) {
-    let handler = Arc::new(ReadinessHandler { hub, stopping });
+pub async fn serve_ready(listener: TcpListener, hub: Arc<Hub>) {
+    let handler = Arc::new(ReadinessHandler { hub });
     web::serve(listener, 0, handler, std::future::pending()).await;
 }
 
@@ -145,14 +140,13 @@
 
 struct ReadinessHandler {
     hub: Arc<Hub>,
-    stopping: watch::Receiver<ShutdownPhase>,
 }
 
 impl HttpHandler for ReadinessHandler {
     fn check_head(&self, _: &http::request::Parts) -> Option<Response<Bytes>> {
         let ready = self.hub.read(View::is_ready)
             && !self.hub.is_full()
-            && *self.stopping.borrow() == ShutdownPhase::Running;
+            && self.hub.shutdown().phase() == ShutdownPhase::Running;
         let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         Some(empty_response(status))
     }
--- a/src/proxy/hub.rs
+++ b/src/proxy/hub.rs
@@ -58,6 +58,7 @@
 use crate::proxy::rollouts::RolloutState;
 use crate::proxy::routing_table::RoutingTable;
 use crate::proxy::settings::Settings;
+use crate::proxy::shutdown::Shutdown;
 use crate::proxy::stream_versions::StreamVersions;
 use crate::proxy::suspects;
 use crate::proxy::suspects::Suspects;
@@ -101,6 +102,7 @@
     connections_max: usize,
     held: Option<Arc<HeldTracker>>,
     late_max: Duration,
+    shutdown: Shutdown,
 }
 
 /// Adapters to the product that embeds the proxy, which requests use.
@@ -175,6 +177,7 @@
             connections: Arc::default(),
             connections_max: capacity::caller_connections_max(cfg.descriptors, cfg.memory_bytes),
             late_max: cfg.late_max,
+            shutdown: Shutdown::default(),
         });
         hub.metrics.register_gauges(&hub);
         hub
@@ -195,6 +198,11 @@
         &*self.version_log
     }
 
+    /// The progress of a planned stop.
+    pub fn shutdown(&self) -> &Shutdown {
+        &self.shutdown
+    }
+
     /// Counts a request as in flight until the guard is dropped.
     pub fn track_request(&self) -> CountGuard {
         CountGuard::new(self.in_flight.clone())
--- a/src/proxy/listener.rs
+++ b/src/proxy/listener.rs
@@ -22,9 +22,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
-use tokio::sync::watch;
 
-use crate::proxy::ShutdownPhase;
 use crate::proxy::connection_limiter::AdmittedConnection;
 use crate::proxy::connection_limiter::ConnectionLimiter;
 use crate::proxy::connection_rejecter::ConnectionRejecter;
@@ -35,6 +33,7 @@
 use crate::proxy::request;
 use crate::proxy::response_body::Body;
 use crate::proxy::routing_table::Limits;
+use crate::proxy::shutdown::ShutdownPhase;
 use crate::proxy::upstream_connections;
 
 /// Pause after a connection could not be accepted.
@@ -64,7 +63,6 @@
     listener: AsyncFd<std::net::TcpListener>,
     mut limiter: ConnectionLimiter,
     hub: Arc<Hub>,
-    shutdown: watch::Receiver<ShutdownPhase>,
 ) {
     let connections = Arc::new(Semaphore::new(hub.connections_max()));
     let rejecter = ConnectionRejecter::start(hub.clone());
@@ -89,10 +87,10 @@
             rejecter.reject(stream);
             continue;
         };
-        let (hub, shutdown) = (hub.clone(), shutdown.clone());
+        let hub = hub.clone();
         tokio::spawn(async move {
             let connected = hub.track_connection();
-            serve_connection(stream, admitted, hub, shutdown).await;
+            serve_connection(stream, admitted, hub).await;
             drop((connected, permit));
         });
     }
@@ -111,7 +109,6 @@
     stream: std::net::TcpStream,
     admitted: AdmittedConnection,
     hub: Arc<Hub>,
-    shutdown: watch::Receiver<ShutdownPhase>,
 ) {
     let stream = match register(stream) {
         Ok(stream) => stream,
@@ -123,7 +120,7 @@
     let service = service_fn(|req: Request<Incoming>| {
         admitted.note_request();
         has_chunks.store(req.version() == Version::HTTP_11, Ordering::Relaxed);
-        respond(hub.clone(), shutdown.clone(), req)
+        respond(hub.clone(), req)
     });
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -134,7 +131,7 @@
     // was aborted.
     let ended = tokio::select! {
         ended = &mut connection => ended,
-        () = shutdown_begun(shutdown.clone()) => {
+        () = shutdown_begun(&hub) => {
             // Closes an idle connection now: a later request on it might not end in time.
             std::pin::Pin::new(&mut connection).graceful_shutdown();
             (&mut connection).await
@@ -156,12 +153,11 @@
 
 /// Waits until the shutdown begins. Never returns for a connection accepted after that, so that it
 /// isn't closed before its caller has sent a request.
-async fn shutdown_begun(mut shutdown: watch::Receiver<ShutdownPhase>) {
-    if *shutdown.borrow() != ShutdownPhase::Running {
+async fn shutdown_begun(hub: &Hub) {
+    if hub.shutdown().phase() != ShutdownPhase::Running {
         return std::future::pending().await;
     }
-    // An error means that the process exits.
-    let _ = shutdown.wait_for(|phase| *phase != ShutdownPhase::Running).await;
+    hub.shutdown().wait_for(ShutdownPhase::Closing).await;
 }
 
 /// The timeout for reading a request head. `hyper` measures it from the end of the previous
@@ -170,18 +166,14 @@
     limits.idle_timeout.max(limits.head_timeout) + IDLE_TIMEOUT_SLACK
 }
 
-async fn respond(
-    hub: Arc<Hub>,
-    shutdown: watch::Receiver<ShutdownPhase>,
-    req: Request<Incoming>,
-) -> Result<Response<Body>, Infallible> {
-    let phase = *shutdown.borrow();
-    let mut resp = match phase {
-        ShutdownPhase::Refusing => refusal::response(Refusal::Stopping),
-        ShutdownPhase::Running | ShutdownPhase::Closing => request::serve(hub.clone(), req).await,
+async fn respond(hub: Arc<Hub>, req: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+    let mut resp = if hub.shutdown().phase() < ShutdownPhase::Refusing {
+        request::serve(hub.clone(), req).await
+    } else {
+        refusal::response(Refusal::Stopping)
     };
     // Closes the connection, so that the caller's next one goes to another box.
-    if *shutdown.borrow() != ShutdownPhase::Running || hub.should_close_connections() {
+    if hub.shutdown().phase() != ShutdownPhase::Running || hub.should_close_connections() {
         resp.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(resp)
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -47,6 +47,7 @@
 pub mod rollouts;
 pub mod routing_table;
 pub mod settings;
+pub mod shutdown;
 pub mod state_updates;
 pub mod store_confirmation;
 pub mod stream_relay;
@@ -118,28 +119,10 @@
 /// Time between checks of the settings file, which may change without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Shortest duration of a shutdown. The load balancer sends new callers until it has seen two
-/// failed probes, a second each; the port stays open for them.
-const SHUTDOWN_MIN: Duration = Duration::from_millis(2600);
-
-/// The process exits at the latest this long before the end of its time to stop.
-const SHUTDOWN_RESERVE: Duration = Duration::from_millis(400);
-
 /// For this long after rejecting connections, a box reports that it isn't ready: the load balancer
 /// needs two failed probes, a second each, to send new connections elsewhere.
 const NOT_READY_AFTER_REJECTION: Duration = Duration::from_millis(2200);
 
-/// The phase of the process with regard to its shutdown.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ShutdownPhase {
-    /// No shutdown was requested.
-    Running,
-    /// Connections are closed after use; new requests are still served.
-    Closing,
-    /// New requests are refused, since they might not end in time.
-    Refusing,
-}
-
 /// Why the proxy can't run.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -206,7 +189,6 @@
     let hub = Hub::new(&cfg, clock, adapters, peers, metrics, log.clone());
     info!(log, "started"; "callers" => %cfg.callers, "zone" => cfg.identity.zone.as_str());
 
-    let (phase, shutdown) = watch::channel(ShutdownPhase::Running);
     let (store_due, is_store_due) = watch::channel(false);
     watch_store(&hub, &*deps.store_watcher, is_store_due);
     gossip::start(&hub);
@@ -233,18 +215,13 @@
     tokio::spawn(run_housekeeping(hub.clone(), store_due));
     tokio::spawn(reachability::run(hub.clone()));
     tokio::spawn(reload(hub.clone(), path));
-    tokio::spawn(box_api::serve_ready(ready, hub.clone(), shutdown.clone()));
+    tokio::spawn(box_api::serve_ready(ready, hub.clone()));
     tokio::spawn(box_api::serve_peers(peer_port, hub.clone()));
-    tokio::spawn(listener::serve(
-        callers,
-        ConnectionLimiter::new(cfg.cores),
-        hub.clone(),
-        shutdown,
-    ));
+    tokio::spawn(listener::serve(callers, ConnectionLimiter::new(cfg.cores), hub.clone()));
 
     signals.next().await;
     info!(log, "stopping"; "in_flight" => hub.in_flight());
-    shut_down(&hub, &phase, cfg.stop_within).await;
+    shutdown::run(&hub, cfg.stop_within).await;
     info!(log, "stopped"; "in_flight" => hub.in_flight());
     Ok(())
 }
@@ -347,23 +324,6 @@
     });
 }
 
-/// Waits until all requests have ended and no new ones are expected, or until the time is up.
-async fn shut_down(hub: &Hub, phase: &watch::Sender<ShutdownPhase>, within: Duration) {
-    let began = Instant::now();
-    let _ = phase.send(ShutdownPhase::Closing);
-    let longest = within.saturating_sub(SHUTDOWN_RESERVE);
-    loop {
-        tokio::time::sleep(TICK_INTERVAL).await;
-        if SHUTDOWN_MIN <= began.elapsed() {
-            let _ = phase.send(ShutdownPhase::Refusing);
-        }
-        let is_idle = hub.in_flight() == 0 && SHUTDOWN_MIN <= began.elapsed();
-        if is_idle || longest <= began.elapsed() {
-            return;
-        }
-    }
-}
-
 /// Rereads the settings on SIGHUP, or when the file has changed, and adds new seeds.
 async fn reload(hub: Arc<Hub>, path: PathBuf) {
     let Ok(mut hangup) = signal(SignalKind::hangup()) else {
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::OnceLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -61,6 +63,7 @@
 use crate::proxy::routing_table::Rank;
 use crate::proxy::routing_table::Repeat;
 use crate::proxy::routing_table::Route;
+use crate::proxy::shutdown::ShutdownPhase;
 use crate::proxy::stream_relay;
 use crate::proxy::suspects;
 use crate::proxy::suspects::BrokenRequest;
@@ -123,6 +126,8 @@
     pub tried: Vec<UpstreamName>,
     /// Sends so far.
     pub sends: u32,
+    /// Whether any of it may have been sent to an upstream.
+    pub is_sent: Arc<AtomicBool>,
     /// Which version must serve the request.
     pub required_version: RequiredVersion,
     /// Whether the version has been recorded for the boxes that the caller may return to.
@@ -216,11 +221,13 @@
 impl RequestContext {
     async fn respond_to_caller(mut self) -> Response<Body> {
         let timed_out = self.hub.clock().clone().sleep_until(self.deadline);
+        let stopped_unsent = self.stopped_unsent();
         let gave_way = OptionFuture::from(self.hold.as_ref().map(Hold::wait_gave_way));
         let result = tokio::select! {
             biased;
             // Only a request that was never sent gives way.
             Some(()) = gave_way => Err(Refusal::BoxBusy),
+            () = stopped_unsent => Err(Refusal::Stopping),
             result = self.send_until_response() => result,
             () = timed_out => Err(Refusal::TimedOut),
         };
@@ -240,6 +247,18 @@
         self.hold.as_ref().is_some_and(Hold::gave_way)
     }
 
+    /// Waits until the process stops and the request may not be sent any more. Never returns once it
+    /// was sent.
+    fn stopped_unsent(&self) -> impl Future<Output = ()> + use<> {
+        let (hub, deadline, is_sent) = (self.hub.clone(), self.deadline, self.is_sent.clone());
+        async move {
+            hub.shutdown().wait_for(ShutdownPhase::Refusing).await;
+            if is_sent.load(Ordering::Relaxed) || hub.shutdown().may_send(deadline) {
+                std::future::pending().await
+            }
+        }
+    }
+
     /// Time until the deadline.
     pub(super) fn remaining(&self) -> Duration {
         self.deadline.saturating_sub(self.hub.now())
@@ -278,6 +297,11 @@
                 Ok(placed) => placed,
                 Err(cause) => return earlier.give_up(cause),
             };
+            // It might not end in time.
+            if !self.hub.shutdown().may_send(self.deadline) {
+                placed.withdraw(None);
+                return earlier.give_up(Refusal::Stopping);
+            }
             match self.send(&choice, placed, None).await {
                 SendOutcome::Response(response) => return Ok(response),
                 SendOutcome::NotSent(e) => {
@@ -483,6 +507,7 @@
                 .or_else(|| self.has_withheld_part().then_some(WithholdReason::Suspect))
                 .or_else(|| self.has_given_way().then_some(WithholdReason::GaveWay));
             if reason.is_none() {
+                self.is_sent.store(true, Ordering::Relaxed);
                 self.set_held(HoldKind::Sent);
                 if self.is_trial {
                     part_suspects::record_trial_sent(&self.hub, &self.shared_parts());
