Answer what is still without a response at the end of a stop

What callers saw: requests that had been sent in time and that an upstream still worked on at the end of a planned stop ended with a closed connection and no answer, and so did those whose response's or own body wasn't whole.

Cause: shut_down returned when its time was up, and the process ended with whatever was under way.

Evidence: each_request_gets_an_answer_by_the_end_of_a_stop in platform/tests/planned_stop on the code before: no byte of an answer for a request that an upstream doesn't respond to.

Fix: at the moment at which the process ended until now (0.4 s before the platform's kill, so no answer ends sooner), the stop enters a last phase, in which each request without a response head gets one: 504 "the request may have run" if it was sent, 503 "not run" if its own body isn't whole. The process ends when these are written, after 0.2 s at the latest. A stream whose head has been passed on is cut as before.

--- a/src/proxy/refusal.rs
+++ b/src/proxy/refusal.rs
@@ -77,6 +77,9 @@
     /// An upstream's response was truncated or invalid; the request may have run.
     #[error("the upstream failed; the request may have run")]
     Broken,
+    /// This box ends before the upstream has responded; the request may have run.
+    #[error("this box stops; the request may have run")]
+    Interrupted,
     /// The deadline has passed; the request may have run.
     #[error("time is up; the request may have run")]
     TimedOut,
@@ -100,6 +103,7 @@
             Refusal::VersionUnknown { .. } => "version-unknown",
             Refusal::VersionGone => "version-gone",
             Refusal::Broken => "broken",
+            Refusal::Interrupted => "interrupted",
             Refusal::TimedOut => "timed-out",
         }
     }
@@ -120,7 +124,7 @@
             | Refusal::VersionUnknown { .. }
             | Refusal::VersionGone => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::Broken => StatusCode::BAD_GATEWAY,
-            Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Refusal::Interrupted | Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -196,7 +196,11 @@
         Ok(ctx) => ctx,
         Err((cause, id)) => return refuse(&hub, &id, cause),
     };
-    match admission::read_body(&hub, body, ctx.deadline, ctx.hold.as_ref()).await {
+    let body = tokio::select! {
+        body = admission::read_body(&hub, body, ctx.deadline, ctx.hold.as_ref()) => body,
+        () = hub.shutdown().wait_for(ShutdownPhase::Ending) => Err(Refusal::Stopping),
+    };
+    match body {
         Ok(body) => ctx.body = body,
         Err(cause) => return ctx.refuse(cause),
     }
@@ -222,6 +226,7 @@
     async fn respond_to_caller(mut self) -> Response<Body> {
         let timed_out = self.hub.clock().clone().sleep_until(self.deadline);
         let stopped_unsent = self.stopped_unsent();
+        let interrupted = self.hub.shutdown().wait_for(ShutdownPhase::Ending);
         let gave_way = OptionFuture::from(self.hold.as_ref().map(Hold::wait_gave_way));
         let result = tokio::select! {
             biased;
@@ -230,6 +235,7 @@
             () = stopped_unsent => Err(Refusal::Stopping),
             result = self.send_until_response() => result,
             () = timed_out => Err(Refusal::TimedOut),
+            () = interrupted => Err(Refusal::Interrupted),
         };
         match result {
             Ok(response) => self.pass_on(response).await,
@@ -704,7 +710,13 @@
         let remaining = self.remaining();
         let hold = self.hub.held().map(|held| held.hold(HoldKind::Answer));
         let counted = HeldBody::new(&mut body, HoldKind::Answer, hold.as_ref());
-        match web::read_body(counted, BUFFERED_RESPONSE_MAX_BYTES, remaining).await {
+        let read = tokio::select! {
+            read = web::read_body(counted, BUFFERED_RESPONSE_MAX_BYTES, remaining) => read,
+            () = self.hub.shutdown().wait_for(ShutdownPhase::Ending) => {
+                return self.refuse(Refusal::Interrupted);
+            }
+        };
+        match read {
             Ok(bytes) => {
                 let is_complete = match ResponseEnd::of_body(body.framing(), &head.headers, &bytes)
                 {
--- a/src/proxy/shutdown.rs
+++ b/src/proxy/shutdown.rs
@@ -16,9 +16,12 @@
 /// probes, a second each; the port stays open for them.
 const STOP_MIN: Duration = Duration::from_millis(2600);
 
-/// The process exits at the latest this long before the end of its time to stop.
+/// Requests run at the latest until this long before the end of the time to stop.
 const STOP_RESERVE: Duration = Duration::from_millis(400);
 
+/// Time in which the last responses are written.
+const LAST_RESPONSES_TIME: Duration = Duration::from_millis(200);
+
 /// The phase of the process with regard to its stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ShutdownPhase {
@@ -29,13 +32,15 @@
     /// New requests are refused, since they might not end in time. Neither is a request sent any
     /// more that was taken before, unless its deadline passes in time.
     Refusing,
+    /// The process is about to end: each request without a response gets one now.
+    Ending,
 }
 
 /// The progress of the stop.
 #[derive(Debug)]
 pub struct Shutdown {
     phase: watch::Sender<ShutdownPhase>,
-    /// When the process ends at the latest, by the hub's clock, once a stop was requested.
+    /// Until when requests run at the latest, by the hub's clock, once a stop was requested.
     ends_at: OnceLock<Duration>,
 }
 
@@ -68,7 +73,7 @@
 }
 
 /// Stops within the given time: waits until all requests have ended and no new ones are expected,
-/// or until the time is up.
+/// or until the time is up, when the remaining ones get a last response.
 pub async fn run(hub: &Hub, within: Duration) {
     let Shutdown { phase, ends_at } = hub.shutdown();
     let began = Instant::now();
@@ -80,8 +85,18 @@
         if STOP_MIN <= began.elapsed() {
             phase.send_replace(ShutdownPhase::Refusing);
         }
-        let is_idle = hub.in_flight() == 0 && STOP_MIN <= began.elapsed();
-        if is_idle || longest <= began.elapsed() {
+        if hub.in_flight() == 0 && STOP_MIN <= began.elapsed() {
+            return;
+        }
+        if longest <= began.elapsed() {
+            break;
+        }
+    }
+    phase.send_replace(ShutdownPhase::Ending);
+    let ending = Instant::now();
+    while ending.elapsed() < LAST_RESPONSES_TIME {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+        if hub.in_flight() == 0 {
             return;
         }
     }
