Take only 200 to 599 for the status of a final response

What callers saw: 101, 600 and 999 as an upstream had written them, on every kind of route, without another try. After a 101 the connection was gone and the request had no final response. A draining notice in such a head kept a living upstream out of use.

Cause: ResponseHead::meaning took every status for a final response that is no refusal and no server error, and the notice was applied without a look at the status. hyper skips interim responses, but not 101, and accepts 600 to 999.

Fix: a response whose status is none of a final one is no response to the request, which may have run: it is retried where that is safe and ends as 502 otherwise, and its notice is ignored, also on a connection that has carried a valid response.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod placement;
 pub mod platform;
 pub mod proxy;
+pub mod response_status;
 pub mod retry_after;
 pub mod router;
 pub mod status;
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -72,6 +72,7 @@
 use crate::proxy::upstream_connections::UpstreamBody;
 use crate::proxy::upstream_selection::NO_UPSTREAM_RETRY;
 use crate::proxy::upstream_selection::OVERLOAD_RETRY_MIN;
+use crate::response_status;
 use crate::util;
 use crate::web;
 use crate::web::BodyError;
@@ -550,7 +551,8 @@
         let status = resp.status();
         let verdict =
             self.hub.header_adapter().check_response(&self.head.id, status, resp.headers());
-        if resp.body_mut().record_authentic(verdict.is_authentic(status)) && !verdict.misdirected {
+        let is_from_upstream = resp.body_mut().record_authentic(verdict.is_authentic(status));
+        if is_from_upstream && !verdict.misdirected && response_status::is_final(status) {
             let (upstream, started_at_ms, sent) =
                 (placed.upstream(), placed.started_at_ms(), placed.sent_at());
             let (request, notice) = (&self.head.id, verdict.notice);
--- a/src/proxy/response_check.rs
+++ b/src/proxy/response_check.rs
@@ -7,6 +7,7 @@
 
 use crate::proxy::adapter::ResponseId;
 use crate::proxy::adapter::Verdict;
+use crate::response_status;
 
 /// What a response means for its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,6 +55,9 @@
     /// What the response means for its request.
     pub fn meaning(&self) -> Meaning {
         let ResponseHead { status, verdict, is_encoded, .. } = *self;
+        if !response_status::is_final(status) {
+            return Meaning::Invalid;
+        }
         if verdict.says_not_run {
             return self.attributed();
         }
