Fail a box's own call whose status no final response has

What callers saw: 503 for an engine that served, after its reply to a box's query had status 101, 600 or 999 and said that it drains. Worked out, not seen: a later era of the store in such a reply makes the box take all valid replies for outdated, so that it follows no change.

Cause: HttpClient returned a response whatever its status, and its readers take headers from any: the name, the notice and the cold time of an engine, the era of the store. A probe counted as answered.

Fix: HttpClient fails with an error of its own and closes the connection, the one place that all of these readers share.

--- a/src/proxy/http_client.rs
+++ b/src/proxy/http_client.rs
@@ -24,6 +24,7 @@
 use crate::proxy::upstream_connections;
 use crate::proxy::upstream_io::UpstreamIo;
 use crate::proxy::upstream_io::WriteProgress;
+use crate::response_status;
 use crate::web;
 
 /// Time limit for connecting, whatever the timeout of the call.
@@ -44,6 +45,9 @@
     /// No response arrived in time; the connection isn't used again.
     #[error("no response in time")]
     Timeout,
+    /// The response has a status that no final response has.
+    #[error("response status {0} isn't that of a final response")]
+    Status(StatusCode),
     /// The response body was truncated or too long.
     #[error("reading the response body: {0}")]
     Body(Box<dyn std::error::Error + Send + Sync>),
@@ -75,7 +79,7 @@
         HttpClient { addr, conn: None }
     }
 
-    /// Sends a GET request; returns the status and the body, whatever the status.
+    /// Sends a GET request; returns the status, which may be any of a final response, and the body.
     pub async fn get(
         &mut self,
         path: &str,
@@ -94,7 +98,7 @@
         self.send(Method::GET, path, Bytes::new(), timeout).await
     }
 
-    /// Sends a request whose body is JSON or empty; returns the response, whatever its status.
+    /// Sends a request whose body is JSON or empty; returns the final response, whatever its status.
     pub async fn send(
         &mut self,
         method: Method,
@@ -139,6 +143,9 @@
     let resp = conn.tx.send_request(req).await?;
     conn.progress.set_awaits_head(false);
     let (head, body) = resp.into_parts();
+    if !response_status::is_final(head.status) {
+        return Err(Error::Status(head.status));
+    }
     let body = web::collect_body(body, BODY_BYTES_MAX).await.map_err(Error::Body)?;
     Ok((conn, head, body))
 }
