Routers: take only 200 to 599 for the status of a final response

What callers saw, of routers (deployed nowhere): 101, 600 and 999 with the outcome "ran", and no other try. After a 101 the connection was gone.

Cause: start_response passed on every status that isn't a refusal, and counted the claim of an idempotency key as resolved.

Evidence: router_responses::an_odd_status_is_no_response and a_request_that_got_an_odd_status_is_retried failed on the code before: five of eight heads reached the caller, and so did 101 where another engine would have served the request.

Fix: such a response counts as a failure after the request was sent: it is retried where that is safe, and ends as 502, "unknown" otherwise. Both tests pass.

--- a/src/router/request_handler.rs
+++ b/src/router/request_handler.rs
@@ -29,6 +29,7 @@
 use crate::peer::message::Ending;
 use crate::peer::message::Ticket;
 use crate::peer::message::TicketId;
+use crate::response_status;
 use crate::retry_after;
 use crate::router::hub::Hub;
 use crate::router::refusal::Body;
@@ -296,6 +297,11 @@
             placed.finish(Ending::Failed);
             return self.handle_failure(true, "the answer belongs to another request".to_owned());
         }
+        if !response_status::is_final(status) {
+            placed.finish(Ending::Failed);
+            let reason = format!("status {status} isn't that of a final response");
+            return self.handle_failure(true, reason);
+        }
         if status == StatusCode::SERVICE_UNAVAILABLE
             && let Some(backoff) = retry_after::from_headers(&headers, SystemTime::now())
         {
