Routers and controllers: read a reply to a query only with status 200

What callers saw, of routers (deployed nowhere): 504 for an upstream that served, whose load report had status 600 or 999 and said that it leaves. Controllers took the state in a 500 for the engine's, and operators the list of boxes in one.

Cause: the three readers parsed the body without a look at the status.

Evidence: router_responses::a_load_report_with_another_status_is_ignored and a_state_with_another_status_is_an_error failed on the code before: 504 with 600 and 999; Ok(true), drained, from a 500.

Fix: a status other than 200 is no report, and an error where one is returned. Both tests pass.

--- a/src/controller/engine_api.rs
+++ b/src/controller/engine_api.rs
@@ -72,6 +72,9 @@
     fn fetch_status(&self, upstream: &Upstream) -> Result<EngineStatus, Error> {
         let url = format!("http://{}/state", upstream.address);
         let mut resp = self.agent.get(url).call().map_err(unreachable)?;
+        if resp.status() != StatusCode::OK {
+            return Err(Error::Unreachable(resp.status().to_string()));
+        }
         let body = resp.body_mut().read_to_vec().map_err(unreachable)?;
         serde_json::from_slice(&body).map_err(|e| Error::Unreachable(e.to_string()))
     }
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -8,6 +8,7 @@
 
 use ureq::Agent;
 use ureq::http::Response;
+use ureq::http::StatusCode;
 
 use crate::peer::member::ListedBox;
 use crate::platform::BoxList;
@@ -121,6 +122,9 @@
     fn boxes(&self) -> Result<Vec<ListedBox>, Error> {
         self.calls.reads.fetch_add(1, Ordering::Relaxed);
         let mut resp = self.read(&format!("{}/boxes", self.base), self.timeout)?;
+        if resp.status() != StatusCode::OK {
+            return Err(Error::Unexpected(resp.status().to_string()));
+        }
         let body = bytes(&mut resp)?;
         serde_json::from_slice(&body).map_err(|e| Error::Unexpected(e.to_string()))
     }
--- a/src/router/upstream_health.rs
+++ b/src/router/upstream_health.rs
@@ -7,6 +7,7 @@
 
 use serde::Deserialize;
 use ureq::Agent;
+use ureq::http::StatusCode;
 
 use crate::config::Upstream;
 use crate::dispatch::upstreams::UpstreamReport;
@@ -79,6 +80,9 @@
 /// failed requests.
 fn poll(hub: &Hub, agent: &Agent, target: &Target) {
     let Ok(mut resp) = agent.get(format!("http://{}/load", target.addr)).call() else { return };
+    if resp.status() != StatusCode::OK {
+        return;
+    }
     let Ok(text) = resp.body_mut().read_to_string() else { return };
     let Ok(load) = serde_json::from_str::<LoadResponse>(&text) else { return };
     let report = UpstreamReport { running: load.running, leaving: load.leaving };
--- a/tests/router_responses.rs
+++ b/tests/router_responses.rs
@@ -13,7 +13,15 @@
 use std::thread;
 use std::time::Duration;
 
+use frostdyke::config::Upstream;
+use frostdyke::controller::engine_api::EngineApi;
+use frostdyke::controller::engine_api::HttpEngineApi;
+use frostdyke::platform::BoxList;
+use frostdyke::platform::client::Client;
+use serde_json::Value;
+use serde_json::json;
 use socket2::SockRef;
+use util::catalog;
 use util::fleet::Fleet;
 use util::fleet::Setup;
 use util::fleet::any_port;
@@ -27,6 +35,9 @@
 /// Time from the last byte of a response to the reset of its connection.
 const RESET_DELAY: Duration = Duration::from_millis(2);
 
+/// Time within which a router has received reports of its upstreams.
+const REPORTED_WITHIN: Duration = Duration::from_millis(800);
+
 /// Responses with statuses that no final response has.
 const ODD_STATUSES: [&str; 8] = [
     "HTTP/1.1 000 odd\r\ncontent-length: 2\r\n\r\nok",
@@ -60,15 +71,25 @@
 /// What an upstream writes next, and how it ends the connection.
 type Script = Arc<Mutex<(Vec<u8>, End)>>;
 
-/// An upstream that reads a request, writes what the script says and closes the connection.
+/// An upstream that reads a request, writes what the script says and closes the connection. It closes
+/// the connection of a query.
 fn serve(script: Script) -> SocketAddr {
+    serve_with_queries(script, String::new())
+}
+
+/// Like [`serve`], with this response to all queries.
+fn serve_with_queries(script: Script, query_response: String) -> SocketAddr {
     let listener = TcpListener::bind(any_port()).expect("a port is free");
     let addr = listener.local_addr().expect("the listener is bound");
     thread::spawn(move || {
         for stream in listener.incoming() {
             let mut stream = stream.expect("a connection");
             let mut buf = [0; 4096];
-            if stream.read(&mut buf).is_ok_and(|n| buf[..n].starts_with(b"POST")) {
+            let n = stream.read(&mut buf).unwrap_or(0);
+            if buf[..n].starts_with(b"GET") {
+                // A failure means that the caller has disconnected.
+                let _ = stream.write_all(query_response.as_bytes());
+            } else if buf[..n].starts_with(b"POST") {
                 let (text, end) = script.lock().expect("no panic under lock").clone();
                 // A failure means that the router has disconnected.
                 let _ = stream.write_all(&text);
@@ -99,11 +120,17 @@
 
 impl Scene {
     fn new() -> Scene {
+        Scene::start(NAMES, String::new())
+    }
+
+    /// A scene whose upstream is listed under `names` names and has this response to all queries.
+    fn start(names: usize, query_response: String) -> Scene {
         let script: Script = Arc::new(Mutex::new((Vec::new(), End::Close)));
         let mut fleet = Fleet::start(&Setup::default());
         let mut upstream = fleet.configuration["upstreams"][1].clone();
-        upstream["address"] = serve(script.clone()).to_string().into();
-        fleet.configuration["upstreams"] = (0..NAMES)
+        let addr = serve_with_queries(script.clone(), query_response);
+        upstream["address"] = addr.to_string().into();
+        fleet.configuration["upstreams"] = (0..names)
             .map(|n| {
                 upstream["name"] = format!("odd-{n}").into();
                 upstream.clone()
@@ -120,7 +147,8 @@
         let mut caller = TcpStream::connect(self.fleet.routers[0].callers).expect("it listens");
         caller.set_read_timeout(Some(TIMEOUT)).expect("a timeout");
         let head = "POST /v1/services/transfer HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
-                    frostdyke-workspace: alpha\r\ncontent-length: 2\r\n\r\n{}";
+                    frostdyke-workspace: alpha\r\nfrostdyke-deadline-ms: 1000\r\n\
+                    content-length: 2\r\n\r\n{}";
         caller.write_all(head.as_bytes()).expect("the request is sent");
         let mut buf = Vec::new();
         // A failure means that the response is incomplete.
@@ -178,6 +206,53 @@
     }
 }
 
+/// Statuses of responses to queries that aren't the 200 with the state.
+const OTHER_STATUSES: [u16; 5] = [101, 500, 503, 600, 999];
+
+fn query_response(status: u16, body: &Value) -> String {
+    let body = body.to_string();
+    format!("HTTP/1.1 {status} X\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+}
+
+/// Guards against an upstream that gets no requests because of a report whose status isn't 200.
+#[test]
+fn a_load_report_with_another_status_is_ignored() {
+    let report = json!({"running": 0, "leaving": true});
+    let statuses = [200].into_iter().chain(OTHER_STATUSES);
+    let served: Vec<(u16, String)> = statuses
+        .map(|status| {
+            let scene = Scene::start(1, query_response(status, &report));
+            thread::sleep(REPORTED_WITHIN);
+            let text = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+            (status, scene.send(text, End::Close).status)
+        })
+        .collect();
+    let is_expected = |(status, got): &(u16, String)| (*status == 200) == (got != "200");
+    assert!(served.iter().all(is_expected), "{served:?}");
+}
+
+/// Guards against a state of an engine, or a list of boxes, that is believed though the status of the
+/// response isn't 200.
+#[test]
+fn a_state_with_another_status_is_an_error() {
+    let state = json!({"state": {"model": "m", "version": "1"}, "loading": false, "drained": true,
+        "leaving": false, "running": 0});
+    let boxes = json!([{"name": "b", "zone": "z", "peer": "127.0.0.1:1"}]);
+    let script: Script = Arc::new(Mutex::new((Vec::new(), End::Close)));
+    let serve = |status, body| serve_with_queries(script.clone(), query_response(status, body));
+    let fetch = |status| {
+        let upstream =
+            Upstream { address: serve(status, &state), ..catalog::upstream("u", "z", 1) };
+        HttpEngineApi::default().fetch_status(&upstream).map(|state| state.drained)
+    };
+    let list = |status| Client::new(serve(status, &boxes)).boxes().map(|boxes| boxes.len());
+    assert_eq!((fetch(200), list(200).ok()), (Ok(true), Some(1)));
+    for status in OTHER_STATUSES {
+        assert!(fetch(status).is_err(), "{status}: {:?}", fetch(status));
+        assert!(list(status).is_err(), "{status}: {:?}", list(status));
+    }
+}
+
 /// Guards against a response whose upstream stops anywhere in it and that looks whole.
 #[test]
 fn a_response_that_breaks_off_never_looks_whole() {
