Tests of cut responses: heads apart from bodies, and no end but an error

A cut in a head that was taken for a response without framing would have passed the first version of proxy_cut_responses, since its end isn't shown to be complete. The forms of router_responses are pairs of head and body.

--- a/tests/proxy_cut_responses.rs
+++ b/tests/proxy_cut_responses.rs
@@ -40,7 +40,7 @@
 
 const QUOTA: ConnectionQuota = ConnectionQuota { open_max: 4, kept_max: 4 };
 
-/// Responses that are valid as a whole, with the length of what precedes the body.
+/// Responses that are valid as a whole.
 const WHOLE: [&str; 9] = [
     "HTTP/1.1 200 OK\r\nX-Id: a\r\nKeep-Alive: timeout=10\r\nContent-Length: 2\r\n\r\nok",
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok",
@@ -119,8 +119,8 @@
         self.listener.accept().await.expect("a connection comes").0
     }
 
-    /// Sends a request and reads the response. Returns whether it is complete.
-    async fn send(&self) -> Result<bool, Error> {
+    /// Sends a request and reads the response. Returns what its end shows.
+    async fn send(&self) -> Result<ResponseEnd, Error> {
         let (addr, quota, reuse_rule) = (self.addr, QUOTA, REPEATABLE);
         let target =
             Target { addr, name_hash: 1, zone_hash: 1, quota, reuse_rule, gives_up_stalled: false };
@@ -135,25 +135,30 @@
         if end == ResponseEnd::Complete {
             body.keep(&head.headers);
         }
-        Ok(end == ResponseEnd::Complete)
+        Ok(end)
     }
 
-    /// Sends a request on a kept connection, and returns its server's side.
-    async fn keep_connection(&self) -> TcpStream {
+    /// Sends a request on a new connection that is kept, and returns its server's side.
+    async fn open_kept(&self) -> TcpStream {
         let (sent, stream) = tokio::join!(self.send(), async {
             let mut stream = self.accept().await;
             read_request(&mut stream).await;
             stream.write_all(WHOLE[0].as_bytes()).await.expect("the box reads");
             stream
         });
-        assert!(sent.expect("there is a response"));
+        assert_eq!(sent.expect("there is a response"), ResponseEnd::Complete);
         *self.time.0.lock().expect("no panic under lock") += REUSED_AFTER;
         stream
     }
 
     /// Sends a request whose response breaks off after `cut`. `kept` is the connection that it is sent
     /// on, if there is one.
-    async fn send_cut(&self, cut: &str, how: End, kept: Option<TcpStream>) -> Result<bool, Error> {
+    async fn send_cut(
+        &self,
+        cut: &str,
+        how: End,
+        kept: Option<TcpStream>,
+    ) -> Result<ResponseEnd, Error> {
         let (sent, ()) = tokio::join!(self.send(), async {
             let mut stream = match kept {
                 Some(stream) => stream,
@@ -174,12 +179,11 @@
     let rig = Rig::new().await;
     for (cut, how) in cuts() {
         for is_kept in [false, true] {
-            let kept = if is_kept { Some(rig.keep_connection().await) } else { None };
+            let kept = if is_kept { Some(rig.open_kept().await) } else { None };
             let opened = rig.connections.counts().opened_count();
-            match rig.send_cut(cut, how, kept).await {
-                Ok(is_complete) => assert!(!is_complete, "{cut:?} {how:?}, kept: {is_kept}"),
-                Err(e) => assert!(!e.is_unsent(), "{cut:?} {how:?}, kept: {is_kept}: {e}"),
-            }
+            let sent = rig.send_cut(cut, how, kept).await;
+            let e = sent.expect_err(&format!("{cut:?} {how:?}, kept: {is_kept}"));
+            assert!(!e.is_unsent(), "{cut:?} {how:?}, kept: {is_kept}: {e}");
             let opened = rig.connections.counts().opened_count() - opened;
             assert_eq!(opened, u64::from(!is_kept), "{cut:?}: it was sent once");
         }
@@ -191,7 +195,7 @@
             stream.write_all(text.as_bytes()).await.expect("the box reads");
             stream
         });
-        assert!(sent.expect("there is a response"), "{text:?}");
+        assert_eq!(sent.expect("there is a response"), ResponseEnd::Complete, "{text:?}");
         rig.connections.close_idle();
     }
 }
--- a/tests/router_responses.rs
+++ b/tests/router_responses.rs
@@ -50,15 +50,15 @@
     "HTTP/1.1 1000 odd\r\ncontent-length: 2\r\n\r\nok",
 ];
 
-/// Responses that are cut. Each is valid as a whole.
-const WHOLE: [&str; 7] = [
-    "HTTP/1.1 200 OK\r\nx-a: b\r\ncontent-length: 2\r\n\r\nok",
-    "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: close\r\n\r\nok",
-    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
-    "HTTP/1.1 200 OK\ncontent-length: 2\n\nok",
-    "HTTP/1.0 200 OK\r\ncontent-length: 2\r\n\r\nok",
-    "HTTP/1.1 103 Early\r\nx-a: b\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
-    "HTTP/1.1 302 Found\r\nlocation: /\r\ncontent-length: 2\r\n\r\nok",
+/// Heads and bodies of responses that are cut. Each response is valid as a whole.
+const WHOLE: [(&str, &str); 7] = [
+    ("HTTP/1.1 200 OK\r\nx-a: b\r\ncontent-length: 2\r\n\r\n", "ok"),
+    ("HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: close\r\n\r\n", "ok"),
+    ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "2\r\nok\r\n0\r\n\r\n"),
+    ("HTTP/1.1 200 OK\ncontent-length: 2\n\n", "ok"),
+    ("HTTP/1.0 200 OK\r\ncontent-length: 2\r\n\r\n", "ok"),
+    ("HTTP/1.1 103 Early\r\nx-a: b\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n", "ok"),
+    ("HTTP/1.1 302 Found\r\nlocation: /\r\ncontent-length: 2\r\n\r\n", "ok"),
 ];
 
 /// How an upstream ends its connection.
@@ -258,24 +258,22 @@
 fn a_response_that_breaks_off_never_looks_whole() {
     let scene = Scene::new();
     let mut faults = Vec::new();
-    for text in WHOLE {
-        let last = text.find("200 OK").map_or(0, |at| at - "HTTP/1.1 ".len());
-        let blank = text[last..].find("\r\n\r\n").map(|at| at + "\r\n\r\n".len());
-        let blank = blank.or_else(|| text.find("\n\n").map(|at| at + "\n\n".len()));
-        let head_len = last + blank.expect("an empty line");
+    for (head, body) in WHOLE {
+        let text = format!("{head}{body}");
         // The zero-sized chunk completes a body (RFC 9112, section 8).
-        let whole_len = text.find("\r\n0\r\n").map_or(text.len(), |at| at + "\r\n0\r\n".len());
-        for (at, end) in (0..whole_len).flat_map(|at| [(at, End::Close), (at, End::Reset)]) {
-            let reply = scene.send(&text[..at], end);
+        let last_chunk = "\r\n0\r\n";
+        let complete_len = text.find(last_chunk).map_or(text.len(), |at| at + last_chunk.len());
+        for (len, end) in (0..complete_len).flat_map(|len| [(len, End::Close), (len, End::Reset)]) {
+            let reply = scene.send(&text[..len], end);
             let is_expected = match reply.status.as_str() {
                 "502" => reply.outcome == "unknown" && reply.is_complete,
-                _ => head_len <= at && !reply.is_complete,
+                _ => head.len() <= len && !reply.is_complete,
             };
             if !is_expected {
-                faults.push(format!("{:?} {end:?}: {reply:?}", &text[..at]));
+                faults.push(format!("{:?} {end:?}: {reply:?}", &text[..len]));
             }
         }
-        let reply = scene.send(text, End::Close);
+        let reply = scene.send(&text, End::Close);
         assert!(reply.is_complete && reply.body.contains("ok"), "{text:?}: {reply:?}");
     }
     assert!(faults.is_empty(), "{faults:#?}");
