Wait for a router's queries instead of a time in the test of load reports

On a busy machine a report might come later than the 800 ms that the test slept, and its row with status 200 would fail. It waits for the second query now. With the status unchecked again, 600 and 999 fail as before.

--- a/tests/router_responses.rs
+++ b/tests/router_responses.rs
@@ -10,6 +10,8 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -25,6 +27,7 @@
 use util::fleet::Fleet;
 use util::fleet::Setup;
 use util::fleet::any_port;
+use util::fleet::wait_until;
 
 /// How long a caller waits.
 const TIMEOUT: Duration = Duration::from_secs(20);
@@ -35,9 +38,6 @@
 /// Time from the last byte of a response to the reset of its connection.
 const RESET_DELAY: Duration = Duration::from_millis(2);
 
-/// Time within which a router has received reports of its upstreams.
-const REPORTED_WITHIN: Duration = Duration::from_millis(800);
-
 /// Responses with statuses that no final response has.
 const ODD_STATUSES: [&str; 8] = [
     "HTTP/1.1 000 odd\r\ncontent-length: 2\r\n\r\nok",
@@ -74,11 +74,15 @@
 /// An upstream that reads a request, writes what the script says and closes the connection. It closes
 /// the connection of a query.
 fn serve(script: Script) -> SocketAddr {
-    serve_with_queries(script, String::new())
+    serve_with_queries(script, String::new(), Arc::default())
 }
 
-/// Like [`serve`], with this response to all queries.
-fn serve_with_queries(script: Script, query_response: String) -> SocketAddr {
+/// Like [`serve`], with this response to all queries, which are counted.
+fn serve_with_queries(
+    script: Script,
+    query_response: String,
+    queries: Arc<AtomicUsize>,
+) -> SocketAddr {
     let listener = TcpListener::bind(any_port()).expect("a port is free");
     let addr = listener.local_addr().expect("the listener is bound");
     thread::spawn(move || {
@@ -89,6 +93,7 @@
             if buf[..n].starts_with(b"GET") {
                 // A failure means that the caller has disconnected.
                 let _ = stream.write_all(query_response.as_bytes());
+                queries.fetch_add(1, Ordering::Relaxed);
             } else if buf[..n].starts_with(b"POST") {
                 let (text, end) = script.lock().expect("no panic under lock").clone();
                 // A failure means that the router has disconnected.
@@ -107,6 +112,8 @@
 struct Scene {
     fleet: Fleet,
     script: Script,
+    /// Queries that the upstream has answered.
+    queries: Arc<AtomicUsize>,
 }
 
 /// What a caller gets: the status, the outcome, the body and whether the response is complete.
@@ -128,7 +135,8 @@
         let script: Script = Arc::new(Mutex::new((Vec::new(), End::Close)));
         let mut fleet = Fleet::start(&Setup::default());
         let mut upstream = fleet.configuration["upstreams"][1].clone();
-        let addr = serve_with_queries(script.clone(), query_response);
+        let queries = Arc::<AtomicUsize>::default();
+        let addr = serve_with_queries(script.clone(), query_response, queries.clone());
         upstream["address"] = addr.to_string().into();
         fleet.configuration["upstreams"] = (0..names)
             .map(|n| {
@@ -138,7 +146,7 @@
             .collect();
         fleet.configure();
         fleet.wait_for_revision(2);
-        Scene { fleet, script }
+        Scene { fleet, script, queries }
     }
 
     /// Sends a request whose upstream writes `text`.
@@ -222,7 +230,8 @@
     let served: Vec<(u16, String)> = statuses
         .map(|status| {
             let scene = Scene::start(1, query_response(status, &report));
-            thread::sleep(REPORTED_WITHIN);
+            // The router has received the first report when it asks for the next.
+            wait_until("two queries", || 2 <= scene.queries.load(Ordering::Relaxed));
             let text = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
             (status, scene.send(text, End::Close).status)
         })
@@ -239,7 +248,9 @@
         "leaving": false, "running": 0});
     let boxes = json!([{"name": "b", "zone": "z", "peer": "127.0.0.1:1"}]);
     let script: Script = Arc::new(Mutex::new((Vec::new(), End::Close)));
-    let serve = |status, body| serve_with_queries(script.clone(), query_response(status, body));
+    let serve = |status, body| {
+        serve_with_queries(script.clone(), query_response(status, body), Arc::default())
+    };
     let fetch = |status| {
         let upstream =
             Upstream { address: serve(status, &state), ..catalog::upstream("u", "z", 1) };
